Carry frames between nodes, meet the key-value service, name the catalogue's types

Cause: the thin path needs its three edges before any decision can be carried. Weighed: peers with one shared certificate (rejected: one key on every VM), a certificate authority derived from the peer secret with a key drawn at each start (taken). Settling a lost write by repeating it alone (rejected: a conflict may be with the write itself), by reading back its id (taken). Change: wire (QUIC, mutual TLS, postcard), store (conditional writes, leases, watches, budget), catalogue types. Measured: the exchange test passes; a peer with another secret is turned away.

--- /dev/null
+++ b/crates/store/src/budget.rs
@@ -0,0 +1,97 @@
+//! The budget of calls that one process may make.
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+use crate::Error;
+
+/// What kind of call is charged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A read, a listing or a waiting watch.
+    Read,
+    /// A write or a lease call.
+    Write,
+}
+
+/// Calls a second allowed, with bursts of two seconds' worth.
+#[derive(Debug)]
+pub struct Budget {
+    reads: Bucket,
+    writes: Bucket,
+}
+
+impl Budget {
+    /// A budget of `reads` and `writes` a second.
+    pub fn new(reads: f64, writes: f64) -> Self {
+        Self {
+            reads: Bucket::new(reads),
+            writes: Bucket::new(writes),
+        }
+    }
+
+    /// Charges one call, or says that the budget is used up.
+    pub fn charge(&self, kind: Kind) -> Result<(), Error> {
+        let (bucket, label) = match kind {
+            Kind::Read => (&self.reads, "read"),
+            Kind::Write => (&self.writes, "write"),
+        };
+        if bucket.take() {
+            metrics::counter!("bilberrylatch_platform_calls_total", "kind" => label).increment(1);
+            Ok(())
+        } else {
+            metrics::counter!("bilberrylatch_platform_over_budget_total", "kind" => label).increment(1);
+            Err(Error::OverBudget)
+        }
+    }
+}
+
+impl Default for Budget {
+    /// A share of the service's rates that 9 nodes can use at once.
+    fn default() -> Self {
+        const READS_PER_SECOND: f64 = 100.0;
+        const WRITES_PER_SECOND: f64 = 25.0;
+        Self::new(READS_PER_SECOND, WRITES_PER_SECOND)
+    }
+}
+
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    level: Mutex<Level>,
+}
+
+#[derive(Debug)]
+struct Level {
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    const BURST_SECONDS: f64 = 2.0;
+
+    fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            level: Mutex::new(Level {
+                tokens: rate * Self::BURST_SECONDS,
+                at: Instant::now(),
+            }),
+        }
+    }
+
+    fn take(&self) -> bool {
+        let Ok(mut level) = self.level.lock() else {
+            return false;
+        };
+        let now = Instant::now();
+        let gained = now.duration_since(level.at).as_secs_f64() * self.rate;
+        level.tokens = (level.tokens + gained).min(self.rate * Self::BURST_SECONDS);
+        level.at = now;
+        if level.tokens < 1.0 {
+            return false;
+        }
+        level.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/store/src/http.rs
@@ -0,0 +1,267 @@
+//! Adapter to a key-value service over HTTP with conditional requests (RFC 9110).
+
+pub mod page;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use http::{HeaderMap, StatusCode, header};
+use reqwest::{RequestBuilder, Response};
+use serde::{Deserialize, Serialize};
+
+use crate::{Backend, Change, Condition, Error, Lease, Listing, Record, Write};
+use page::Page;
+
+/// Header that binds a written record to a lease.
+const LEASE_HEADER: &str = "bilberrylatch-lease";
+
+/// Header that carries the id of a write, in requests and answers.
+const WRITE_ID_HEADER: &str = "bilberrylatch-write-id";
+
+/// Time to set up a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Body of a request for a lease.
+#[derive(Debug, Serialize)]
+struct Grant {
+    ttl_ms: u64,
+}
+
+/// Body of its answer.
+#[derive(Debug, Deserialize)]
+struct Granted {
+    id: String,
+}
+
+/// Calls to one address of the service.
+#[derive(Clone, Debug)]
+pub struct Http {
+    client: reqwest::Client,
+    base: String,
+}
+
+impl Http {
+    /// An adapter to the service at `base`, for example `http://127.0.0.1:7100`.
+    pub fn new<U>(base: U) -> Result<Self, Error>
+    where
+        U: Into<String>,
+    {
+        let client = reqwest::Client::builder()
+            .retry(reqwest::retry::never())
+            .connect_timeout(CONNECT_TIMEOUT)
+            .no_proxy()
+            .build()
+            .map_err(|error| Error::Protocol(error.to_string()))?;
+        Ok(Self {
+            client,
+            base: base.into(),
+        })
+    }
+
+    fn record_url(&self, key: &str) -> String {
+        format!("{}/v1/kv/{key}", self.base)
+    }
+
+    fn lease_url(&self, lease: &Lease) -> String {
+        format!("{}/v1/leases/{}", self.base, lease.0)
+    }
+
+    async fn get_record(&self, key: &str) -> Result<Option<Record>, Error> {
+        let response = send(self.client.get(self.record_url(key)), Effect::None).await?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => return Ok(None),
+            status => return Err(unexpected(status)),
+        }
+        let revision = etag(response.headers()).ok_or_else(|| missing("ETag"))?;
+        let write_id = text(response.headers(), WRITE_ID_HEADER);
+        let value = body(response).await?;
+        Ok(Some(Record {
+            value,
+            revision,
+            write_id,
+        }))
+    }
+
+    async fn list_page(&self, prefix: &str, after: &str, limit: usize) -> Result<Listing, Error> {
+        let limit = limit.to_string();
+        let query = [("prefix", prefix), ("after", after), ("limit", limit.as_str())];
+        let url = self.url_with("/v1/kv", &query)?;
+        let response = send(self.client.get(url), Effect::None).await?;
+        if response.status() != StatusCode::OK {
+            return Err(unexpected(response.status()));
+        }
+        Page::decode(&body(response).await?).map(Page::into_listing)
+    }
+
+    async fn write_record(&self, write: &Write) -> Result<u64, Error> {
+        let url = self.record_url(&write.key);
+        let mut request = match &write.value {
+            Some(value) => self.client.put(url).body(value.clone()),
+            None => self.client.delete(url),
+        };
+        request = request.header(WRITE_ID_HEADER, &write.id);
+        request = match write.condition {
+            Condition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            Condition::Revision(revision) => request.header(header::IF_MATCH, format!("\"{revision}\"")),
+            Condition::Any => request,
+        };
+        if let Some(lease) = &write.lease {
+            request = request.header(LEASE_HEADER, &lease.0);
+        }
+        let response = send(request, Effect::Possible).await?;
+        let revision = etag(response.headers());
+        match response.status() {
+            status if status.is_success() => Ok(revision.unwrap_or_default()),
+            StatusCode::PRECONDITION_FAILED => Err(Error::Conflict(revision)),
+            StatusCode::NOT_FOUND if write.value.is_none() => Err(Error::Conflict(None)),
+            StatusCode::NOT_FOUND | StatusCode::GONE if write.lease.is_some() => Err(Error::Lapsed),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(Error::TooLarge(write.value.as_ref().map_or(0, Bytes::len))),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    async fn open_lease(&self, ttl: Duration) -> Result<Lease, Error> {
+        let grant = Grant {
+            ttl_ms: ttl.as_millis() as u64,
+        };
+        // A lease that was granted but not heard of lapses on its own: nothing to settle.
+        let response = send(
+            self.client.post(format!("{}/v1/leases", self.base)).json(&grant),
+            Effect::None,
+        )
+        .await?;
+        if !response.status().is_success() {
+            return Err(unexpected(response.status()));
+        }
+        let granted: Granted = response
+            .json()
+            .await
+            .map_err(|error| Error::Protocol(error.to_string()))?;
+        Ok(Lease(granted.id))
+    }
+
+    async fn touch_lease(&self, request: RequestBuilder) -> Result<(), Error> {
+        let response = send(request, Effect::None).await?;
+        match response.status() {
+            status if status.is_success() => Ok(()),
+            StatusCode::NOT_FOUND | StatusCode::GONE => Err(Error::Lapsed),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    async fn wait(&self, prefix: &str, revision: u64, timeout: Duration) -> Result<Vec<Change>, Error> {
+        let after = revision.to_string();
+        let timeout_ms = timeout.as_millis().to_string();
+        let query = [
+            ("prefix", prefix),
+            ("after", after.as_str()),
+            ("timeout_ms", timeout_ms.as_str()),
+        ];
+        let url = self.url_with("/v1/watch", &query)?;
+        let response = send(self.client.get(url), Effect::None).await?;
+        match response.status() {
+            StatusCode::OK => Page::decode(&body(response).await?).map(Page::into_changes),
+            StatusCode::GONE => Err(Error::Gap),
+            status => Err(unexpected(status)),
+        }
+    }
+
+    fn url_with(&self, path: &str, query: &[(&str, &str)]) -> Result<reqwest::Url, Error> {
+        let whole = format!("{}{path}", self.base);
+        reqwest::Url::parse_with_params(&whole, query).map_err(|error| Error::Protocol(error.to_string()))
+    }
+}
+
+impl Backend for Http {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Record>, Error>> {
+        self.get_record(key).boxed()
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Listing, Error>> {
+        self.list_page(prefix, after, limit).boxed()
+    }
+
+    fn write<'a>(&'a self, write: &'a Write) -> BoxFuture<'a, Result<u64, Error>> {
+        self.write_record(write).boxed()
+    }
+
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<Lease, Error>> {
+        self.open_lease(ttl).boxed()
+    }
+
+    fn renew<'a>(&'a self, lease: &'a Lease) -> BoxFuture<'a, Result<(), Error>> {
+        self.touch_lease(self.client.put(self.lease_url(lease))).boxed()
+    }
+
+    fn revoke<'a>(&'a self, lease: &'a Lease) -> BoxFuture<'a, Result<(), Error>> {
+        self.touch_lease(self.client.delete(self.lease_url(lease)))
+            .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        revision: u64,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<Vec<Change>, Error>> {
+        self.wait(prefix, revision, timeout).boxed()
+    }
+}
+
+/// Whether a call whose answer is lost may have changed something.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Effect {
+    None,
+    Possible,
+}
+
+async fn send(request: RequestBuilder, effect: Effect) -> Result<Response, Error> {
+    match request.send().await {
+        Ok(response) => match response.status() {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(Error::Unavailable(response.status().to_string()))
+            }
+            _ => Ok(response),
+        },
+        Err(error) if error.is_connect() || effect == Effect::None => {
+            Err(Error::Unavailable(error.to_string()))
+        }
+        Err(error) => Err(Error::Unsettled(error.to_string())),
+    }
+}
+
+async fn body(response: Response) -> Result<Bytes, Error> {
+    response
+        .bytes()
+        .await
+        .map_err(|error| Error::Unavailable(error.to_string()))
+}
+
+fn etag(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(header::ETAG)?.to_str().ok()?;
+    value.trim_matches('"').parse().ok()
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+fn missing(what: &str) -> Error {
+    Error::Protocol(format!("the answer has no {what}"))
+}
+
+fn unexpected(status: StatusCode) -> Error {
+    Error::Protocol(format!("status {status}"))
+}
--- /dev/null
+++ b/crates/store/src/http/page.rs
@@ -0,0 +1,77 @@
+//! The service's form of listings and watch answers: a line of JSON, then the values' bytes in order.
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+use crate::listing::Entry;
+use crate::{Change, Error, Listing};
+
+#[derive(Debug, Deserialize)]
+struct Head {
+    revision: u64,
+    items: Vec<Item>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Item {
+    key: String,
+    revision: u64,
+    length: usize,
+    #[serde(default)]
+    deleted: bool,
+}
+
+/// A decoded page.
+#[derive(Debug)]
+pub struct Page {
+    head: Head,
+    values: Vec<Bytes>,
+}
+
+impl Page {
+    /// Reads a body; one cut short is an error.
+    pub fn decode(body: &Bytes) -> Result<Self, Error> {
+        let malformed = |cause: &str| Error::Protocol(format!("malformed page: {cause}"));
+        let end = body
+            .iter()
+            .position(|byte| *byte == b'\n')
+            .ok_or_else(|| malformed("no first line"))?;
+        let head: Head =
+            serde_json::from_slice(&body[..end]).map_err(|error| malformed(&error.to_string()))?;
+        let mut rest = body.slice(end + 1..);
+        let mut values = Vec::with_capacity(head.items.len());
+        for item in &head.items {
+            if rest.len() < item.length {
+                return Err(malformed("cut short"));
+            }
+            values.push(rest.split_to(item.length));
+        }
+        Ok(Self { head, values })
+    }
+
+    /// The page as a listing.
+    pub fn into_listing(self) -> Listing {
+        let items = self.head.items.into_iter().zip(self.values);
+        let entries = items
+            .map(|(item, value)| Entry {
+                key: item.key,
+                revision: item.revision,
+                value,
+            })
+            .collect();
+        Listing {
+            entries,
+            revision: self.head.revision,
+        }
+    }
+
+    /// The page as changes.
+    pub fn into_changes(self) -> Vec<Change> {
+        let change = |item: Item| Change {
+            key: item.key,
+            revision: item.revision,
+            deleted: item.deleted,
+        };
+        self.head.items.into_iter().map(change).collect()
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,31 @@
 //! Client of the platform's key-value service: conditional writes, leases, watches and a budget of calls.
+//!
+//! The service may lose an answer after a write took effect. Every write therefore carries an id of its own,
+//! and [`Client`] settles a lost answer by reading the record back.
+
+pub mod backend;
+pub mod budget;
+pub mod change;
+pub mod client;
+pub mod condition;
+pub mod error;
+pub mod http;
+pub mod lease;
+pub mod listing;
+pub mod record;
+pub mod retry;
+pub mod write;
+
+pub use backend::Backend;
+pub use budget::Budget;
+pub use change::Change;
+pub use client::Client;
+pub use condition::Condition;
+pub use error::Error;
+pub use lease::Lease;
+pub use listing::Listing;
+pub use record::Record;
+pub use write::Write;
+
+/// Largest value the service takes, in bytes.
+pub const VALUE_LIMIT_BYTES: usize = 1024 * 1024;
--- /dev/null
+++ b/crates/wire/src/call.rs
@@ -0,0 +1,29 @@
+//! A caller's request that one node forwards to another.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::head::Field;
+
+/// A request, already admitted by the node that the caller reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Call {
+    /// Id of the request, the same in every node's log.
+    pub request_id: String,
+    /// Workspace that the caller belongs to.
+    pub workspace: String,
+    /// Endpoint asked for.
+    pub endpoint: String,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query below the endpoint.
+    pub path: String,
+    /// Header fields that go on to the replica.
+    pub fields: Vec<Field>,
+    /// Idempotency key.
+    pub key: String,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time left until the caller's deadline, in milliseconds.
+    pub left_ms: u64,
+}
--- /dev/null
+++ b/crates/wire/src/endpoint.rs
@@ -0,0 +1,169 @@
+//! This process's end of all connections to other nodes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use quinn::Connection;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::{Channel, Error, FRAME_LIMIT_BYTES, Frame, Identity};
+
+/// Time to set up a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Frames that wait to be handled, at most; further ones wait at their sender.
+const INCOMING_LIMIT: usize = 1024;
+
+/// Something that a peer sent.
+#[derive(Debug)]
+pub enum Incoming {
+    /// A frame that needs no answer.
+    Frame {
+        /// The peer's address.
+        from: SocketAddr,
+        /// The frame.
+        frame: Frame,
+    },
+    /// An exchange that the peer opened.
+    Channel {
+        /// The peer's address.
+        from: SocketAddr,
+        /// The stream.
+        channel: Channel,
+    },
+}
+
+/// Listens for peers and connects to them. Cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    quic: quinn::Endpoint,
+    connections: Arc<Mutex<IndexMap<SocketAddr, Connection>>>,
+}
+
+impl Endpoint {
+    /// Opens the socket at `address` and starts to listen.
+    pub fn bind(address: SocketAddr, identity: &Identity) -> Result<(Self, mpsc::Receiver<Incoming>), Error> {
+        let mut quic = quinn::Endpoint::server(identity.server()?, address)
+            .map_err(|error| Error::Setup(format!("{address}: {error}")))?;
+        quic.set_default_client_config(identity.client()?);
+        let (sender, receiver) = mpsc::channel(INCOMING_LIMIT);
+        tokio::spawn(accept(quic.clone(), sender));
+        Ok((
+            Self {
+                quic,
+                connections: Arc::default(),
+            },
+            receiver,
+        ))
+    }
+
+    /// The address that the socket was bound to.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        self.quic
+            .local_addr()
+            .map_err(|error| Error::Setup(error.to_string()))
+    }
+
+    /// Sends a frame that needs no answer.
+    pub async fn send(&self, to: SocketAddr, frame: &Frame) -> Result<(), Error> {
+        let bytes = frame.encode()?;
+        let connection = self.connect(to).await?;
+        let broken = |cause: String| Error::Broken(cause);
+        let mut stream = connection
+            .open_uni()
+            .await
+            .map_err(|error| broken(error.to_string()))?;
+        stream
+            .write_all(&bytes)
+            .await
+            .map_err(|error| broken(error.to_string()))?;
+        stream.finish().map_err(|error| broken(error.to_string()))
+    }
+
+    /// Opens an exchange with a peer.
+    pub async fn open(&self, to: SocketAddr) -> Result<Channel, Error> {
+        let connection = self.connect(to).await?;
+        let opened = connection.open_bi().await;
+        let (sender, receiver) = opened.map_err(|error| Error::Unreachable(error.to_string()))?;
+        Ok(Channel::new(sender, receiver))
+    }
+
+    /// Closes all connections after what was sent has left.
+    pub async fn close(&self) {
+        self.quic.close(0_u32.into(), b"leaving");
+        self.quic.wait_idle().await;
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Connection, Error> {
+        if let Some(connection) = self.cached(to) {
+            return Ok(connection);
+        }
+        let connecting = self
+            .quic
+            .connect(to, crate::identity::SERVER_NAME)
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        let connected = timeout(CONNECT_TIMEOUT, connecting).await;
+        let connection = connected
+            .map_err(|_elapsed| Error::Unreachable("no answer in time".to_owned()))?
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        if let Ok(mut connections) = self.connections.lock() {
+            connections.insert(to, connection.clone());
+        }
+        Ok(connection)
+    }
+
+    fn cached(&self, to: SocketAddr) -> Option<Connection> {
+        let mut connections = self.connections.lock().ok()?;
+        let connection = connections.get(&to)?.clone();
+        if connection.close_reason().is_some() {
+            connections.swap_remove(&to);
+            return None;
+        }
+        Some(connection)
+    }
+}
+
+async fn accept(quic: quinn::Endpoint, sender: mpsc::Sender<Incoming>) {
+    while let Some(incoming) = quic.accept().await {
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            match incoming.await {
+                Ok(connection) => serve(connection, sender).await,
+                Err(error) => {
+                    metrics::counter!("bilberrylatch_peer_refused_total").increment(1);
+                    log::warn!("peer turned away: {error}");
+                }
+            }
+        });
+    }
+}
+
+async fn serve(connection: Connection, sender: mpsc::Sender<Incoming>) {
+    let from = connection.remote_address();
+    loop {
+        let incoming = tokio::select! {
+            accepted = connection.accept_uni() => {
+                let Ok(mut stream) = accepted else { return };
+                let Ok(bytes) = stream.read_to_end(FRAME_LIMIT_BYTES).await else { continue };
+                match Frame::decode(&bytes) {
+                    Ok(frame) => Incoming::Frame { from, frame },
+                    Err(error) => {
+                        metrics::counter!("bilberrylatch_peer_malformed_total").increment(1);
+                        log::warn!("frame from {from} dropped: {error}");
+                        continue;
+                    }
+                }
+            }
+            accepted = connection.accept_bi() => {
+                let Ok((send, receive)) = accepted else { return };
+                Incoming::Channel { from, channel: Channel::new(send, receive) }
+            }
+        };
+        if sender.send(incoming).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,50 @@
+//! What travels between nodes.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{Call, Error, FRAME_LIMIT_BYTES, Head};
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// A frame of the membership protocol, encoded by its own crate.
+    Gossip(Bytes),
+    /// A request for the node that its idempotency key names.
+    Forward(Call),
+    /// Head of the answer to a forwarded request.
+    Head(Head),
+    /// A piece of the answer's body.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+    /// Records of idempotency keys that a leaving node hands over.
+    Handover(Bytes),
+    /// The hand-over was taken in.
+    Accepted,
+    /// Asks for the catalogue's text with this digest.
+    Fetch(String),
+    /// The text asked for, if the peer has it.
+    Text(Option<Bytes>),
+}
+
+impl Frame {
+    /// The encoded frame: postcard.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let bytes = postcard::to_stdvec(self).map_err(|error| Error::Malformed(error.to_string()))?;
+        if bytes.len() > FRAME_LIMIT_BYTES {
+            return Err(Error::TooLarge(bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// Reads an encoded frame; bytes left over are an error.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        let (frame, rest) =
+            postcard::take_from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+        if !rest.is_empty() {
+            return Err(Error::Malformed(format!("{} bytes follow the frame", rest.len())));
+        }
+        Ok(frame)
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/exchange.rs
@@ -0,0 +1,81 @@
+//! Frames cross between two endpoints with the same secret, and not with another.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use bytes::Bytes;
+use wire::{Endpoint, Error, Frame, Identity, Incoming};
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+#[tokio::test]
+async fn frame_and_exchange_with_the_same_secret() {
+    let (server, mut incoming) = Endpoint::bind(loopback(), &Identity::new("secret").unwrap()).unwrap();
+    let (client, _rest) = Endpoint::bind(loopback(), &Identity::new("secret").unwrap()).unwrap();
+    let address = server.address().unwrap();
+    let gossip = Frame::Gossip(Bytes::from_static(b"hello"));
+
+    client.send(address, &gossip).await.unwrap();
+    let Some(Incoming::Frame { frame, .. }) = incoming.recv().await else {
+        panic!("no frame")
+    };
+    assert_eq!(frame, gossip);
+
+    let mut channel = client.open(address).await.unwrap();
+    channel.send(&Frame::Fetch("digest".to_owned())).await.unwrap();
+    let Some(Incoming::Channel {
+        channel: mut answer, ..
+    }) = incoming.recv().await
+    else {
+        panic!("no channel")
+    };
+    assert_eq!(answer.receive().await.unwrap(), Frame::Fetch("digest".to_owned()));
+    answer.send(&Frame::Text(None)).await.unwrap();
+    assert_eq!(channel.receive().await.unwrap(), Frame::Text(None));
+}
+
+#[tokio::test]
+async fn another_secret_is_turned_away() {
+    let (server, mut incoming) = Endpoint::bind(loopback(), &Identity::new("secret").unwrap()).unwrap();
+    let (client, _rest) = Endpoint::bind(loopback(), &Identity::new("guess").unwrap()).unwrap();
+    let sent = client.send(server.address().unwrap(), &Frame::End).await;
+    assert!(matches!(sent, Err(Error::Unreachable(_))), "{sent:?}");
+    assert!(incoming.try_recv().is_err());
+}
+
+struct Case {
+    bytes: &'static [u8],
+    accepted: bool,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        bytes: &[],
+        accepted: false,
+    },
+    Case {
+        bytes: &[4],
+        accepted: true,
+    },
+    Case {
+        bytes: &[4, 0],
+        accepted: false,
+    },
+    Case {
+        bytes: &[99],
+        accepted: false,
+    },
+];
+
+#[test]
+fn malformed_frames_are_refused() {
+    for case in CASES {
+        assert_eq!(
+            Frame::decode(case.bytes).is_ok(),
+            case.accepted,
+            "{:?}",
+            case.bytes
+        );
+    }
+}
