--- /dev/null
+++ b/crates/node/src/args.rs
@@ -0,0 +1,40 @@
+//! Flags of the daemon. What they mean and their variables stand in [`crate::settings`].
+
+use std::ffi::OsString;
+
+xflags::xflags! {
+    /// A node of bilberrylatch. Every flag has a variable BILBERRYLATCH_NAME; secrets have variables only.
+    cmd bilberrylatchd {
+        /// Address for callers and operators, IP:PORT.
+        optional --listen address: String
+        /// Address for other nodes, IP:PORT.
+        optional --peer-listen address: String
+        /// Name of this node; stays the same when the process restarts on the same VM.
+        optional --name name: String
+        /// Availability zone of this VM.
+        optional --zone zone: String
+        /// Region of this VM.
+        optional --region region: String
+        /// URL of the platform's key-value service.
+        optional --store url: String
+        /// URL of the cloud's API.
+        optional --cloud url: String
+        /// Peer addresses to ask at the start, separated by commas.
+        optional --peers addresses: String
+        /// Longest time for a graceful stop, in seconds.
+        optional --drain-seconds seconds: String
+        /// Form of the logs: human or json.
+        optional --log-format format: String
+        /// Least level of the logs: error, warn, info, debug or trace.
+        optional --log-level level: String
+        /// Check the settings, say what is wrong, and exit.
+        optional --check
+    }
+}
+
+impl Bilberrylatchd {
+    /// Reads the process's arguments; on a mistake the message says which.
+    pub fn from_args(arguments: Vec<OsString>) -> Result<Self, xflags::Error> {
+        Self::from_vec(arguments)
+    }
+}
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,53 @@
+//! Why a node could not start or go on.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use crate::exit::Exit;
+
+/// A failure that ends the node.
+#[derive(Debug)]
+pub enum Error {
+    /// The address for callers could not be bound.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The address for peers could not be bound, or certificates could not be made.
+    Peers(wire::Error),
+    /// A client could not be set up.
+    Client(String),
+    /// The logs could not be set up.
+    Logs(String),
+}
+
+impl Error {
+    /// The exit code that tells this failure apart.
+    pub const fn exit(&self) -> Exit {
+        match self {
+            Self::Listen { .. } | Self::Peers(_) => Exit::Address,
+            Self::Client(_) | Self::Logs(_) => Exit::Internal,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { address, cause } => write!(
+                f,
+                "can't listen for callers on {address}: {cause}; choose another address with --listen or \
+                 BILBERRYLATCH_LISTEN"
+            ),
+            Self::Peers(cause) => {
+                write!(f, "{cause}; choose another address with --peer-listen or BILBERRYLATCH_PEER_LISTEN")
+            }
+            Self::Client(cause) => write!(f, "can't set up an HTTP client: {cause}"),
+            Self::Logs(cause) => write!(f, "can't set up logs: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/node/src/exit.rs
@@ -0,0 +1,21 @@
+//! Exit codes of the daemon.
+
+/// Why the daemon ended, for scripts and service managers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// A graceful stop, or `--check` without errors.
+    Success = 0,
+    /// Flags or variables are wrong.
+    Settings = 2,
+    /// An address could not be bound.
+    Address = 3,
+    /// An actor or the runtime failed.
+    Internal = 4,
+}
+
+impl From<Exit> for std::process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,28 @@
 //! The daemon: carries events between callers, peers, replicas, the platform and the deciding crates.
+//!
+//! - [`app`] is the program: arguments, settings, signals.
+//! - [`Node`] is one running node; tests and the demo start several in one process.
+//! - [`edge`] serves callers, operators and peers; [`dispatch`] talks to replicas; [`platform`] talks to the
+//!   key-value service and the cloud.
+//! - [`actor`] holds the actors, each around one or two deciding state machines.
+
+pub mod actor;
+pub mod app;
+pub mod args;
+pub mod clock;
+pub mod dispatch;
+pub mod edge;
+pub mod error;
+pub mod exit;
+pub mod logs;
+pub mod node;
+pub mod platform;
+pub mod settings;
+pub mod shared;
+pub mod snapshot;
+pub mod stop;
+
+pub use app::run;
+pub use error::Error;
+pub use node::Node;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/node/src/logs.rs
@@ -0,0 +1,31 @@
+//! Logs, by log4rs, to standard error: lines for people, or one JSON object a line.
+
+use log4rs::Config;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+
+use crate::Error;
+use crate::settings::{Format, Settings};
+
+/// A line: time, level, module, message and named values.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {t}: {m}{n}";
+
+/// Starts logging as the settings say.
+pub fn start(settings: &Settings) -> Result<(), Error> {
+    let failed = |cause: String| Error::Logs(cause);
+    let encoder: Box<dyn Encode> = match settings.log_format {
+        Format::Human => Box::new(PatternEncoder::new(PATTERN)),
+        Format::Json => Box::new(JsonEncoder::new()),
+    };
+    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let root = Root::builder().appender("console").build(settings.log_level);
+    let config = Config::builder()
+        .appender(Appender::builder().build("console", Box::new(console)))
+        .build(root)
+        .map_err(|error| failed(error.to_string()))?;
+    log4rs::init_config(config).map_err(|error| failed(error.to_string()))?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/settings/finding.rs
@@ -0,0 +1,48 @@
+//! Findings of a check of settings.
+
+use std::fmt;
+
+/// One setting that is missing or wrong.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Where it was set, or where it can be: flag or variable.
+    pub place: String,
+    /// The value found; `None` if it is missing, or secret.
+    pub value: Option<String>,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Some(value) => write!(f, "{}: '{value}' is not {}", self.place, self.allowed),
+            None => write!(f, "{}: missing or too short; set it to {}", self.place, self.allowed),
+        }
+    }
+}
+
+/// All findings of one check.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings(pub Vec<Finding>);
+
+impl Findings {
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/crates/node/src/settings/source.rs
@@ -0,0 +1,66 @@
+//! Where settings come from: a flag, else its variable, else a default.
+
+use super::{Finding, Findings};
+
+/// Prefix of every variable.
+const PREFIX: &str = "BILBERRYLATCH_";
+
+/// Reads settings and collects what is wrong with them.
+#[derive(Debug)]
+pub struct Source<V> {
+    variable: V,
+    findings: Findings,
+}
+
+impl<V> Source<V>
+where
+    V: Fn(&str) -> Option<String>,
+{
+    /// Reads variables with `variable`.
+    pub fn new(variable: V) -> Self {
+        Self { variable, findings: Findings::default() }
+    }
+
+    /// The setting `name` read by `parse`; `None` after a finding.
+    pub fn parse<T, P>(
+        &mut self,
+        name: &str,
+        flag: Option<&str>,
+        default: Option<&str>,
+        allowed: &str,
+        parse: P,
+    ) -> Option<T>
+    where
+        P: Fn(&str) -> Option<T>,
+    {
+        let variable = format!("{PREFIX}{}", name.to_uppercase().replace('-', "_"));
+        let (place, text) = match (flag, (self.variable)(&variable)) {
+            (Some(text), _) => (format!("--{name}"), Some(text.to_owned())),
+            (None, Some(text)) => (variable, Some(text)),
+            (None, None) => (format!("--{name} or {variable}"), default.map(str::to_owned)),
+        };
+        let parsed = text.as_deref().and_then(parse);
+        if parsed.is_none() {
+            self.findings.0.push(Finding { place, value: text, allowed: allowed.to_owned() });
+        }
+        parsed
+    }
+
+    /// A secret, which has no flag; its value never stands in a finding.
+    pub fn variable_only<T, P>(&mut self, name: &str, allowed: &str, parse: P) -> Option<T>
+    where
+        P: Fn(&str) -> Option<T>,
+    {
+        let place = format!("{PREFIX}{name}");
+        let parsed = (self.variable)(&place).as_deref().and_then(parse);
+        if parsed.is_none() {
+            self.findings.0.push(Finding { place, value: None, allowed: allowed.to_owned() });
+        }
+        parsed
+    }
+
+    /// What was wrong.
+    pub fn into_findings(self) -> Findings {
+        self.findings
+    }
+}
