Route: keys, events, actions and the whole decision path

Cause: the daemon needs the router's interface to be built on, with behaviour that holds. Weighed: endpoints, replicas and workspaces added by events (rejected: the node would have to invent keys) against methods that give arena keys (taken). A deadline that passes in flight: refuse at once as unknown (rejected: the node may know that no byte left) against cancel first and refuse on the dispatch's end (taken). Change: two random choices over dense lists of free replicas by version and zone, adaptive limits, start-time fair queues with deadlines, retry budgets, ejection with probing, prefix table.

--- /dev/null
+++ b/crates/route/src/endpoint.rs
@@ -0,0 +1,55 @@
+//! Endpoints: their settings and what the router keeps of each.
+
+pub(crate) mod pool;
+pub mod settings;
+pub(crate) mod speed;
+
+pub use settings::Settings;
+
+use indexmap::IndexSet;
+
+use crate::affinity::Table;
+use crate::budget::Budget;
+use crate::key::ReplicaKey;
+use crate::queue::Queue;
+use pool::Pools;
+use speed::Speed;
+
+/// Most replicas ejected at once, in percent of those that are live.
+const MOST_EJECTED_PERCENT: usize = 30;
+
+/// What the router keeps of an endpoint.
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub settings: Settings,
+    pub pools: Pools,
+    pub ejected: IndexSet<ReplicaKey>,
+    pub queue: Queue,
+    pub budget: Budget,
+    pub speed: Speed,
+    pub table: Table,
+    /// Dispatches of this node that have not ended.
+    pub in_flight: u32,
+}
+
+impl Endpoint {
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            pools: Pools::default(),
+            ejected: IndexSet::new(),
+            queue: Queue::default(),
+            budget: Budget::default(),
+            speed: Speed::new(settings.latency_target),
+            table: Table::default(),
+            in_flight: 0,
+        }
+    }
+
+    /// Most replicas that may be ejected now. One of two may; the only one may not.
+    pub fn most_ejected(&self) -> usize {
+        let live = self.pools.live();
+        let part = live * MOST_EJECTED_PERCENT / 100;
+        part.max(usize::from(live > 1))
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,27 @@
 //! Choice of replica, concurrency limits, fair queues, retries and load shedding.
+//!
+//! One [`Router`] a node holds every endpoint. It reads no clock and does no IO: the node passes time and
+//! [`Event`]s in and carries the [`Action`]s out. The same seed and events give the same actions.
+
+pub mod action;
+pub(crate) mod affinity;
+pub mod arrival;
+pub(crate) mod budget;
+pub mod endpoint;
+pub mod event;
+pub mod failure;
+pub mod key;
+pub(crate) mod queue;
+pub mod refusal;
+pub mod replica;
+pub mod retry;
+pub mod router;
+pub mod workspace;
+
+pub use action::Action;
+pub use arrival::Arrival;
+pub use event::Event;
+pub use failure::Failure;
+pub use key::{CallKey, DispatchId, EndpointKey, Prefix, ReplicaKey, VersionKey, WorkspaceKey, ZoneKey};
+pub use refusal::Refusal;
+pub use router::Router;
--- /dev/null
+++ b/crates/route/src/replica.rs
@@ -0,0 +1,93 @@
+//! Replicas: what they are, what they report and what the router keeps of each.
+
+pub(crate) mod health;
+pub(crate) mod limit;
+pub(crate) mod load;
+pub mod report;
+pub mod spec;
+pub mod view;
+
+pub use report::Report;
+pub use spec::Spec;
+pub use view::View;
+
+use base::Millis;
+
+use health::Health;
+use limit::Limit;
+use load::Load;
+
+/// Whether a replica takes new work; it only goes forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    Live,
+    Leaving,
+    Gone,
+}
+
+/// One incarnation of a replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Replica {
+    pub spec: Spec,
+    pub phase: Phase,
+    /// Whether it stands in its endpoint's pools.
+    pub pooled: bool,
+    /// This node's dispatches that have not ended.
+    pub in_flight: u32,
+    pub load: Load,
+    pub limit: Limit,
+    pub health: Health,
+}
+
+impl Replica {
+    pub fn new(spec: Spec) -> Self {
+        Self {
+            spec,
+            phase: Phase::Live,
+            pooled: false,
+            in_flight: 0,
+            load: Load::default(),
+            limit: Limit::new(spec.capacity),
+            health: Health::default(),
+        }
+    }
+
+    /// Most dispatches of this node at once.
+    pub fn slots(&self) -> u32 {
+        match self.health.state() {
+            health::State::Closed => self.limit.slots(),
+            health::State::HalfOpen => 1,
+            health::State::Ejected => 0,
+        }
+    }
+
+    /// Whether a dispatch of this node may be added, by what this node knows for sure.
+    pub fn is_free(&self) -> bool {
+        self.phase == Phase::Live && self.in_flight < self.slots()
+    }
+
+    /// Estimated requests at the replica, of all nodes.
+    pub fn estimate(&self, now: Millis) -> f32 {
+        self.in_flight as f32 + self.load.others(now)
+    }
+
+    /// Whether one more request keeps the estimate within the limit.
+    pub fn has_room(&self, now: Millis) -> bool {
+        self.is_free() && self.estimate(now) + 1.0 <= self.limit.value()
+    }
+
+    /// Estimated use of the replica after one more request, as a part of its limit.
+    pub fn score(&self, now: Millis) -> f32 {
+        (self.estimate(now) + 1.0) / self.limit.value()
+    }
+
+    /// State for gauges and reports.
+    pub fn view(&self) -> View {
+        View {
+            in_flight: self.in_flight,
+            limit: self.limit.value(),
+            leaving: self.phase > Phase::Live,
+            ejected: self.health.state() == health::State::Ejected,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/replica/view.rs
@@ -0,0 +1,14 @@
+//! A replica's state for gauges and reports.
+
+/// What the router thinks of a replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct View {
+    /// This node's dispatches that have not ended.
+    pub in_flight: u32,
+    /// The adaptive limit on requests of all nodes.
+    pub limit: f32,
+    /// Whether it is leaving or gone.
+    pub leaving: bool,
+    /// Whether it takes no requests after failures.
+    pub ejected: bool,
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,173 @@
+//! The router of one node.
+
+mod arrive;
+mod call;
+mod change;
+mod choose;
+mod dispatch;
+mod due;
+mod finish;
+mod flight;
+
+use base::seed::Generator;
+use base::{Millis, Name, Seed};
+use indexmap::{IndexMap, IndexSet};
+use slotmap::SlotMap;
+
+use crate::action::Action;
+use crate::endpoint::{self, Endpoint};
+use crate::event::Event;
+use crate::key::{CallKey, DispatchId, EndpointKey, ReplicaKey, VersionKey, WorkspaceKey, ZoneKey};
+use crate::replica::{self, Replica};
+use crate::workspace::{self, Workspace};
+use call::Call;
+use due::Timers;
+use flight::Flight;
+
+/// Chooses replicas, keeps limits and queues, and decides on retries and refusals for every endpoint of a node.
+#[derive(Debug)]
+pub struct Router {
+    generator: Generator,
+    zone: ZoneKey,
+    zones: IndexSet<Name>,
+    versions: IndexSet<Name>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    replicas: SlotMap<ReplicaKey, Replica>,
+    workspaces: SlotMap<WorkspaceKey, Workspace>,
+    calls: IndexMap<CallKey, Call>,
+    flights: IndexMap<DispatchId, Flight>,
+    timers: Timers,
+    /// Arrivals so far.
+    arrivals: u64,
+    /// Dispatches so far.
+    dispatches: u64,
+}
+
+impl Router {
+    /// A router without endpoints, in no zone.
+    pub fn new(seed: Seed) -> Self {
+        Self {
+            generator: seed.generator(),
+            zone: ZoneKey(u32::MAX),
+            zones: IndexSet::new(),
+            versions: IndexSet::new(),
+            endpoints: SlotMap::with_key(),
+            replicas: SlotMap::with_key(),
+            workspaces: SlotMap::with_key(),
+            calls: IndexMap::new(),
+            flights: IndexMap::new(),
+            timers: Timers::default(),
+            arrivals: 0,
+            dispatches: 0,
+        }
+    }
+
+    /// Says in which availability zone the node is; replicas of this zone go first.
+    pub fn with_zone(mut self, zone: &Name) -> Self {
+        self.zone = self.zone(zone);
+        self
+    }
+
+    /// The key of an availability zone's name; the same name gives the same key.
+    pub fn zone(&mut self, name: &Name) -> ZoneKey {
+        ZoneKey(self.zones.insert_full(name.clone()).0 as u32)
+    }
+
+    /// The key of a version's name; the same name gives the same key.
+    pub fn version(&mut self, name: &Name) -> VersionKey {
+        VersionKey(self.versions.insert_full(name.clone()).0 as u32)
+    }
+
+    /// Adds an endpoint.
+    pub fn add_endpoint(&mut self, settings: endpoint::Settings) -> EndpointKey {
+        self.endpoints.insert(Endpoint::new(settings))
+    }
+
+    /// Adds a workspace.
+    pub fn add_workspace(&mut self, settings: workspace::Settings) -> WorkspaceKey {
+        self.workspaces.insert(Workspace::new(settings))
+    }
+
+    /// Adds a replica and dispatches what waited for one. None if its endpoint is not known.
+    ///
+    /// NB: a replica that left and came back is a new incarnation; add it again.
+    pub fn add_replica(
+        &mut self,
+        now: Millis,
+        spec: replica::Spec,
+        actions: &mut Vec<Action>,
+    ) -> Option<ReplicaKey> {
+        let endpoint = self.endpoints.get_mut(spec.endpoint)?;
+        endpoint.pools.add(&spec);
+        let key = self.replicas.insert(Replica::new(spec));
+        self.refresh(key);
+        self.pump(now, spec.endpoint, actions);
+        Some(key)
+    }
+
+    /// Takes in one event; what is to be done is added to `actions`.
+    ///
+    /// Timers that are due run first, so that no deadline passes unseen.
+    pub fn step(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.run_due(now, actions);
+        match event {
+            Event::Arrive(arrival) => self.arrive(now, arrival, actions),
+            Event::Sent { dispatch } => self.sent(dispatch),
+            Event::FirstToken { dispatch } => self.first_token(now, dispatch),
+            Event::Finished { dispatch, finish } => self.finish(now, dispatch, finish, actions),
+            Event::Cancelled { call } => self.cancel(call, actions),
+            Event::EndpointChanged { endpoint, settings } => {
+                self.change_endpoint(now, endpoint, settings, actions);
+            }
+            Event::EndpointRemoved { endpoint } => self.remove_endpoint(now, endpoint, actions),
+            Event::WorkspaceChanged { workspace, settings } => {
+                self.change_workspace(now, workspace, settings, actions);
+            }
+            Event::WorkspaceRemoved { workspace } => self.remove_workspace(now, workspace, actions),
+            Event::ReplicaLeaving { replica } => self.leave(now, replica, replica::Phase::Leaving, actions),
+            Event::ReplicaGone { replica } => self.leave(now, replica, replica::Phase::Gone, actions),
+            Event::Report { replica, report } => self.report(now, replica, report, actions),
+            Event::PrefixCached { replica, prefix } => self.prefix_cached(replica, prefix),
+            Event::PrefixEvicted { replica, prefix } => self.prefix_evicted(replica, prefix),
+            Event::Tick => {}
+        }
+    }
+
+    /// When the next `Event::Tick` is due at the latest; none if nothing waits for time to pass.
+    pub fn wake_at(&self) -> Option<Millis> {
+        self.timers.first()
+    }
+
+    /// Requests that wait at an endpoint for a slot.
+    pub fn queued(&self, endpoint: EndpointKey) -> usize {
+        self.endpoints
+            .get(endpoint)
+            .map_or(0, |endpoint| endpoint.queue.len())
+    }
+
+    /// This node's dispatches to an endpoint that have not ended.
+    pub fn in_flight(&self, endpoint: EndpointKey) -> u32 {
+        self.endpoints
+            .get(endpoint)
+            .map_or(0, |endpoint| endpoint.in_flight)
+    }
+
+    /// This node's dispatches of a workspace that have not ended.
+    pub fn in_flight_of(&self, workspace: WorkspaceKey) -> u32 {
+        self.workspaces
+            .get(workspace)
+            .map_or(0, |workspace| workspace.in_flight)
+    }
+
+    /// Replicas of an endpoint that take new work, free or not.
+    pub fn live(&self, endpoint: EndpointKey) -> usize {
+        self.endpoints
+            .get(endpoint)
+            .map_or(0, |endpoint| endpoint.pools.live())
+    }
+
+    /// State of one replica for gauges and reports.
+    pub fn replica(&self, replica: ReplicaKey) -> Option<replica::View> {
+        self.replicas.get(replica).map(Replica::view)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/arrive.rs
@@ -0,0 +1,176 @@
+//! Arrivals: admitted and dispatched, admitted and queued, or refused at once.
+
+use base::Millis;
+use rand::RngExt;
+
+use super::Router;
+use super::call::{Call, State};
+use crate::action::Action;
+use crate::arrival::Arrival;
+use crate::key::CallKey;
+use crate::refusal::{Reason, Refusal};
+
+/// Least time to say in `retry_after`.
+const RETRY_AFTER_LEAST: Millis = Millis(200);
+/// Time to say in `retry_after` when the endpoint has no replica.
+const RETRY_AFTER_NO_REPLICA: Millis = Millis(2_000);
+/// Time to say in `retry_after` when a budget is spent.
+const RETRY_AFTER_BUDGET: Millis = Millis(1_000);
+
+impl Router {
+    /// NB: an arrival under a number that has not ended is a fault of the node and is ignored.
+    pub(super) fn arrive(&mut self, now: Millis, arrival: Arrival, actions: &mut Vec<Action>) {
+        if self.calls.contains_key(&arrival.call) {
+            return;
+        }
+        self.arrivals += 1;
+        let call = Call::new(arrival, self.arrivals);
+        if let Some(reason) = self.hopeless(now, &arrival) {
+            let refusal = self.refusal(&call, reason);
+            actions.push(Action::Refuse {
+                call: arrival.call,
+                refusal,
+            });
+            return;
+        }
+        self.calls.insert(arrival.call, call);
+        if self.dispatch_at_once(now, arrival.call, actions) {
+            return;
+        }
+        if let Some(reason) = self.infeasible(now, &arrival) {
+            self.refuse(arrival.call, reason, actions);
+            return;
+        }
+        self.enqueue(now, arrival.call, actions);
+    }
+
+    /// Why the request can't be met whatever its turn.
+    fn hopeless(&self, now: Millis, arrival: &Arrival) -> Option<Reason> {
+        if !self.endpoints.contains_key(arrival.endpoint) {
+            return Some(Reason::NoEndpoint);
+        }
+        let Some(workspace) = self.workspaces.get(arrival.workspace) else {
+            return Some(Reason::NoWorkspace);
+        };
+        if arrival.deadline <= now {
+            return Some(Reason::DeadlineUnmet);
+        }
+        if workspace.settings.share == 0 {
+            return Some(Reason::WorkspaceLimit);
+        }
+        (!self.has_live(arrival)).then_some(Reason::NoReplica)
+    }
+
+    /// Whether any replica that the request accepts takes new work.
+    pub(super) fn has_live(&self, arrival: &Arrival) -> bool {
+        let Some(endpoint) = self.endpoints.get(arrival.endpoint) else {
+            return false;
+        };
+        if endpoint.pools.live_of(arrival.version) > 0 {
+            return true;
+        }
+        arrival.fallback.is_some() && endpoint.pools.live_of(arrival.fallback) > 0
+    }
+
+    /// Why waiting would not do.
+    fn infeasible(&self, now: Millis, arrival: &Arrival) -> Option<Reason> {
+        let endpoint = self.endpoints.get(arrival.endpoint)?;
+        let workspace = self.workspaces.get(arrival.workspace)?;
+        let own = endpoint.queue.len_of(arrival.workspace);
+        let room = (endpoint.settings.max_queue as usize).saturating_sub(endpoint.queue.len());
+        // A flow may take as much as is left free, so that a flood leaves room for others.
+        if own >= room {
+            return Some(Reason::Overloaded);
+        }
+        let left = arrival.deadline - now;
+        let answer = endpoint.speed.answer();
+        let turns = endpoint.queue.turns(arrival.workspace, workspace.settings.weight);
+        if endpoint.speed.wait(turns, endpoint.in_flight) + answer > left {
+            return Some(Reason::DeadlineUnmet);
+        }
+        let own_wait = endpoint.speed.wait((own + 1) as f64, workspace.settings.share);
+        if !workspace.has_share() && own_wait + answer > left {
+            return Some(Reason::WorkspaceLimit);
+        }
+        None
+    }
+
+    /// Puts a request in its queue, until its deadline can't be met any more.
+    pub(super) fn enqueue(&mut self, now: Millis, key: CallKey, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        let arrival = call.arrival;
+        let Some(endpoint) = self.endpoints.get_mut(arrival.endpoint) else {
+            return self.refuse(key, Reason::NoEndpoint, actions);
+        };
+        let Some(workspace) = self.workspaces.get(arrival.workspace) else {
+            return self.refuse(key, Reason::NoWorkspace, actions);
+        };
+        call.state = State::Waiting;
+        let left = call.deadline - now;
+        let answer = endpoint.speed.answer().min(Millis(left.0 / 2));
+        let give_up = call.deadline - answer;
+        endpoint
+            .queue
+            .push(arrival.workspace, workspace.settings.weight, call.entry());
+        self.set_timer(key, Some(give_up));
+        self.pump(now, arrival.endpoint, actions);
+    }
+
+    /// Refuses a request that is in its queue.
+    pub(super) fn refuse_waiting(&mut self, key: CallKey, reason: Reason, actions: &mut Vec<Action>) {
+        self.unqueue(key);
+        self.refuse(key, reason, actions);
+    }
+
+    /// Takes a request out of its queue.
+    pub(super) fn unqueue(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(call.arrival.endpoint) {
+            endpoint.queue.remove(call.arrival.workspace, call.entry());
+        }
+    }
+
+    /// Ends a request by a refusal.
+    pub(super) fn refuse(&mut self, key: CallKey, reason: Reason, actions: &mut Vec<Action>) {
+        self.set_timer(key, None);
+        let Some(call) = self.calls.swap_remove(&key) else {
+            return;
+        };
+        let refusal = self.refusal(&call, reason);
+        actions.push(Action::Refuse { call: key, refusal });
+    }
+
+    fn refusal(&mut self, call: &Call, reason: Reason) -> Refusal {
+        Refusal {
+            reason,
+            outcome: call.outcome(),
+            retry_after: self.retry_after(call, reason),
+        }
+    }
+
+    /// When asking again is worth it, spread at random by half so that callers don't come back together.
+    fn retry_after(&mut self, call: &Call, reason: Reason) -> Option<Millis> {
+        let span = match reason {
+            Reason::NoEndpoint | Reason::NoWorkspace | Reason::MayHaveRun => return None,
+            Reason::NoReplica => RETRY_AFTER_NO_REPLICA,
+            Reason::RetryBudget | Reason::Attempts => RETRY_AFTER_BUDGET,
+            Reason::Overloaded | Reason::DeadlineUnmet | Reason::WorkspaceLimit => self.drain_time(call),
+        };
+        let span = span.max(RETRY_AFTER_LEAST);
+        Some(span + Millis(self.generator.random_range(0..=span.0 / 2)))
+    }
+
+    /// Time until what waits now has been dispatched.
+    fn drain_time(&self, call: &Call) -> Millis {
+        let Some(endpoint) = self.endpoints.get(call.arrival.endpoint) else {
+            return Millis::ZERO;
+        };
+        endpoint
+            .speed
+            .wait(endpoint.queue.len() as f64, endpoint.in_flight)
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/call.rs
@@ -0,0 +1,82 @@
+//! A request that has not ended.
+
+use base::{Millis, Outcome};
+
+use crate::arrival::Arrival;
+use crate::key::{DispatchId, ReplicaKey};
+use crate::queue::flow::Entry;
+use crate::retry::Cause;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    /// It waits for a slot.
+    Waiting,
+    /// It waits until it may be sent again.
+    Backoff,
+    /// A replica has it.
+    Flying(DispatchId),
+    /// Its deadline passed; the dispatch's end will say what to tell.
+    Expired(DispatchId),
+}
+
+/// A request that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Call {
+    pub arrival: Arrival,
+    pub state: State,
+    /// Number of the arrival.
+    pub number: u64,
+    /// When the answer must have begun; later than the arrival's own after a cut.
+    pub deadline: Millis,
+    /// Its only timer, if one runs.
+    pub timer: Option<Millis>,
+    /// Dispatches so far.
+    pub attempts: u8,
+    /// Dispatches that ended because their replica was lost; they don't count against the endpoint's limit.
+    pub losses: u8,
+    /// Where it failed last.
+    pub avoid: Option<ReplicaKey>,
+    /// Whether any dispatch may have run.
+    pub may_have_run: bool,
+    /// Tokens that the caller holds.
+    pub delivered: u32,
+    /// Why it is sent again.
+    pub cause: Option<Cause>,
+}
+
+impl Call {
+    pub const fn new(arrival: Arrival, number: u64) -> Self {
+        Self {
+            arrival,
+            state: State::Waiting,
+            number,
+            deadline: arrival.deadline,
+            timer: None,
+            attempts: 0,
+            losses: 0,
+            avoid: None,
+            may_have_run: arrival.delivered > 0,
+            delivered: arrival.delivered,
+            cause: None,
+        }
+    }
+
+    /// Its place in its workspace's flow.
+    pub const fn entry(&self) -> Entry {
+        Entry {
+            priority: self.arrival.priority,
+            number: self.number,
+            call: self.arrival.call,
+        }
+    }
+
+    /// What may be said when it is refused.
+    pub const fn outcome(&self) -> Outcome {
+        if self.may_have_run {
+            Outcome::Unknown
+        } else {
+            Outcome::NotRun
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/choose.rs
@@ -0,0 +1,137 @@
+//! Choice of replica: the prefix's own, else the better of two at random, same zone first.
+
+use base::Millis;
+use base::seed::Generator;
+use rand::RngExt;
+use slotmap::SlotMap;
+
+use super::Router;
+use super::call::Call;
+use crate::endpoint::Endpoint;
+use crate::endpoint::pool::{Group, Pool};
+use crate::key::{CallKey, ReplicaKey, VersionKey, ZoneKey};
+use crate::replica::Replica;
+
+/// Most draws from one list until a replica with room is taken for not to be found.
+const MOST_DRAWS: usize = 8;
+/// Greatest use of the prefix's own replica, as a multiple of that of a replica drawn at random.
+const AFFINITY_BOUND: f32 = 1.25;
+/// Use of a replica below which its prefixes are always sent to it.
+const AFFINITY_FREE: f32 = 0.5;
+
+/// What a choice looks at.
+struct View<'a> {
+    now: Millis,
+    zone: ZoneKey,
+    replicas: &'a SlotMap<ReplicaKey, Replica>,
+    endpoint: &'a Endpoint,
+    call: &'a Call,
+}
+
+impl Router {
+    /// A replica with room for the request; none if there is none, as far as a few draws show.
+    pub(super) fn choose(&mut self, now: Millis, key: CallKey) -> Option<ReplicaKey> {
+        let call = self.calls.get(&key)?;
+        let endpoint = self.endpoints.get(call.arrival.endpoint)?;
+        let view = View {
+            now,
+            zone: self.zone,
+            replicas: &self.replicas,
+            endpoint,
+            call,
+        };
+        view.choose(&mut self.generator)
+    }
+}
+
+impl View<'_> {
+    fn choose(&self, generator: &mut Generator) -> Option<ReplicaKey> {
+        let drawn = self
+            .draw_version(self.call.arrival.version, generator)
+            .or_else(|| {
+                let fallback = self.call.arrival.fallback?;
+                self.draw_version(Some(fallback), generator)
+            })?;
+        Some(self.home(drawn).unwrap_or(drawn))
+    }
+
+    /// The replica that holds the request's prefix, unless it is used much more than the one drawn.
+    fn home(&self, drawn: ReplicaKey) -> Option<ReplicaKey> {
+        if !self.endpoint.settings.affinity {
+            return None;
+        }
+        let home = self.endpoint.table.get(self.call.arrival.prefix?)?;
+        let replica = self.replicas.get(home)?;
+        let other = self.replicas.get(drawn)?;
+        if replica.spec.version != other.spec.version || !self.suits(home) {
+            return None;
+        }
+        let bound = (other.score(self.now) * AFFINITY_BOUND).max(AFFINITY_FREE);
+        (replica.score(self.now) <= bound).then_some(home)
+    }
+
+    fn draw_version(&self, version: Option<VersionKey>, generator: &mut Generator) -> Option<ReplicaKey> {
+        let group = self.endpoint.pools.group(version)?;
+        self.draw_group(group, generator)
+    }
+
+    fn draw_group(&self, group: &Group, generator: &mut Generator) -> Option<ReplicaKey> {
+        let near = group.zone(self.zone).and_then(|pool| self.draw(pool, generator));
+        near.or_else(|| self.draw(&group.all, generator))
+    }
+
+    /// The less used of two replicas with room, drawn at random.
+    fn draw(&self, pool: &Pool, generator: &mut Generator) -> Option<ReplicaKey> {
+        let len = pool.len();
+        if len == 0 {
+            return None;
+        }
+        let first = generator.random_range(0..len);
+        // An odd step over the list gives other replicas each time; small lists are seen whole.
+        let step = if len <= MOST_DRAWS {
+            1
+        } else {
+            generator.random_range(1..len)
+        };
+        let mut best = None;
+        let mut found = 0;
+        for turn in 0..len.min(MOST_DRAWS) {
+            let index = (first + turn * step) % len;
+            let Some(&key) = pool.get_index(index) else {
+                continue;
+            };
+            if !self.suits(key) {
+                continue;
+            }
+            best = self.better(best, key);
+            found += 1;
+            if found == 2 {
+                break;
+            }
+        }
+        best
+    }
+
+    fn better(&self, best: Option<ReplicaKey>, key: ReplicaKey) -> Option<ReplicaKey> {
+        let Some(old) = best else {
+            return Some(key);
+        };
+        (self.score(key) < self.score(old)).then_some(key).or(best)
+    }
+
+    fn score(&self, key: ReplicaKey) -> f32 {
+        self.replicas
+            .get(key)
+            .map_or(f32::MAX, |replica| replica.score(self.now))
+    }
+
+    /// Whether the replica has room and did not fail the request just now while there are others.
+    fn suits(&self, key: ReplicaKey) -> bool {
+        if self.call.avoid == Some(key) && self.endpoint.pools.live() > 1 {
+            return false;
+        }
+        self.replicas
+            .get(key)
+            .is_some_and(|replica| replica.has_room(self.now))
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/due.rs
@@ -0,0 +1,137 @@
+//! Timers: deadlines, backoff and the end of ejections.
+
+use std::collections::BTreeSet;
+
+use base::Millis;
+
+use super::Router;
+use super::call::State;
+use crate::action::Action;
+use crate::key::{CallKey, ReplicaKey};
+use crate::refusal::Reason;
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    Call(CallKey),
+    Replica(ReplicaKey),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Timer {
+    at: Millis,
+    due: Due,
+}
+
+/// Timers in the order of time.
+#[derive(Debug, Default)]
+pub(crate) struct Timers {
+    timers: BTreeSet<Timer>,
+}
+
+impl Timers {
+    pub fn first(&self) -> Option<Millis> {
+        self.timers.first().map(|timer| timer.at)
+    }
+
+    pub fn set(&mut self, at: Millis, due: Due) {
+        self.timers.insert(Timer { at, due });
+    }
+
+    pub fn clear(&mut self, at: Millis, due: Due) {
+        self.timers.remove(&Timer { at, due });
+    }
+
+    fn pop(&mut self, now: Millis) -> Option<Due> {
+        let first = *self.timers.first()?;
+        if first.at > now {
+            return None;
+        }
+        self.timers.remove(&first);
+        Some(first.due)
+    }
+}
+
+impl Router {
+    /// Runs every timer that is due.
+    pub(super) fn run_due(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Call(key) => self.call_due(now, key, actions),
+                Due::Replica(key) => self.probe(now, key, actions),
+            }
+        }
+    }
+
+    /// Replaces the request's timer.
+    pub(super) fn set_timer(&mut self, key: CallKey, at: Option<Millis>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if call.timer == at {
+            return;
+        }
+        if let Some(old) = call.timer {
+            self.timers.clear(old, Due::Call(key));
+        }
+        call.timer = at;
+        if let Some(at) = at {
+            self.timers.set(at, Due::Call(key));
+        }
+    }
+
+    fn call_due(&mut self, now: Millis, key: CallKey, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        call.timer = None;
+        match call.state {
+            State::Waiting => {
+                let reason = self.late_reason(key);
+                self.refuse_waiting(key, reason, actions);
+            }
+            State::Backoff => self.retry_now(now, key, actions),
+            State::Flying(dispatch) => {
+                call.state = State::Expired(dispatch);
+                self.cancel_dispatch(dispatch, actions);
+            }
+            State::Expired(_) => {}
+        }
+    }
+
+    /// Why a request that waited in vain is refused.
+    fn late_reason(&self, key: CallKey) -> Reason {
+        let Some(call) = self.calls.get(&key) else {
+            return Reason::DeadlineUnmet;
+        };
+        let arrival = &call.arrival;
+        let Some(endpoint) = self.endpoints.get(arrival.endpoint) else {
+            return Reason::NoEndpoint;
+        };
+        if !self.has_live(arrival) {
+            return Reason::NoReplica;
+        }
+        let at_share = self
+            .workspaces
+            .get(arrival.workspace)
+            .is_some_and(|workspace| workspace.parked.contains(&arrival.endpoint));
+        if at_share && endpoint.pools.has_free() {
+            return Reason::WorkspaceLimit;
+        }
+        Reason::DeadlineUnmet
+    }
+
+    /// Lets an ejected replica have one request at a time.
+    pub(super) fn probe(&mut self, now: Millis, key: ReplicaKey, actions: &mut Vec<Action>) {
+        let Some(replica) = self.replicas.get_mut(key) else {
+            return;
+        };
+        let endpoint = replica.spec.endpoint;
+        replica.health.probe();
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.ejected.swap_remove(&key);
+        }
+        self.refresh(key);
+        self.pump(now, endpoint, actions);
+    }
+}
--- /dev/null
+++ b/crates/route/src/router/flight.rs
@@ -0,0 +1,22 @@
+//! A dispatch that has not ended.
+
+use base::Millis;
+
+use crate::key::{CallKey, EndpointKey, ReplicaKey, WorkspaceKey};
+
+/// A dispatch that has not ended; it holds a slot of its replica and of its workspace's share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flight {
+    /// The request, unless its caller is gone.
+    pub call: Option<CallKey>,
+    pub endpoint: EndpointKey,
+    pub workspace: WorkspaceKey,
+    pub replica: ReplicaKey,
+    pub started_at: Millis,
+    /// When the answer began.
+    pub first_at: Option<Millis>,
+    /// Whether a byte may have left.
+    pub sent: bool,
+    /// Whether the node was told to give it up.
+    pub cancelled: bool,
+}
