Issue idempotency keys that only their home node runs

Cause: a repeat of a non-idempotent request must never run twice, also while the platform is down. Weighed: a tag over everything at once (rejected: a key of another endpoint can't be told from a forged one); a window that counts issued numbers (rejected: keys issued and never used would push used ones out).

--- /dev/null
+++ b/crates/claim/src/key.rs
@@ -0,0 +1,68 @@
+//! Issued keys and the secret that signs them.
+
+mod malformed;
+mod secret;
+mod tag;
+
+use std::fmt;
+use std::str::FromStr;
+
+use base::Incarnation;
+use serde::{Deserialize, Serialize};
+
+pub use malformed::Malformed;
+pub use secret::{Secret, Verdict};
+pub use tag::Tag;
+
+/// First part of a key's text, with the version of the form.
+const PREFIX: &str = "blk1";
+/// Parts of a key's text.
+const PARTS: usize = 4;
+
+/// An issued key: `blk1-{home}-{number}-{tag}`, numbers in hexadecimal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The only node that ever runs a request with this key.
+    pub home: Incarnation,
+    /// Number of the key at its home; grows by one with each key.
+    pub number: u64,
+    /// Proof that the deployment issued the key for one endpoint and workspace.
+    pub tag: Tag,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{PREFIX}-{}-{:x}-{}", self.home, self.number, self.tag)
+    }
+}
+
+impl FromStr for Key {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts: Vec<&str> = text.split('-').collect();
+        let [prefix, home, number, tag] = parts[..] else {
+            return Err(Malformed::Parts {
+                found: parts.len(),
+                wanted: PARTS,
+            });
+        };
+        if prefix != PREFIX {
+            return Err(Malformed::Prefix);
+        }
+        Ok(Self {
+            home: Incarnation(hex(home).ok_or(Malformed::Home)?),
+            number: hex(number).ok_or(Malformed::Number)?,
+            tag: tag.parse()?,
+        })
+    }
+}
+
+/// Reads lower-case hexadecimal; unlike the standard parser it takes no sign.
+fn hex(text: &str) -> Option<u64> {
+    let plain = text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    if !plain {
+        return None;
+    }
+    u64::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/crates/claim/src/key/secret.rs
@@ -0,0 +1,96 @@
+//! Signing and checking of keys.
+
+use std::fmt;
+
+use base::Incarnation;
+
+use super::Key;
+use super::tag::{BOUND, ORIGIN, Tag};
+use crate::Binding;
+
+/// Context string of key derivation; it keeps this use of the deployment's secret apart from others.
+const CONTEXT: &str = "bilberrylatch 2026-12-03 issued idempotency keys";
+/// Domain bytes that keep the two hashes apart.
+const ORIGIN_DOMAIN: u8 = 1;
+const BOUND_DOMAIN: u8 = 2;
+
+/// The deployment's secret, the same on every node, that signs issued keys.
+#[derive(Clone)]
+pub struct Secret([u8; blake3::KEY_LEN]);
+
+/// What the tag of a key proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Issued by this deployment for this endpoint and workspace.
+    Valid,
+    /// Issued by this deployment for another endpoint or workspace.
+    OtherBinding,
+    /// Not issued under this secret.
+    Forged,
+}
+
+impl Secret {
+    /// Derives the signing key from the deployment's secret, which should have at least 32 random bytes.
+    pub fn new(material: &[u8]) -> Self {
+        Self(blake3::derive_key(CONTEXT, material))
+    }
+
+    /// Signs the key `number` of `home` for one endpoint and workspace.
+    pub fn sign(&self, home: Incarnation, number: u64, binding: &Binding) -> Key {
+        Key {
+            home,
+            number,
+            tag: self.tag(home, number, binding),
+        }
+    }
+
+    /// What `key` proves for a request with this binding.
+    pub fn verify(&self, key: &Key, binding: &Binding) -> Verdict {
+        let wanted = self.tag(key.home, key.number, binding);
+        if !same(&wanted.origin, &key.tag.origin) {
+            return Verdict::Forged;
+        }
+        if !same(&wanted.bound, &key.tag.bound) {
+            return Verdict::OtherBinding;
+        }
+        Verdict::Valid
+    }
+
+    fn tag(&self, home: Incarnation, number: u64, binding: &Binding) -> Tag {
+        let mut tag = Tag {
+            origin: [0; ORIGIN],
+            bound: [0; BOUND],
+        };
+        self.hasher(ORIGIN_DOMAIN, home, number)
+            .finalize_xof()
+            .fill(&mut tag.origin);
+        let mut bound = self.hasher(BOUND_DOMAIN, home, number);
+        for name in [&binding.endpoint, &binding.workspace] {
+            // The length keeps endpoint and workspace apart.
+            bound.update(&(name.as_str().len() as u64).to_le_bytes());
+            bound.update(name.as_str().as_bytes());
+        }
+        bound.finalize_xof().fill(&mut tag.bound);
+        tag
+    }
+
+    fn hasher(&self, domain: u8, home: Incarnation, number: u64) -> blake3::Hasher {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        hasher.update(&[domain]);
+        hasher.update(&home.0.to_le_bytes());
+        hasher.update(&number.to_le_bytes());
+        hasher
+    }
+}
+
+/// Compares in constant time, so that timing tells nothing about the wanted tag.
+fn same(wanted: &[u8], found: &[u8]) -> bool {
+    let difference = wanted.iter().zip(found).fold(0, |seen, (a, b)| seen | (a ^ b));
+    difference == 0
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/crates/claim/src/table/memory.rs
@@ -0,0 +1,102 @@
+//! What a table forgets, so that its memory stays bounded.
+
+use base::Millis;
+
+use super::Table;
+use super::entry::State;
+use super::import::Import;
+use crate::Fate;
+
+impl Table {
+    /// Forgets what is older than a key's lifetime.
+    pub(super) fn forget(&mut self, now: Millis) {
+        let before = self.window.low();
+        self.window.age(now);
+        if self.window.low() > before {
+            self.forget_below_mark();
+        }
+        let lifetime = self.limits.lifetime;
+        self.imports
+            .retain(|_, import| now.since(import.since()) < lifetime);
+    }
+
+    /// Makes room for one more running key. The low-water mark never rises above `wanted`, the key that asks.
+    pub(super) fn make_room(&mut self, wanted: u64) -> bool {
+        if self.running() >= self.limits.keys / 2 {
+            return false;
+        }
+        if self.entries.len() < self.limits.keys {
+            return true;
+        }
+        let Some(lowest) = self.ended.first().copied() else {
+            return false;
+        };
+        if lowest > wanted {
+            return false;
+        }
+        self.window.raise(lowest + 1);
+        self.forget_below_mark();
+        true
+    }
+
+    /// Drops answers until the bytes kept are within bounds, and imports until their keys are.
+    pub(super) fn fit(&mut self) {
+        while self.imported() > self.limits.imported {
+            self.imports.shift_remove_index(0);
+        }
+        while self.bytes + self.imported_bytes() > self.limits.bytes {
+            if !self.drop_record() && !self.drop_imported_records() {
+                return;
+            }
+        }
+    }
+
+    pub(super) fn imported_bytes(&self) -> usize {
+        self.imports.values().map(Import::bytes).sum()
+    }
+
+    fn imported(&self) -> usize {
+        self.imports.values().map(Import::len).sum()
+    }
+
+    fn forget_below_mark(&mut self) {
+        let low = self.window.low();
+        while let Some(number) = self.ended.first().copied() {
+            if number >= low {
+                break;
+            }
+            self.ended.remove(&number);
+            self.drop_body(number);
+            self.entries.swap_remove(&number);
+        }
+    }
+
+    fn drop_record(&mut self) -> bool {
+        let Some(number) = self.recorded.first().copied() else {
+            return false;
+        };
+        self.drop_body(number);
+        true
+    }
+
+    fn drop_body(&mut self, number: u64) {
+        if !self.recorded.remove(&number) {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&number) else {
+            return;
+        };
+        if let State::Ended(fate) = &mut entry.state {
+            self.bytes -= fate.bytes();
+            *fate = Fate::Dropped;
+        }
+    }
+
+    fn drop_imported_records(&mut self) -> bool {
+        let Some(import) = self.imports.values_mut().find(|import| import.bytes() > 0) else {
+            return false;
+        };
+        import.drop_records();
+        true
+    }
+}
--- /dev/null
+++ b/crates/claim/src/table/run.rs
@@ -0,0 +1,116 @@
+//! The run of a key, from its dispatch to its end.
+
+use std::sync::Arc;
+
+use super::entry::{Run, State};
+use super::{Action, Finish, Seal, Table};
+use crate::{Answer, Call, Fate, Key, Reason, Record};
+
+impl Table {
+    /// Grants the one dispatch of a key.
+    pub(super) fn dispatch(&mut self, call: Call, key: Key) {
+        let closed = self.seal == Seal::Closed;
+        let Some(run) = self.run_mut(call, key) else {
+            return self.actions.push(Action::Halt { call });
+        };
+        if run.dispatched {
+            return self.actions.push(Action::Halt { call });
+        }
+        if closed {
+            return self.halt(call, key);
+        }
+        run.dispatched = true;
+        self.actions.push(Action::Dispatch { call });
+    }
+
+    /// Ends a run that the hand-over has certified as never sent.
+    fn halt(&mut self, call: Call, key: Key) {
+        self.actions.push(Action::Halt { call });
+        let Some(run) = self.run_mut(call, key) else {
+            return;
+        };
+        let waiters = std::mem::take(&mut run.waiters);
+        self.entries.swap_remove(&key.number);
+        for waiter in waiters {
+            self.refuse(waiter, Reason::Sealed);
+        }
+    }
+
+    pub(super) fn finish(&mut self, call: Call, key: Key, result: Finish) {
+        let Some(run) = self.run_mut(call, key) else {
+            return;
+        };
+        let waiters = std::mem::take(&mut run.waiters);
+        let dispatched = run.dispatched;
+        let answer = match result {
+            Finish::NotRun if !dispatched => self.release(key),
+            Finish::NotRun | Finish::Unknown => self.end(key, Fate::Unknown),
+            Finish::Answered(record) => self.record(key, record),
+        };
+        for waiter in waiters {
+            self.answer(waiter, answer.clone());
+        }
+        self.fit();
+    }
+
+    pub(super) fn leave(&mut self, call: Call, key: Key) {
+        if key.home != self.home {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&key.number) else {
+            return;
+        };
+        if let State::Running(run) = &mut entry.state {
+            run.waiters.retain(|waiter| *waiter != call);
+        }
+    }
+
+    /// The run of `key`, if it goes on and `call` is the one that was told to run it.
+    fn run_mut(&mut self, call: Call, key: Key) -> Option<&mut Run> {
+        if key.home != self.home {
+            return None;
+        }
+        match &mut self.entries.get_mut(&key.number)?.state {
+            State::Running(run) if run.call == call => Some(run),
+            State::Running(_) | State::Ended(_) => None,
+        }
+    }
+
+    /// Nothing was sent, so the key is as before its first arrival.
+    fn release(&mut self, key: Key) -> Answer {
+        self.entries.swap_remove(&key.number);
+        Answer::Refused(Reason::NotStarted)
+    }
+
+    /// Answers with the whole record, and keeps it if it is small enough.
+    fn record(&mut self, key: Key, record: Record) -> Answer {
+        let record = Arc::new(record);
+        let fits = record.bytes() <= self.limits.record_bytes;
+        let fate = if fits {
+            Fate::Recorded(Arc::clone(&record))
+        } else {
+            Fate::Dropped
+        };
+        self.end(key, fate);
+        Answer::Recorded(record)
+    }
+
+    fn end(&mut self, key: Key, fate: Fate) -> Answer {
+        let answer = fate.answer();
+        if key.number < self.window.low() {
+            // Below the mark, repeats are refused as expired anyway.
+            self.entries.swap_remove(&key.number);
+            return answer;
+        }
+        let Some(entry) = self.entries.get_mut(&key.number) else {
+            return answer;
+        };
+        if matches!(fate, Fate::Recorded(_)) {
+            self.bytes += fate.bytes();
+            self.recorded.insert(key.number);
+        }
+        entry.state = State::Ended(fate);
+        self.ended.insert(key.number);
+        answer
+    }
+}
