--- /dev/null
+++ b/crates/node/src/actor/traffic.rs
@@ -0,0 +1,180 @@
+//! Routing: which replica gets which request, when, and what is refused.
+
+pub mod arrive;
+pub mod catalogue;
+pub mod order;
+pub mod replica;
+pub mod report;
+pub mod tick;
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use base::{Millis, Name, Seed};
+use indexmap::IndexMap;
+use kameo::actor::ActorRef;
+use kameo::Actor;
+use rand::RngExt;
+use rollout::{Assignment, Guard, Split};
+use route::{Action, CallKey, DispatchId, EndpointKey, Event, ReplicaKey, Router, WorkspaceKey};
+use tokio::sync::mpsc;
+
+use crate::clock::Clock;
+use ::catalogue::Catalogue;
+pub use arrive::Arrive;
+pub use catalogue::Apply;
+pub use order::{Order, Target};
+pub use replica::{Replica, Roster};
+pub use report::{Queues, Report, Status};
+pub use tick::Tick;
+
+/// What a node is started with.
+#[derive(Clone, Debug)]
+pub struct Arguments {
+    /// Seed of random choices.
+    pub seed: Seed,
+    /// Availability zone of the node.
+    pub zone: Name,
+    /// The process's clock.
+    pub clock: Clock,
+    /// This run of the process.
+    pub incarnation: base::Incarnation,
+}
+
+/// A workspace's use of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Tenant {
+    /// The endpoint.
+    pub endpoint: Name,
+    /// The workspace.
+    pub workspace: Name,
+}
+
+/// A request that has not ended.
+#[derive(Debug)]
+struct Call {
+    orders: mpsc::Sender<Order>,
+    endpoint: Name,
+    route: Name,
+    assignment: Option<Assignment>,
+    arrived: Millis,
+}
+
+/// A dispatch that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    call: CallKey,
+}
+
+/// Carries events of requests and replicas into the router, the split and the guard.
+#[derive(Debug)]
+pub struct Traffic {
+    clock: Clock,
+    router: Router,
+    split: Split,
+    guard: Guard,
+    generator: base::seed::Generator,
+    catalogue: Option<Arc<Catalogue>>,
+    nodes: u32,
+    endpoints: IndexMap<Name, EndpointKey>,
+    tenants: IndexMap<Tenant, WorkspaceKey>,
+    replicas: IndexMap<replica::Identity, Replica>,
+    keys: IndexMap<ReplicaKey, replica::Identity>,
+    calls: IndexMap<CallKey, Call>,
+    flights: IndexMap<DispatchId, Flight>,
+    next_call: u64,
+    actions: Vec<Action>,
+}
+
+impl Actor for Traffic {
+    type Args = Arguments;
+    type Error = Infallible;
+
+    async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+        tick::start(&actor);
+        Ok(Self {
+            clock: arguments.clock,
+            router: Router::new(arguments.seed).with_zone(&arguments.zone),
+            split: Split::new(),
+            guard: Guard::new(arguments.incarnation),
+            generator: arguments.seed.derive(1).generator(),
+            catalogue: None,
+            nodes: 1,
+            endpoints: IndexMap::new(),
+            tenants: IndexMap::new(),
+            replicas: IndexMap::new(),
+            keys: IndexMap::new(),
+            calls: IndexMap::new(),
+            flights: IndexMap::new(),
+            next_call: 0,
+            actions: Vec::new(),
+        })
+    }
+}
+
+impl Traffic {
+    fn draw(&mut self) -> u64 {
+        self.generator.random()
+    }
+
+    /// Steps the router and carries its actions out.
+    fn step(&mut self, event: Event) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.step(now, event, &mut actions);
+        self.carry(now, &mut actions);
+        self.actions = actions;
+    }
+
+    fn carry(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        for action in actions.drain(..) {
+            match action {
+                Action::Dispatch(dispatch) => self.order_dispatch(dispatch),
+                Action::Cancel { dispatch } => self.order(self.call_of(dispatch), Order::Cancel(dispatch)),
+                Action::Answered { call, dispatch } => {
+                    self.flights.swap_remove(&dispatch);
+                    self.end(now, call, Order::Answered(dispatch));
+                }
+                Action::Refuse { call, refusal } => {
+                    metrics::counter!("bilberrylatch_refusals_total", "reason" => refusal.reason.as_str())
+                        .increment(1);
+                    self.end(now, call, Order::Refuse(refusal));
+                }
+            }
+        }
+    }
+
+    fn order_dispatch(&mut self, dispatch: route::action::Dispatch) {
+        let target = self.keys.get(&dispatch.replica).and_then(|identity| self.replicas.get(identity));
+        let Some(target) = target.map(|replica| Target::new(dispatch, replica)) else {
+            return;
+        };
+        if let Some(cause) = dispatch.cause {
+            metrics::counter!("bilberrylatch_retries_total", "cause" => cause.as_str()).increment(1);
+        }
+        self.flights.insert(dispatch.id, Flight { call: dispatch.call });
+        self.order(Some(dispatch.call), Order::Dispatch(target));
+    }
+
+    fn call_of(&self, dispatch: DispatchId) -> Option<CallKey> {
+        self.flights.get(&dispatch).map(|flight| flight.call)
+    }
+
+    fn order(&self, call: Option<CallKey>, order: Order) {
+        let Some(call) = call.and_then(|call| self.calls.get(&call)) else {
+            return;
+        };
+        // A full or closed channel means that the driver is gone; its end is reported by itself.
+        let _gone = call.orders.try_send(order);
+    }
+
+    fn end(&mut self, now: Millis, key: CallKey, order: Order) {
+        let Some(call) = self.calls.swap_remove(&key) else {
+            return;
+        };
+        let took = now.since(call.arrived).0 as f64 / 1000.0;
+        let endpoint = call.endpoint.to_string();
+        metrics::histogram!("bilberrylatch_request_seconds", "endpoint" => endpoint).record(took);
+        let _gone = call.orders.try_send(order);
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/traffic/arrive.rs
@@ -0,0 +1,114 @@
+//! Messages about one request.
+
+use base::{Millis, Name};
+use kameo::message::{Context, Message};
+use route::arrival::Priority;
+use route::event::Finish;
+use route::{Arrival, CallKey, DispatchId, Event, Prefix};
+use tokio::sync::mpsc;
+
+use super::{Call, Order, Tenant, Traffic};
+
+/// A request asks to be dispatched; the reply is its key. Its end is told as an [`Order`].
+#[derive(Debug)]
+pub struct Arrive {
+    /// The endpoint asked for.
+    pub endpoint: Name,
+    /// The workspace that asks.
+    pub workspace: Name,
+    /// The route's name, for rollouts.
+    pub route: Name,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When the answer must have begun.
+    pub deadline: Millis,
+    /// Order among the workspace's own requests.
+    pub priority: Priority,
+    /// Shared beginning of its prompt.
+    pub prefix: Option<Prefix>,
+    /// Tokens that the caller already holds.
+    pub delivered: u32,
+    /// Where orders go.
+    pub orders: mpsc::Sender<Order>,
+}
+
+impl Message<Arrive> for Traffic {
+    type Reply = CallKey;
+
+    async fn handle(&mut self, arrive: Arrive, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.next_call += 1;
+        let key = CallKey(self.next_call);
+        let draw = self.draw();
+        let stable = self.stable(&arrive.endpoint);
+        let choice = self.split.choose(&arrive.endpoint, &arrive.route, draw);
+        let assignment = choice.map(|choice| choice.assignment);
+        let version = choice.map(|choice| choice.version.clone()).or_else(|| stable.clone());
+        let tenant = Tenant { endpoint: arrive.endpoint.clone(), workspace: arrive.workspace };
+        let endpoint = self.endpoints.get(&arrive.endpoint).copied().unwrap_or_default();
+        let workspace = self.tenants.get(&tenant).copied().unwrap_or_default();
+        let mut arrival = Arrival::new(key, endpoint, workspace, arrive.deadline)
+            .with_idempotent(arrive.idempotent)
+            .with_priority(arrive.priority)
+            .with_delivered(arrive.delivered);
+        if let Some(prefix) = arrive.prefix {
+            arrival = arrival.with_prefix(prefix);
+        }
+        if let Some(version) = version {
+            let fallback = stable.filter(|stable| *stable != version).map(|stable| self.router.version(&stable));
+            arrival = arrival.with_version(self.router.version(&version), fallback);
+        }
+        let call = Call {
+            orders: arrive.orders,
+            endpoint: arrive.endpoint,
+            route: arrive.route,
+            assignment,
+            arrived: self.clock.now(),
+        };
+        self.calls.insert(key, call);
+        self.step(Event::Arrive(arrival));
+        key
+    }
+}
+
+/// The first byte or token of an answer came.
+#[derive(Clone, Copy, Debug)]
+pub struct Began(pub DispatchId);
+
+impl Message<Began> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, began: Began, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::FirstToken { dispatch: began.0 });
+    }
+}
+
+/// A dispatch ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Finished {
+    /// The dispatch.
+    pub dispatch: DispatchId,
+    /// How it ended.
+    pub finish: Finish,
+}
+
+impl Message<Finished> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, finished: Finished, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Finished { dispatch: finished.dispatch, finish: finished.finish });
+        self.flights.swap_remove(&finished.dispatch);
+    }
+}
+
+/// The caller is gone.
+#[derive(Clone, Copy, Debug)]
+pub struct Cancelled(pub CallKey);
+
+impl Message<Cancelled> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, cancelled: Cancelled, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Cancelled { call: cancelled.0 });
+        self.calls.swap_remove(&cancelled.0);
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/traffic/catalogue.rs
@@ -0,0 +1,103 @@
+//! A new catalogue comes into force for routing.
+
+use std::sync::Arc;
+
+use base::Name;
+use catalogue::{Catalogue, Endpoint, Kind};
+use indexmap::IndexMap;
+use kameo::message::{Context, Message};
+use route::Event;
+use route::{endpoint, workspace};
+
+use super::{Tenant, Traffic};
+
+/// Takes a catalogue in, for a deployment with this many live nodes.
+#[derive(Clone, Debug)]
+pub struct Apply {
+    /// The catalogue.
+    pub catalogue: Arc<Catalogue>,
+    /// Nodes that share the workspaces' limits.
+    pub nodes: u32,
+}
+
+impl Message<Apply> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, apply: Apply, _context: &mut Context<Self, Self::Reply>) {
+        self.nodes = apply.nodes.max(1);
+        self.apply_endpoints(&apply.catalogue);
+        self.apply_tenants(&apply.catalogue);
+        self.catalogue = Some(apply.catalogue);
+        self.reconcile();
+    }
+}
+
+impl Traffic {
+    /// The version that serves an endpoint when no rollout is under way.
+    pub(super) fn stable(&self, endpoint: &Name) -> Option<Name> {
+        let endpoint = self.catalogue.as_ref()?.endpoint(endpoint.as_str())?;
+        Some(endpoint.stable.clone())
+    }
+
+    fn apply_endpoints(&mut self, catalogue: &Catalogue) {
+        let mut left = std::mem::take(&mut self.endpoints);
+        for endpoint in &catalogue.endpoints {
+            let settings = endpoint_settings(endpoint);
+            let key = match left.swap_remove(&endpoint.name) {
+                Some(key) => {
+                    self.step(Event::EndpointChanged { endpoint: key, settings });
+                    key
+                }
+                None => self.router.add_endpoint(settings),
+            };
+            self.endpoints.insert(endpoint.name.clone(), key);
+        }
+        for endpoint in left.into_values() {
+            self.step(Event::EndpointRemoved { endpoint });
+        }
+    }
+
+    fn apply_tenants(&mut self, catalogue: &Catalogue) {
+        let mut left = std::mem::take(&mut self.tenants);
+        let mut kept = IndexMap::new();
+        for endpoint in &catalogue.endpoints {
+            for share in &endpoint.shares {
+                let tenant = Tenant { endpoint: endpoint.name.clone(), workspace: share.workspace.clone() };
+                let settings = self.tenant_settings(catalogue, endpoint, share);
+                let key = match left.swap_remove(&tenant) {
+                    Some(workspace) => {
+                        self.step(Event::WorkspaceChanged { workspace, settings });
+                        workspace
+                    }
+                    None => self.router.add_workspace(settings),
+                };
+                kept.insert(tenant, key);
+            }
+        }
+        self.tenants = kept;
+        for workspace in left.into_values() {
+            self.step(Event::WorkspaceRemoved { workspace });
+        }
+    }
+
+    fn tenant_settings(
+        &self,
+        catalogue: &Catalogue,
+        endpoint: &Endpoint,
+        share: &catalogue::Share,
+    ) -> workspace::Settings {
+        let weight =
+            catalogue.workspaces.iter().find(|w| w.name == share.workspace).map_or(1, |w| w.weight.max(1));
+        let part = (share.in_flight / self.nodes).max(1);
+        workspace::Settings::new(part)
+            .with_weight(weight)
+            .with_retry_percent(endpoint.limits.retry_percent)
+    }
+}
+
+fn endpoint_settings(endpoint: &Endpoint) -> endpoint::Settings {
+    endpoint::Settings::new(endpoint.latency_target())
+        .with_max_queue(endpoint.limits.queue)
+        .with_retry_percent(endpoint.limits.retry_percent)
+        .with_affinity(endpoint.kind == Kind::Engine)
+}
--- /dev/null
+++ b/crates/node/src/actor/traffic/report.rs
@@ -0,0 +1,96 @@
+//! Load reports of replicas, and reports to operators.
+
+use base::Name;
+use kameo::message::{Context, Message};
+use route::{Event, replica};
+use serde::Serialize;
+
+use super::replica::Identity;
+use super::Traffic;
+
+/// A replica reported its load.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Which run of which VM.
+    pub identity: Identity,
+    /// What it said.
+    pub report: replica::Report,
+}
+
+impl Message<Report> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, report: Report, _context: &mut Context<Self, Self::Reply>) {
+        let key = self.replicas.get(&report.identity).and_then(|replica| replica.key);
+        if let Some(replica) = key {
+            self.step(Event::Report { replica, report: report.report });
+        }
+    }
+}
+
+/// Asks for the replicas as this node sees them.
+#[derive(Clone, Copy, Debug)]
+pub struct Status;
+
+/// One replica as this node sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    /// The VM.
+    pub vm: Name,
+    /// The endpoint it serves.
+    pub endpoint: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// The version it runs.
+    pub version: Name,
+    /// Where it listens.
+    pub address: std::net::SocketAddr,
+    /// `live`, `leaving` or `ejected`.
+    pub state: &'static str,
+    /// This node's dispatches to it that have not ended.
+    pub in_flight: u32,
+    /// This node's present limit for it.
+    pub limit: f32,
+}
+
+impl Message<Status> for Traffic {
+    type Reply = Vec<Line>;
+
+    async fn handle(&mut self, _status: Status, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.replicas.values().map(|replica| self.line(replica)).collect()
+    }
+}
+
+impl Traffic {
+    fn line(&self, replica: &super::Replica) -> Line {
+        let view = replica.key.and_then(|key| self.router.replica(key));
+        let ejected = view.is_some_and(|view| view.ejected);
+        let state = match (replica.leaving, ejected) {
+            (true, _) => "leaving",
+            (false, true) => "ejected",
+            (false, false) => "live",
+        };
+        Line {
+            vm: replica.identity.vm.clone(),
+            endpoint: replica.endpoint.clone(),
+            zone: replica.zone.clone(),
+            version: replica.version.clone(),
+            address: replica.address,
+            state,
+            in_flight: view.map_or(0, |view| view.in_flight),
+            limit: view.map_or(0.0, |view| view.limit),
+        }
+    }
+}
+
+/// Asks for the requests that have not ended at this node.
+#[derive(Clone, Copy, Debug)]
+pub struct Queues;
+
+impl Message<Queues> for Traffic {
+    type Reply = usize;
+
+    async fn handle(&mut self, _queues: Queues, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.calls.len()
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,14 @@
+//! Sending requests to replicas, and reading their answers until they are whole.
+
+pub mod attempt;
+pub mod driver;
+pub mod header;
+pub mod outgoing;
+pub mod part;
+pub mod stream;
+pub mod whole;
+
+pub use driver::{Driver, End};
+pub use outgoing::Outgoing;
+pub use part::{Part, Token};
+pub use whole::Whole;
--- /dev/null
+++ b/crates/node/src/dispatch/driver.rs
@@ -0,0 +1,257 @@
+//! Drives one request: carries out the router's orders until the request has ended.
+
+use claim::Key;
+use route::event::Finish;
+use route::failure::{Failure, Kind};
+use route::{CallKey, DispatchId, Refusal};
+use tokio::sync::mpsc;
+
+use super::stream::{Relay, Relayed};
+use super::{Outgoing, Part, Whole, attempt};
+use crate::actor::claims;
+use crate::actor::traffic::arrive::{Arrive, Began, Cancelled, Finished};
+use crate::actor::traffic::{Order, Target};
+use crate::shared::Shared;
+
+/// Orders that wait for one driver.
+const ORDERS: usize = 16;
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub enum End {
+    /// The whole answer.
+    Whole(Whole),
+    /// The stream was relayed to its end.
+    Streamed,
+    /// There is no whole answer.
+    Refused(Refusal),
+    /// The caller is gone.
+    CallerGone,
+    /// The node ended in the middle.
+    Broken,
+}
+
+/// Permission to send: granted by the claims before the first byte may leave.
+#[derive(Clone, Copy, Debug)]
+pub struct Permit {
+    /// The call that was told to run.
+    pub call: claim::Call,
+    /// Its key.
+    pub key: Key,
+}
+
+/// How one dispatch ended.
+enum Tried {
+    Ended(Finish, Option<Whole>),
+    CallerGone,
+}
+
+/// One request under way.
+#[derive(Debug)]
+pub struct Driver {
+    shared: Shared,
+    outgoing: Outgoing,
+    permit: Option<Permit>,
+    parts: Option<mpsc::Sender<Part>>,
+    orders: mpsc::Receiver<Order>,
+    call: CallKey,
+    delivered: u32,
+    granted: bool,
+    began: bool,
+}
+
+impl Driver {
+    /// Lets the request arrive at the router.
+    pub async fn start(shared: Shared, outgoing: Outgoing) -> Option<Self> {
+        let (sender, orders) = mpsc::channel(ORDERS);
+        let arrive = Arrive {
+            endpoint: outgoing.endpoint.clone(),
+            workspace: outgoing.workspace.clone(),
+            route: outgoing.route.clone(),
+            idempotent: outgoing.idempotent,
+            deadline: outgoing.deadline,
+            priority: outgoing.priority,
+            prefix: outgoing.prefix(),
+            delivered: outgoing.delivered,
+            orders: sender,
+        };
+        let call = shared.traffic.ask(arrive).await.ok()?;
+        let delivered = outgoing.delivered;
+        Some(Self {
+            shared,
+            outgoing,
+            permit: None,
+            parts: None,
+            orders,
+            call,
+            delivered,
+            granted: false,
+            began: false,
+        })
+    }
+
+    /// Asks for this permission before the first byte may leave.
+    pub fn with_permit(mut self, permit: Permit) -> Self {
+        self.permit = Some(permit);
+        self
+    }
+
+    /// Streams the answer's tokens to `parts`.
+    pub fn with_parts(mut self, parts: mpsc::Sender<Part>) -> Self {
+        self.parts = Some(parts);
+        self
+    }
+
+    /// Whether a byte of the request may have left.
+    pub const fn may_have_run(&self) -> bool {
+        self.granted
+    }
+
+    /// Carries orders out until the request has ended.
+    pub async fn run(&mut self) -> End {
+        let mut whole = None;
+        loop {
+            let Some(order) = self.orders.recv().await else {
+                return End::Broken;
+            };
+            match order {
+                Order::Dispatch(target) => match self.dispatch(&target).await {
+                    Tried::Ended(finish, answer) => {
+                        whole = answer;
+                        self.finished(target.dispatch, finish).await;
+                    }
+                    Tried::CallerGone => {
+                        self.cancel(target.dispatch).await;
+                        return End::CallerGone;
+                    }
+                },
+                // The dispatch has ended already.
+                Order::Cancel(_dispatch) => {}
+                Order::Answered(_dispatch) => return whole.map_or(End::Streamed, End::Whole),
+                Order::Refuse(refusal) => return self.refused(refusal).await,
+            }
+        }
+    }
+
+    async fn refused(&self, refusal: Refusal) -> End {
+        if let Some(parts) = &self.parts {
+            // A caller that is gone needs no refusal.
+            let _gone = parts.send(Part::Refused(refusal)).await;
+        }
+        End::Refused(refusal)
+    }
+
+    async fn dispatch(&mut self, target: &Target) -> Tried {
+        if !self.grant().await {
+            return failed(Kind::Cancelled, false);
+        }
+        let mut target = target.clone();
+        target.delivered = target.delivered.max(self.delivered);
+        let parts = self.parts.clone();
+        match parts {
+            Some(parts) => self.stream(&target, &parts).await,
+            None => self.whole(&target).await,
+        }
+    }
+
+    /// Whether the request may be sent. Asked once: a second sending follows only if no byte of the first left.
+    async fn grant(&mut self) -> bool {
+        let Some(permit) = self.permit else { return true };
+        if !self.granted {
+            let asked = claims::Dispatch { call: permit.call, key: permit.key };
+            self.granted = self.shared.claims.ask(asked).await.unwrap_or(false);
+        }
+        self.granted
+    }
+
+    async fn whole(&mut self, target: &Target) -> Tried {
+        let shared = self.shared.clone();
+        let outgoing = self.outgoing.clone();
+        let idle = outgoing.idle;
+        let exchange = async {
+            let response = attempt::send(&shared, &outgoing, target).await?;
+            let _gone = shared.traffic.tell(Began(target.dispatch)).await;
+            attempt::read(response, target, idle).await
+        };
+        tokio::select! {
+            answer = exchange => match answer {
+                Ok(whole) => Tried::Ended(Finish::Whole, Some(whole)),
+                Err(failure) => Tried::Ended(Finish::Failed(failure), None),
+            },
+            () = cancelled(&mut self.orders, target.dispatch) => failed(Kind::Cancelled, true),
+        }
+    }
+
+    async fn stream(&mut self, target: &Target, parts: &mpsc::Sender<Part>) -> Tried {
+        let response = tokio::select! {
+            sent = attempt::send(&self.shared, &self.outgoing, target) => sent,
+            () = parts.closed() => return Tried::CallerGone,
+            () = cancelled(&mut self.orders, target.dispatch) => return failed(Kind::Cancelled, true),
+        };
+        let response = match response {
+            Ok(response) => response,
+            Err(failure) => return Tried::Ended(Finish::Failed(failure), None),
+        };
+        if !response.status().is_success() {
+            let answer = attempt::read(response, target, self.outgoing.idle).await;
+            return match answer {
+                Ok(whole) => Tried::Ended(Finish::Whole, Some(whole)),
+                Err(failure) => Tried::Ended(Finish::Failed(failure), None),
+            };
+        }
+        let _gone = self.shared.traffic.tell(Began(target.dispatch)).await;
+        if !self.began {
+            self.began = true;
+            let began = Part::Began { version: target.version.clone() };
+            if parts.send(began).await.is_err() {
+                return Tried::CallerGone;
+            }
+        }
+        self.relay(target, parts, response).await
+    }
+
+    async fn relay(
+        &mut self,
+        target: &Target,
+        parts: &mpsc::Sender<Part>,
+        response: reqwest::Response,
+    ) -> Tried {
+        let before = self.delivered;
+        let mut relay = Relay { sender: parts, expected: before, idle: self.outgoing.idle };
+        let relayed = tokio::select! {
+            relayed = relay.run(response) => relayed,
+            () = parts.closed() => Relayed::CallerGone,
+            () = cancelled(&mut self.orders, target.dispatch) => Relayed::Cut,
+        };
+        self.delivered = relay.expected;
+        match relayed {
+            Relayed::Whole => Tried::Ended(Finish::Whole, None),
+            Relayed::Cut => Tried::Ended(Finish::Cut { tokens: self.delivered - before }, None),
+            Relayed::CallerGone => Tried::CallerGone,
+        }
+    }
+
+    async fn finished(&self, dispatch: DispatchId, finish: Finish) {
+        let _gone = self.shared.traffic.tell(Finished { dispatch, finish }).await;
+    }
+
+    async fn cancel(&self, dispatch: DispatchId) {
+        let _gone = self.shared.traffic.tell(Cancelled(self.call)).await;
+        self.finished(dispatch, Finish::Failed(Failure::new(Kind::Cancelled, true))).await;
+    }
+}
+
+/// Waits until the router gives this dispatch up. Other orders can't come while it runs.
+async fn cancelled(orders: &mut mpsc::Receiver<Order>, dispatch: DispatchId) {
+    loop {
+        match orders.recv().await {
+            Some(Order::Cancel(id)) if id == dispatch => return,
+            Some(_other) => {}
+            None => return,
+        }
+    }
+}
+
+const fn failed(kind: Kind, may_have_run: bool) -> Tried {
+    Tried::Ended(Finish::Failed(Failure::new(kind, may_have_run)), None)
+}
--- /dev/null
+++ b/crates/node/src/edge/auth.rs
@@ -0,0 +1,52 @@
+//! Who is asking.
+
+use base::Name;
+use http::{HeaderMap, StatusCode, header};
+
+use super::Problem;
+use crate::shared::Shared;
+
+/// Scheme of bearer tokens (RFC 6750).
+const BEARER: &str = "Bearer ";
+
+/// The workspace whose token the request carries.
+pub fn workspace(shared: &Shared, fields: &HeaderMap) -> Result<Name, Problem> {
+    let unknown = || {
+        Problem::new(
+            StatusCode::UNAUTHORIZED,
+            "unauthorized",
+            "send the workspace's token as 'Authorization: Bearer TOKEN'",
+        )
+        .counted()
+    };
+    let token = token(fields).ok_or_else(unknown)?;
+    let snapshot = shared.snapshot();
+    let catalogue = snapshot.catalogue.as_ref().ok_or_else(no_catalogue)?;
+    catalogue.authenticate(token).map(|workspace| workspace.name.clone()).ok_or_else(unknown)
+}
+
+/// Whether the request carries the operators' token.
+pub fn operator(shared: &Shared, fields: &HeaderMap) -> Result<(), Problem> {
+    let given = token(fields).map(blake3_digest);
+    if given == Some(blake3_digest(&shared.settings.operator_token)) {
+        return Ok(());
+    }
+    let detail = "send the operators' token as 'Authorization: Bearer TOKEN'";
+    Err(Problem::new(StatusCode::UNAUTHORIZED, "unauthorized", detail).counted())
+}
+
+/// There is no catalogue yet.
+pub fn no_catalogue() -> Problem {
+    const RETRY_AFTER: base::Millis = base::Millis::from_secs(2);
+    let detail = "this node has no catalogue yet; apply one, or come back when it has caught up";
+    Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-catalogue", detail).with_retry_after(RETRY_AFTER).counted()
+}
+
+fn token(fields: &HeaderMap) -> Option<&str> {
+    fields.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix(BEARER)
+}
+
+/// NB: digests are compared so that timing tells nothing about the token.
+fn blake3_digest(token: &str) -> blake3::Hash {
+    blake3::hash(token.as_bytes())
+}
--- /dev/null
+++ b/crates/node/src/edge/call.rs
@@ -0,0 +1,70 @@
+//! A caller's request, from its arrival to its answer.
+
+use axum::body::Body;
+use axum::extract::{Path, Request, State};
+use axum::response::{IntoResponse, Response};
+use base::Outcome;
+use http::{HeaderValue, StatusCode};
+
+use super::{Problem, claimed, intake, streamed};
+use crate::dispatch::header::{OUTCOME, REQUEST_ID, VERSION, value};
+use crate::dispatch::{Driver, End, Outgoing, Whole};
+use crate::shared::Shared;
+
+/// `ANY /v1/endpoints/{endpoint}/{path}`.
+pub async fn handle(
+    State(shared): State<Shared>,
+    Path((endpoint, path)): Path<(String, String)>,
+    request: Request,
+) -> Response {
+    let path = format!("/{path}");
+    let outgoing = match intake::admit(&shared, &endpoint, &path, request).await {
+        Ok(outgoing) => outgoing,
+        Err(problem) => return problem.into_response(),
+    };
+    let request_id = outgoing.request_id.clone();
+    log::debug!(request_id = request_id.as_str(), endpoint = endpoint.as_str(); "request admitted");
+    let mut response = serve(&shared, outgoing).await;
+    response.headers_mut().insert(REQUEST_ID, value(&request_id));
+    response
+}
+
+async fn serve(shared: &Shared, outgoing: Outgoing) -> Response {
+    match (outgoing.idempotent, outgoing.stream) {
+        (false, _) => claimed::serve(shared, outgoing).await,
+        (true, true) => streamed::serve(shared, outgoing).await,
+        (true, false) => plain(shared, outgoing).await,
+    }
+}
+
+/// An idempotent request whose answer is read whole.
+async fn plain(shared: &Shared, outgoing: Outgoing) -> Response {
+    let Some(mut driver) = Driver::start(shared.clone(), outgoing).await else {
+        return Problem::stopping().into_response();
+    };
+    match driver.run().await {
+        End::Whole(whole) => answer(whole),
+        End::Refused(refusal) => Problem::from_refusal(refusal).into_response(),
+        End::Streamed | End::CallerGone | End::Broken => broken(Outcome::Unknown).into_response(),
+    }
+}
+
+/// A whole answer towards the caller.
+pub fn answer(whole: Whole) -> Response {
+    let mut response = Response::new(Body::from(whole.body));
+    *response.status_mut() = whole.status;
+    *response.headers_mut() = whole.fields;
+    let fields = response.headers_mut();
+    fields.insert(OUTCOME, HeaderValue::from_static(Outcome::Answered.as_str()));
+    if let Some(version) = whole.version {
+        fields.insert(VERSION, value(version.as_str()));
+    }
+    response
+}
+
+/// The node ended in the middle of a request.
+pub fn broken(outcome: Outcome) -> Problem {
+    Problem::new(StatusCode::BAD_GATEWAY, "node-failed", "this node failed in the middle of the request")
+        .with_outcome(outcome)
+        .counted()
+}
--- /dev/null
+++ b/crates/node/src/edge/intake.rs
@@ -0,0 +1,162 @@
+//! From an HTTP request to an admitted, bounded one.
+
+use std::time::Duration;
+
+use axum::body::Body;
+use base::{Millis, Name};
+use bytes::Bytes;
+use catalogue::{Endpoint, Route};
+use http::{HeaderMap, Method, Request, StatusCode};
+use route::arrival::Priority;
+
+use super::{Problem, auth};
+use crate::dispatch::{Outgoing, header};
+use crate::shared::Shared;
+use crate::stop::Phase;
+
+/// What the catalogue says about a request.
+#[derive(Clone, Debug)]
+pub struct Admitted {
+    /// The endpoint's entry.
+    pub endpoint: Endpoint,
+    /// The route taken.
+    pub route: Route,
+    /// The workspace that asks.
+    pub workspace: Name,
+}
+
+/// Checks who asks for what, and reads the body within its limit.
+pub async fn admit(
+    shared: &Shared,
+    endpoint: &str,
+    path: &str,
+    request: Request<Body>,
+) -> Result<Outgoing, Problem> {
+    if shared.stop.phase() > Phase::Serving {
+        return Err(Problem::stopping().counted());
+    }
+    let (parts, body) = request.into_parts();
+    let workspace = auth::workspace(shared, &parts.headers)?;
+    let admitted = look_up(shared, endpoint, workspace, &parts.method, path)?;
+    let limit = admitted.endpoint.limits.body_bytes as usize;
+    let body = read(body, limit).await?;
+    let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    outgoing(shared, admitted, parts.method, format!("{path}{query}"), &parts.headers, body)
+}
+
+fn look_up(
+    shared: &Shared,
+    endpoint: &str,
+    workspace: Name,
+    method: &Method,
+    path: &str,
+) -> Result<Admitted, Problem> {
+    let snapshot = shared.snapshot();
+    let catalogue = snapshot.catalogue.as_ref().ok_or_else(auth::no_catalogue)?;
+    let Some(entry) = catalogue.endpoint(endpoint) else {
+        let detail = format!("endpoint '{endpoint}' is not in the catalogue");
+        return Err(Problem::new(StatusCode::NOT_FOUND, "no-endpoint", detail).counted());
+    };
+    if entry.share(workspace.as_str()).is_none() {
+        let detail = format!("workspace '{workspace}' has no share of endpoint '{endpoint}'");
+        return Err(Problem::new(StatusCode::FORBIDDEN, "no-share", detail).counted());
+    }
+    let Some(route) = entry.route(method.as_str(), path) else {
+        let detail = format!("endpoint '{endpoint}' has no route for {method} {path}");
+        return Err(Problem::new(StatusCode::NOT_FOUND, "no-route", detail).counted());
+    };
+    Ok(Admitted { endpoint: entry.clone(), route: route.clone(), workspace })
+}
+
+async fn read(body: Body, limit: usize) -> Result<Bytes, Problem> {
+    axum::body::to_bytes(body, limit).await.map_err(|_error| {
+        let detail = format!("the body is cut short or over the endpoint's limit of {limit} bytes");
+        Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", detail).counted()
+    })
+}
+
+fn outgoing(
+    shared: &Shared,
+    admitted: Admitted,
+    method: Method,
+    path: String,
+    fields: &HeaderMap,
+    body: Bytes,
+) -> Result<Outgoing, Problem> {
+    let Admitted { endpoint, route, workspace } = admitted;
+    let own = Duration::from_millis(endpoint.limits.timeout_ms);
+    let timeout = match asked_timeout(fields)? {
+        Some(asked) => asked.min(own),
+        None => own,
+    };
+    if route.stream && !is_object(&body) {
+        let detail = "a streaming route takes a JSON object as its body";
+        return Err(Problem::new(StatusCode::BAD_REQUEST, "body-malformed", detail).counted());
+    }
+    Ok(Outgoing {
+        request_id: request_id(fields),
+        workspace,
+        route: Name::new(format!("{} {}", route.method, route.path)),
+        endpoint: endpoint.name,
+        method,
+        path,
+        fields: header::towards_replica(fields),
+        body,
+        idempotent: route.idempotent,
+        stream: route.stream,
+        key: header::text(fields, &header::IDEMPOTENCY_KEY),
+        delivered: delivered(fields)?,
+        priority: priority(fields)?,
+        deadline: shared.clock.now() + Millis(timeout.as_millis() as u64),
+        idle: timeout,
+    })
+}
+
+fn is_object(body: &[u8]) -> bool {
+    matches!(serde_json::from_slice(body), Ok(serde_json::Value::Object(_)))
+}
+
+/// The caller's id of the request if it gave a usable one, else a new one.
+fn request_id(fields: &HeaderMap) -> String {
+    const MAX_BYTES: usize = 64;
+    let given = header::text(fields, &header::REQUEST_ID);
+    let usable = |id: &String| {
+        id.len() <= MAX_BYTES && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+    };
+    given.filter(usable).unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string())
+}
+
+fn asked_timeout(fields: &HeaderMap) -> Result<Option<Duration>, Problem> {
+    number(fields, &header::TIMEOUT_MS).map(|asked| asked.map(Duration::from_millis))
+}
+
+/// Tokens that a resuming caller holds: one more than the index of its last one.
+fn delivered(fields: &HeaderMap) -> Result<u32, Problem> {
+    let last = number(fields, &header::LAST_EVENT_ID)?;
+    Ok(last.map_or(0, |last| last.saturating_add(1).min(u64::from(u32::MAX)) as u32))
+}
+
+fn number(fields: &HeaderMap, name: &http::HeaderName) -> Result<Option<u64>, Problem> {
+    let Some(text) = header::text(fields, name) else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|_invalid| {
+        let detail = format!("header '{name}': '{text}' is not a whole number");
+        Problem::new(StatusCode::BAD_REQUEST, "header-malformed", detail).counted()
+    })
+}
+
+fn priority(fields: &HeaderMap) -> Result<Priority, Problem> {
+    let Some(text) = header::text(fields, &header::PRIORITY) else {
+        return Ok(Priority::Normal);
+    };
+    match text.as_str() {
+        "interactive" => Ok(Priority::Interactive),
+        "normal" => Ok(Priority::Normal),
+        "batch" => Ok(Priority::Batch),
+        _ => {
+            let detail = format!("header '{}': '{text}' is not interactive, normal or batch", header::PRIORITY);
+            Err(Problem::new(StatusCode::BAD_REQUEST, "header-malformed", detail).counted())
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/edge/keys.rs
@@ -0,0 +1,45 @@
+//! Issuing idempotency keys.
+
+use axum::Json;
+use axum::extract::{Path, State};
+use axum::response::{IntoResponse, Response};
+use base::Name;
+use http::{HeaderMap, StatusCode};
+use serde::Serialize;
+
+use super::{Problem, auth, claimed};
+use crate::shared::Shared;
+use crate::stop::Phase;
+
+/// Body of the answer.
+#[derive(Debug, Serialize)]
+struct Issued {
+    key: String,
+}
+
+/// `POST /v1/endpoints/{endpoint}/keys`.
+pub async fn handle(
+    State(shared): State<Shared>,
+    Path(endpoint): Path<String>,
+    fields: HeaderMap,
+) -> Response {
+    match issue(&shared, &endpoint, &fields).await {
+        Ok(key) => (StatusCode::CREATED, Json(Issued { key })).into_response(),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn issue(shared: &Shared, endpoint: &str, fields: &HeaderMap) -> Result<String, Problem> {
+    if shared.stop.phase() > Phase::Serving {
+        return Err(Problem::stopping().counted());
+    }
+    let workspace = auth::workspace(shared, fields)?;
+    let snapshot = shared.snapshot();
+    let entry = snapshot.catalogue.as_ref().and_then(|catalogue| catalogue.endpoint(endpoint));
+    if entry.is_none_or(|entry| entry.share(workspace.as_str()).is_none()) {
+        let detail = format!("workspace '{workspace}' has no share of an endpoint '{endpoint}'");
+        return Err(Problem::new(StatusCode::FORBIDDEN, "no-share", detail).counted());
+    }
+    let key = claimed::issue(shared, Name::new(endpoint), workspace).await?;
+    Ok(key.to_string())
+}
--- /dev/null
+++ b/crates/node/src/edge/problem.rs
@@ -0,0 +1,150 @@
+//! Refusals as problem details (RFC 9457), with outcome and `Retry-After`.
+
+use axum::response::{IntoResponse, Response};
+use base::{Millis, Outcome};
+use http::{HeaderValue, StatusCode, header};
+use route::Refusal;
+use route::refusal::Reason;
+use serde::Serialize;
+
+use crate::dispatch::header::OUTCOME;
+
+/// Prefix of a problem's type.
+const TYPE_PREFIX: &str = "https://bilberrylatch.example/problems/";
+
+/// Media type of problem details.
+const MEDIA_TYPE: HeaderValue = HeaderValue::from_static("application/problem+json");
+
+/// A refusal as the caller reads it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Label of the reason, the same as its counter's.
+    pub label: &'static str,
+    /// What is wrong and what to do.
+    pub detail: String,
+    /// What the caller may conclude.
+    pub outcome: Outcome,
+    /// When to come back; none if asking again won't help.
+    pub retry_after: Option<Millis>,
+}
+
+/// The body.
+#[derive(Debug, Serialize)]
+struct Body<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// A refusal of a request that did not run, without a time to come back.
+    pub fn new<D>(status: StatusCode, label: &'static str, detail: D) -> Self
+    where
+        D: Into<String>,
+    {
+        let outcome = Outcome::NotRun;
+        Self { status, label, detail: detail.into(), outcome, retry_after: None }
+    }
+
+    /// Says what the caller may conclude.
+    pub const fn with_outcome(mut self, outcome: Outcome) -> Self {
+        self.outcome = outcome;
+        self
+    }
+
+    /// Says when to come back.
+    pub const fn with_retry_after(mut self, span: Millis) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
+    /// The refusal of the router.
+    pub fn from_refusal(refusal: Refusal) -> Self {
+        let reason = refusal.reason;
+        let problem = Self::new(status(reason), reason.as_str(), detail(reason)).with_outcome(refusal.outcome);
+        match refusal.retry_after {
+            Some(span) => problem.with_retry_after(span),
+            None => problem,
+        }
+    }
+
+    /// The refusal of the claims.
+    pub fn from_claim(reason: claim::Reason) -> Self {
+        const REPEAT_AFTER: Millis = Millis::from_secs(1);
+        let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+        let problem = Self::new(status, reason.label(), reason.to_string()).with_outcome(reason.outcome());
+        if reason.repeat_later() { problem.with_retry_after(REPEAT_AFTER) } else { problem }
+    }
+
+    /// The node stops and takes no new work.
+    pub fn stopping() -> Self {
+        const ELSEWHERE_AT_ONCE: Millis = Millis(1);
+        Self::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "node-stopping",
+            "this node is stopping; look the addresses up again and send the request to another node",
+        )
+        .with_retry_after(ELSEWHERE_AT_ONCE)
+    }
+
+    /// The body as JSON.
+    pub fn to_json(&self) -> String {
+        let body = Body {
+            r#type: format!("{TYPE_PREFIX}{}", self.label),
+            title: self.label,
+            status: self.status.as_u16(),
+            detail: &self.detail,
+            outcome: self.outcome,
+            retry_after_ms: self.retry_after.map(|span| span.0),
+        };
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    /// Counts the refusal; those of the router and the claims are counted where they are decided.
+    pub fn counted(self) -> Self {
+        metrics::counter!("bilberrylatch_refusals_total", "reason" => self.label).increment(1);
+        self
+    }
+}
+
+impl IntoResponse for Problem {
+    fn into_response(self) -> Response {
+        let mut response = (self.status, self.to_json()).into_response();
+        let fields = response.headers_mut();
+        fields.insert(header::CONTENT_TYPE, MEDIA_TYPE);
+        fields.insert(OUTCOME, HeaderValue::from_static(self.outcome.as_str()));
+        if let Some(span) = self.retry_after {
+            fields.insert(header::RETRY_AFTER, HeaderValue::from(span.as_secs_ceil()));
+        }
+        response
+    }
+}
+
+const fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::NoEndpoint | Reason::NoWorkspace => StatusCode::NOT_FOUND,
+        Reason::WorkspaceLimit | Reason::RetryBudget => StatusCode::TOO_MANY_REQUESTS,
+        Reason::NoReplica | Reason::Overloaded | Reason::DeadlineUnmet => StatusCode::SERVICE_UNAVAILABLE,
+        Reason::Attempts | Reason::MayHaveRun => StatusCode::BAD_GATEWAY,
+    }
+}
+
+const fn detail(reason: Reason) -> &'static str {
+    match reason {
+        Reason::NoEndpoint => "the endpoint is not in the catalogue",
+        Reason::NoWorkspace => "the workspace may not use this endpoint",
+        Reason::NoReplica => "no replica of the endpoint takes new work now; come back later",
+        Reason::Overloaded => "the endpoint's queue is full; come back later",
+        Reason::DeadlineUnmet => "the answer would not begin in time; come back later",
+        Reason::WorkspaceLimit => "the workspace is at its limit; wait for its other requests",
+        Reason::RetryBudget => "the request failed and no more retries are allowed now; come back later",
+        Reason::Attempts => "the request failed at every replica that was tried; come back later",
+        Reason::MayHaveRun => "the request may have run; it will not be run again",
+    }
+}
