--- /dev/null
+++ b/crates/member/src/acks.rs
@@ -0,0 +1,107 @@
+//! Which nodes have not applied a generation yet.
+//!
+//! Nodes tell the generation that they have applied to the collectors of their availability zone, and each
+//! collector tells all nodes how far its zone has got. A count speaks for a zone only if it covers the same nodes
+//! as the own view of the zone.
+
+use base::Name;
+
+use crate::Generation;
+use crate::item::{Applied, Body};
+use crate::node::State;
+use crate::view::View;
+
+/// How far one availability zone has got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Zone {
+    /// The region.
+    pub region: Name,
+    /// The availability zone.
+    pub zone: Name,
+    /// The highest generation that all of its nodes that are not gone are known to have applied.
+    pub generation: Generation,
+    /// Number of its nodes that are not gone.
+    pub nodes: u32,
+    /// Those of its nodes that are unreachable and not known to be gone.
+    pub unreachable: Vec<Name>,
+    /// Sum of the incarnations counted, wrapping.
+    sum: u64,
+}
+
+/// How far each availability zone has got.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Acks {
+    zones: Vec<Zone>,
+}
+
+impl Acks {
+    /// Counts the nodes of `view`, and takes what collectors told from `bodies`.
+    pub fn new<'a, B>(view: &View, bodies: B) -> Self
+    where
+        B: IntoIterator<Item = &'a Body>,
+    {
+        let mut acks = Self::default();
+        for member in view.present() {
+            acks.add(member);
+        }
+        for body in bodies {
+            if let Body::Applied { applied, .. } = body {
+                acks.take(applied);
+            }
+        }
+        acks
+    }
+
+    /// The highest generation that every node that is not gone has applied.
+    pub fn in_force(&self) -> Option<Generation> {
+        self.zones.iter().map(|zone| zone.generation).min()
+    }
+
+    /// The zones with nodes that have not applied `generation`, as far as is known.
+    pub fn missing(&self, generation: Generation) -> Vec<&Zone> {
+        let zones = self.zones.iter();
+        zones.filter(|zone| zone.generation < generation).collect()
+    }
+
+    /// All zones.
+    pub fn zones(&self) -> &[Zone] {
+        &self.zones
+    }
+
+    fn add(&mut self, member: &crate::view::Member) {
+        let node = member.node();
+        let index = self.find(&node.region, &node.zone).unwrap_or_else(|| {
+            self.zones.push(Zone {
+                region: node.region.clone(),
+                zone: node.zone.clone(),
+                generation: Generation(0),
+                nodes: 0,
+                unreachable: Vec::new(),
+                sum: 0,
+            });
+            self.zones.len() - 1
+        });
+        let zone = &mut self.zones[index];
+        zone.nodes += 1;
+        zone.sum = zone.sum.wrapping_add(node.incarnation.0);
+        if member.state() == State::Suspect {
+            zone.unreachable.push(node.name.clone());
+        }
+    }
+
+    fn take(&mut self, applied: &Applied) {
+        let Some(index) = self.find(&applied.region, &applied.zone) else {
+            return;
+        };
+        let zone = &mut self.zones[index];
+        if applied.nodes == zone.nodes && applied.sum == zone.sum {
+            zone.generation = zone.generation.max(applied.generation);
+        }
+    }
+
+    fn find(&self, region: &Name, zone: &Name) -> Option<usize> {
+        self.zones
+            .iter()
+            .position(|it| it.region == *region && it.zone == *zone)
+    }
+}
--- /dev/null
+++ b/crates/member/src/address.rs
@@ -0,0 +1,214 @@
+//! The list of node addresses that a caller is given.
+
+use std::net::SocketAddr;
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Name, Seed};
+use indexmap::IndexMap;
+use rand::RngExt;
+
+use crate::node::{Node, State};
+use crate::view::{Member, View};
+
+/// One address for callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Address {
+    /// The node.
+    pub node: Incarnation,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// The node's availability zone.
+    pub zone: Name,
+    /// The node's region.
+    pub region: Name,
+}
+
+/// Addresses, best first, and how long they may be kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct List {
+    /// The addresses, best first.
+    pub addresses: Vec<Address>,
+    /// How long the caller may keep the list.
+    pub lifetime: Millis,
+}
+
+/// Who asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Caller {
+    /// The caller's region.
+    pub region: Name,
+    /// The caller's availability zone, or that of the node it asked.
+    pub zone: Name,
+    /// Spreads callers: another seed gives another order.
+    pub seed: Seed,
+}
+
+/// Lengths and lifetimes of lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Most addresses in a list.
+    pub most: usize,
+    /// Lifetime of a list in quiet times; each list's own is up to a fifth shorter.
+    pub lifetime: Millis,
+    /// Lifetime of a list while nodes of the caller's zone are leaving or suspect.
+    pub short_lifetime: Millis,
+}
+
+impl Settings {
+    /// The standard settings.
+    pub const fn new() -> Self {
+        Self {
+            most: 6,
+            lifetime: Millis::from_secs(30),
+            short_lifetime: Millis::from_secs(5),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// How far a node is from the caller; a lower rank is better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    Zone,
+    Region,
+    World,
+    /// Most nodes of its zone are leaving or suspect.
+    Reclaimed,
+}
+
+/// How one zone fares.
+#[derive(Clone, Copy, Debug, Default)]
+struct Zone {
+    alive: usize,
+    troubled: usize,
+}
+
+impl Zone {
+    const fn is_reclaimed(self) -> bool {
+        self.troubled > self.alive
+    }
+}
+
+/// A node on its way into the list.
+#[derive(Clone, Debug)]
+struct Candidate {
+    distance: Distance,
+    /// Sorts the candidates of one distance; lower comes first.
+    order: f64,
+    address: Address,
+}
+
+impl List {
+    /// The list for `caller` of the nodes alive in `view`; `load` is each node's use of its capacity from 0 to 1.
+    pub fn new(view: &View, load: &IndexMap<Incarnation, f64>, caller: &Caller, settings: &Settings) -> Self {
+        let mut generator = caller.seed.generator();
+        let zones = zones(view);
+        let alive = view.iter().filter(|it| it.state() == State::Alive);
+        let mut candidates: Vec<Candidate> = alive
+            .map(|it| candidate(it.node(), &zones, load, caller, &mut generator))
+            .collect();
+        candidates.sort_by(|a, b| a.distance.cmp(&b.distance).then(a.order.total_cmp(&b.order)));
+        let own = zones.get(&key(&caller.region, &caller.zone));
+        let is_troubled = own.is_some_and(|zone| zone.troubled > 0);
+        let lifetime = if is_troubled {
+            settings.short_lifetime
+        } else {
+            settings.lifetime
+        };
+        Self {
+            addresses: select(candidates, settings.most),
+            lifetime: Millis(lifetime.0 - generator.random_range(0..=lifetime.0 / 5)),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct ZoneKey {
+    region: Name,
+    zone: Name,
+}
+
+fn key(region: &Name, zone: &Name) -> ZoneKey {
+    ZoneKey {
+        region: region.clone(),
+        zone: zone.clone(),
+    }
+}
+
+fn zones(view: &View) -> IndexMap<ZoneKey, Zone> {
+    let mut zones: IndexMap<ZoneKey, Zone> = IndexMap::new();
+    for member in view.present() {
+        let zone = zones
+            .entry(key(&member.node().region, &member.node().zone))
+            .or_default();
+        match member.state() {
+            State::Alive => zone.alive += 1,
+            State::Leaving | State::Suspect | State::Gone => zone.troubled += 1,
+        }
+    }
+    zones
+}
+
+fn candidate(
+    node: &Node,
+    zones: &IndexMap<ZoneKey, Zone>,
+    load: &IndexMap<Incarnation, f64>,
+    caller: &Caller,
+    generator: &mut Generator,
+) -> Candidate {
+    /// A node in full use still gets this part of an idle one's callers.
+    const LEAST_WEIGHT: f64 = 0.05;
+    let zone = zones
+        .get(&key(&node.region, &node.zone))
+        .copied()
+        .unwrap_or_default();
+    let distance = match () {
+        () if zone.is_reclaimed() => Distance::Reclaimed,
+        () if node.region != caller.region => Distance::World,
+        () if node.zone != caller.zone => Distance::Region,
+        () => Distance::Zone,
+    };
+    let used = load.get(&node.incarnation).copied().unwrap_or(0.0);
+    let weight = (1.0 - used).max(LEAST_WEIGHT);
+    // The first of exponentially distributed draws is each node with a chance in proportion to its weight.
+    let draw = generator.random_range(f64::MIN_POSITIVE..1.0);
+    Candidate {
+        distance,
+        order: -draw.ln() / weight,
+        address: Address {
+            node: node.incarnation,
+            caller: node.caller,
+            zone: node.zone.clone(),
+            region: node.region.clone(),
+        },
+    }
+}
+
+/// The first `most` candidates; the last place goes to another zone if all before it are in one.
+fn select(candidates: Vec<Candidate>, most: usize) -> Vec<Address> {
+    let mut rest = candidates.into_iter().map(|it| it.address);
+    let mut list: Vec<Address> = rest.by_ref().take(most).collect();
+    let Some(first) = list.first() else { return list };
+    let is_elsewhere = |it: &Address| it.zone != first.zone || it.region != first.region;
+    if list.len() == most
+        && most > 1
+        && !list.iter().any(is_elsewhere)
+        && let Some(other) = rest.find(is_elsewhere)
+    {
+        list.pop();
+        list.push(other);
+    }
+    list
+}
+
+impl Address {
+    /// Whether `member` may be given to callers.
+    pub fn is_offered(member: &Member) -> bool {
+        member.state() == State::Alive
+    }
+}
--- /dev/null
+++ b/crates/member/src/config.rs
@@ -0,0 +1,307 @@
+//! Which generation of the catalogue this node has applied, and whether it may serve new work with it.
+//!
+//! A node never applies a lower generation. It asks the platform and its peers before it serves for the first time
+//! and after a pause longer than its registration. It refuses new work while it could be behind: when nobody it
+//! hears has had an answer of the platform for longer than the bound, and it does not reach more than half of
+//! the known nodes either.
+
+use std::fmt;
+
+use base::Millis;
+
+use crate::Generation;
+use crate::frame::Confirmed;
+use crate::gossip::Reach;
+use crate::moment::Moment;
+
+/// Periods and bounds of [`Config`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Lifetime of the node's registration; a gap between steps of this length is a pause.
+    pub registration: Millis,
+    /// A node that could be behind for longer than this refuses new work.
+    pub bound: Millis,
+    /// Wait at the start after a peer's answer, so that the peers know this node before it serves.
+    pub settle: Millis,
+    /// Time between two askings.
+    pub ask: Millis,
+}
+
+impl Settings {
+    /// The standard settings.
+    pub const fn new() -> Self {
+        Self {
+            registration: Millis::from_secs(10),
+            bound: Millis::from_secs(15),
+            settle: Millis::from_secs(2),
+            ask: Millis(500),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time passes; expected several times a second.
+    Tick,
+    /// Somebody told of this generation.
+    Known(Generation),
+    /// The body of this generation is here and has passed its checks.
+    Fetched(Generation),
+    /// The platform answered this node with the generation of the head record.
+    Platform(Generation),
+    /// A peer told all it holds; it serves with this generation, or serves no new work.
+    Peer(Option<Generation>),
+    /// The platform's newest answer to anyone, as far as it is known here.
+    Confirmed(Confirmed),
+    /// How much of the fleet is in reach.
+    Reach(Reach),
+    /// This incarnation was declared gone.
+    Fenced,
+}
+
+/// Something to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Ask the platform for the head record, and peers for what they hold.
+    Ask,
+    /// Fetch the body of this generation, from a peer or from the platform.
+    Fetch(Generation),
+    /// Put this generation in force.
+    Apply(Generation),
+}
+
+/// The actions of one step.
+pub type Actions = Vec<Action>;
+
+/// Why a node serves no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No generation has been applied yet.
+    Empty,
+    /// The node has started, or woken from a pause, and has no answer yet.
+    Asking,
+    /// A newer generation is known and is not applied yet.
+    Behind,
+    /// Neither an answer of the platform nor more than half of the nodes are in reach.
+    CutOff,
+    /// This incarnation was declared gone.
+    Fenced,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Empty => "no catalogue has been applied on this node yet; ask another node",
+            Self::Asking => "this node is asking whether its catalogue is the newest; ask another node",
+            Self::Behind => {
+                "this node knows of a newer catalogue and has not applied it yet; ask another node"
+            }
+            Self::CutOff => "this node reaches neither the platform nor most nodes; ask another node",
+            Self::Fenced => "this node was declared gone and must be restarted; ask another node",
+        })
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+/// How far the asking at the start or after a pause has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// No answer yet.
+    Open,
+    /// A generation at least as high as all accepted ones; it may be served from this time on.
+    Answered { generation: Generation, from: Millis },
+}
+
+/// The catalogue's state on one node.
+#[derive(Clone, Debug)]
+pub struct Config {
+    settings: Settings,
+    applied: Option<Generation>,
+    known: Option<Generation>,
+    /// When a generation above the applied one was first known.
+    behind_since: Option<Millis>,
+    asked: Asked,
+    next_ask: Millis,
+    last_step: Option<Millis>,
+    /// When the applied generation was last known to be the platform's.
+    current: Option<Moment>,
+    confirmed: Option<Answer>,
+    is_majority: bool,
+    fenced: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    generation: Generation,
+    at: Moment,
+}
+
+impl Config {
+    /// A node that has applied nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            applied: None,
+            known: None,
+            behind_since: None,
+            asked: Asked::Open,
+            next_ask: Millis::ZERO,
+            last_step: None,
+            current: None,
+            confirmed: None,
+            is_majority: false,
+            fenced: false,
+        }
+    }
+
+    /// The generation in force on this node.
+    pub fn applied(&self) -> Option<Generation> {
+        self.applied
+    }
+
+    /// The highest generation that this node knows of.
+    pub fn known(&self) -> Option<Generation> {
+        self.known
+    }
+
+    /// The generation to serve new work with, or why none may be served.
+    pub fn serving(&self, now: Millis) -> Result<Generation, Refusal> {
+        if self.fenced {
+            return Err(Refusal::Fenced);
+        }
+        let applied = self.applied.ok_or(Refusal::Empty)?;
+        let Asked::Answered { generation, from } = self.asked else {
+            return Err(Refusal::Asking);
+        };
+        if now < from || self.has_paused(now) {
+            return Err(Refusal::Asking);
+        }
+        let bound = self.settings.bound;
+        let is_late = self.behind_since.is_some_and(|since| now.since(since) > bound);
+        if applied < generation || is_late {
+            return Err(Refusal::Behind);
+        }
+        let is_current = self.current.is_some_and(|at| at.age(now) <= bound);
+        if !is_current && !self.is_majority {
+            return Err(Refusal::CutOff);
+        }
+        Ok(applied)
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Millis, event: Event) -> Actions {
+        let mut actions = Actions::new();
+        if self.has_paused(now) {
+            self.asked = Asked::Open;
+            self.next_ask = now;
+            // NB: what was in reach before the pause says nothing now.
+            self.is_majority = false;
+        }
+        self.last_step = Some(now);
+        match event {
+            Event::Tick => {}
+            Event::Known(generation) => self.know(now, generation, &mut actions),
+            Event::Fetched(generation) => self.apply(generation, &mut actions),
+            Event::Platform(generation) => self.take_platform(now, generation, &mut actions),
+            Event::Peer(serving) => self.take_peer(now, serving, &mut actions),
+            Event::Confirmed(confirmed) => self.take_confirmed(now, confirmed, &mut actions),
+            Event::Reach(reach) => self.is_majority = reach.is_majority(),
+            Event::Fenced => self.fenced = true,
+        }
+        self.ask(now, &mut actions);
+        actions
+    }
+
+    fn has_paused(&self, now: Millis) -> bool {
+        self.last_step
+            .is_some_and(|last| now.since(last) >= self.settings.registration)
+    }
+
+    fn ask(&mut self, now: Millis, actions: &mut Actions) {
+        if self.asked != Asked::Open || now < self.next_ask {
+            return;
+        }
+        self.next_ask = now + self.settings.ask;
+        actions.push(Action::Ask);
+    }
+
+    fn know(&mut self, now: Millis, generation: Generation, actions: &mut Actions) {
+        if self.known >= Some(generation) {
+            return;
+        }
+        self.known = Some(generation);
+        if self.applied < self.known {
+            self.behind_since.get_or_insert(now);
+            actions.push(Action::Fetch(generation));
+        }
+    }
+
+    fn apply(&mut self, generation: Generation, actions: &mut Actions) {
+        if self.applied >= Some(generation) {
+            return;
+        }
+        self.applied = Some(generation);
+        self.known = self.known.max(self.applied);
+        if self.applied == self.known {
+            self.behind_since = None;
+        }
+        self.note_current();
+        actions.push(Action::Apply(generation));
+    }
+
+    fn take_platform(&mut self, now: Millis, generation: Generation, actions: &mut Actions) {
+        self.answer(generation, now);
+        let confirmed = Confirmed { generation, age: 0 };
+        self.take_confirmed(now, confirmed, actions);
+    }
+
+    fn take_peer(&mut self, now: Millis, serving: Option<Generation>, actions: &mut Actions) {
+        let Some(generation) = serving else { return };
+        let from = if self.applied.is_none() {
+            now + self.settings.settle
+        } else {
+            now
+        };
+        self.answer(generation, from);
+        self.know(now, generation, actions);
+    }
+
+    fn answer(&mut self, generation: Generation, from: Millis) {
+        self.asked = match self.asked {
+            Asked::Open => Asked::Answered { generation, from },
+            Asked::Answered {
+                generation: earlier,
+                from: earlier_from,
+            } => Asked::Answered {
+                generation: generation.max(earlier),
+                from: from.min(earlier_from),
+            },
+        };
+    }
+
+    fn take_confirmed(&mut self, now: Millis, confirmed: Confirmed, actions: &mut Actions) {
+        let generation = confirmed.generation;
+        let at = Moment::ago(now, u64::from(confirmed.age));
+        let is_news = |known: Answer| (generation, at) > (known.generation, known.at);
+        if self.confirmed.is_none_or(is_news) {
+            self.confirmed = Some(Answer { generation, at });
+        }
+        self.know(now, generation, actions);
+        self.note_current();
+    }
+
+    fn note_current(&mut self) {
+        let Some(answer) = self.confirmed else { return };
+        if self.applied >= Some(answer.generation) {
+            self.current = self.current.max(Some(answer.at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/gossip.rs
@@ -0,0 +1,373 @@
+//! Spreads items among the nodes, by push and by repair, and keeps the view of the nodes.
+//!
+//! A new item is pushed to a few peers, each of which pushes it on once, up to a bound of hops. A periodic
+//! exchange with one random peer repairs what the push missed: sums of buckets, then the entries of the buckets
+//! that differ, then the items. Each node sends heartbeats to a few watchers only; a watcher that misses them
+//! spreads a suspicion, which the node itself refutes. What ends a node for good is in the module `ending`.
+
+mod action;
+mod chunks;
+mod ending;
+mod event;
+mod exchange;
+mod expiry;
+mod fresh;
+
+mod health;
+mod peers;
+mod settings;
+mod store;
+mod watch;
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Seed};
+use indexmap::{IndexMap, IndexSet};
+
+pub use action::Action;
+pub use event::Event;
+pub use settings::Settings;
+
+use self::chunks::Chunks;
+use self::fresh::Fresh;
+use self::peers::{Peer, Peers};
+use self::store::Store;
+use self::watch::Watch;
+use crate::Generation;
+use crate::frame::{Confirmed, Frame, Message};
+use crate::generation::Head;
+use crate::item::{Body, Item, Key, Status, Vm};
+use crate::moment::Moment;
+use crate::node::Node;
+use crate::view::View;
+
+/// The actions of one step.
+pub type Actions = Vec<Action>;
+
+/// How much of the fleet is in reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reach {
+    /// Nodes that are neither gone nor suspect, in zones that were heard of lately; the own node among them.
+    pub reachable: usize,
+    /// Nodes that are not gone.
+    pub known: usize,
+}
+
+impl Reach {
+    /// Whether more than half of the known nodes are in reach.
+    ///
+    /// Two parts of a fleet that can't reach each other are never both a majority.
+    pub const fn is_majority(self) -> bool {
+        self.reachable * 2 > self.known
+    }
+}
+
+/// One node's part in spreading items and in keeping the view.
+#[derive(Clone, Debug)]
+pub struct Gossip {
+    settings: Settings,
+    me: Status,
+    seeds: Vec<std::net::SocketAddr>,
+    generator: Generator,
+    view: View,
+    store: Store,
+    fresh: Fresh,
+    peers: Peers,
+    watch: Watch,
+    chunks: Chunks,
+    /// Incarnations known to be gone, oldest first, whose items may have expired.
+    ended: IndexSet<Incarnation>,
+    /// Nodes missing from the platform's list, with the time since when.
+    unregistered: IndexMap<Incarnation, Millis>,
+    /// VMs with a mark missing from the VM list, with the time since when.
+    unlisted: IndexMap<Vm, Millis>,
+    /// Generations applied by the nodes of the own zone, as they told it.
+    applied: IndexMap<Incarnation, Generation>,
+    own_applied: Option<Generation>,
+    serving: bool,
+    /// Items to push with the next tick.
+    outbox: Vec<Item>,
+    /// Whether the view has changed since peers and watches were computed.
+    stale: bool,
+    fenced: bool,
+    timers: Timers,
+}
+
+/// When each periodic job is due next.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timers {
+    heartbeat: Millis,
+    exchange: Millis,
+    report: Millis,
+    expiry: Millis,
+    collect: Millis,
+}
+
+impl Gossip {
+    /// The gossip of `node`; `seeds` are the peer addresses from its settings.
+    pub fn new(node: Node, seeds: Vec<std::net::SocketAddr>, seed: Seed) -> Self {
+        let me = Status {
+            node,
+            beat: 0,
+            leaving: false,
+            suspect: false,
+            gone: false,
+        };
+        let mut gossip = Self {
+            settings: Settings::new(),
+            generator: seed.generator(),
+            view: View::new(),
+            store: Store::new(),
+            fresh: Fresh::default(),
+            peers: Peers::default(),
+            watch: Watch::default(),
+            chunks: Chunks::default(),
+            ended: IndexSet::new(),
+            unregistered: IndexMap::new(),
+            unlisted: IndexMap::new(),
+            applied: IndexMap::new(),
+            own_applied: None,
+            serving: false,
+            outbox: Vec::new(),
+            stale: true,
+            fenced: false,
+            timers: Timers::default(),
+            seeds,
+            me,
+        };
+        let status = gossip.me.clone();
+        gossip.take(
+            Millis::ZERO,
+            Moment::at(Millis::ZERO),
+            gossip.settings.hops,
+            Body::Status(status),
+            &mut Vec::new(),
+        );
+        gossip
+    }
+
+    /// With other periods and bounds.
+    pub fn with_settings(mut self, settings: Settings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// The nodes known.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The own incarnation.
+    pub fn me(&self) -> Incarnation {
+        self.me.node.incarnation
+    }
+
+    /// Whether this incarnation was declared gone.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// The newest head known.
+    pub fn head(&self) -> Option<Head> {
+        match self.store.get(&Key::Head)?.body {
+            Body::Head(head) => Some(head),
+            _ => None,
+        }
+    }
+
+    /// The platform's newest answer to anyone, as far as it is known here.
+    pub fn confirmed(&self, now: Millis) -> Option<Confirmed> {
+        self.fresh.confirmed(now)
+    }
+
+    /// What is held under `key`.
+    pub fn get(&self, key: &Key) -> Option<&Body> {
+        self.store.get(key).map(|held| &held.body)
+    }
+
+    /// All that is held.
+    pub fn bodies(&self) -> impl Iterator<Item = &Body> {
+        self.store.iter().map(|held| &held.1.body)
+    }
+
+    /// Number of items held.
+    pub fn len(&self) -> usize {
+        self.store.len()
+    }
+
+    /// Whether nothing is held; the own state always is.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// How much of the fleet is in reach.
+    pub fn reach(&self, now: Millis) -> Reach {
+        let within = self.settings.heard_within;
+        let is_me = |node: &Node| node.incarnation == self.me();
+        let is_heard = |node: &Node| self.fresh.is_heard(now, within, fresh::zone_of(node));
+        let reachable = self.view.reachable().map(crate::view::Member::node);
+        Reach {
+            reachable: reachable.filter(|node| is_me(node) || is_heard(node)).count(),
+            known: self.view.present().count(),
+        }
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Millis, event: Event) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Receive(frame) => self.receive(now, frame, &mut actions),
+            Event::Put(body) => self.put(now, body, &mut actions),
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Reachable(node) => self.hear(now, node, &mut actions),
+            Event::Unreachable(node) => self.suspect(now, node, &mut actions),
+            Event::Registered(nodes) => self.registered(now, &nodes, &mut actions),
+            Event::Listed(vms) => self.listed(now, &vms, &mut actions),
+            Event::Ended(node) => self.end(now, node, &mut actions),
+            Event::Confirmed(generation) => self.confirm(now, generation),
+            Event::Applied { generation, serving } => self.note_applied(now, generation, serving),
+            Event::Ask => self.ask(now, &mut actions),
+            Event::Fetch(digest) => self.fetch(now, digest, &mut actions),
+            Event::Hold(bytes) => self.chunks.hold(self.settings.chunk_bytes, bytes),
+            Event::Leaving => self.leave(now, &mut actions),
+            Event::Goodbye => self.say_goodbye(now, &mut actions),
+        }
+        actions
+    }
+
+    fn tick(&mut self, now: Millis, actions: &mut Actions) {
+        self.refresh(now);
+        self.check_watched(now, actions);
+        self.beat(now, actions);
+        self.report(now, actions);
+        self.collect(now, actions);
+        self.flush(now, actions);
+        self.exchange(now, actions);
+        self.retry_fetches(now, actions);
+        self.expire(now);
+    }
+
+    fn receive(&mut self, now: Millis, frame: Frame, actions: &mut Actions) {
+        let Frame {
+            from,
+            confirmed,
+            message,
+        } = frame;
+        if from == self.me() {
+            return;
+        }
+        if let Message::Join(node) = &message {
+            self.learn_node(now, node, actions);
+        }
+        if let Some(confirmed) = confirmed {
+            self.fresh
+                .take_confirmed(now, self.settings.wire_allowance, confirmed);
+        }
+        self.hear(now, from, actions);
+        self.handle(now, from, message, actions);
+    }
+
+    fn handle(&mut self, now: Millis, from: Incarnation, message: Message, actions: &mut Actions) {
+        match message {
+            Message::Join(_) => self.open(now, from, actions),
+            Message::Heartbeat { applied } => self.take_report(from, applied),
+            Message::Push(items) => self.take_all(now, items, actions),
+            Message::Sums { sums, heard } => self.take_sums(now, from, &sums, &heard, actions),
+            Message::Differ {
+                listings,
+                heard,
+                serving,
+            } => self.take_differ(now, from, &listings, &heard, serving, actions),
+            Message::Delta {
+                items,
+                want,
+                more,
+                serving,
+            } => {
+                self.take_all(now, items, actions);
+                self.take_delta(now, from, &want, more, serving, actions);
+            }
+            Message::Want(digest) => self.give_chunk(now, from, digest, actions),
+            Message::Chunk(bytes) => self.take_chunk(bytes, actions),
+            Message::Missing(digest) => self.chunks.is_missing(now, digest),
+        }
+    }
+
+    fn put(&mut self, now: Millis, body: Body, actions: &mut Actions) {
+        self.take(now, Moment::at(now), self.settings.hops, body, actions);
+    }
+
+    fn take_all(&mut self, now: Millis, items: Vec<Item>, actions: &mut Actions) {
+        for item in items {
+            let put = Moment::ago(now, u64::from(item.age));
+            self.take(now, put, item.hops, item.body, actions);
+        }
+    }
+
+    /// Takes one body if it is news, and lines it up to be pushed on.
+    fn take(&mut self, now: Millis, put: Moment, hops: u8, body: Body, actions: &mut Actions) {
+        if !self.store.is_news(&body) || expiry::is_expired(now, put, &body) || !self.has_room(&body) {
+            return;
+        }
+        if let Body::Status(status) = &body
+            && !self.take_status(now, status, actions)
+        {
+            return;
+        }
+        // NB: taking a state may have ended the same node.
+        if !self.store.is_news(&body) {
+            return;
+        }
+        self.store.insert(put, body.clone());
+        if hops > 0 {
+            let age = put.short_age(now);
+            let hops = hops - 1;
+            let body = body.clone();
+            self.outbox.push(Item { body, age, hops });
+        }
+        actions.push(Action::Learned(body));
+    }
+
+    /// Pushes what is new to a few peers.
+    fn flush(&mut self, now: Millis, actions: &mut Actions) {
+        if self.outbox.is_empty() {
+            return;
+        }
+        let items = std::mem::take(&mut self.outbox);
+        let targets = self.peers.pick_many(self.settings.fan_out, &mut self.generator);
+        for chunk in items.chunks(exchange::items_a_frame(self.settings.frame_bytes)) {
+            for peer in &targets {
+                self.send(now, *peer, Message::Push(chunk.to_vec()), actions);
+            }
+        }
+    }
+
+    /// Computes peers and watches anew after the view has changed.
+    fn refresh(&mut self, now: Millis) {
+        if !self.stale {
+            return;
+        }
+        self.stale = false;
+        self.peers = Peers::new(&self.me.node, &self.view);
+        self.watch.rebuild(now, &self.me.node, &self.view);
+    }
+
+    fn peer(&self, incarnation: Incarnation) -> Option<Peer> {
+        let member = self.view.member(incarnation)?;
+        Some(Peer::of(member.node()))
+    }
+
+    fn send(&self, now: Millis, to: Peer, message: Message, actions: &mut Actions) {
+        actions.push(Action::Send {
+            to: to.address,
+            frame: self.frame(now, message),
+        });
+    }
+
+    fn frame(&self, now: Millis, message: Message) -> Frame {
+        Frame {
+            from: self.me(),
+            confirmed: self.fresh.confirmed(now),
+            message,
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/gossip/ending.rs
@@ -0,0 +1,150 @@
+//! What ends a node or a VM for good.
+//!
+//! A node's incarnation is gone when a later incarnation of its name is known, when it said goodbye, when the cloud
+//! says that its VM has ended, or when its registration has lapsed at an answering platform, its heartbeats have
+//! been missing for the bound, and this node reaches more than half of the known nodes. The last condition lets
+//! a node that reaches more than half itself serve on through an outage: it can't have been declared gone.
+
+use base::{Incarnation, Millis};
+use indexmap::IndexSet;
+
+use super::{Actions, Gossip};
+use crate::frame::Message;
+use crate::item::{Body, Key, Status, Vm};
+use crate::node::{Node, State};
+
+/// Most incarnations remembered as gone; the oldest are dropped beyond.
+const ENDED: usize = 65_536;
+/// Most goodbyes sent directly.
+const GOODBYES: usize = 8;
+
+impl Gossip {
+    /// Ends the other incarnations of the name that `status` supersedes, or its own if it is superseded.
+    pub(super) fn end_superseded(&mut self, now: Millis, status: &Status, actions: &mut Actions) {
+        let mut superseded = Vec::new();
+        for member in self.view.present() {
+            if status.node.supersedes(member.node()) {
+                superseded.push(member.node().incarnation);
+            }
+            if member.node().supersedes(&status.node) {
+                superseded.push(status.node.incarnation);
+            }
+        }
+        for node in superseded {
+            self.end(now, node, actions);
+        }
+    }
+
+    /// Declares an incarnation gone.
+    pub(super) fn end(&mut self, now: Millis, node: Incarnation, actions: &mut Actions) {
+        let Some(member) = self.view.member(node) else {
+            return;
+        };
+        if member.state() == State::Gone {
+            return;
+        }
+        let mut status = member.status.clone();
+        status.gone = true;
+        self.put(now, Body::Status(status), actions);
+    }
+
+    pub(super) fn note_ended(&mut self, node: Incarnation) {
+        self.ended.insert(node);
+        if self.ended.len() > ENDED {
+            self.ended.shift_remove_index(0);
+        }
+        self.applied.swap_remove(&node);
+        self.unregistered.swap_remove(&node);
+    }
+
+    /// Takes a node from its introduction or from the platform's list, unless it is known.
+    pub(super) fn learn_node(&mut self, now: Millis, node: &Node, actions: &mut Actions) {
+        if self.view.find(node.incarnation).is_some() || self.ended.contains(&node.incarnation) {
+            return;
+        }
+        let status = Status {
+            node: node.clone(),
+            beat: 0,
+            leaving: false,
+            suspect: false,
+            gone: false,
+        };
+        self.put(now, Body::Status(status), actions);
+    }
+
+    /// Takes the platform's list of registrations.
+    pub(super) fn registered(&mut self, now: Millis, nodes: &[Node], actions: &mut Actions) {
+        for node in nodes {
+            self.learn_node(now, node, actions);
+        }
+        let listed: IndexSet<Incarnation> = nodes.iter().map(|it| it.incarnation).collect();
+        let missing = self.view.present().map(|it| it.node().incarnation);
+        let missing: IndexSet<Incarnation> = missing.filter(|it| !listed.contains(it)).collect();
+        self.unregistered.retain(|node, _| missing.contains(node));
+        for node in missing {
+            self.unregistered.entry(node).or_insert(now);
+        }
+        self.end_lapsed(now, actions);
+    }
+
+    fn end_lapsed(&mut self, now: Millis, actions: &mut Actions) {
+        if !self.reach(now).is_majority() {
+            return;
+        }
+        let bound = self.settings.gone_after;
+        let is_lapsed = |since: Millis| now.since(since) >= bound;
+        let is_silent = |node: Incarnation| {
+            let member = self.view.member(node);
+            member.is_some_and(|it| it.state() == State::Suspect && now.since(it.since) >= bound)
+        };
+        let lapsed: Vec<Incarnation> = self
+            .unregistered
+            .iter()
+            .filter(|it| is_lapsed(*it.1) && is_silent(*it.0))
+            .map(|it| *it.0)
+            .collect();
+        for node in lapsed {
+            self.end(now, node, actions);
+        }
+    }
+
+    /// Takes the VM list: the marks of VMs that are off it for long enough end.
+    pub(super) fn listed(&mut self, now: Millis, vms: &[Vm], actions: &mut Actions) {
+        let listed: IndexSet<&Vm> = vms.iter().collect();
+        let marked = self
+            .store
+            .iter()
+            .filter_map(|(key, held)| match (key, &held.body) {
+                (Key::Mark(vm), Body::Mark { ended: false, .. }) => Some(vm.clone()),
+                _ => None,
+            });
+        let missing: IndexSet<Vm> = marked.filter(|vm| !listed.contains(vm)).collect();
+        self.unlisted.retain(|vm, _| missing.contains(vm));
+        let mut ended = Vec::new();
+        for vm in missing {
+            let since = *self.unlisted.entry(vm.clone()).or_insert(now);
+            if now.since(since) >= self.settings.ended_after {
+                ended.push(vm);
+            }
+        }
+        for vm in ended {
+            self.unlisted.swap_remove(&vm);
+            self.put(now, Body::Mark { vm, ended: true }, actions);
+        }
+    }
+
+    /// Tells the end of this incarnation to several peers at once, since no tick follows.
+    pub(super) fn say_goodbye(&mut self, now: Millis, actions: &mut Actions) {
+        if self.fenced {
+            return;
+        }
+        self.refresh(now);
+        let mut status = self.me.clone();
+        status.gone = true;
+        self.put(now, Body::Status(status), actions);
+        let items = std::mem::take(&mut self.outbox);
+        for peer in self.peers.pick_many(GOODBYES, &mut self.generator) {
+            self.send(now, peer, Message::Push(items.clone()), actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/gossip/fresh.rs
@@ -0,0 +1,90 @@
+//! How fresh the own knowledge is: the platform's newest answer to anyone, and when each zone was last heard.
+
+use base::{Millis, Name};
+use indexmap::IndexMap;
+
+use crate::Generation;
+use crate::frame::{Confirmed, Heard};
+use crate::hash;
+use crate::moment::Moment;
+use crate::node::Node;
+
+/// An answer of the platform, at a time on the own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Answer {
+    generation: Generation,
+    at: Moment,
+}
+
+/// What is known of the platform and of the zones.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fresh {
+    answer: Option<Answer>,
+    zones: IndexMap<u32, Moment>,
+}
+
+#[derive(Hash)]
+struct Zone<'a> {
+    region: &'a Name,
+    zone: &'a Name,
+}
+
+/// The number under which a node's zone is told.
+pub(crate) fn zone_of(node: &Node) -> u32 {
+    let zone = Zone {
+        region: &node.region,
+        zone: &node.zone,
+    };
+    hash::of(&zone) as u32
+}
+
+impl Fresh {
+    /// Takes what a peer, or with age zero the platform itself, tells of the head.
+    ///
+    /// The head never goes back, so of two answers the one with the higher generation is the later one.
+    pub(crate) fn take_confirmed(&mut self, now: Millis, allowance: Millis, confirmed: Confirmed) {
+        let at = Moment::ago(now, allowance.0 + u64::from(confirmed.age));
+        let generation = confirmed.generation;
+        self.answer = self.answer.max(Some(Answer { generation, at }));
+    }
+
+    pub(crate) fn confirmed(&self, now: Millis) -> Option<Confirmed> {
+        let answer = self.answer?;
+        Some(Confirmed {
+            generation: answer.generation,
+            age: answer.at.short_age(now),
+        })
+    }
+
+    pub(crate) fn hear(&mut self, now: Millis, zone: u32) {
+        self.zones.insert(zone, Moment::at(now));
+    }
+
+    pub(crate) fn take_heard(&mut self, now: Millis, allowance: Millis, heard: &[Heard]) {
+        for it in heard {
+            let at = Moment::ago(now, allowance.0 + u64::from(it.age));
+            let known = self.zones.entry(it.zone).or_insert(at);
+            *known = at.max(*known);
+        }
+    }
+
+    pub(crate) fn heard(&self, now: Millis) -> Vec<Heard> {
+        let heard = |zone: &u32, at: &Moment| Heard {
+            zone: *zone,
+            age: at.short_age(now),
+        };
+        self.zones.iter().map(|(zone, at)| heard(zone, at)).collect()
+    }
+
+    pub(crate) fn is_heard(&self, now: Millis, within: Millis, zone: u32) -> bool {
+        self.zones.get(&zone).is_some_and(|at| at.age(now) <= within)
+    }
+
+    /// Keeps only the zones that have nodes.
+    pub(crate) fn retain<F>(&mut self, has_nodes: F)
+    where
+        F: Fn(u32) -> bool,
+    {
+        self.zones.retain(|zone, _| has_nodes(*zone));
+    }
+}
--- /dev/null
+++ b/crates/member/src/gossip/health.rs
@@ -0,0 +1,240 @@
+//! Heartbeats, suspicion and its refutation, and the reports of applied generations to the zone's collectors.
+
+use base::{Incarnation, Millis};
+
+use super::{Action, Actions, Gossip, fresh};
+use crate::Generation;
+use crate::frame::Message;
+use crate::item::{Applied, Body, Key, Status};
+use crate::moment::Moment;
+use crate::node::State;
+
+/// Least time between two counts of the own zone.
+const COLLECT: Millis = Millis(500);
+/// Age at which an unchanged count is told again, before it expires.
+const RETELL: Millis = Millis::from_secs(25);
+
+impl Gossip {
+    /// Notes that something was heard from `from`; a suspect that speaks is told of the suspicion.
+    pub(super) fn hear(&mut self, now: Millis, from: Incarnation, actions: &mut Actions) {
+        let Some(member) = self.view.member(from) else {
+            return;
+        };
+        let zone = fresh::zone_of(member.node());
+        let state = member.state();
+        let status = member.status.clone();
+        self.fresh.hear(now, zone);
+        self.view.hear(now, from);
+        if let Some(since) = self.watch.watched.get_mut(&from) {
+            *since = now;
+        }
+        if matches!(state, State::Suspect | State::Gone) {
+            self.tell_status(now, status, actions);
+        }
+    }
+
+    /// Tells a node what is held of it, so that it can refute a suspicion or learn that it is gone.
+    fn tell_status(&self, now: Millis, status: Status, actions: &mut Actions) {
+        let Some(peer) = self.peer(status.node.incarnation) else {
+            return;
+        };
+        let item = crate::Item {
+            body: Body::Status(status),
+            age: 0,
+            hops: 0,
+        };
+        self.send(now, peer, Message::Push(vec![item]), actions);
+    }
+
+    /// Sends heartbeats to the watchers.
+    pub(super) fn beat(&mut self, now: Millis, actions: &mut Actions) {
+        if now < self.timers.heartbeat {
+            return;
+        }
+        self.timers.heartbeat = now + self.settings.heartbeat;
+        self.send_heartbeats(now, &self.watch.watchers, actions);
+    }
+
+    /// Reports the applied generation to the zone's collectors.
+    pub(super) fn report(&mut self, now: Millis, actions: &mut Actions) {
+        if now < self.timers.report {
+            return;
+        }
+        self.timers.report = now + self.settings.report;
+        self.send_heartbeats(now, &self.watch.collectors, actions);
+    }
+
+    fn send_heartbeats(&self, now: Millis, to: &[Incarnation], actions: &mut Actions) {
+        let applied = self.own_applied.unwrap_or_default();
+        for peer in to.iter().filter_map(|it| self.peer(*it)) {
+            if peer.incarnation != self.me() {
+                self.send(now, peer, Message::Heartbeat { applied }, actions);
+            }
+        }
+    }
+
+    pub(super) fn note_applied(&mut self, now: Millis, generation: Generation, serving: bool) {
+        if self.own_applied < Some(generation) {
+            self.own_applied = Some(generation);
+            self.timers.report = now;
+        }
+        self.serving = serving;
+    }
+
+    pub(super) fn take_report(&mut self, from: Incarnation, applied: Generation) {
+        let Some(member) = self.view.member(from) else {
+            return;
+        };
+        let me = &self.me.node;
+        if member.node().zone != me.zone || member.node().region != me.region {
+            return;
+        }
+        let known = self.applied.entry(from).or_default();
+        *known = applied.max(*known);
+    }
+
+    /// As a collector: counts how far the own zone has got, and tells it when that has changed.
+    pub(super) fn collect(&mut self, now: Millis, actions: &mut Actions) {
+        if now < self.timers.collect || !self.watch.is_collector(self.me()) {
+            return;
+        }
+        self.timers.collect = now + COLLECT;
+        let held = self.store.get(&Key::Applied(self.me()));
+        let is_old = held.is_none_or(|held| held.put.age(now) >= RETELL);
+        let mut applied = self.count();
+        if let Some(Body::Applied { applied: last, .. }) = held.map(|held| &held.body) {
+            applied.version = last.version;
+            if *last == applied && !is_old {
+                return;
+            }
+        }
+        applied.version += 1;
+        let collector = self.me();
+        self.put(now, Body::Applied { collector, applied }, actions);
+    }
+
+    fn count(&self) -> Applied {
+        let me = &self.me.node;
+        let mut applied = Applied {
+            zone: me.zone.clone(),
+            region: me.region.clone(),
+            generation: Generation(u64::MAX),
+            nodes: 0,
+            sum: 0,
+            version: 0,
+        };
+        for member in self.view.present() {
+            let node = member.node();
+            if node.zone != me.zone || node.region != me.region {
+                continue;
+            }
+            let told = if node.incarnation == me.incarnation {
+                self.own_applied
+            } else {
+                self.applied.get(&node.incarnation).copied()
+            };
+            applied.generation = applied.generation.min(told.unwrap_or_default());
+            applied.nodes += 1;
+            applied.sum = applied.sum.wrapping_add(node.incarnation.0);
+        }
+        applied
+    }
+
+    /// Suspects the watched nodes that have been silent for too long.
+    pub(super) fn check_watched(&mut self, now: Millis, actions: &mut Actions) {
+        let limit = self.settings.suspect_after;
+        let watched = self.watch.watched.iter();
+        let silent: Vec<Incarnation> = watched
+            .filter(|it| now.since(*it.1) > limit)
+            .map(|it| *it.0)
+            .collect();
+        for node in silent {
+            self.suspect(now, node, actions);
+        }
+    }
+
+    /// Spreads the suspicion of a node, unless it has spoken just now.
+    pub(super) fn suspect(&mut self, now: Millis, node: Incarnation, actions: &mut Actions) {
+        let Some(member) = self.view.member(node) else {
+            return;
+        };
+        let limit = self.settings.suspect_after;
+        let is_silent = member.heard.is_none_or(|at| now.since(at) > limit);
+        if !is_silent || matches!(member.state(), State::Suspect | State::Gone) {
+            return;
+        }
+        let mut status = member.status.clone();
+        status.suspect = true;
+        self.put(now, Body::Status(status), actions);
+    }
+
+    /// Takes a node's state into the view; false if it is refused.
+    pub(super) fn take_status(&mut self, now: Millis, status: &Status, actions: &mut Actions) -> bool {
+        let node = status.node.incarnation;
+        if node == self.me() {
+            return self.take_own_status(now, status, actions);
+        }
+        if self.ended.contains(&node) {
+            return false;
+        }
+        let before = self.view.member(node).map(crate::view::Member::state);
+        let id = self.view.insert(now, status.clone());
+        let after = self.view.get(id).map(crate::view::Member::state);
+        if before != after {
+            self.stale = true;
+            actions.extend(after.map(|state| change(node, state)));
+        }
+        match after {
+            Some(State::Gone) => self.note_ended(node),
+            _ => self.end_superseded(now, status, actions),
+        }
+        true
+    }
+
+    /// Refutes what others say of this node, or accepts its end.
+    fn take_own_status(&mut self, now: Millis, status: &Status, actions: &mut Actions) -> bool {
+        if status.gone {
+            if !self.fenced {
+                self.fenced = true;
+                actions.push(Action::Fenced);
+            }
+            self.me.gone = true;
+            self.view.insert(now, status.clone());
+            return true;
+        }
+        if *status == self.me {
+            self.view.insert(now, status.clone());
+            return true;
+        }
+        if self.fenced {
+            return false;
+        }
+        self.me.beat = self.me.beat.max(status.beat) + 1;
+        self.tell_own_status(now, actions);
+        false
+    }
+
+    /// Spreads the own state.
+    pub(super) fn tell_own_status(&mut self, now: Millis, actions: &mut Actions) {
+        let body = Body::Status(self.me.clone());
+        self.take(now, Moment::at(now), self.settings.hops, body, actions);
+    }
+
+    pub(super) fn leave(&mut self, now: Millis, actions: &mut Actions) {
+        if self.me.leaving || self.fenced {
+            return;
+        }
+        self.me.leaving = true;
+        self.me.beat += 1;
+        self.tell_own_status(now, actions);
+    }
+}
+
+fn change(node: Incarnation, state: State) -> Action {
+    match state {
+        State::Alive => Action::NodeUp(node),
+        State::Leaving => Action::NodeLeaving(node),
+        State::Suspect => Action::NodeSuspect(node),
+        State::Gone => Action::NodeGone(node),
+    }
+}
--- /dev/null
+++ b/crates/member/src/gossip/peers.rs
@@ -0,0 +1,114 @@
+//! Choice of peers: mostly in the own zone, some in the region's other zones, some in other regions.
+
+use std::net::SocketAddr;
+
+use base::Incarnation;
+use base::seed::Generator;
+use rand::RngExt;
+
+use crate::node::{Node, State};
+use crate::view::View;
+
+/// Chance in percent that a choice stays in the own zone.
+const OWN_ZONE: u32 = 50;
+/// Chance in percent that a choice falls on the own zone or region.
+const OWN_REGION: u32 = 80;
+/// Chance in percent that an exchange is tried with a suspect node, so that a healed cut is found.
+const SUSPECT: u32 = 5;
+
+/// A peer that may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Peer {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) address: SocketAddr,
+}
+
+impl Peer {
+    pub(crate) fn of(node: &Node) -> Self {
+        Self {
+            incarnation: node.incarnation,
+            address: node.peer,
+        }
+    }
+}
+
+/// The peers by their distance.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Peers {
+    zone: Vec<Peer>,
+    region: Vec<Peer>,
+    world: Vec<Peer>,
+    suspect: Vec<Peer>,
+}
+
+impl Peers {
+    pub(crate) fn new(me: &Node, view: &View) -> Self {
+        let mut peers = Self::default();
+        for member in view.present() {
+            let node = member.node();
+            if node.incarnation == me.incarnation {
+                continue;
+            }
+            peers.class(me, node, member.state()).push(Peer::of(node));
+        }
+        peers
+    }
+
+    fn class(&mut self, me: &Node, node: &Node, state: State) -> &mut Vec<Peer> {
+        if state == State::Suspect {
+            &mut self.suspect
+        } else if node.region != me.region {
+            &mut self.world
+        } else if node.zone != me.zone {
+            &mut self.region
+        } else {
+            &mut self.zone
+        }
+    }
+
+    /// A peer to push to.
+    pub(crate) fn pick(&self, generator: &mut Generator) -> Option<Peer> {
+        let draw = generator.random_range(0..100);
+        let order = match draw {
+            0..OWN_ZONE => [&self.zone, &self.region, &self.world],
+            OWN_ZONE..OWN_REGION => [&self.region, &self.zone, &self.world],
+            _ => [&self.world, &self.region, &self.zone],
+        };
+        let class = order.into_iter().find(|class| !class.is_empty())?;
+        choose(class, generator)
+    }
+
+    /// A peer to exchange with: now and then a suspect one.
+    pub(crate) fn pick_for_exchange(&self, generator: &mut Generator) -> Option<Peer> {
+        if generator.random_range(0..100) < SUSPECT
+            && let Some(peer) = choose(&self.suspect, generator)
+        {
+            return Some(peer);
+        }
+        self.pick(generator).or_else(|| choose(&self.suspect, generator))
+    }
+
+    /// Up to `count` different peers to push to.
+    pub(crate) fn pick_many(&self, count: usize, generator: &mut Generator) -> Vec<Peer> {
+        /// Draws for each peer wanted before giving up on finding a different one.
+        const DRAWS: usize = 4;
+        let mut picked: Vec<Peer> = Vec::with_capacity(count);
+        for _ in 0..count * DRAWS {
+            let Some(peer) = self.pick(generator) else { break };
+            if !picked.contains(&peer) {
+                picked.push(peer);
+            }
+            if picked.len() == count {
+                break;
+            }
+        }
+        picked
+    }
+}
+
+fn choose(class: &[Peer], generator: &mut Generator) -> Option<Peer> {
+    if class.is_empty() {
+        return None;
+    }
+    Some(class[generator.random_range(0..class.len())])
+}
--- /dev/null
+++ b/crates/member/src/gossip/watch.rs
@@ -0,0 +1,105 @@
+//! Who watches whom: a few nodes expect each node's heartbeats, so that their cost does not grow with the fleet.
+
+use base::{Incarnation, Millis, Name};
+use indexmap::IndexMap;
+
+use crate::hash;
+use crate::node::{Node, State};
+use crate::view::View;
+
+/// Number of watchers in the ring of all nodes, and again in the ring of the own zone.
+const WATCHERS: usize = 2;
+/// Number of nodes of a zone that collect the reports of the zone's nodes.
+const COLLECTORS: usize = 2;
+
+/// The own place among the others' watchers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Watch {
+    /// The nodes that expect the own heartbeats.
+    pub(crate) watchers: Vec<Incarnation>,
+    /// The nodes that collect the reports of the own zone.
+    pub(crate) collectors: Vec<Incarnation>,
+    /// The nodes whose heartbeats are expected, with the time since when.
+    pub(crate) watched: IndexMap<Incarnation, Millis>,
+}
+
+/// A place in the ring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    hash: u64,
+    incarnation: Incarnation,
+}
+
+impl Place {
+    fn of(incarnation: Incarnation) -> Self {
+        let hash = hash::of(&incarnation);
+        Self { hash, incarnation }
+    }
+}
+
+impl Watch {
+    /// Computes the places anew; nodes already watched keep the time since when.
+    pub(crate) fn rebuild(&mut self, now: Millis, me: &Node, view: &View) {
+        let all = ring(me, view, None);
+        let zone = ring(me, view, Some(&me.zone));
+        self.watchers = neighbours(&all, me.incarnation, Side::After);
+        merge(&mut self.watchers, neighbours(&zone, me.incarnation, Side::After));
+        self.collectors = zone
+            .iter()
+            .take(COLLECTORS)
+            .map(|place| place.incarnation)
+            .collect();
+        let mut watched = neighbours(&all, me.incarnation, Side::Before);
+        merge(&mut watched, neighbours(&zone, me.incarnation, Side::Before));
+        let since = |it: Incarnation| self.watched.get(&it).copied().unwrap_or(now);
+        self.watched = watched.into_iter().map(|it| (it, since(it))).collect();
+    }
+
+    /// Whether this node collects the reports of its zone.
+    pub(crate) fn is_collector(&self, me: Incarnation) -> bool {
+        self.collectors.contains(&me)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Side {
+    Before,
+    After,
+}
+
+/// The ring of the reachable nodes, of one zone or of all; the own node always has a place.
+fn ring(me: &Node, view: &View, zone: Option<&Name>) -> Vec<Place> {
+    let in_zone = |node: &Node| zone.is_none_or(|zone| node.zone == *zone && node.region == me.region);
+    let others = view.iter().filter(|it| {
+        matches!(it.state(), State::Alive | State::Leaving) && it.node().incarnation != me.incarnation
+    });
+    let mut places: Vec<Place> = others
+        .filter(|it| in_zone(it.node()))
+        .map(|it| Place::of(it.node().incarnation))
+        .collect();
+    places.push(Place::of(me.incarnation));
+    places.sort_unstable();
+    places
+}
+
+fn neighbours(ring: &[Place], me: Incarnation, side: Side) -> Vec<Incarnation> {
+    let Ok(own) = ring.binary_search(&Place::of(me)) else {
+        return Vec::new();
+    };
+    let count = WATCHERS.min(ring.len() - 1);
+    (1..=count)
+        .map(|step| match side {
+            Side::After => (own + step) % ring.len(),
+            Side::Before => (own + ring.len() - step) % ring.len(),
+        })
+        .map(|place| ring[place].incarnation)
+        .collect()
+}
+
+fn merge(into: &mut Vec<Incarnation>, from: Vec<Incarnation>) {
+    for it in from {
+        if !into.contains(&it) {
+            into.push(it);
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/role.rs
@@ -0,0 +1,406 @@
+//! One leased role with a fencing number, as one node sees it.
+//!
+//! The role's record stands in the key-value service for good, so that its fencing number only grows. It names its
+//! holder and the holder's lease; the role is vacant when that lease has lapsed or the holder has released it. The
+//! lease is that of the node's registration, so renewals cost one write a node and not one a role.
+
+mod rank;
+mod record;
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Seed};
+use rand::RngExt;
+
+pub use rank::rank;
+pub use record::{Fence, Lease, Observed, Record, Revision, Write};
+
+/// Periods and bounds of a [`Role`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Taken off the lease's end: no order leaves later. Covers drift of the clock and the order's way.
+    pub margin: Millis,
+    /// Time between two reads of the record.
+    pub poll: Millis,
+    /// Wait before an attempt, for each better ranked candidate.
+    pub stagger: Millis,
+    /// First wait after a failure; doubled at each further one.
+    pub backoff: Millis,
+    /// Longest wait after a failure.
+    pub longest_backoff: Millis,
+    /// Candidates of this rank and above take no part.
+    pub candidates: usize,
+    /// Extra wait of a new holder before its first order; set where endpoints ignore fencing.
+    pub wait_out: Millis,
+}
+
+impl Settings {
+    /// The standard settings, for endpoints that check fencing.
+    pub const fn new() -> Self {
+        Self {
+            margin: Millis(2_000),
+            poll: Millis(5_000),
+            stagger: Millis(1_000),
+            backoff: Millis(250),
+            longest_backoff: Millis(10_000),
+            candidates: 3,
+            wait_out: Millis::ZERO,
+        }
+    }
+
+    /// For endpoints that ignore fencing: a new holder waits out a whole lease and the longest order in flight.
+    pub fn with_unfenced(mut self, lease: Millis, longest_order: Millis) -> Self {
+        self.wait_out = lease + longest_order;
+        self
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// Time passes.
+    Tick,
+    /// The node's place among the candidates, best first; `None` if it is no candidate.
+    Rank(Option<usize>),
+    /// The node's lease was granted or renewed; `until` is reckoned from when the request was sent.
+    Leased {
+        /// The lease.
+        lease: Lease,
+        /// Its end on the own clock.
+        until: Millis,
+    },
+    /// The node's lease has lapsed.
+    Lapsed,
+    /// The record was read, or a watch told of it; `None` if there is none yet.
+    Read(Option<Observed>),
+    /// The read failed or was not answered in time.
+    ReadFailed,
+    /// The swap took effect.
+    Swapped(Write),
+    /// The swap was refused: the record had changed.
+    Conflict(Write),
+    /// The swap was not answered: it may have taken effect.
+    Lost(Write),
+    /// Give the role up: the node is leaving, or the role isn't needed.
+    Release,
+}
+
+/// Something to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Read the record and whether its lease lives.
+    Read,
+    /// Write the record if its revision is still `expect`, or create it if `expect` is `None`.
+    Swap {
+        /// The revision that was read.
+        expect: Option<Revision>,
+        /// The new record.
+        record: Record,
+    },
+    /// The role is held with this fencing number; orders may leave from the given time on.
+    Held {
+        /// The fencing number.
+        fence: Fence,
+        /// When the first order may leave.
+        from: Millis,
+    },
+    /// The role is no longer held.
+    Ended(Fence),
+}
+
+/// The actions of one step.
+pub type Actions = Vec<Action>;
+
+/// A role that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Holding {
+    fence: Fence,
+    lease: Lease,
+    from: Millis,
+}
+
+/// A swap that is not settled yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Pending {
+    record: Record,
+    /// Whether the wait of a new holder is due if it took effect.
+    wait_out: Millis,
+    lost: bool,
+}
+
+/// The own lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Own {
+    lease: Lease,
+    until: Millis,
+}
+
+/// One role as one node sees it.
+#[derive(Clone, Debug)]
+pub struct Role {
+    settings: Settings,
+    me: Incarnation,
+    generator: Generator,
+    own: Option<Own>,
+    rank: Option<usize>,
+    holding: Option<Holding>,
+    pending: Option<Pending>,
+    /// When the role was first seen vacant, and its revision.
+    vacant: Option<Vacant>,
+    highest: Fence,
+    next_read: Millis,
+    reading: bool,
+    failures: u32,
+    released: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Vacant {
+    observed: Option<Observed>,
+    since: Millis,
+}
+
+impl Role {
+    /// A role that `me` may take up.
+    pub fn new(me: Incarnation, seed: Seed, settings: Settings) -> Self {
+        Self {
+            settings,
+            me,
+            generator: seed.generator(),
+            own: None,
+            rank: None,
+            holding: None,
+            pending: None,
+            vacant: None,
+            highest: Fence(0),
+            next_read: Millis::ZERO,
+            reading: false,
+            failures: 0,
+            released: false,
+        }
+    }
+
+    /// The fencing number to send with an order that leaves now; `None` if no order may leave.
+    ///
+    /// NB: call this right before each order, with the time read right before.
+    pub fn may_act(&self, now: Millis) -> Option<Fence> {
+        let holding = self.holding?;
+        let own = self.own?;
+        let in_time = now >= holding.from && now + self.settings.margin < own.until;
+        (in_time && own.lease == holding.lease).then_some(holding.fence)
+    }
+
+    /// Whether the role is held, even if no order may leave now.
+    pub fn is_held(&self) -> bool {
+        self.holding.is_some()
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Millis, event: Event) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Tick => {}
+            Event::Rank(rank) => self.rank = rank,
+            Event::Leased { lease, until } => self.take_lease(lease, until, &mut actions),
+            Event::Lapsed => self.lapse(&mut actions),
+            Event::Read(observed) => self.take_record(now, observed, &mut actions),
+            Event::ReadFailed => self.fail(now),
+            Event::Swapped(write) => self.swapped(now, write, &mut actions),
+            Event::Conflict(write) => self.conflict(now, write),
+            Event::Lost(write) => self.lose(now, write),
+            Event::Release => self.release(&mut actions),
+        }
+        self.check_lease(now, &mut actions);
+        self.attempt(now, &mut actions);
+        self.read(now, &mut actions);
+        actions
+    }
+
+    fn take_lease(&mut self, lease: Lease, until: Millis, actions: &mut Actions) {
+        if self.own.is_some_and(|own| own.lease != lease) {
+            self.drop_holding(actions);
+        }
+        self.own = Some(Own { lease, until });
+    }
+
+    fn lapse(&mut self, actions: &mut Actions) {
+        self.own = None;
+        self.drop_holding(actions);
+    }
+
+    /// Gives up what is held once the own lease has run out on the own clock.
+    fn check_lease(&mut self, now: Millis, actions: &mut Actions) {
+        if self.own.is_some_and(|own| now >= own.until) {
+            self.lapse(actions);
+        }
+    }
+
+    fn drop_holding(&mut self, actions: &mut Actions) {
+        if let Some(holding) = self.holding.take() {
+            actions.push(Action::Ended(holding.fence));
+        }
+    }
+
+    fn take_record(&mut self, now: Millis, observed: Option<Observed>, actions: &mut Actions) {
+        self.reading = false;
+        self.failures = 0;
+        self.next_read = now + self.settings.poll;
+        if let Some(observed) = observed {
+            if observed.record.fence < self.highest {
+                // A late answer: the record has moved on since.
+                return;
+            }
+            self.highest = observed.record.fence;
+        }
+        self.settle(now, observed, actions);
+        self.note_vacant(now, observed);
+    }
+
+    /// Settles a lost swap, and notices a role that was lost or that is held without knowing.
+    fn settle(&mut self, now: Millis, observed: Option<Observed>, actions: &mut Actions) {
+        let pending = self.pending.filter(|it| it.lost);
+        if pending.is_some() {
+            self.pending = None;
+        }
+        let Some(observed) = observed else { return };
+        if !self.is_own(&observed.record) {
+            self.drop_holding(actions);
+            return;
+        }
+        if self.holding.is_some() || self.released {
+            return;
+        }
+        let own_write = pending.filter(|it| it.record.write == observed.record.write);
+        // NB: a swap that took effect after it was given up as lost: whom it replaced is no longer known.
+        let wait_out = own_write.map_or(self.settings.wait_out, |it| it.wait_out);
+        self.hold(now, observed.record, wait_out, actions);
+    }
+
+    fn is_own(&self, record: &Record) -> bool {
+        let is_lease = self.own.is_some_and(|own| own.lease == record.lease);
+        record.holder == Some(self.me) && is_lease
+    }
+
+    fn hold(&mut self, now: Millis, record: Record, wait_out: Millis, actions: &mut Actions) {
+        let fence = record.fence;
+        let lease = record.lease;
+        let from = now + wait_out;
+        self.highest = fence.max(self.highest);
+        self.vacant = None;
+        self.holding = Some(Holding { fence, lease, from });
+        actions.push(Action::Held { fence, from });
+    }
+
+    fn note_vacant(&mut self, now: Millis, observed: Option<Observed>) {
+        let is_vacant = observed.is_none_or(|it| it.is_vacant());
+        if !is_vacant || self.holding.is_some() {
+            self.vacant = None;
+            return;
+        }
+        let revision = |it: Option<Observed>| it.map(|it| it.revision);
+        let same = self
+            .vacant
+            .filter(|it| revision(it.observed) == revision(observed));
+        let since = same.map_or(now, |it| it.since);
+        self.vacant = Some(Vacant { observed, since });
+    }
+
+    /// Tries to take a vacant role up, the better ranked candidates first.
+    fn attempt(&mut self, now: Millis, actions: &mut Actions) {
+        let Some(vacant) = self.vacant else { return };
+        let Some(rank) = self.rank.filter(|rank| *rank < self.settings.candidates) else {
+            return;
+        };
+        let Some(own) = self.own else { return };
+        let is_busy = self.pending.is_some() || self.holding.is_some() || self.released;
+        let start = vacant.since + Millis(self.settings.stagger.0 * rank as u64);
+        if is_busy || now < start || now + self.settings.margin >= own.until {
+            return;
+        }
+        self.vacant = None;
+        let before = vacant.observed.map(|it| it.record);
+        let record = Record {
+            holder: Some(self.me),
+            fence: before.map_or(Fence(1), |it| it.fence.next()),
+            lease: own.lease,
+            write: self.draw_write(),
+        };
+        let was_released = before.is_none_or(|it| it.holder.is_none());
+        let wait_out = if was_released {
+            Millis::ZERO
+        } else {
+            self.settings.wait_out
+        };
+        self.swap(vacant.observed, record, wait_out, actions);
+    }
+
+    fn swap(&mut self, observed: Option<Observed>, record: Record, wait_out: Millis, actions: &mut Actions) {
+        self.pending = Some(Pending {
+            record,
+            wait_out,
+            lost: false,
+        });
+        let expect = observed.map(|it| it.revision);
+        actions.push(Action::Swap { expect, record });
+    }
+
+    fn draw_write(&mut self) -> Write {
+        Write(self.generator.random())
+    }
+
+    fn swapped(&mut self, now: Millis, write: Write, actions: &mut Actions) {
+        let Some(pending) = self.pending.filter(|it| it.record.write == write) else {
+            return;
+        };
+        self.pending = None;
+        self.next_read = now;
+        if self.is_own(&pending.record) {
+            self.hold(now, pending.record, pending.wait_out, actions);
+        }
+    }
+
+    fn conflict(&mut self, now: Millis, write: Write) {
+        if self.pending.is_some_and(|it| it.record.write == write) {
+            self.pending = None;
+            self.next_read = now;
+        }
+    }
+
+    fn lose(&mut self, now: Millis, write: Write) {
+        let Some(pending) = &mut self.pending else { return };
+        if pending.record.write == write {
+            pending.lost = true;
+            self.next_read = now;
+        }
+    }
+
+    fn fail(&mut self, now: Millis) {
+        self.reading = false;
+        let doubled = self.settings.backoff.0 << self.failures.min(16);
+        let longest = doubled.min(self.settings.longest_backoff.0);
+        self.failures += 1;
+        self.next_read = now + Millis(self.generator.random_range(longest / 2..=longest));
+    }
+
+    fn read(&mut self, now: Millis, actions: &mut Actions) {
+        let is_lost = self.pending.is_some_and(|it| it.lost);
+        let takes_part = self.rank.is_some_and(|rank| rank < self.settings.candidates);
+        let is_needed = is_lost || self.holding.is_some() || (takes_part && !self.released);
+        if !is_needed || self.reading || now < self.next_read {
+            return;
+        }
+        self.reading = true;
+        actions.push(Action::Read);
+    }
+
+    /// Stops acting at once; the record is freed if its revision is known, else the lease runs out.
+    fn release(&mut self, actions: &mut Actions) {
+        self.released = true;
+        self.drop_holding(actions);
+    }
+}
