Give the rollout crate its public types, the split and the veto set

Cause: the other areas need the shapes of shares, vetoes, summaries and the controller's events to build on. Weighed: vetoes kept first-come (merge would depend on the order) against the smaller of two by a total order (taken); ids drawn wholly at random against time first (taken, so that bounding the set drops the oldest).

--- /dev/null
+++ b/crates/rollout/src/split.rs
@@ -0,0 +1,109 @@
+//! The draw of a version for each request.
+
+use base::Name;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::vetoes::LIMIT;
+use crate::{Arm, Assignment, Choice, Id, Share, Shares, Stage};
+
+/// One endpoint's shares on this node.
+#[derive(Clone, Debug)]
+struct Entry {
+    shares: Shares,
+    /// Shares that this node's guard holds back to, below the announced ones.
+    caps: IndexMap<Name, Share>,
+    vetoed: bool,
+}
+
+impl Entry {
+    fn share(&self, route: &Name) -> Share {
+        if self.vetoed {
+            return Share::ZERO;
+        }
+        match self.shares.stage {
+            Stage::Done => Share::FULL,
+            Stage::Undone => Share::ZERO,
+            Stage::Moving | Stage::Watching => {
+                let announced = self.shares.of(route);
+                self.caps.get(route).map_or(announced, |cap| announced.min(*cap))
+            }
+        }
+    }
+}
+
+/// Draws the version of each request; one a node.
+#[derive(Clone, Debug, Default)]
+pub struct Split {
+    endpoints: IndexMap<Name, Entry>,
+    vetoed: IndexSet<Id>,
+}
+
+impl Split {
+    /// A split that knows no rollout.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes announced shares; false if they are not newer than those in force.
+    pub fn apply(&mut self, shares: Shares) -> bool {
+        let vetoed = self.vetoed.contains(&shares.rollout);
+        match self.endpoints.get_mut(&shares.endpoint) {
+            Some(entry) if shares.generation <= entry.shares.generation => return false,
+            Some(entry) if entry.shares.rollout == shares.rollout => entry.shares = shares,
+            _ => {
+                let caps = IndexMap::new();
+                let endpoint = shares.endpoint.clone();
+                self.endpoints.insert(endpoint, Entry { shares, caps, vetoed });
+            }
+        }
+        true
+    }
+
+    /// Brings the share of a rollout's new version to zero at once and for good.
+    pub fn veto(&mut self, rollout: Id) {
+        if self.vetoed.len() == LIMIT && !self.vetoed.contains(&rollout) {
+            self.vetoed.shift_remove_index(0);
+        }
+        self.vetoed.insert(rollout);
+        for entry in self.endpoints.values_mut() {
+            entry.vetoed |= entry.shares.rollout == rollout;
+        }
+    }
+
+    /// Holds a route's share at `cap` on this node, or lets it go with none.
+    pub fn cap(&mut self, rollout: Id, route: &Name, cap: Option<Share>) {
+        let Some(entry) = self
+            .endpoints
+            .values_mut()
+            .find(|entry| entry.shares.rollout == rollout)
+        else {
+            return;
+        };
+        match cap {
+            Some(cap) => entry.caps.insert(route.clone(), cap),
+            None => entry.caps.swap_remove(route),
+        };
+    }
+
+    /// The version for a request with this uniform random `draw`; none if the endpoint has no rollout.
+    pub fn choose(&self, endpoint: &Name, route: &Name, draw: u64) -> Option<Choice<'_>> {
+        let entry = self.endpoints.get(endpoint)?;
+        let share = entry.share(route);
+        let (arm, version) = if share.takes(draw) {
+            (Arm::New, &entry.shares.to)
+        } else {
+            (Arm::Old, &entry.shares.from)
+        };
+        let assignment = Assignment {
+            rollout: entry.shares.rollout,
+            arm,
+            share,
+        };
+        Some(Choice { version, assignment })
+    }
+
+    /// The shares in force for an endpoint.
+    pub fn shares(&self, endpoint: &Name) -> Option<&Shares> {
+        self.endpoints.get(endpoint).map(|entry| &entry.shares)
+    }
+}
--- /dev/null
+++ b/crates/rollout/src/vetoes.rs
@@ -0,0 +1,66 @@
+//! The set of vetoes that a node knows.
+
+use base::Name;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{Id, Veto};
+
+/// Vetoes kept at most.
+pub const LIMIT: usize = 256;
+
+/// A grow-only set of vetoes, one a rollout; merging is idempotent, commutative and associative.
+///
+/// Bounded: beyond [`LIMIT`] the vetoes of the oldest rollouts are dropped, on every node alike.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vetoes {
+    by_rollout: IndexMap<Id, Veto>,
+}
+
+impl Vetoes {
+    /// An empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a veto; whether the set changed.
+    ///
+    /// Of two vetoes against one rollout the smaller is kept, so that the order of merging is all one.
+    pub fn insert(&mut self, veto: Veto) -> bool {
+        if self
+            .by_rollout
+            .get(&veto.rollout)
+            .is_some_and(|known| known <= &veto)
+        {
+            return false;
+        }
+        let rollout = veto.rollout;
+        self.by_rollout.insert(rollout, veto);
+        self.by_rollout.sort_unstable_keys();
+        if self.by_rollout.len() > LIMIT {
+            self.by_rollout.shift_remove_index(0);
+        }
+        self.by_rollout.contains_key(&rollout)
+    }
+
+    /// Adds every veto of `other`; whether the set changed.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        let mut changed = false;
+        for veto in other.iter() {
+            changed |= self.insert(veto.clone());
+        }
+        changed
+    }
+
+    /// The veto against `version` within `rollout`.
+    pub fn get(&self, rollout: Id, version: &Name) -> Option<&Veto> {
+        self.by_rollout
+            .get(&rollout)
+            .filter(|veto| &veto.version == version)
+    }
+
+    /// All vetoes, by rollout.
+    pub fn iter(&self) -> impl Iterator<Item = &Veto> {
+        self.by_rollout.values()
+    }
+}
