Guard: compare versions by a sequential test on randomised assignment

Cause: a node must tell a bad version from a general slowdown by itself, while it looks at every request. Weighed: comparison with rates kept from before (a general slowdown looks like a bad version), repeated two-proportion tests (their error rate grows with each look), and the test taken here: every request is assigned at random with a known share, so among requests that show a signal the split between the versions is known whatever happens to both alike; the likelihood ratio bounds the error rate over all looks.

--- a/crates/rollout/src/counts.rs
+++ b/crates/rollout/src/counts.rs
@@ -4,11 +4,13 @@
 
 use crate::Signal;
 
-/// Requests finished, and how many of them showed each signal.
+/// Requests started and ended, and how many of them showed each signal.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Counts {
+    /// Requests that started.
+    pub started: u64,
     /// Requests that ended, or were found hung.
-    pub requests: u64,
+    pub ended: u64,
     /// Of these, failed.
     pub failed: u64,
     /// Of these, slow.
@@ -27,12 +29,12 @@
         }
     }
 
-    /// Counts one more request that showed `signal`.
-    pub const fn add(&mut self, signal: Signal) {
+    /// Counts `requests` more that showed `signal`.
+    pub const fn add(&mut self, signal: Signal, requests: u64) {
         match signal {
-            Signal::Failed => self.failed += 1,
-            Signal::Slow => self.slow += 1,
-            Signal::Hung => self.hung += 1,
+            Signal::Failed => self.failed += requests,
+            Signal::Slow => self.slow += requests,
+            Signal::Hung => self.hung += requests,
         }
     }
 
@@ -40,7 +42,8 @@
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
+            started: self.started + other.started,
+            ended: self.ended + other.ended,
             failed: self.failed + other.failed,
             slow: self.slow + other.slow,
             hung: self.hung + other.hung,
@@ -51,7 +54,8 @@
     #[must_use]
     pub const fn since(&self, earlier: &Self) -> Self {
         Self {
-            requests: self.requests.saturating_sub(earlier.requests),
+            started: self.started.saturating_sub(earlier.started),
+            ended: self.ended.saturating_sub(earlier.ended),
             failed: self.failed.saturating_sub(earlier.failed),
             slow: self.slow.saturating_sub(earlier.slow),
             hung: self.hung.saturating_sub(earlier.hung),
--- a/crates/rollout/src/guard/event.rs
+++ b/crates/rollout/src/guard/event.rs
@@ -33,12 +33,12 @@
         route: Name,
         /// The assignment passed with its start.
         assignment: Option<Assignment>,
-        /// Time from start to end.
-        latency: Millis,
+        /// The time passed with its start.
+        started: Millis,
         /// Whether it failed.
         failed: bool,
     },
-    /// Time has passed; expected a few times a second.
+    /// Time has passed; expected about ten times a second.
     Tick,
 }
 
--- a/crates/rollout/src/ratio.rs
+++ b/crates/rollout/src/ratio.rs
@@ -1,10 +1,63 @@
-//! The sequential test.
+//! Likelihood ratios of the sequential test.
+//!
+//! Each request is assigned to the new version at random with a known share `s`. Whatever happens to both
+//! versions alike, a request that shows a signal was then assigned to the new one with probability
+//! `r s / (r s + 1 - s)`, where `r` is how many times likelier the signal is on the new version. So only
+//! requests that show the signal are looked at, and how often that happens may change at any time.
+//! Against a tolerated `r` the ratio's expected factor is at most one: it is a nonnegative supermartingale,
+//! and by Ville's inequality it ever exceeds `1 / a` with probability at most `a`, however often one looks.
 
 use serde::{Deserialize, Serialize};
 
-/// Logarithms of the likelihood ratios of a signal, one for each alternative.
+use crate::{Arm, Share};
+
+/// How many times likelier than on the old version a signal may be on a version that counts as good.
+pub const TOLERATED: f64 = 1.5;
+
+/// How many times likelier the signal is under each alternative.
+pub const ALTERNATIVES: [f64; 3] = [4.0, 20.0, 200.0];
+
+/// Logarithms of the likelihood ratios of one signal, one for each alternative.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ratio {
-    /// Sums since the start of the rollout, in nats.
-    pub total: [f64; 3],
+    /// Sums since the start of the rollout, in nats, in the order of [`ALTERNATIVES`].
+    pub total: [f64; ALTERNATIVES.len()],
+}
+
+impl Ratio {
+    /// Takes in a request that showed the signal, drawn for `arm` when the new version's share was `share`.
+    pub fn observe(&mut self, arm: Arm, share: Share) {
+        if share == Share::ZERO || share == Share::FULL {
+            return;
+        }
+        let tolerated = probability(TOLERATED, share);
+        for (total, times) in self.total.iter_mut().zip(ALTERNATIVES) {
+            let alternative = probability(times, share);
+            let factor = match arm {
+                Arm::New => alternative / tolerated,
+                Arm::Old => (1.0 - alternative) / (1.0 - tolerated),
+            };
+            *total += factor.ln();
+        }
+    }
+
+    /// Adds evidence that was gathered independently.
+    pub fn add(&mut self, other: &Self) {
+        for (total, more) in self.total.iter_mut().zip(other.total) {
+            *total += more;
+        }
+    }
+
+    /// Takes away evidence added before.
+    pub fn subtract(&mut self, other: &Self) {
+        for (total, less) in self.total.iter_mut().zip(other.total) {
+            *total -= less;
+        }
+    }
+}
+
+/// Probability that a request with the signal was drawn for the new version.
+fn probability(times: f64, share: Share) -> f64 {
+    let new = times * share.fraction();
+    new / (new + 1.0 - share.fraction())
 }
