Controller: move by evidence, write by compare-and-swap, settle lost answers by reading back

Cause: the role may be killed, frozen or superseded at any moment, and the store may be down or lose answers. Weighed: keeping an intent for each write (many paths after a lost answer) against deriving every effect from the record as it stands, recognised by its write id (taken: one path for answer, conflict and read-back). A new holder writes first, so that a superseded one fails at its next swap. An operator's undo that can't be stored goes out as a veto, unless a write that ends the rollout as done may have taken effect. Change: pool of summaries, gate on evidence, pace towards the deadline, requests, verdicts.

--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -1,12 +1,49 @@
 //! The role that moves an endpoint's traffic from one version to another.
+//!
+//! Nothing counts before the store has taken it: shares are announced and the end is told from the stored
+//! record only. A write whose answer is lost is settled by reading back and comparing write ids. A holder that
+//! was paused and superseded fails at its next compare-and-swap, since a new holder writes first of all.
+
+pub mod decide;
+pub mod gate;
+pub mod pace;
+pub mod pool;
+pub mod request;
+pub mod role;
+pub mod settle;
+
+use std::collections::VecDeque;
 
 use base::Millis;
+use indexmap::IndexMap;
 
-use crate::{Action, Event};
+use crate::controller::pool::Pool;
+use crate::controller::request::Request;
+use crate::controller::role::Role;
+use crate::controller::settle::Pending;
+use crate::event::StoreResult;
+use crate::guard::Limits;
+use crate::{Action, Event, Id, Record, Stored, Summary, Veto};
+
+/// Operators' requests waiting at most.
+const REQUESTS: usize = 16;
+/// Vetoes remembered at most.
+const VETOES: usize = 16;
 
 /// Runs one endpoint's rollouts; a leased role that any node can take up from the stored record.
 #[derive(Clone, Debug, Default)]
-pub struct Controller {}
+pub struct Controller {
+    limits: Limits,
+    role: Option<Role>,
+    stored: Option<Stored>,
+    pending: Pending,
+    requests: VecDeque<Request>,
+    vetoes: IndexMap<Id, Veto>,
+    pool: Pool,
+    late: Option<Id>,
+    /// A write that ends the rollout as done may have taken effect.
+    maybe_done: bool,
+}
 
 impl Controller {
     /// A controller that does not hold the role yet.
@@ -14,8 +51,180 @@
         Self::default()
     }
 
+    /// The controller with other limits, which should be those of the guards.
+    pub const fn with_limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// What stands in the store, as far as this controller knows.
+    pub const fn stored(&self) -> Option<&Stored> {
+        self.stored.as_ref()
+    }
+
     /// Takes an event in; what to do about it.
-    pub fn step(&mut self, _now: Millis, _event: Event) -> Vec<Action> {
-        Vec::new()
+    pub fn step(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.take(now, event, &mut actions);
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Acquired { fence, stored, wall } => {
+                self.release();
+                self.role = Some(Role::new(fence, wall, now));
+                self.adopt(stored, actions);
+            }
+            Event::Released => self.release(),
+            Event::Declared(plan) => self.ask(Request::Declare(plan)),
+            Event::Undo { rollout, operator } => self.ask(Request::Undo { rollout, operator }),
+            Event::Reported(summary) => self.report(now, *summary, actions),
+            Event::Vetoed(veto) => self.remember(*veto),
+            Event::Stored(result) => self.settle(now, result, actions),
+            Event::Loaded(stored) => self.settled(stored, actions),
+            Event::Unloaded => {
+                self.pending.retry(now);
+                self.veto_early(actions);
+            }
+            Event::Tick => self.pending.expire(now),
+        }
+    }
+
+    /// Forgets the role and everything but vetoes, which hold for ever.
+    fn release(&mut self) {
+        let vetoes = std::mem::take(&mut self.vetoes);
+        *self = Self {
+            limits: self.limits,
+            vetoes,
+            ..Self::new()
+        };
+    }
+
+    fn ask(&mut self, request: Request) {
+        if self.role.is_some() && self.requests.len() < REQUESTS {
+            self.requests.push_back(request);
+        }
+    }
+
+    fn report(&mut self, now: Millis, summary: Summary, actions: &mut Vec<Action>) {
+        let Some(record) = self.record().filter(|record| record.plan.id == summary.rollout) else {
+            return;
+        };
+        if !record.stage.runs() {
+            return;
+        }
+        let rollout = summary.rollout;
+        self.pool.take(now, summary);
+        if self.vetoes.contains_key(&rollout) {
+            return;
+        }
+        let Some(found) = self.pool.finding(&self.limits) else {
+            return;
+        };
+        let Some(record) = self.record() else {
+            return;
+        };
+        let veto = Veto {
+            rollout,
+            endpoint: record.plan.endpoint.clone(),
+            version: record.plan.to.clone(),
+            route: Some(found.route),
+            evidence: found.evidence,
+        };
+        actions.push(Action::Veto(Box::new(veto.clone())));
+        self.remember(veto);
+    }
+
+    fn remember(&mut self, veto: Veto) {
+        if self.vetoes.len() >= VETOES && !self.vetoes.contains_key(&veto.rollout) {
+            self.vetoes.shift_remove_index(0);
+        }
+        self.vetoes.entry(veto.rollout).or_insert(veto);
+    }
+
+    fn settle(&mut self, now: Millis, result: StoreResult, actions: &mut Vec<Action>) {
+        let Some(record) = self.pending.written() else {
+            return;
+        };
+        match result {
+            StoreResult::Ok(generation) => {
+                let stored = Stored {
+                    record: record.clone(),
+                    generation,
+                };
+                self.settled(Some(Box::new(stored)), actions);
+            }
+            StoreResult::Conflict(stored) if self.is_news(stored.as_deref()) => self.settled(stored, actions),
+            StoreResult::Conflict(_) | StoreResult::Lost | StoreResult::Unavailable => {
+                self.pending.retry(now);
+                self.veto_early(actions);
+            }
+        }
+    }
+
+    fn settled(&mut self, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
+        self.pending.clear();
+        self.maybe_done = false;
+        self.adopt(stored, actions);
+    }
+
+    fn is_news(&self, stored: Option<&Stored>) -> bool {
+        let known = self.stored.as_ref().map_or(0, |known| known.generation);
+        stored.is_some_and(|stored| stored.generation > known)
+    }
+
+    /// Takes what stands in the store as the truth, and does what follows from a change of it.
+    fn adopt(&mut self, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
+        let (Some(role), Some(stored)) = (self.role, stored) else {
+            return;
+        };
+        if !self.is_news(Some(&stored)) {
+            return;
+        }
+        if stored.record.write.fence > role.fence {
+            self.release();
+            return;
+        }
+        let mine = stored.record.write.fence == role.fence;
+        let id = stored.record.plan.id;
+        let ended_before = self
+            .record()
+            .is_some_and(|record| record.plan.id == id && record.verdict.is_some());
+        self.rebase(&stored.record);
+        actions.push(Action::Announce(Box::new(stored.shares())));
+        if let Some(verdict) = stored.record.verdict.clone().filter(|_| mine && !ended_before) {
+            actions.push(Action::Tell {
+                rollout: id,
+                verdict: Box::new(verdict),
+            });
+        }
+        self.stored = Some(*stored);
+    }
+
+    /// Evidence for a route's next step counts from the change of its share.
+    fn rebase(&mut self, record: &Record) {
+        let Some(known) = self
+            .stored
+            .as_ref()
+            .filter(|known| known.record.plan.id == record.plan.id)
+        else {
+            self.pool = Pool::default();
+            return;
+        };
+        let routes: Vec<_> = self.pool.routes.keys().cloned().collect();
+        for route in routes {
+            if known.record.step(&route).share != record.step(&route).share {
+                self.pool.rebase(&route);
+            }
+        }
+    }
+
+    const fn record(&self) -> Option<&Record> {
+        match &self.stored {
+            Some(stored) => Some(&stored.record),
+            None => None,
+        }
     }
 }
--- /dev/null
+++ b/crates/rollout/src/controller/decide.rs
@@ -0,0 +1,224 @@
+//! What the controller wants the record to become.
+
+use base::{Millis, Name};
+
+use crate::controller::Controller;
+use crate::controller::gate::Gate;
+use crate::controller::pace;
+use crate::controller::pool::Pool;
+use crate::controller::request::{Answer, Request};
+use crate::controller::settle::Pending;
+use crate::{Action, Evidence, Reason, Record, Stage, Step, Verdict, Veto, Wall, Write};
+
+/// Without a report from any node for this long nothing moves on.
+const FRESH: Millis = Millis::from_secs(10);
+
+impl Controller {
+    /// Answers requests, and writes the next record if one is wanted and no write is in flight.
+    pub(super) fn advance(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let Some(role) = self.role else {
+            return;
+        };
+        if self.pending.load(now) {
+            actions.push(Action::Load);
+        }
+        if self.pending != Pending::Idle {
+            return;
+        }
+        let wall = role.wall(now);
+        self.report_late(actions);
+        self.answer(wall, actions);
+        if let Some(record) = self.wanted(now, wall) {
+            self.write(now, record, actions);
+        }
+    }
+
+    /// While an undo can't be stored, a veto brings it about.
+    pub(super) fn veto_early(&mut self, actions: &mut Vec<Action>) {
+        let Some(record) = self.record().filter(|record| record.stage.runs()) else {
+            return;
+        };
+        let rollout = record.plan.id;
+        if self.maybe_done || self.vetoes.contains_key(&rollout) {
+            return;
+        }
+        let asked = self.requests.iter().find_map(|request| match request {
+            Request::Undo {
+                rollout: asked,
+                operator,
+            } if *asked == rollout => Some(operator.clone()),
+            _ => None,
+        });
+        let Some(operator) = asked else {
+            return;
+        };
+        let veto = Veto {
+            rollout,
+            endpoint: record.plan.endpoint.clone(),
+            version: record.plan.to.clone(),
+            route: None,
+            evidence: Evidence::Operator(operator),
+        };
+        actions.push(Action::Veto(Box::new(veto)));
+    }
+
+    fn write(&mut self, now: Millis, mut record: Record, actions: &mut Vec<Action>) {
+        let Some(role) = &mut self.role else {
+            return;
+        };
+        record.write = role.next_write();
+        self.maybe_done = record.stage == Stage::Done;
+        let record = Box::new(record);
+        let expected = self.stored.as_ref().map_or(0, |stored| stored.generation);
+        self.pending = Pending::Storing {
+            record: record.clone(),
+            since: now,
+        };
+        actions.push(Action::Store { record, expected });
+    }
+
+    /// Answers the requests whose fate the stored record decides.
+    fn answer(&mut self, now: Wall, actions: &mut Vec<Action>) {
+        while let Some(request) = self.requests.front() {
+            let rollout = request.rollout();
+            match request.answer(self.record(), now) {
+                Answer::Wanted => return,
+                Answer::Accepted => actions.push(Action::Accept(rollout)),
+                Answer::Refused(refusal) => actions.push(Action::Refuse { rollout, refusal }),
+            }
+            self.requests.pop_front();
+        }
+    }
+
+    /// A veto that comes after the end changes nothing in the record, but operators must know.
+    fn report_late(&mut self, actions: &mut Vec<Action>) {
+        let Some(record) = self.record().filter(|record| record.stage == Stage::Done) else {
+            return;
+        };
+        let id = record.plan.id;
+        let Some(veto) = self.vetoes.get(&id).filter(|_| self.late != Some(id)) else {
+            return;
+        };
+        actions.push(Action::Late(Box::new(veto.clone())));
+        self.late = Some(id);
+    }
+
+    /// The record that should replace the stored one, if any.
+    fn wanted(&self, now: Millis, wall: Wall) -> Option<Record> {
+        let running = self.record().filter(|record| record.stage.runs());
+        let Some(record) = running else {
+            return self.declared(wall);
+        };
+        let mut next = record.clone();
+        if let Some(verdict) = self.taken_back(record) {
+            next.end(verdict, wall);
+            return Some(next);
+        }
+        if self.role.is_some_and(|role| role.fence > record.write.fence) {
+            return Some(next);
+        }
+        if !self.pool.is_fresh(now, FRESH) {
+            return None;
+        }
+        match record.stage {
+            Stage::Moving => move_on(&mut next, &self.pool, wall),
+            Stage::Watching => watch_on(&mut next, &self.pool, wall),
+            Stage::Done | Stage::Undone => false,
+        }
+        .then_some(next)
+    }
+
+    fn declared(&self, now: Wall) -> Option<Record> {
+        let Some(Request::Declare(plan)) = self.requests.front() else {
+            return None;
+        };
+        let unset = Write { fence: 0, number: 0 };
+        Some(Record::new(plan.as_ref().clone(), unset, now))
+    }
+
+    fn taken_back(&self, record: &Record) -> Option<Verdict> {
+        if let Some(veto) = self.vetoes.get(&record.plan.id) {
+            return Some(Verdict::Undone(reason(veto)));
+        }
+        match self.requests.front() {
+            Some(Request::Undo { operator, .. }) => Some(Verdict::Undone(Reason::Operator(operator.clone()))),
+            _ => None,
+        }
+    }
+}
+
+fn reason(veto: &Veto) -> Reason {
+    match &veto.evidence {
+        Evidence::Compared { .. } => Reason::Vetoed(Box::new(veto.clone())),
+        Evidence::Operator(operator) => Reason::Operator(operator.clone()),
+    }
+}
+
+/// Takes the steps that are due; whether anything changed.
+fn move_on(record: &mut Record, pool: &Pool, now: Wall) -> bool {
+    let mut changed = false;
+    for (route, pooled) in &pool.routes {
+        let gate = Gate::of(pooled);
+        let step = record.step(route);
+        if gate == Gate::Doubtful && now > record.plan.by.after(record.plan.watch) {
+            record.end(Verdict::Undone(Reason::Doubtful(route.clone())), now);
+            return true;
+        }
+        if let Some(next) = pace::next(&record.plan, step, gate, now) {
+            take_step(record, route, next, now);
+            changed = true;
+        }
+    }
+    if let Some(next) = pace::next(&record.plan, record.rest, Gate::Thin, now) {
+        hold_known(record, pool);
+        record.rest = Step {
+            share: next.share,
+            since: now,
+        };
+        changed = true;
+    }
+    if record.is_full() {
+        record.enter(Stage::Watching, now);
+        changed = true;
+    }
+    changed
+}
+
+/// Routes with evidence go their own way from here.
+fn hold_known(record: &mut Record, pool: &Pool) {
+    let rest = record.rest;
+    for route in pool.routes.keys() {
+        record.routes.entry(route.clone()).or_insert(rest);
+    }
+}
+
+fn take_step(record: &mut Record, route: &Name, next: pace::Next, now: Wall) {
+    if next.thin && !record.thin.contains(route) {
+        record.thin.push(route.clone());
+    }
+    record.routes.insert(
+        route.clone(),
+        Step {
+            share: next.share,
+            since: now,
+        },
+    );
+}
+
+/// Ends the watch when it is due; whether anything changed.
+fn watch_on(record: &mut Record, pool: &Pool, now: Wall) -> bool {
+    let watched = now.since(record.since);
+    // A doubt that no suspicion has borne out by then is dropped.
+    let doubt_ends = record.plan.watch + record.plan.watch;
+    let doubtful = watched < doubt_ends
+        && pool
+            .routes
+            .values()
+            .any(|pooled| Gate::of(pooled) == Gate::Doubtful);
+    if watched < record.plan.watch || pool.is_probing() || doubtful {
+        return false;
+    }
+    let thin = record.thin.clone();
+    record.end(Verdict::Done(Reason::Moved { thin }), now);
+    true
+}
--- /dev/null
+++ b/crates/rollout/src/controller/pool.rs
@@ -0,0 +1,119 @@
+//! The evidence of all nodes together.
+
+use base::{Incarnation, Millis, Name};
+use indexmap::IndexMap;
+
+use crate::guard::Limits;
+use crate::summary::Entry;
+use crate::{Evidence, Signal, Summary, Test};
+
+/// Runs of nodes whose evidence is kept at most.
+const NODES: usize = 8_192;
+
+/// Evidence of all nodes on one route.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pooled {
+    /// Sum over nodes.
+    pub sum: Entry,
+    /// The sum when the route's share was last changed.
+    pub base: Entry,
+    tests: [Test; 3],
+}
+
+impl Pooled {
+    /// The strongest evidence of any signal against the new version, in nats.
+    pub fn evidence(&self) -> f64 {
+        let each = Signal::ALL.into_iter().map(|signal| self.of(signal));
+        each.fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    fn of(&self, signal: Signal) -> f64 {
+        self.tests[signal as usize].evidence(&self.sum.ratios[signal as usize])
+    }
+
+    fn restart(&mut self) {
+        for (test, ratio) in self.tests.iter_mut().zip(&self.sum.ratios) {
+            test.restart(ratio);
+        }
+    }
+}
+
+/// Latest summaries of one rollout, and their sums a route.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    nodes: IndexMap<Incarnation, Summary>,
+    /// Sums a route.
+    pub routes: IndexMap<Name, Pooled>,
+    heard: Option<Millis>,
+}
+
+impl Pool {
+    /// Takes a summary in; one that is not newer than the last of the same run changes nothing.
+    pub fn take(&mut self, now: Millis, summary: Summary) {
+        let last = self.nodes.get(&summary.node);
+        if last.is_some_and(|last| last.sequence >= summary.sequence) {
+            return;
+        }
+        if last.is_none() && self.nodes.len() >= NODES {
+            return;
+        }
+        self.heard = Some(now);
+        for (route, entry) in &summary.routes {
+            let pooled = self.routes.entry(route.clone()).or_default();
+            if let Some(before) = last.and_then(|last| last.routes.get(route)) {
+                pooled.sum.subtract(before);
+            }
+            pooled.sum.add(entry);
+            pooled.restart();
+        }
+        self.nodes.insert(summary.node, summary);
+    }
+
+    /// The share of `route` changes: evidence for the next step counts from here.
+    pub fn rebase(&mut self, route: &Name) {
+        if let Some(pooled) = self.routes.get_mut(route) {
+            pooled.base = pooled.sum;
+        }
+    }
+
+    /// Whether any node has reported within `span`.
+    pub fn is_fresh(&self, now: Millis, span: Millis) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) <= span)
+    }
+
+    /// Whether any node holds its share back on suspicion.
+    pub fn is_probing(&self) -> bool {
+        self.routes.values().any(|pooled| pooled.sum.probing > 0)
+    }
+
+    /// The finding that all nodes' evidence together suffices for, with its route.
+    pub fn finding(&self, limits: &Limits) -> Option<Found> {
+        let sufficient = limits.sufficient_pooled(self.routes.len() * Signal::ALL.len());
+        for (route, pooled) in &self.routes {
+            let bad = Signal::ALL
+                .into_iter()
+                .find(|signal| pooled.of(*signal) >= sufficient);
+            if let Some(signal) = bad {
+                let evidence = Evidence::Compared {
+                    signal,
+                    old: pooled.sum.old,
+                    new: pooled.sum.new,
+                };
+                return Some(Found {
+                    route: route.clone(),
+                    evidence,
+                });
+            }
+        }
+        None
+    }
+}
+
+/// A finding of the pooled tests.
+#[derive(Clone, Debug)]
+pub struct Found {
+    /// The route.
+    pub route: Name,
+    /// What it rests on.
+    pub evidence: Evidence,
+}
--- /dev/null
+++ b/crates/rollout/src/controller/request.rs
@@ -0,0 +1,72 @@
+//! What operators ask for.
+
+use base::Name;
+
+use crate::action::Refusal;
+use crate::{Id, Plan, Record, Wall};
+
+/// A request of an operator that has not been answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    /// Start a rollout.
+    Declare(Box<Plan>),
+    /// Take one back.
+    Undo {
+        /// The rollout.
+        rollout: Id,
+        /// Who asks.
+        operator: Name,
+    },
+}
+
+/// What becomes of a request, given the record that stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// The record says that it took effect.
+    Accepted,
+    /// It can't take effect.
+    Refused(Refusal),
+    /// A write has to bring it about.
+    Wanted,
+}
+
+impl Request {
+    /// The rollout it is about.
+    pub const fn rollout(&self) -> Id {
+        match self {
+            Self::Declare(plan) => plan.id,
+            Self::Undo { rollout, .. } => *rollout,
+        }
+    }
+
+    /// What becomes of it, given the record that stands.
+    pub fn answer(&self, record: Option<&Record>, now: Wall) -> Answer {
+        match self {
+            Self::Declare(plan) => declare(plan, record, now),
+            Self::Undo { rollout, operator } => undo(*rollout, operator, record),
+        }
+    }
+}
+
+fn declare(plan: &Plan, record: Option<&Record>, now: Wall) -> Answer {
+    match record {
+        Some(record) if record.plan.id == plan.id => Answer::Accepted,
+        Some(record) if record.stage.runs() => Answer::Refused(Refusal::Conflict {
+            winner: record.plan.id,
+            operator: record.plan.operator.clone(),
+        }),
+        _ if !plan.is_valid(now) => Answer::Refused(Refusal::Invalid),
+        _ => Answer::Wanted,
+    }
+}
+
+fn undo(rollout: Id, operator: &Name, record: Option<&Record>) -> Answer {
+    let Some(record) = record.filter(|record| record.plan.id == rollout) else {
+        return Answer::Refused(Refusal::Unknown);
+    };
+    match &record.verdict {
+        None => Answer::Wanted,
+        Some(crate::Verdict::Undone(crate::Reason::Operator(by))) if by == operator => Answer::Accepted,
+        Some(verdict) => Answer::Refused(Refusal::Ended(Box::new(verdict.clone()))),
+    }
+}
--- a/crates/rollout/src/guard/track.rs
+++ b/crates/rollout/src/guard/track.rs
@@ -161,6 +161,7 @@
             .find(|signal| self.shifts[*signal as usize].suspects());
         let change = self.probe.step(now, suspect, share, limits)?;
         self.shifts = [Shift::default(); 3];
+        self.entry.probing = u32::from(matches!(change, Change::Hold(_)));
         Some(change)
     }
 
--- a/crates/rollout/src/guard/watch.rs
+++ b/crates/rollout/src/guard/watch.rs
@@ -9,6 +9,9 @@
 use crate::guard::track::{End, Track};
 use crate::{Arm, Assignment, Evidence, Id, Share, Shares, Signal, Stage, Veto};
 
+/// Routes compared at most an endpoint; requests of further ones are no evidence.
+pub const ROUTES: usize = 128;
+
 /// One endpoint's rollout as this node sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
@@ -39,7 +42,7 @@
     /// The rollout that is being compared, if any.
     pub fn active(&self) -> Option<Id> {
         let shares = self.shares.as_ref()?;
-        let runs = matches!(shares.stage, Stage::Moving | Stage::Watching) && !self.vetoed;
+        let runs = shares.stage.runs() && !self.vetoed;
         runs.then_some(shares.rollout)
     }
 
@@ -60,7 +63,9 @@
         let Some(assignment) = assignment.filter(|drawn| self.active() == Some(drawn.rollout)) else {
             return;
         };
-        self.track(route).start(now, assignment);
+        if let Some(track) = self.track(route) {
+            track.start(now, assignment);
+        }
     }
 
     /// A request ends; the veto it gives rise to.
@@ -69,7 +74,7 @@
             return None;
         }
         let sufficient = self.sufficient(limits);
-        let track = self.track(route);
+        let track = self.track(route)?;
         track.end(end);
         let evidence = track.finding(sufficient)?;
         self.find(route.clone(), evidence)
@@ -87,8 +92,11 @@
 
     /// A request outside any rollout ended.
     pub fn learn(&mut self, route: &Name, latency: Millis) {
-        if self.active().is_none() {
-            self.track(route).learn(latency);
+        if self.active().is_some() {
+            return;
+        }
+        if let Some(track) = self.track(route) {
+            track.learn(latency);
         }
     }
 
@@ -141,12 +149,13 @@
         limits.sufficient(self.routes.len() * Signal::ALL.len())
     }
 
-    fn track(&mut self, route: &Name) -> &mut Track {
-        if !self.routes.contains_key(route) {
-            let mut track = Track::default();
-            track.begin();
-            self.routes.insert(route.clone(), track);
-        }
-        &mut self.routes[route]
+    fn track(&mut self, route: &Name) -> Option<&mut Track> {
+        let known = self.routes.get_index_of(route);
+        let index = match known {
+            Some(index) => index,
+            None if self.routes.len() >= ROUTES => return None,
+            None => self.routes.insert_full(route.clone(), Track::default()).0,
+        };
+        self.routes.get_index_mut(index).map(|(_, track)| track)
     }
 }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -41,7 +41,7 @@
 pub use id::Id;
 pub use plan::Plan;
 pub use ratio::Ratio;
-pub use record::{Record, Stored, Write};
+pub use record::{Record, Step, Stored, Write};
 pub use share::Share;
 pub use shares::Shares;
 pub use signal::Signal;
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -30,3 +30,16 @@
     /// Who declared it: named to the loser of a race.
     pub operator: Name,
 }
+
+impl Plan {
+    /// The time allowed, from the declaration on.
+    pub const fn allowed(&self) -> Millis {
+        self.by.since(self.start)
+    }
+
+    /// Whether it can be carried out at `now`.
+    pub fn is_valid(&self, now: Wall) -> bool {
+        let share = self.canary > Share::ZERO && self.canary <= CANARY;
+        self.from != self.to && self.by > now && share
+    }
+}
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{Plan, Share, Stage, Verdict, Wall};
+use crate::{Plan, Share, Shares, Stage, Verdict, Wall};
 
 /// The id of one write, by which a lost answer is settled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -15,6 +15,15 @@
     pub number: u64,
 }
 
+/// A share, and since when it is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The new version's share.
+    pub share: Share,
+    /// When it was set.
+    pub since: Wall,
+}
+
 /// The state of an endpoint's latest rollout; changed by compare-and-swap only.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -24,16 +33,68 @@
     pub write: Write,
     /// Where it stands.
     pub stage: Stage,
-    /// When the stage or a share last changed.
+    /// When it came there.
     pub since: Wall,
-    /// The new version's share a route.
-    pub routes: IndexMap<Name, Share>,
-    /// Share of every other route.
-    pub rest: Share,
+    /// Steps of routes that have traffic.
+    pub routes: IndexMap<Name, Step>,
+    /// Step of every other route.
+    pub rest: Step,
+    /// Routes that have moved on without enough evidence.
+    pub thin: Vec<Name>,
     /// How it ended. Recorded once, never changed: this is the telling that counts.
     pub verdict: Option<Verdict>,
 }
 
+impl Record {
+    /// The record of a rollout just declared: nothing has moved but the canary share.
+    pub fn new(plan: Plan, write: Write, now: Wall) -> Self {
+        let rest = Step {
+            share: plan.canary,
+            since: now,
+        };
+        Self {
+            plan,
+            write,
+            stage: Stage::Moving,
+            since: now,
+            routes: IndexMap::new(),
+            rest,
+            thin: Vec::new(),
+            verdict: None,
+        }
+    }
+
+    /// The step of `route`.
+    pub fn step(&self, route: &Name) -> Step {
+        self.routes.get(route).copied().unwrap_or(self.rest)
+    }
+
+    /// Whether every route has all its traffic on the new version.
+    pub fn is_full(&self) -> bool {
+        let full = |step: &Step| step.share == Share::FULL;
+        full(&self.rest) && self.routes.values().all(full)
+    }
+
+    /// Moves on to `stage`.
+    pub const fn enter(&mut self, stage: Stage, now: Wall) {
+        self.stage = stage;
+        self.since = now;
+    }
+
+    /// Ends the rollout; a verdict that stands is not changed.
+    pub fn end(&mut self, verdict: Verdict, now: Wall) {
+        if self.verdict.is_some() {
+            return;
+        }
+        let stage = match verdict {
+            Verdict::Done(_) => Stage::Done,
+            Verdict::Undone(_) => Stage::Undone,
+        };
+        self.enter(stage, now);
+        self.verdict = Some(verdict);
+    }
+}
+
 /// A record with the generation that the store gave it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stored {
@@ -42,3 +103,21 @@
     /// Grows with each change; zero means that nothing is stored.
     pub generation: u64,
 }
+
+impl Stored {
+    /// The shares that this record puts in force.
+    pub fn shares(&self) -> Shares {
+        let record = &self.record;
+        let share = |(route, step): (&Name, &Step)| (route.clone(), step.share);
+        Shares {
+            rollout: record.plan.id,
+            endpoint: record.plan.endpoint.clone(),
+            from: record.plan.from.clone(),
+            to: record.plan.to.clone(),
+            generation: self.generation,
+            stage: record.stage,
+            routes: record.routes.iter().map(share).collect(),
+            rest: record.rest.share,
+        }
+    }
+}
--- a/crates/rollout/src/stage.rs
+++ b/crates/rollout/src/stage.rs
@@ -18,6 +18,13 @@
     Undone,
 }
 
+impl Stage {
+    /// Whether the rollout still runs.
+    pub const fn runs(self) -> bool {
+        matches!(self, Self::Moving | Self::Watching)
+    }
+}
+
 /// Why a rollout ended as it did.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
@@ -28,6 +35,9 @@
     },
     /// The version was found bad.
     Vetoed(Box<Veto>),
+    /// The evidence on this route still spoke against the version, without being sufficient, when the time
+    /// allowed and the watch had both passed.
+    Doubtful(Name),
     /// An operator took it back.
     Operator(Name),
 }
--- a/crates/rollout/src/summary.rs
+++ b/crates/rollout/src/summary.rs
@@ -6,7 +6,7 @@
 
 use crate::{Counts, Id, Ratio};
 
-/// Cumulative evidence of one node on one route.
+/// Cumulative evidence on one route, of one node or of several.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Counts of the old version.
@@ -15,9 +15,35 @@
     pub new: Counts,
     /// Likelihood ratios, in the order of [`crate::Signal::ALL`].
     pub ratios: [Ratio; 3],
+    /// Nodes that hold the share back to compare the versions on suspicion.
+    pub probing: u32,
 }
 
-/// Everything that one run of a node has seen of a rollout. A later summary replaces an earlier one.
+impl Entry {
+    /// Adds evidence gathered independently.
+    pub fn add(&mut self, more: &Self) {
+        self.old = self.old.plus(&more.old);
+        self.new = self.new.plus(&more.new);
+        self.probing += more.probing;
+        for (ratio, more) in self.ratios.iter_mut().zip(&more.ratios) {
+            ratio.add(more);
+        }
+    }
+
+    /// Takes away evidence added before.
+    pub fn subtract(&mut self, less: &Self) {
+        self.old = self.old.since(&less.old);
+        self.new = self.new.since(&less.new);
+        self.probing = self.probing.saturating_sub(less.probing);
+        for (ratio, less) in self.ratios.iter_mut().zip(&less.ratios) {
+            ratio.subtract(less);
+        }
+    }
+}
+
+/// Everything that one run of a node has seen of a rollout.
+///
+/// Cumulative: a later summary replaces an earlier one, so taking the same one in twice changes nothing.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
     /// The rollout.
@@ -26,6 +52,6 @@
     pub node: Incarnation,
     /// Grows with each summary of this run.
     pub sequence: u64,
-    /// Evidence a route.
+    /// Evidence a route; at most [`crate::guard::watch::ROUTES`].
     pub routes: IndexMap<Name, Entry>,
 }
