--- /dev/null
+++ b/crates/node/src/actor/members.rs
@@ -0,0 +1,237 @@
+//! Nodes, what they tell each other, and the catalogue's generation.
+
+pub mod message;
+pub mod status;
+pub mod text;
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Incarnation, Millis, Seed};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use kameo::Actor;
+use kameo::actor::ActorRef;
+use member::generation::Digest;
+use member::gossip::{Action, Event};
+use member::item::Body;
+use member::{Config, Generation, Gossip, Node, config};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::actor::Traffic;
+use crate::actor::traffic;
+use crate::clock::Clock;
+use crate::serving::Serving;
+use crate::snapshot::Snapshot;
+pub use message::{Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Tick, Whereabouts};
+pub use status::{Addresses, Force, Nodes};
+pub use text::{Text, Want};
+
+/// Span between two ticks; that of the gossip.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time for which a verdict on serving holds.
+const VERDICT_HOLDS: Millis = Millis::from_secs(3);
+
+/// What a node is started with.
+#[derive(Debug)]
+pub struct Arguments {
+    /// This node.
+    pub node: Node,
+    /// Peers to ask at the start.
+    pub seeds: Vec<std::net::SocketAddr>,
+    /// Seed of random choices.
+    pub seed: Seed,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The way to peers.
+    pub peers: wire::Endpoint,
+    /// Routing, which applies catalogues and marks.
+    pub traffic: ActorRef<Traffic>,
+    /// Where the catalogue in force is published.
+    pub snapshot: watch::Sender<Arc<Snapshot>>,
+    /// Where the verdict on serving is published.
+    pub serving: watch::Sender<Serving>,
+    /// What the platform is to be asked for.
+    pub wanted: mpsc::Sender<Want>,
+}
+
+/// Carries events of nodes into gossip and configuration.
+#[derive(Debug)]
+pub struct Members {
+    clock: Clock,
+    gossip: Gossip,
+    config: Config,
+    peers: wire::Endpoint,
+    traffic: ActorRef<Traffic>,
+    snapshot: watch::Sender<Arc<Snapshot>>,
+    serving: watch::Sender<Serving>,
+    wanted: mpsc::Sender<Want>,
+    /// Checked catalogues that are not applied yet, by generation.
+    checked: IndexMap<Generation, Snapshot>,
+    /// Digests of the generations known.
+    digests: IndexMap<Generation, Digest>,
+    node: Node,
+}
+
+impl Actor for Members {
+    type Args = Arguments;
+    type Error = Infallible;
+
+    async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+        let Arguments { node, seeds, seed, clock, peers, traffic, snapshot, serving, wanted } = arguments;
+        start_ticks(&actor);
+        Ok(Self {
+            clock,
+            gossip: Gossip::new(node.clone(), seeds, seed),
+            config: Config::new(config::Settings::new()),
+            peers,
+            traffic,
+            snapshot,
+            serving,
+            wanted,
+            checked: IndexMap::new(),
+            digests: IndexMap::new(),
+            node,
+        })
+    }
+}
+
+impl Members {
+    fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    async fn step(&mut self, event: Event) {
+        let now = self.now();
+        let actions = self.gossip.step(now, event);
+        self.carry_all(now, actions).await;
+    }
+
+    async fn configure(&mut self, event: config::Event) {
+        let now = self.now();
+        let actions = self.config_step(now, event).await;
+        self.carry_all(now, actions).await;
+    }
+
+    async fn carry_all(&mut self, now: Millis, actions: Vec<Action>) {
+        let mut pending = VecDeque::from(actions);
+        while let Some(action) = pending.pop_front() {
+            pending.extend(self.carry(now, action).await);
+        }
+    }
+
+    /// Carries one action out; further actions may follow from it.
+    async fn carry(&mut self, now: Millis, action: Action) -> Vec<Action> {
+        match action {
+            Action::Send { to, frame } => self.send(to, &frame),
+            Action::Learned(body) => return self.learned(now, body).await,
+            Action::Exchanged { serving, .. } => {
+                return self.config_step(now, config::Event::Peer(serving)).await;
+            }
+            Action::Fetched { digest, bytes } => return self.take_text(now, digest, &bytes).await,
+            Action::Fenced => return self.config_step(now, config::Event::Fenced).await,
+            Action::NodeUp(node) => self.log(node, "up"),
+            Action::NodeLeaving(node) => self.log(node, "leaving"),
+            Action::NodeSuspect(node) => self.log(node, "suspect"),
+            Action::NodeGone(node) => self.log(node, "gone"),
+        }
+        Vec::new()
+    }
+
+    fn log(&self, node: Incarnation, state: &str) {
+        let name = self.gossip.view().member(node).map(|member| member.node().name.to_string());
+        log::info!(state = state, incarnation = node.to_string(); "node {} {state}", name.unwrap_or_default());
+    }
+
+    fn send(&self, to: std::net::SocketAddr, frame: &member::Frame) {
+        let Ok(bytes) = wire::encode(frame) else { return };
+        metrics::counter!("bilberrylatch_peer_bytes_total", "kind" => "gossip").increment(bytes.len() as u64);
+        let peers = self.peers.clone();
+        tokio::spawn(async move {
+            let frame = wire::Frame::Gossip(Bytes::from(bytes));
+            if let Err(error) = peers.send(to, &frame).await {
+                log::debug!("frame to {to} lost: {error}");
+            }
+        });
+    }
+
+    async fn learned(&mut self, now: Millis, body: Body) -> Vec<Action> {
+        match body {
+            Body::Head(head) => {
+                self.digests.insert(head.generation, head.digest);
+                return self.config_step(now, config::Event::Known(head.generation)).await;
+            }
+            Body::Mark { vm, ended: false } => {
+                let identity = traffic::replica::Identity { vm: vm.name, incarnation: vm.incarnation };
+                let _gone = self.traffic.tell(traffic::replica::Leave { identity }).await;
+            }
+            Body::Veto { evidence, .. } => {
+                let _gone = self.traffic.tell(traffic::rollout::Learned(evidence)).await;
+            }
+            Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } | Body::Demand { .. } => {}
+        }
+        Vec::new()
+    }
+
+    async fn config_step(&mut self, now: Millis, event: config::Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for action in self.config.step(now, event) {
+            match action {
+                config::Action::Ask => {
+                    actions.extend(self.gossip.step(now, Event::Ask));
+                    self.want(Want::Head);
+                }
+                config::Action::Fetch(generation) => actions.extend(self.fetch(now, generation)),
+                config::Action::Apply(generation) => actions.extend(self.apply(now, generation).await),
+            }
+        }
+        self.publish(now);
+        actions
+    }
+
+    fn publish(&self, now: Millis) {
+        let serving = Serving { verdict: self.config.serving(now), until: now + VERDICT_HOLDS };
+        self.serving.send_replace(serving);
+    }
+
+    fn want(&self, want: Want) {
+        // A full queue means that the platform is slow; the asking is repeated.
+        let _full = self.wanted.try_send(want);
+    }
+
+    async fn tick(&mut self) {
+        let now = self.now();
+        self.step(Event::Tick).await;
+        let reach = self.gossip.reach(now);
+        self.configure(config::Event::Reach(reach)).await;
+        if let Some(confirmed) = self.gossip.confirmed(now) {
+            self.configure(config::Event::Confirmed(confirmed)).await;
+        }
+        self.configure(config::Event::Tick).await;
+        if let Some(generation) = self.config.applied() {
+            let serving = self.config.serving(now).is_ok();
+            self.step(Event::Applied { generation, serving }).await;
+        }
+        metrics::gauge!("bilberrylatch_nodes_known").set(reach.known as f64);
+        metrics::gauge!("bilberrylatch_nodes_reachable").set(reach.reachable as f64);
+    }
+}
+
+fn start_ticks(actor: &ActorRef<Members>) {
+    let weak = actor.downgrade();
+    tokio::spawn(async move {
+        let mut interval = interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let Some(actor) = weak.upgrade() else { return };
+            if actor.tell(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/node/src/actor/members/message.rs
@@ -0,0 +1,165 @@
+//! Messages about nodes, the head record and VMs.
+
+use std::net::SocketAddr;
+
+use base::Incarnation;
+use bytes::Bytes;
+use claim::table::Home;
+use kameo::message::{Context, Message};
+use member::gossip::Event;
+use member::item::{Body, Vm};
+use member::node::State;
+use member::{Node, config, generation};
+
+use super::Members;
+
+/// Time passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+impl Message<Tick> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, _tick: Tick, _context: &mut Context<Self, Self::Reply>) {
+        self.tick().await;
+    }
+}
+
+/// A peer's frame, encoded.
+#[derive(Clone, Debug)]
+pub struct Gossiped(pub Bytes);
+
+impl Message<Gossiped> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, gossiped: Gossiped, _context: &mut Context<Self, Self::Reply>) {
+        match wire::decode(&gossiped.0) {
+            Ok(frame) => self.step(Event::Receive(frame)).await,
+            Err(error) => log::warn!("gossip dropped: {error}"),
+        }
+    }
+}
+
+/// The platform answered with the head record.
+#[derive(Clone, Copy, Debug)]
+pub struct Head(pub generation::Head);
+
+impl Message<Head> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, head: Head, _context: &mut Context<Self, Self::Reply>) {
+        let generation = head.0.generation;
+        if generation.0 > 0 {
+            self.digests.insert(generation, head.0.digest);
+            self.step(Event::Put(Body::Head(head.0))).await;
+        }
+        self.step(Event::Confirmed(generation)).await;
+        self.configure(config::Event::Platform(generation)).await;
+    }
+}
+
+/// The platform answered with all registrations.
+#[derive(Clone, Debug)]
+pub struct Registered(pub Vec<Node>);
+
+impl Message<Registered> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, registered: Registered, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Registered(registered.0)).await;
+    }
+}
+
+/// The VM list answered with all VMs.
+#[derive(Clone, Debug)]
+pub struct Listed(pub Vec<Vm>);
+
+impl Message<Listed> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, listed: Listed, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Listed(listed.0)).await;
+    }
+}
+
+/// A VM leaves: spread the mark.
+#[derive(Clone, Debug)]
+pub struct Mark(pub Vm);
+
+impl Message<Mark> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, mark: Mark, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Put(Body::Mark { vm: mark.0, ended: false })).await;
+    }
+}
+
+/// A veto of this node: spread it.
+#[derive(Clone, Debug)]
+pub struct Veto {
+    /// Identifies the veto.
+    pub id: u64,
+    /// The encoded veto.
+    pub evidence: Bytes,
+}
+
+impl Message<Veto> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, veto: Veto, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Put(Body::Veto { id: veto.id, evidence: veto.evidence })).await;
+    }
+}
+
+/// This node will stop.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving;
+
+impl Message<Leaving> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, _leaving: Leaving, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Leaving).await;
+    }
+}
+
+/// This node has finished.
+#[derive(Clone, Copy, Debug)]
+pub struct Goodbye;
+
+impl Message<Goodbye> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, _goodbye: Goodbye, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Goodbye).await;
+    }
+}
+
+/// Asks what is known of an incarnation.
+#[derive(Clone, Copy, Debug)]
+pub struct Whereabouts(pub Incarnation);
+
+/// What is known of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Found {
+    /// Whether it may answer.
+    pub home: Home,
+    /// Where it listens for peers, if it may answer.
+    pub peer: Option<SocketAddr>,
+}
+
+impl Message<Whereabouts> for Members {
+    type Reply = Result<Found, std::convert::Infallible>;
+
+    async fn handle(&mut self, asked: Whereabouts, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let Some(member) = self.gossip.view().member(asked.0) else {
+            return Ok(Found { home: Home::Unreachable, peer: None });
+        };
+        let home = match member.state() {
+            State::Alive | State::Leaving => Home::Alive,
+            State::Suspect => Home::Unreachable,
+            State::Gone => Home::Gone,
+        };
+        Ok(Found { home, peer: Some(member.node().peer) })
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/members/status.rs
@@ -0,0 +1,143 @@
+//! What callers and operators are told of nodes.
+
+use std::net::SocketAddr;
+
+use base::{Incarnation, Name, Seed};
+use indexmap::IndexMap;
+use kameo::message::{Context, Message};
+use member::address::{Caller, List, Settings};
+use member::node::State;
+use member::{Acks, Generation};
+use serde::Serialize;
+
+use super::Members;
+
+/// Asks for the addresses that a caller should use.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    /// The caller's availability zone, if it said so.
+    pub zone: Option<Name>,
+    /// Spreads callers.
+    pub seed: Seed,
+}
+
+impl Message<Addresses> for Members {
+    type Reply = Result<List, std::convert::Infallible>;
+
+    async fn handle(&mut self, asked: Addresses, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let caller = Caller {
+            region: self.node.region.clone(),
+            zone: asked.zone.unwrap_or_else(|| self.node.zone.clone()),
+            seed: asked.seed,
+        };
+        Ok(List::new(self.gossip.view(), &IndexMap::new(), &caller, &Settings::new()))
+    }
+}
+
+/// Asks for all nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct Nodes;
+
+/// One node as this node sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    /// Its name.
+    pub name: Name,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Its region.
+    pub region: Name,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// `alive`, `leaving`, `suspect` or `gone`.
+    pub state: &'static str,
+}
+
+impl Message<Nodes> for Members {
+    type Reply = Vec<Line>;
+
+    async fn handle(&mut self, _nodes: Nodes, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.gossip.view().iter().map(line).collect()
+    }
+}
+
+fn line(member: &member::view::Member) -> Line {
+    let node = member.node();
+    let state = match member.state() {
+        State::Alive => "alive",
+        State::Leaving => "leaving",
+        State::Suspect => "suspect",
+        State::Gone => "gone",
+    };
+    Line {
+        name: node.name.clone(),
+        incarnation: node.incarnation,
+        zone: node.zone.clone(),
+        region: node.region.clone(),
+        caller: node.caller,
+        peer: node.peer,
+        state,
+    }
+}
+
+/// Asks how far a generation has got.
+#[derive(Clone, Copy, Debug)]
+pub struct Force;
+
+/// A zone with nodes that have not applied the newest generation.
+#[derive(Clone, Debug, Serialize)]
+pub struct Behind {
+    /// The region.
+    pub region: Name,
+    /// The availability zone.
+    pub zone: Name,
+    /// The highest generation that all its nodes have applied.
+    pub generation: u64,
+    /// Its nodes.
+    pub nodes: u32,
+    /// Nodes that are unreachable and not known to be gone.
+    pub unreachable: Vec<Name>,
+}
+
+/// How far the newest known generation has got.
+#[derive(Clone, Debug, Serialize)]
+pub struct Progress {
+    /// The newest generation that this node knows of.
+    pub known: u64,
+    /// The generation that this node has applied.
+    pub applied: u64,
+    /// The highest generation that every node that is not gone has applied.
+    pub in_force: u64,
+    /// Nodes that are not gone.
+    pub nodes: usize,
+    /// Zones that are behind the newest.
+    pub behind: Vec<Behind>,
+}
+
+impl Message<Force> for Members {
+    type Reply = Result<Progress, std::convert::Infallible>;
+
+    async fn handle(&mut self, _force: Force, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let number = |generation: Option<Generation>| generation.map_or(0, |generation| generation.0);
+        let known = self.config.known().unwrap_or(Generation(0));
+        let acks = Acks::new(self.gossip.view(), self.gossip.bodies());
+        let behind = acks.missing(known).into_iter().map(|zone| Behind {
+            region: zone.region.clone(),
+            zone: zone.zone.clone(),
+            generation: zone.generation.0,
+            nodes: zone.nodes,
+            unreachable: zone.unreachable.clone(),
+        });
+        Ok(Progress {
+            known: known.0,
+            applied: number(self.config.applied()),
+            in_force: number(acks.in_force()),
+            nodes: self.gossip.view().present().count(),
+            behind: behind.collect(),
+        })
+    }
+}
--- a/crates/node/src/actor/traffic.rs
+++ b/crates/node/src/actor/traffic.rs
@@ -5,6 +5,7 @@
 pub mod order;
 pub mod replica;
 pub mod report;
+pub mod rollout;
 pub mod tick;
 
 use std::convert::Infallible;
@@ -15,7 +16,7 @@
 use kameo::actor::ActorRef;
 use kameo::Actor;
 use rand::RngExt;
-use rollout::{Assignment, Guard, Split};
+use ::rollout::{Assignment, Guard, Split};
 use route::{Action, CallKey, DispatchId, EndpointKey, Event, ReplicaKey, Router, WorkspaceKey};
 use tokio::sync::mpsc;
 
--- a/crates/node/src/actor/traffic/arrive.rs
+++ b/crates/node/src/actor/traffic/arrive.rs
@@ -33,7 +33,7 @@
 }
 
 impl Message<Arrive> for Traffic {
-    type Reply = CallKey;
+    type Reply = Result<CallKey, std::convert::Infallible>;
 
     async fn handle(&mut self, arrive: Arrive, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         self.next_call += 1;
@@ -66,7 +66,7 @@
         };
         self.calls.insert(key, call);
         self.step(Event::Arrive(arrival));
-        key
+        Ok(key)
     }
 }
 
--- /dev/null
+++ b/crates/node/src/app.rs
@@ -0,0 +1,86 @@
+//! The program: arguments, settings, signals.
+
+use std::env;
+use std::process::ExitCode;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::args::Bilberrylatchd;
+use crate::exit::Exit;
+use crate::node::Node;
+use crate::settings::Settings;
+use crate::{Error, logs};
+
+/// Runs the daemon until it is told to stop.
+pub fn run() -> ExitCode {
+    let exit = match prepare() {
+        Ok(Some(settings)) => serve(settings),
+        Ok(None) => Exit::Success,
+        Err(exit) => exit,
+    };
+    exit.into()
+}
+
+/// Settings to run with; none if only a check was asked for.
+fn prepare() -> Result<Option<Settings>, Exit> {
+    let args = Bilberrylatchd::from_args(env::args_os().skip(1).collect()).map_err(|error| {
+        // `--help` is an answer, not a mistake.
+        if error.is_help() {
+            println!("{error}");
+            return Exit::Success;
+        }
+        eprintln!("{error}");
+        Exit::Settings
+    })?;
+    let settings = Settings::read(&args, |name| env::var(name).ok()).map_err(|findings| {
+        eprintln!("{findings}");
+        Exit::Settings
+    })?;
+    if args.check {
+        println!("settings are in order");
+        return Ok(None);
+    }
+    Ok(Some(settings))
+}
+
+fn serve(settings: Settings) -> Exit {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start the runtime: {error}");
+            return Exit::Internal;
+        }
+    };
+    match runtime.block_on(run_node(settings)) {
+        Ok(()) => Exit::Success,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit()
+        }
+    }
+}
+
+async fn run_node(settings: Settings) -> Result<(), Error> {
+    logs::start(&settings)?;
+    let node = Node::start(settings).await?;
+    // The line that scripts and tests wait for.
+    println!("listening {} peers {}", node.address(), node.peer_address());
+    tokio::select! {
+        () = terminated() => {}
+        () = node.asked_to_stop() => {}
+    }
+    node.stop().await;
+    Ok(())
+}
+
+/// Waits for SIGTERM or SIGINT. Further ones change nothing: their handlers stay installed.
+async fn terminated() {
+    let (Ok(mut term), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _signal = term.recv() => {}
+        _signal = interrupt.recv() => {}
+    }
+}
--- a/crates/node/src/args.rs
+++ b/crates/node/src/args.rs
@@ -1,5 +1,7 @@
 //! Flags of the daemon. What they mean and their variables stand in [`crate::settings`].
 
+#![expect(missing_docs, reason = "the macro generates items without them")]
+
 use std::ffi::OsString;
 
 xflags::xflags! {
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -5,6 +5,7 @@
 pub mod auth;
 pub mod call;
 pub mod claimed;
+pub mod drain;
 pub mod http;
 pub mod intake;
 pub mod keys;
--- /dev/null
+++ b/crates/node/src/edge/admin.rs
@@ -0,0 +1,5 @@
+//! The operators' API, below `/v1/admin`.
+
+pub mod catalogue;
+pub mod lists;
+pub mod metrics;
--- /dev/null
+++ b/crates/node/src/edge/drain.rs
@@ -0,0 +1,36 @@
+//! A graceful stop: the address is withdrawn, accepted work is finished, keys are handed over.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::actor::claims::Seal;
+use crate::actor::members::{Goodbye, Leaving};
+use crate::actor::traffic::Queues;
+use crate::shared::Shared;
+use crate::stop::Phase;
+
+/// Span between two looks at what is left.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Least time for which the node still answers after its address is withdrawn.
+const WITHDRAW: Duration = Duration::from_millis(500);
+
+/// Drains the node; ends when nothing is left or the time is over.
+pub async fn run(shared: &Shared) {
+    shared.stop.advance(Phase::Draining);
+    log::info!("draining: the address is withdrawn, accepted requests go on");
+    let _gone = shared.members.tell(Leaving).await;
+    let _gone = shared.claims.tell(Seal).await;
+    let deadline = Instant::now() + shared.settings.drain;
+    sleep(WITHDRAW.min(shared.settings.drain)).await;
+    while Instant::now() < deadline {
+        let left = shared.traffic.ask(Queues).await.unwrap_or(0);
+        if left == 0 {
+            break;
+        }
+        sleep(LOOK).await;
+    }
+    let _gone = shared.members.tell(Goodbye).await;
+    log::info!("drained");
+}
--- /dev/null
+++ b/crates/node/src/edge/http.rs
@@ -0,0 +1,32 @@
+//! Routes for callers and operators.
+
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing::{any, get, post};
+
+use super::{addresses, admin, call, keys};
+use crate::shared::Shared;
+
+/// Largest body of an operator's request, in bytes.
+const ADMIN_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// All routes.
+pub fn router(shared: Shared) -> Router {
+    let callers = Router::new()
+        .route("/v1/addresses", get(addresses::handle))
+        .route("/v1/endpoints/{endpoint}/keys", post(keys::handle))
+        .route("/v1/endpoints/{endpoint}/{*path}", any(call::handle));
+    let operators = Router::new()
+        .route("/v1/admin/nodes", get(admin::lists::nodes))
+        .route("/v1/admin/replicas", get(admin::lists::replicas))
+        .route("/v1/admin/catalogue", get(admin::catalogue::show).put(admin::catalogue::apply))
+        .route("/v1/admin/catalogue/status", get(admin::catalogue::status))
+        .layer(DefaultBodyLimit::max(ADMIN_BODY_BYTES));
+    let open = Router::new().route("/metrics", get(admin::metrics::render)).route("/healthz", get(healthy));
+    callers.merge(operators).merge(open).with_state(shared)
+}
+
+/// The process runs; whether it serves stands in the metrics.
+async fn healthy() -> &'static str {
+    "ok\n"
+}
--- a/crates/node/src/edge/intake.rs
+++ b/crates/node/src/edge/intake.rs
@@ -35,6 +35,7 @@
     if shared.stop.phase() > Phase::Serving {
         return Err(Problem::stopping().counted());
     }
+    may_serve(shared)?;
     let (parts, body) = request.into_parts();
     let workspace = auth::workspace(shared, &parts.headers)?;
     let admitted = look_up(shared, endpoint, workspace, &parts.method, path)?;
@@ -44,6 +45,18 @@
     outgoing(shared, admitted, parts.method, format!("{path}{query}"), &parts.headers, body)
 }
 
+/// Refuses new work while this node could be behind.
+pub fn may_serve(shared: &Shared) -> Result<(), Problem> {
+    const ELSEWHERE_AFTER: Millis = Millis(500);
+    let verdict = shared.serving.borrow().at(shared.clock.now());
+    match verdict {
+        Ok(_generation) => Ok(()),
+        Err(refusal) => Err(Problem::new(StatusCode::SERVICE_UNAVAILABLE, "node-behind", refusal.to_string())
+            .with_retry_after(ELSEWHERE_AFTER)
+            .counted()),
+    }
+}
+
 fn look_up(
     shared: &Shared,
     endpoint: &str,
--- a/crates/node/src/edge/keys.rs
+++ b/crates/node/src/edge/keys.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, StatusCode};
 use serde::Serialize;
 
-use super::{Problem, auth, claimed};
+use super::{Problem, auth, claimed, intake};
 use crate::shared::Shared;
 use crate::stop::Phase;
 
@@ -33,6 +33,7 @@
     if shared.stop.phase() > Phase::Serving {
         return Err(Problem::stopping().counted());
     }
+    intake::may_serve(shared)?;
     let workspace = auth::workspace(shared, fields)?;
     let snapshot = shared.snapshot();
     let entry = snapshot.catalogue.as_ref().and_then(|catalogue| catalogue.endpoint(endpoint));
--- /dev/null
+++ b/crates/node/src/edge/peer.rs
@@ -0,0 +1,197 @@
+//! Other nodes: gossip, forwarded requests, hand-overs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Millis, Name, Outcome};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use route::arrival::Priority;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use wire::head::Field;
+use wire::{Call, Channel, Frame, Head, Incoming};
+
+use super::claimed::{self, Closed};
+use super::Problem;
+use crate::actor::claims::Import;
+use crate::actor::members::Gossiped;
+use crate::dispatch::header::{OUTCOME, VERSION};
+use crate::dispatch::{Outgoing, Whole, header};
+use crate::shared::Shared;
+
+/// Largest piece of a body in one frame, in bytes.
+const DATA_BYTES: usize = 256 * 1024;
+
+/// Time beyond the request's own for the answer of a peer.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+
+/// Handles what peers send, until the endpoint is closed.
+pub async fn serve(shared: Shared, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(incoming) = incoming.recv().await {
+        match incoming {
+            Incoming::Frame { frame: Frame::Gossip(bytes), .. } => {
+                let _gone = shared.members.tell(Gossiped(bytes)).await;
+            }
+            Incoming::Frame { from, .. } => log::warn!("frame from {from} needs an exchange; dropped"),
+            Incoming::Channel { from, channel } => {
+                tokio::spawn(exchange(shared.clone(), from, channel));
+            }
+        }
+    }
+}
+
+async fn exchange(shared: Shared, from: SocketAddr, mut channel: Channel) {
+    let result = match channel.receive().await {
+        Ok(Frame::Forward(call)) => answer(&shared, call, &mut channel).await,
+        Ok(Frame::Handover(bytes)) => import(&shared, &bytes, &mut channel).await,
+        Ok(_other) => Ok(()),
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
+        log::warn!("exchange with {from} broke: {error}");
+    }
+}
+
+async fn import(shared: &Shared, bytes: &Bytes, channel: &mut Channel) -> Result<(), wire::Error> {
+    let piece = wire::decode(bytes)?;
+    let _gone = shared.claims.tell(Import(piece)).await;
+    channel.send(&Frame::Accepted).await?;
+    channel.finish()?;
+    channel.flushed().await;
+    Ok(())
+}
+
+async fn answer(shared: &Shared, call: Call, channel: &mut Channel) -> Result<(), wire::Error> {
+    let outgoing = outgoing(shared, call);
+    let closed = claimed::settle(shared, outgoing).await;
+    let (head, body) = match closed {
+        Closed::Whole(whole) => (whole_head(&whole), whole.body),
+        Closed::Refused(problem) => (problem_head(&problem), Bytes::from(problem.to_json())),
+    };
+    channel.send(&Frame::Head(head)).await?;
+    for start in (0..body.len()).step_by(DATA_BYTES) {
+        let end = body.len().min(start + DATA_BYTES);
+        channel.send(&Frame::Data(body.slice(start..end))).await?;
+    }
+    channel.send(&Frame::End).await?;
+    channel.finish()?;
+    channel.flushed().await;
+    Ok(())
+}
+
+fn outgoing(shared: &Shared, call: Call) -> Outgoing {
+    let left = Millis(call.left_ms);
+    Outgoing {
+        request_id: call.request_id,
+        workspace: Name::from(call.workspace),
+        endpoint: Name::from(call.endpoint),
+        route: Name::from(call.route),
+        method: Method::from_bytes(call.method.as_bytes()).unwrap_or(Method::POST),
+        path: call.path,
+        fields: call.fields.iter().filter_map(to_pair).collect(),
+        body: call.body,
+        idempotent: false,
+        stream: false,
+        key: Some(call.key),
+        delivered: 0,
+        priority: Priority::Normal,
+        deadline: shared.clock.now() + left,
+        idle: left.as_duration(),
+    }
+}
+
+/// Sends a request on to the node that its key names, and reads the whole answer.
+pub async fn forward(shared: &Shared, outgoing: &Outgoing, peer: SocketAddr) -> Result<Closed, wire::Error> {
+    metrics::counter!("bilberrylatch_forwards_total").increment(1);
+    let left = outgoing.deadline.since(shared.clock.now());
+    let call = Call {
+        request_id: outgoing.request_id.clone(),
+        workspace: outgoing.workspace.to_string(),
+        endpoint: outgoing.endpoint.to_string(),
+        route: outgoing.route.to_string(),
+        method: outgoing.method.to_string(),
+        path: outgoing.path.clone(),
+        fields: outgoing.fields.iter().map(to_field).collect(),
+        key: outgoing.key.clone().unwrap_or_default(),
+        body: outgoing.body.clone(),
+        left_ms: left.0,
+    };
+    let exchange = async {
+        let mut channel = shared.peers.open(peer).await?;
+        channel.send(&Frame::Forward(call)).await?;
+        channel.finish()?;
+        collect(&mut channel).await
+    };
+    let waited = timeout(left.as_duration() + ANSWER_MARGIN, exchange).await;
+    waited.unwrap_or_else(|_elapsed| Err(wire::Error::Broken("no answer in time".to_owned())))
+}
+
+async fn collect(channel: &mut Channel) -> Result<Closed, wire::Error> {
+    let Frame::Head(head) = channel.receive().await? else {
+        return Err(wire::Error::Malformed("an answer starts with its head".to_owned()));
+    };
+    let mut body = bytes::BytesMut::new();
+    loop {
+        match channel.receive().await? {
+            Frame::Data(data) => body.extend_from_slice(&data),
+            Frame::End => return Ok(closed(&head, body.freeze())),
+            _other => return Err(wire::Error::Malformed("data or end expected".to_owned())),
+        }
+    }
+}
+
+/// The peer's answer as it stands, whatever its outcome.
+fn closed(head: &Head, body: Bytes) -> Closed {
+    let fields: HeaderMap = head.fields.iter().filter_map(to_pair).collect();
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let version = header::text(&fields, &VERSION).map(Name::from);
+    match header::text(&fields, &OUTCOME).as_deref() {
+        Some("answered") => Closed::Whole(Whole { status, fields, body, version }),
+        outcome => {
+            let outcome = if outcome == Some("not-run") { Outcome::NotRun } else { Outcome::Unknown };
+            Closed::Refused(refused(status, outcome, &fields, &body))
+        }
+    }
+}
+
+fn refused(status: StatusCode, outcome: Outcome, fields: &HeaderMap, body: &Bytes) -> Problem {
+    let text: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    let detail = text.get("detail").and_then(serde_json::Value::as_str).unwrap_or("refused by the key's node");
+    let problem = Problem::new(status, "refused-at-home", detail).with_outcome(outcome);
+    match header::text(fields, &http::header::RETRY_AFTER).and_then(|text| text.parse().ok()) {
+        Some(seconds) => problem.with_retry_after(Millis::from_secs(seconds)),
+        None => problem,
+    }
+}
+
+fn whole_head(whole: &Whole) -> Head {
+    let mut fields: Vec<Field> = whole.fields.iter().map(to_field).collect();
+    fields.push(field(&OUTCOME, Outcome::Answered.as_str()));
+    if let Some(version) = &whole.version {
+        fields.push(field(&VERSION, version.as_str()));
+    }
+    Head { status: whole.status.as_u16(), fields }
+}
+
+fn problem_head(problem: &Problem) -> Head {
+    let mut fields = vec![field(&OUTCOME, problem.outcome.as_str())];
+    if let Some(span) = problem.retry_after {
+        fields.push(field(&http::header::RETRY_AFTER, &span.as_secs_ceil().to_string()));
+    }
+    Head { status: problem.status.as_u16(), fields }
+}
+
+fn field(name: &HeaderName, value: &str) -> Field {
+    Field { name: name.as_str().to_owned(), value: Bytes::copy_from_slice(value.as_bytes()) }
+}
+
+fn to_field((name, value): (&HeaderName, &HeaderValue)) -> Field {
+    Field { name: name.as_str().to_owned(), value: Bytes::copy_from_slice(value.as_bytes()) }
+}
+
+fn to_pair(field: &Field) -> Option<(HeaderName, HeaderValue)> {
+    let name = HeaderName::from_bytes(field.name.as_bytes()).ok()?;
+    let value = HeaderValue::from_bytes(&field.value).ok()?;
+    Some((name, value))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logs;
 pub mod node;
 pub mod platform;
+pub mod serving;
 pub mod settings;
 pub mod shared;
 pub mod snapshot;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,210 @@
+//! One running node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Incarnation, Seed};
+use kameo::actor::{ActorRef, Spawn};
+use kameo::mailbox;
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use wire::{Identity, Incoming};
+
+use crate::actor::{Claims, MAILBOX, Members, Traffic, claims, members, traffic};
+use crate::clock::Clock;
+use crate::edge;
+use crate::error::Error;
+use crate::platform;
+use crate::serving::Serving;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::snapshot::Snapshot;
+use crate::stop::{Phase, Stop};
+
+/// Questions to the platform that wait at once.
+const WANTS: usize = 16;
+
+/// Time to set up a connection to a replica.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle connections that are kept to each replica.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// A node with its tasks; it runs until it is stopped.
+#[derive(Debug)]
+pub struct Node {
+    shared: Shared,
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    server: JoinHandle<()>,
+    registration: JoinHandle<()>,
+}
+
+impl Node {
+    /// Binds the addresses and starts all tasks. The platform and the peers need not answer yet.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        edge::admin::metrics::install();
+        let listener = TcpListener::bind(settings.listen)
+            .await
+            .map_err(|cause| Error::Listen { address: settings.listen, cause })?;
+        let listen = listener.local_addr().map_err(|cause| Error::Listen { address: settings.listen, cause })?;
+        let identity = Identity::new(&settings.peer_secret).map_err(Error::Peers)?;
+        let (peers, incoming) = wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
+        let peer_listen = peers.address().map_err(Error::Peers)?;
+        let parts = Parts::new(settings, peers, listen, peer_listen)?;
+        Ok(parts.run(listener, incoming))
+    }
+
+    /// The address for callers.
+    pub const fn address(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// The address for peers.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peer_listen
+    }
+
+    /// What the parts of this node share.
+    pub const fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Waits until a notice or a signal asks for a stop.
+    pub async fn asked_to_stop(&self) {
+        self.shared.stop.reached(Phase::Draining).await;
+    }
+
+    /// Stops gracefully: withdraws the address, finishes accepted work, hands over, and ends.
+    pub async fn stop(self) {
+        edge::drain::run(&self.shared).await;
+        self.shared.stop.advance(Phase::Ended);
+        let _ended = self.server.await;
+        let _ended = self.registration.await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.shared.peers.close().await;
+    }
+}
+
+/// A node's parts before its tasks run.
+struct Parts {
+    shared: Shared,
+    node: member::Node,
+    wanted: mpsc::Receiver<members::Want>,
+    listen: SocketAddr,
+    peer_listen: SocketAddr,
+}
+
+impl Parts {
+    fn new(
+        settings: Settings,
+        peers: wire::Endpoint,
+        listen: SocketAddr,
+        peer_listen: SocketAddr,
+    ) -> Result<Self, Error> {
+        let incarnation = Incarnation(rand::rng().random());
+        let seed = Seed(rand::rng().random());
+        let clock = Clock::new();
+        let node = member::Node {
+            name: settings.name.clone(),
+            incarnation,
+            epoch: epoch(),
+            peer: peer_listen,
+            caller: listen,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        };
+        let http = http_client()?;
+        let backend = store::http::Http::new(&settings.store).map_err(|error| Error::Client(error.to_string()))?;
+        let traffic = Traffic::spawn_with_mailbox(
+            traffic::Arguments { seed: seed.derive(1), zone: settings.zone.clone(), clock, incarnation },
+            mailbox::bounded(MAILBOX),
+        );
+        let claims = spawn_claims(&settings, incarnation, clock);
+        let (snapshot_sender, snapshot) = watch::channel(Arc::new(Snapshot::empty()));
+        let (serving_sender, serving) = watch::channel(Serving::asking());
+        let (wanted_sender, wanted) = mpsc::channel(WANTS);
+        let arguments = members::Arguments {
+            node: node.clone(),
+            seeds: settings.peers.clone(),
+            seed: seed.derive(2),
+            clock,
+            peers: peers.clone(),
+            traffic: traffic.clone(),
+            snapshot: snapshot_sender,
+            serving: serving_sender,
+            wanted: wanted_sender,
+        };
+        let members = Members::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX));
+        let shared = Shared {
+            settings: Arc::new(settings),
+            incarnation,
+            clock,
+            traffic,
+            claims,
+            members,
+            snapshot,
+            serving,
+            store: store::Client::new(backend),
+            peers,
+            http,
+            stop: Stop::new(),
+        };
+        Ok(Self { shared, node, wanted, listen, peer_listen })
+    }
+
+    fn run(self, listener: TcpListener, incoming: mpsc::Receiver<Incoming>) -> Node {
+        let Self { shared, node, wanted, listen, peer_listen } = self;
+        let tasks = vec![
+            tokio::spawn(edge::peer::serve(shared.clone(), incoming)),
+            tokio::spawn(platform::catalogue::watch(shared.clone(), wanted)),
+            tokio::spawn(platform::nodes::watch(shared.clone())),
+            tokio::spawn(platform::cloud::list(shared.clone())),
+            tokio::spawn(platform::cloud::notices(shared.clone())),
+        ];
+        let registration = tokio::spawn(platform::registration::keep(shared.clone(), node));
+        let server = tokio::spawn(serve(shared.clone(), listener));
+        Node { shared, listen, peer_listen, tasks, server, registration }
+    }
+}
+
+fn spawn_claims(settings: &Settings, incarnation: Incarnation, clock: Clock) -> ActorRef<Claims> {
+    let secret = claim::Secret::new(settings.peer_secret.as_bytes());
+    Claims::spawn_with_mailbox(claims::Arguments { incarnation, secret, clock }, mailbox::bounded(MAILBOX))
+}
+
+/// Order among the runs of this node's name: the wall clock's milliseconds at the start.
+fn epoch() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// A client that never repeats a request on its own, so that a non-idempotent one can't run twice.
+fn http_client() -> Result<reqwest::Client, Error> {
+    reqwest::Client::builder()
+        .retry(reqwest::retry::never())
+        .redirect(reqwest::redirect::Policy::none())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_max_idle_per_host(IDLE_CONNECTIONS)
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build()
+        .map_err(|error| Error::Client(error.to_string()))
+}
+
+async fn serve(shared: Shared, listener: TcpListener) {
+    let stop = shared.stop.clone();
+    let router = edge::http::router(shared);
+    let served = axum::serve(listener, router)
+        .with_graceful_shutdown(async move { stop.reached(Phase::Ended).await })
+        .await;
+    if let Err(error) = served {
+        log::error!("listening for callers ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/platform/catalogue.rs
@@ -0,0 +1,200 @@
+//! The catalogue at the platform: head record and text in chunks.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use catalogue::Head;
+use catalogue::head::{CHUNK_BYTES, HEAD_KEY};
+use member::Generation;
+use member::generation;
+use store::{Condition, Write};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use super::is_watcher;
+use crate::actor::members::{self, Text, Want};
+use crate::shared::Shared;
+
+/// Longest wait of one watch.
+const WATCH: Duration = Duration::from_secs(4);
+
+/// Span between attempts while the platform is down.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Time that peers have to give a text before the platform is asked.
+const PEERS_FIRST: Duration = Duration::from_millis(400);
+
+/// A head record with its revision; revision 0 if there is none yet.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// The head.
+    pub head: Head,
+    /// Its revision.
+    pub revision: u64,
+}
+
+/// Why an edit was not accepted.
+#[derive(Clone, Debug)]
+pub enum Refused {
+    /// Another edit came first; the head that stands.
+    Conflict(Box<Head>),
+    /// The platform did not answer: the edit may have been accepted; ask with its id.
+    Unsettled(String),
+    /// The platform is down: the edit was not accepted.
+    Unavailable(String),
+}
+
+/// Reads the head record.
+pub async fn read(store: &store::Client) -> Result<Stored, store::Error> {
+    let Some(record) = store.get(HEAD_KEY).await? else {
+        return Ok(Stored::default());
+    };
+    let head = serde_json::from_slice(&record.value).map_err(|error| store::Error::Protocol(error.to_string()))?;
+    Ok(Stored { head, revision: record.revision })
+}
+
+/// Reads the text that a head names.
+pub async fn read_text(store: &store::Client, head: &Head) -> Result<Bytes, store::Error> {
+    let mut text = BytesMut::with_capacity(head.size);
+    for key in head.chunk_keys() {
+        let Some(chunk) = store.get(&key).await? else {
+            return Err(store::Error::Protocol(format!("chunk {key} is missing")));
+        };
+        text.extend_from_slice(&chunk.value);
+    }
+    Ok(text.freeze())
+}
+
+/// Writes a text and swaps the head; the generation accepted.
+///
+/// The same `id` is never accepted twice: repeating an edit whose answer was lost answers its generation.
+pub async fn accept(
+    store: &store::Client,
+    text: &str,
+    expected: u64,
+    id: &str,
+    author: &str,
+) -> Result<Head, Refused> {
+    let stored = read(store).await.map_err(unavailable)?;
+    if stored.head.accepted(id).is_some() {
+        return Ok(stored.head);
+    }
+    if stored.head.generation != expected {
+        return Err(Refused::Conflict(Box::new(stored.head)));
+    }
+    let next = stored.head.next(text, id, author);
+    write_text(store, text, &next).await?;
+    let value = serde_json::to_vec(&next).map_err(|error| Refused::Unavailable(error.to_string()))?;
+    let condition = if stored.revision == 0 { Condition::Absent } else { Condition::Revision(stored.revision) };
+    let write = Write::new(HEAD_KEY, Bytes::from(value), condition);
+    match store.write(&write).await {
+        Ok(_revision) => Ok(next),
+        Err(store::Error::Conflict(_)) => after_conflict(store, id).await,
+        Err(store::Error::Unsettled(cause)) => Err(Refused::Unsettled(cause)),
+        Err(error) => Err(unavailable(error)),
+    }
+}
+
+/// A conflict may be with this very edit, followed by others.
+async fn after_conflict(store: &store::Client, id: &str) -> Result<Head, Refused> {
+    let stored = read(store).await.map_err(|error| Refused::Unsettled(error.to_string()))?;
+    if stored.head.accepted(id).is_some() {
+        return Ok(stored.head);
+    }
+    Err(Refused::Conflict(Box::new(stored.head)))
+}
+
+/// Chunks are named by the text's digest, so that writing them twice changes nothing.
+async fn write_text(store: &store::Client, text: &str, head: &Head) -> Result<(), Refused> {
+    let chunks = text.as_bytes().chunks(CHUNK_BYTES);
+    for (key, chunk) in head.chunk_keys().into_iter().zip(chunks) {
+        let write = Write::new(key, Bytes::copy_from_slice(chunk), Condition::Any);
+        match store.write(&write).await {
+            Ok(_revision) => {}
+            Err(error) => return Err(unavailable(error)),
+        }
+    }
+    Ok(())
+}
+
+fn unavailable(error: store::Error) -> Refused {
+    Refused::Unavailable(error.to_string())
+}
+
+/// The head as nodes tell it.
+pub fn gossiped(head: &Head) -> Option<generation::Head> {
+    let digest = blake3::Hash::from_hex(&head.digest).ok()?;
+    let digest = generation::Digest(*digest.as_bytes());
+    Some(generation::Head { generation: Generation(head.generation), digest })
+}
+
+/// Watches the head while this node watches for its zone, and answers what the members want.
+pub async fn watch(shared: Shared, mut wanted: mpsc::Receiver<Want>) {
+    let answering = async {
+        while let Some(want) = wanted.recv().await {
+            tokio::spawn(answer(shared.clone(), want));
+        }
+    };
+    tokio::join!(answering, watch_head(&shared));
+}
+
+async fn answer(shared: Shared, want: Want) {
+    match want {
+        Want::Head => {
+            let _ended = tell_head(&shared).await;
+        }
+        Want::Text(head) => fetch(&shared, head).await,
+    }
+}
+
+/// Fetches a text from the platform, unless a peer has given it or a higher one meanwhile.
+async fn fetch(shared: &Shared, head: generation::Head) {
+    const ATTEMPTS: u32 = 10;
+    for _attempt in 0..ATTEMPTS {
+        sleep(PEERS_FIRST).await;
+        if shared.snapshot().generation >= head.generation.0 {
+            return;
+        }
+        let Ok(stored) = read(&shared.store).await else { continue };
+        let named = gossiped(&stored.head);
+        if named.is_none_or(|named| named.digest != head.digest) {
+            let _ended = tell_head(shared).await;
+            return;
+        }
+        if let Ok(text) = read_text(&shared.store, &stored.head).await {
+            let _gone = shared.members.tell(Text(text)).await;
+            return;
+        }
+    }
+}
+
+/// Reads the head and tells the members; the revision read.
+async fn tell_head(shared: &Shared) -> Result<u64, store::Error> {
+    let stored = read(&shared.store).await?;
+    let empty = generation::Head { generation: Generation(0), digest: generation::Digest([0; 32]) };
+    let head = gossiped(&stored.head).unwrap_or(empty);
+    let _gone = shared.members.tell(members::Head(head)).await;
+    Ok(stored.revision)
+}
+
+async fn watch_head(shared: &Shared) {
+    let mut revision = 0;
+    loop {
+        if !is_watcher(shared).await {
+            sleep(RETRY).await;
+            continue;
+        }
+        match tell_head(shared).await {
+            Ok(read) => revision = read.max(revision),
+            Err(error) => {
+                log::debug!("head not read: {error}");
+                sleep(RETRY).await;
+                continue;
+            }
+        }
+        // NB: whatever the watch answers, the head is read again: a gap or lost change can't go unseen.
+        if shared.store.watch(HEAD_KEY, revision, WATCH).await.is_err() {
+            sleep(RETRY).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/platform/cloud.rs
@@ -0,0 +1,86 @@
+//! The cloud's VM list and reclaim notices.
+
+use std::time::Duration;
+
+use member::item;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+
+use super::is_watcher;
+use super::vm::{Kind, Notice, Vm, incarnation};
+use crate::actor::members::{Listed, Mark};
+use crate::actor::traffic::Roster;
+use crate::shared::Shared;
+use crate::stop::Phase;
+
+/// Span between two readings of the VM list.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Longest wait for a notice.
+const NOTICE_WAIT: Duration = Duration::from_secs(5);
+
+/// Time for one call beyond its wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the VM list for this node's routing.
+pub async fn list(shared: Shared) {
+    loop {
+        let url = format!("{}/v1/vms", shared.settings.cloud);
+        match get::<Vec<Vm>>(&shared, url, Duration::ZERO).await {
+            Ok(vms) => tell(&shared, &vms).await,
+            Err(error) => log::debug!("VM list not read: {error}"),
+        }
+        sleep(LIST_PERIOD).await;
+    }
+}
+
+async fn tell(shared: &Shared, vms: &[Vm]) {
+    let replicas = vms.iter().filter_map(Vm::replica).collect();
+    let _gone = shared.traffic.tell(Roster { replicas }).await;
+    let listed = vms.iter().map(|vm| item::Vm { name: vm.id.clone(), incarnation: incarnation(&vm.incarnation) });
+    let _gone = shared.members.tell(Listed(listed.collect())).await;
+}
+
+/// Reads notices while this node watches for its zone, and spreads a mark for each.
+pub async fn notices(shared: Shared) {
+    let mut after = 0;
+    loop {
+        if !is_watcher(&shared).await {
+            sleep(LIST_PERIOD).await;
+            continue;
+        }
+        let wait = NOTICE_WAIT.as_millis();
+        let url = format!("{}/v1/notices?after={after}&timeout_ms={wait}", shared.settings.cloud);
+        match get::<Vec<Notice>>(&shared, url, NOTICE_WAIT).await {
+            Ok(notices) => {
+                for notice in notices {
+                    after = after.max(notice.number);
+                    take(&shared, &notice).await;
+                }
+            }
+            Err(error) => {
+                log::debug!("notices not read: {error}");
+                sleep(LIST_PERIOD).await;
+            }
+        }
+    }
+}
+
+async fn take(shared: &Shared, notice: &Notice) {
+    metrics::counter!("bilberrylatch_notices_total").increment(1);
+    let vm = item::Vm { name: notice.vm.clone(), incarnation: incarnation(&notice.incarnation) };
+    log::info!(vm = notice.vm.as_str(), remaining_ms = notice.remaining_ms; "reclaim notice for {}", notice.vm);
+    let own = notice.kind == Kind::Node && notice.vm == shared.settings.name;
+    if own {
+        shared.stop.advance(Phase::Draining);
+    }
+    let _gone = shared.members.tell(Mark(vm)).await;
+}
+
+async fn get<T>(shared: &Shared, url: String, wait: Duration) -> Result<T, reqwest::Error>
+where
+    T: DeserializeOwned,
+{
+    let request = shared.http.get(url).timeout(wait + CALL_TIMEOUT);
+    request.send().await?.error_for_status()?.json().await
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -8,6 +8,7 @@
 
 use crate::actor::{Claims, Members, Traffic};
 use crate::clock::Clock;
+use crate::serving::Serving;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use crate::stop::Stop;
@@ -29,6 +30,8 @@
     pub members: ActorRef<Members>,
     /// The catalogue in force.
     pub snapshot: watch::Receiver<Arc<Snapshot>>,
+    /// Whether new work may be taken.
+    pub serving: watch::Receiver<Serving>,
     /// The key-value service.
     pub store: store::Client,
     /// Other nodes.
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -7,8 +7,8 @@
 /// A catalogue with its generation and text; replaced as a whole.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
-    /// Its head; generation 0 before the first catalogue.
-    pub head: catalogue::Head,
+    /// Its generation; 0 before the first catalogue.
+    pub generation: u64,
     /// Its text, as operators wrote it.
     pub text: Arc<str>,
     /// The parsed text; none before the first catalogue.
@@ -18,6 +18,6 @@
 impl Snapshot {
     /// No catalogue yet.
     pub fn empty() -> Self {
-        Self { head: catalogue::Head::default(), text: Arc::from(""), catalogue: None }
+        Self { generation: 0, text: Arc::from(""), catalogue: None }
     }
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -14,6 +14,8 @@
     pub workspace: String,
     /// Endpoint asked for.
     pub endpoint: String,
+    /// Route taken.
+    pub route: String,
     /// HTTP method.
     pub method: String,
     /// Path and query below the endpoint.
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,26 @@
+//! The codec of all that travels between nodes: postcard.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Encodes a value.
+pub fn encode<T>(value: &T) -> Result<Vec<u8>, Error>
+where
+    T: Serialize,
+{
+    postcard::to_stdvec(value).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+/// Reads an encoded value; bytes left over are an error.
+pub fn decode<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let (value, rest) = postcard::take_from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+    if !rest.is_empty() {
+        return Err(Error::Malformed(format!("{} bytes follow the value", rest.len())));
+    }
+    Ok(value)
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{Call, Error, FRAME_LIMIT_BYTES, Head};
+use crate::{Call, Error, FRAME_LIMIT_BYTES, Head, codec};
 
 /// One message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,9 +29,9 @@
 }
 
 impl Frame {
-    /// The encoded frame: postcard.
+    /// The encoded frame.
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        let bytes = postcard::to_stdvec(self).map_err(|error| Error::Malformed(error.to_string()))?;
+        let bytes = codec::encode(self)?;
         if bytes.len() > FRAME_LIMIT_BYTES {
             return Err(Error::TooLarge(bytes.len()));
         }
@@ -40,11 +40,6 @@
 
     /// Reads an encoded frame; bytes left over are an error.
     pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
-        let (frame, rest) =
-            postcard::take_from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
-        if !rest.is_empty() {
-            return Err(Error::Malformed(format!("{} bytes follow the frame", rest.len())));
-        }
-        Ok(frame)
+        codec::decode(bytes)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod call;
 pub mod channel;
+pub mod codec;
 pub mod endpoint;
 pub mod error;
 pub mod frame;
@@ -14,6 +15,7 @@
 
 pub use call::Call;
 pub use channel::Channel;
+pub use codec::{decode, encode};
 pub use endpoint::{Endpoint, Incoming};
 pub use error::Error;
 pub use frame::Frame;
