--- /dev/null
+++ b/crates/fake/src/cli.rs
@@ -0,0 +1,155 @@
+//! The command line of `bilberrylatch-fake`.
+//!
+//! Every flag has an environment variable: `--kv-flag` is `BILBERRYLATCH_FAKE_KV_FLAG`. The first line on standard output
+//! is `listening ADDR`.
+
+mod flags;
+mod setting;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use base::Millis;
+use flags::{BilberrylatchFake, BilberrylatchFakeCmd};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cloud::server::Template;
+use crate::replica::Weights;
+use crate::replica::orders::Fencing;
+use crate::{Error, Handle, cloud, engine, kv, service};
+
+/// Exit code for settings that can't be read, as is usual for command lines.
+const EXIT_USAGE: u8 = 2;
+
+/// Runs the stand-in that the command line names, until SIGTERM or SIGINT.
+pub fn main() -> ExitCode {
+    let flags = BilberrylatchFake::from_env_or_exit();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            eprintln!("cannot start: {cause}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(flags.subcommand)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ Error::Setting { .. }) => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: BilberrylatchFakeCmd) -> Result<(), Error> {
+    let handle = start(command).await?;
+    println!("listening {}", handle.addr());
+    // A reader that is gone doesn't matter to the server.
+    let _flushed = std::io::stdout().flush();
+    stopped().await;
+    Ok(())
+}
+
+async fn start(command: BilberrylatchFakeCmd) -> Result<Handle, Error> {
+    match command {
+        BilberrylatchFakeCmd::Kv(flags) => {
+            let server = kv::Server::new();
+            server.start(listen(flags.listen)?).await
+        }
+        BilberrylatchFakeCmd::Cloud(flags) => start_cloud(flags).await,
+        BilberrylatchFakeCmd::Engine(flags) => {
+            let addr = listen(flags.listen)?;
+            start_engine(flags, addr).await
+        }
+        BilberrylatchFakeCmd::Service(flags) => {
+            let addr = listen(flags.listen)?;
+            start_service(flags, addr).await
+        }
+    }
+}
+
+async fn start_cloud(flags: flags::Cloud) -> Result<Handle, Error> {
+    let lag = setting::number("--lag-ms", flags.lag_ms)?;
+    let boot = setting::number("--boot-ms", flags.boot_ms)?;
+    let mut server = cloud::Server::new()
+        .with_lag(Millis(lag.unwrap_or(0)))
+        .with_boot(Millis(boot.unwrap_or(0)));
+    for endpoint in setting::names("--engines", flags.engines) {
+        server = server.with_template(&endpoint, Template::Engine(engine::Server::new()));
+    }
+    for endpoint in setting::names("--services", flags.services) {
+        server = server.with_template(&endpoint, Template::Service(service::Server::new()));
+    }
+    server.start(listen(flags.listen)?).await
+}
+
+async fn start_engine(flags: flags::Engine, addr: SocketAddr) -> Result<Handle, Error> {
+    let usual = engine::model::Config::default();
+    let config = engine::model::Config {
+        iteration_us: setting::number("--iteration-us", flags.iteration_us)?.unwrap_or(usual.iteration_us),
+        sequence_us: setting::number("--sequence-us", flags.sequence_us)?.unwrap_or(usual.sequence_us),
+        prefill_us: setting::number("--prefill-us", flags.prefill_us)?.unwrap_or(usual.prefill_us),
+        max_running: setting::number("--capacity", flags.capacity)?.unwrap_or(usual.max_running),
+        cache_blocks: setting::number("--cache-blocks", flags.cache_blocks)?.unwrap_or(usual.cache_blocks),
+        ..usual
+    };
+    let mut server = engine::Server::new().with_config(config);
+    if let Some(version) = setting::text("--version", flags.version) {
+        server = server.with_version(&version);
+    }
+    if let Some(lag) = setting::number("--lag-ms", flags.lag_ms)? {
+        server = server.with_lag(Millis(lag));
+    }
+    let weights = setting::number("--weights-mb", flags.weights_mb)?;
+    let rate = setting::number("--weights-mb-per-s", flags.weights_mb_per_s)?;
+    if let (Some(mb), Some(rate)) = (weights, rate) {
+        server = server.with_weights(Arc::new(Weights::new(rate)), mb);
+    }
+    if setting::switch("--ignore-fencing", flags.ignore_fencing) {
+        server = server.with_fencing(Fencing::Ignored);
+    }
+    server.start(addr).await
+}
+
+async fn start_service(flags: flags::Service, addr: SocketAddr) -> Result<Handle, Error> {
+    let mut server = service::Server::new();
+    if let Some(version) = setting::text("--version", flags.version) {
+        server = server.with_version(&version);
+    }
+    if let Some(lag) = setting::number("--lag-ms", flags.lag_ms)? {
+        server = server.with_lag(Millis(lag));
+    }
+    if let Some(capacity) = setting::number("--capacity", flags.capacity)? {
+        server = server.with_capacity(capacity);
+    }
+    if let Some(work) = setting::number("--work-ms", flags.work_ms)? {
+        server = server.with_work(Millis(work));
+    }
+    if setting::switch("--ignore-fencing", flags.ignore_fencing) {
+        server = server.with_fencing(Fencing::Ignored);
+    }
+    server.start(addr).await
+}
+
+fn listen(flag: Option<SocketAddr>) -> Result<SocketAddr, Error> {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    Ok(setting::number("--listen", flag)?.unwrap_or(loopback))
+}
+
+async fn stopped() {
+    let Ok(mut term) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    let Ok(mut interrupt) = signal(SignalKind::interrupt()) else {
+        return;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/fake/src/cli/setting.rs
@@ -0,0 +1,50 @@
+//! Settings from flags, else from environment variables.
+
+use std::env;
+use std::str::FromStr;
+
+use crate::Error;
+
+/// Prefix of every variable.
+const PREFIX: &str = "BILBERRYLATCH_FAKE";
+
+/// A setting that is parsed: number, address.
+pub fn number<T>(flag: &str, value: Option<T>) -> Result<Option<T>, Error>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    if value.is_some() {
+        return Ok(value);
+    }
+    let Some(text) = text(flag, None) else {
+        return Ok(None);
+    };
+    let parsed = text.parse::<T>().map_err(|cause| Error::Setting {
+        place: variable(flag),
+        finding: format!("{text:?}: {cause}"),
+    });
+    parsed.map(Some)
+}
+
+/// A setting that is taken as it stands.
+pub fn text(flag: &str, value: Option<String>) -> Option<String> {
+    value.or_else(|| env::var(variable(flag)).ok())
+}
+
+/// A setting that is a list of names, separated by commas.
+pub fn names(flag: &str, value: Option<String>) -> Vec<String> {
+    let text = text(flag, value).unwrap_or_default();
+    let names = text.split(',').map(str::trim).filter(|name| !name.is_empty());
+    names.map(str::to_owned).collect()
+}
+
+/// A switch: the variable switches it on with any value but `0` or an empty one.
+pub fn switch(flag: &str, value: bool) -> bool {
+    value || text(flag, None).is_some_and(|text| !text.is_empty() && text != "0")
+}
+
+fn variable(flag: &str) -> String {
+    let name = flag.trim_start_matches('-').replace('-', "_").to_uppercase();
+    format!("{PREFIX}_{name}")
+}
--- /dev/null
+++ b/crates/fake/src/cloud/fleet.rs
@@ -0,0 +1,134 @@
+//! VMs and notices, without IO and clock.
+
+use base::Millis;
+use indexmap::IndexMap;
+
+use super::notice::Notice;
+use super::vm::{State, Vm};
+use crate::lagged::Lagged;
+
+/// VMs as they are and as the list shows them.
+#[derive(Debug)]
+pub struct Fleet {
+    vms: IndexMap<String, Entry>,
+    notices: Vec<Given>,
+    seen: Lagged<IndexMap<String, Entry>>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    vm: Vm,
+    deadline: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Given {
+    at: Millis,
+    deadline: Millis,
+    notice: Notice,
+}
+
+impl Fleet {
+    /// No VMs; the list shows changes after `lag`.
+    pub fn new(lag: Millis) -> Self {
+        Self {
+            vms: IndexMap::new(),
+            notices: Vec::new(),
+            seen: Lagged::new(lag, IndexMap::new()),
+        }
+    }
+
+    /// Changes the lag of the list.
+    pub fn set_lag(&mut self, lag: Millis) {
+        self.seen.set_lag(lag);
+    }
+
+    /// Adds a VM, or replaces the one with its id.
+    pub fn insert(&mut self, now: Millis, vm: Vm) {
+        let deadline = vm.deadline_ms.map(|span| now + Millis(span));
+        self.vms.insert(vm.id.clone(), Entry { vm, deadline });
+        self.note(now);
+    }
+
+    /// Takes a VM away; false if there is none.
+    pub fn remove(&mut self, now: Millis, id: &str) -> bool {
+        let removed = self.vms.shift_remove(id).is_some();
+        self.note(now);
+        removed
+    }
+
+    /// Gives notice; false if there is no such VM. A second notice can only shorten the first.
+    pub fn give_notice(&mut self, now: Millis, id: &str, span: Millis) -> bool {
+        let Some(entry) = self.vms.get_mut(id) else {
+            return false;
+        };
+        let deadline = entry.deadline.map_or(now + span, |before| before.min(now + span));
+        entry.deadline = Some(deadline);
+        entry.vm.state = State::Leaving;
+        let notice = Notice {
+            number: self.notices.len() as u64 + 1,
+            vm: id.to_owned(),
+            kind: entry.vm.kind,
+            incarnation: entry.vm.incarnation.clone(),
+            remaining_ms: 0,
+        };
+        self.notices.push(Given {
+            at: now,
+            deadline,
+            notice,
+        });
+        self.note(now);
+        true
+    }
+
+    /// Ids of the reclaimable VMs of a zone.
+    pub fn reclaimable(&self, zone: &str) -> Vec<String> {
+        let entries = self.vms.values().filter(|entry| entry.vm.zone == zone);
+        let reclaimable = entries.filter(|entry| entry.vm.reclaimable);
+        reclaimable.map(|entry| entry.vm.id.clone()).collect()
+    }
+
+    /// Takes away the VMs whose notice has ended; their ids.
+    pub fn reclaim(&mut self, now: Millis) -> Vec<String> {
+        let due = |entry: &Entry| entry.deadline.is_some_and(|deadline| deadline <= now);
+        let ended = self.vms.values().filter(|entry| due(entry));
+        let ended = ended.map(|entry| entry.vm.id.clone()).collect::<Vec<_>>();
+        for id in &ended {
+            self.vms.shift_remove(id);
+        }
+        if !ended.is_empty() {
+            self.note(now);
+        }
+        ended
+    }
+
+    /// The list as it is shown.
+    pub fn list(&mut self, now: Millis) -> Vec<Vm> {
+        let entries = self.seen.seen(now).values();
+        entries.map(|entry| entry.shown(now)).collect()
+    }
+
+    /// Notices above a number that were given at least `lag` ago.
+    pub fn notices(&self, now: Millis, after: u64, lag: Millis) -> Vec<Notice> {
+        let later = self.notices.iter().skip(after as usize);
+        let seen = later.take_while(|given| given.at + lag <= now);
+        seen.map(|given| Notice {
+            remaining_ms: given.deadline.since(now).0,
+            ..given.notice.clone()
+        })
+        .collect()
+    }
+
+    fn note(&mut self, now: Millis) {
+        self.seen.push(now, self.vms.clone());
+    }
+}
+
+impl Entry {
+    fn shown(&self, now: Millis) -> Vm {
+        Vm {
+            deadline_ms: self.deadline.map(|deadline| deadline.since(now).0),
+            ..self.vm.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/cloud/route.rs
@@ -0,0 +1,161 @@
+//! Routes and their handlers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::{ConnectInfo, Path, Query, Request, State};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{delete, get, post, put};
+use axum::{Json, Router};
+use base::Millis;
+use http::StatusCode;
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use super::shared::Shared;
+use super::{Faults, Notice, Start, Vm};
+use crate::net::Peer;
+
+/// Period at which waiting polls look for notices whose lag has passed.
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// All routes over the shared state.
+pub fn router(shared: Arc<Shared>) -> Router {
+    let served = Router::new()
+        .route("/v1/vms", get(list).post(start))
+        .route("/v1/vms/{id}", delete(stop))
+        .route("/v1/notices", get(notices))
+        .layer(middleware::from_fn_with_state(Arc::clone(&shared), meet));
+    let admin = Router::new()
+        .route("/admin/vms/{id}", put(register).delete(stop))
+        .route("/admin/vms/{id}/notice", post(give_notice))
+        .route("/admin/zones/{zone}/reclaim", post(reclaim))
+        .route("/admin/faults", get(faults).put(switch));
+    served.merge(admin).with_state(shared)
+}
+
+async fn meet(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(peer): ConnectInfo<Peer>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let faults = shared.lock().faults.clone();
+    tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+    if let Some(outage) = faults.outage {
+        return outage.respond(&peer).await;
+    }
+    next.run(request).await
+}
+
+async fn list(State(shared): State<Arc<Shared>>) -> Json<Vec<Vm>> {
+    let now = shared.clock.now();
+    Json(shared.lock().fleet.list(now))
+}
+
+async fn start(State(shared): State<Arc<Shared>>, Json(start): Json<Start>) -> Response {
+    if let Some(status) = refusal(&shared, &start) {
+        return status.into_response();
+    }
+    match shared.start(start).await {
+        Ok(Some(vm)) => (StatusCode::CREATED, Json(vm)).into_response(),
+        Ok(None) => (StatusCode::NOT_FOUND, "no VM can be started for this endpoint").into_response(),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()).into_response(),
+    }
+}
+
+fn refusal(shared: &Shared, start: &Start) -> Option<StatusCode> {
+    let state = shared.lock();
+    let refusal = state
+        .faults
+        .refuse_starts
+        .iter()
+        .find(|refusal| refusal.matches(start))?;
+    Some(StatusCode::from_u16(refusal.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE))
+}
+
+async fn stop(State(shared): State<Arc<Shared>>, Path(id): Path<String>) -> StatusCode {
+    found(shared.remove(&id))
+}
+
+fn found(found: bool) -> StatusCode {
+    if found {
+        StatusCode::NO_CONTENT
+    } else {
+        StatusCode::NOT_FOUND
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Poll {
+    after: u64,
+    timeout_ms: u64,
+}
+
+async fn notices(State(shared): State<Arc<Shared>>, Query(poll): Query<Poll>) -> Json<Vec<Notice>> {
+    let deadline = Instant::now() + Duration::from_millis(poll.timeout_ms);
+    loop {
+        let notices = shared.notices(poll.after);
+        if !notices.is_empty() || Instant::now() >= deadline {
+            return Json(notices);
+        }
+        let look = deadline.min(Instant::now() + POLL_PERIOD);
+        tokio::select! {
+            () = shared.noticed.notified() => {}
+            () = tokio::time::sleep_until(look) => {}
+        }
+    }
+}
+
+async fn register(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+    Json(vm): Json<Vm>,
+) -> StatusCode {
+    let now = shared.clock.now();
+    shared.lock().fleet.insert(now, Vm { id, ..vm });
+    StatusCode::NO_CONTENT
+}
+
+#[derive(Debug, Deserialize)]
+struct Span {
+    notice_ms: u64,
+}
+
+async fn give_notice(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+    Json(span): Json<Span>,
+) -> StatusCode {
+    let now = shared.clock.now();
+    let given = shared.lock().fleet.give_notice(now, &id, Millis(span.notice_ms));
+    shared.noticed.notify_waiters();
+    found(given)
+}
+
+async fn reclaim(
+    State(shared): State<Arc<Shared>>,
+    Path(zone): Path<String>,
+    Json(span): Json<Span>,
+) -> StatusCode {
+    let now = shared.clock.now();
+    let mut state = shared.lock();
+    let ids = state.fleet.reclaimable(&zone);
+    for id in &ids {
+        state.fleet.give_notice(now, id, Millis(span.notice_ms));
+    }
+    drop(state);
+    shared.noticed.notify_waiters();
+    found(!ids.is_empty())
+}
+
+async fn faults(State(shared): State<Arc<Shared>>) -> Json<Faults> {
+    Json(shared.lock().faults.clone())
+}
+
+async fn switch(State(shared): State<Arc<Shared>>, Json(faults): Json<Faults>) -> StatusCode {
+    shared.switch(faults);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/fake/src/cloud/shared.rs
@@ -0,0 +1,154 @@
+//! State that the handlers share.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::Millis;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+
+use super::server::{Server, Template};
+use super::{Faults, Notice, Start, Vm, fleet::Fleet};
+use crate::clock::Clock;
+use crate::net::Gate;
+use crate::{Error, Handle};
+
+/// One server's state.
+#[derive(Debug)]
+pub struct Shared {
+    pub gate: Arc<Gate>,
+    pub clock: Clock,
+    /// Told at each notice.
+    pub noticed: Notify,
+    ip: IpAddr,
+    boot: Millis,
+    templates: IndexMap<String, Template>,
+    state: Mutex<State>,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub struct State {
+    pub fleet: Fleet,
+    pub faults: Faults,
+    /// Replicas that the cloud itself started, by VM.
+    handles: IndexMap<String, Handle>,
+    started: u64,
+}
+
+impl Shared {
+    pub fn new(server: Server, ip: IpAddr) -> Self {
+        let mut fleet = Fleet::new(server.lag);
+        for vm in server.vms {
+            fleet.insert(Millis::ZERO, vm);
+        }
+        Self {
+            gate: Arc::default(),
+            clock: Clock::new(),
+            noticed: Notify::new(),
+            ip,
+            boot: server.boot,
+            templates: server.templates,
+            state: Mutex::new(State {
+                fleet,
+                faults: Faults::default(),
+                handles: IndexMap::new(),
+                started: 0,
+            }),
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes new faults into force.
+    pub fn switch(&self, faults: Faults) {
+        let mut state = self.lock();
+        if let Some(lag) = faults.lag_ms {
+            state.fleet.set_lag(Millis(lag));
+        }
+        state.faults = faults;
+    }
+
+    /// Notices above a number, as they are seen now.
+    pub fn notices(&self, after: u64) -> Vec<Notice> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let lag = Millis(state.faults.notice_lag_ms);
+        state.fleet.notices(now, after, lag)
+    }
+
+    /// Takes away VMs whose notice has ended.
+    pub fn reclaim(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for id in state.fleet.reclaim(now) {
+            state.handles.shift_remove(&id);
+        }
+    }
+
+    /// Takes a VM away at once; false if there is none.
+    pub fn remove(&self, id: &str) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.handles.shift_remove(id);
+        state.fleet.remove(now, id)
+    }
+
+    /// Starts a VM; `None` if the endpoint has no template. It is listed once it has booted and loaded.
+    pub async fn start(self: &Arc<Self>, start: Start) -> Result<Option<Vm>, Error> {
+        let Some(template) = self.templates.get(&start.endpoint) else {
+            return Ok(None);
+        };
+        let load = template.reserve_load();
+        let handle = template.launch(self.ip, &start).await?;
+        let mut state = self.lock();
+        state.started += 1;
+        let vm = Vm {
+            id: format!("vm-{}", state.started),
+            endpoint: start.endpoint,
+            zone: start.zone,
+            class: start.class,
+            reclaimable: start.reclaimable,
+            addr: handle.addr().to_string(),
+            version: start.version,
+            model: start.model,
+            incarnation: format!("{:016x}", state.started),
+            ..Vm::default()
+        };
+        state.handles.insert(vm.id.clone(), handle);
+        drop(state);
+        tokio::spawn(Arc::clone(self).list_later(vm.clone(), self.boot + load));
+        Ok(Some(vm))
+    }
+
+    async fn list_later(self: Arc<Self>, vm: Vm, span: Millis) {
+        tokio::time::sleep(span.as_duration()).await;
+        let now = self.clock.now();
+        let mut state = self.lock();
+        // A VM stopped during its boot is never listed.
+        if state.handles.contains_key(&vm.id) {
+            state.fleet.insert(now, vm);
+        }
+    }
+}
+
+impl Template {
+    fn reserve_load(&self) -> Millis {
+        match self {
+            Self::Engine(engine) => engine.reserve_load(),
+            Self::Service(_) => Millis::ZERO,
+        }
+    }
+
+    async fn launch(&self, ip: IpAddr, start: &Start) -> Result<Handle, Error> {
+        let addr = SocketAddr::new(ip, 0);
+        match self.clone() {
+            Self::Engine(engine) if start.version.is_empty() => engine.start(addr).await,
+            Self::Engine(engine) => engine.with_version(&start.version).start(addr).await,
+            Self::Service(service) if start.version.is_empty() => service.start(addr).await,
+            Self::Service(service) => service.with_version(&start.version).start(addr).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/driver.rs
@@ -0,0 +1,18 @@
+//! Drives the model along the clock.
+
+use std::sync::Arc;
+
+use super::shared::Shared;
+
+/// Ends iterations when they are due, for as long as the task lives.
+pub async fn drive(shared: Arc<Shared>) {
+    loop {
+        shared.injector.thaw().await;
+        let next = shared.advance();
+        let submitted = shared.submitted.notified();
+        match next {
+            Some(due) => tokio::time::sleep_until(shared.clock.instant(due)).await,
+            None => submitted.await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/server.rs
@@ -0,0 +1,114 @@
+//! Settings of the stand-in and its start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{Millis, Seed};
+
+use super::model::Config;
+use super::shared::Shared;
+use super::{driver, route};
+use crate::fault::{Faults, Trigger};
+use crate::replica::Weights;
+use crate::replica::orders::Fencing;
+use crate::{Error, Handle};
+
+/// An engine to be started.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub(super) config: Config,
+    pub(super) version: String,
+    pub(super) lag: Millis,
+    pub(super) gaps: Trigger,
+    pub(super) fencing: Fencing,
+    pub(super) weights: Option<Arc<Weights>>,
+    pub(super) weights_mb: u64,
+    pub(super) faults: Faults,
+    pub(super) seed: Seed,
+}
+
+impl Default for Server {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Server {
+    /// An engine at version `v1` with the usual speeds, no lag and weights that load at once.
+    pub fn new() -> Self {
+        Self {
+            config: Config::default(),
+            version: "v1".to_owned(),
+            lag: Millis::ZERO,
+            gaps: Trigger::default(),
+            fencing: Fencing::Checked,
+            weights: None,
+            weights_mb: 0,
+            faults: Faults::default(),
+            seed: Seed(0),
+        }
+    }
+
+    /// Speeds and sizes.
+    pub fn with_config(self, config: Config) -> Self {
+        Self { config, ..self }
+    }
+
+    /// Version that is served.
+    pub fn with_version(self, version: &str) -> Self {
+        let version = version.to_owned();
+        Self { version, ..self }
+    }
+
+    /// Lag of load reports and cache events.
+    pub fn with_lag(self, lag: Millis) -> Self {
+        Self { lag, ..self }
+    }
+
+    /// Cache events that are lost.
+    pub fn with_gaps(self, gaps: Trigger) -> Self {
+        Self { gaps, ..self }
+    }
+
+    /// Whether fencing numbers are checked.
+    pub fn with_fencing(self, fencing: Fencing) -> Self {
+        Self { fencing, ..self }
+    }
+
+    /// The weight store, and the size of a version's weights in megabytes.
+    pub fn with_weights(self, weights: Arc<Weights>, mb: u64) -> Self {
+        Self {
+            weights: Some(weights),
+            weights_mb: mb,
+            ..self
+        }
+    }
+
+    /// Faults from the start.
+    pub fn with_faults(self, faults: Faults) -> Self {
+        Self { faults, ..self }
+    }
+
+    /// Seed of the faults that strike by chance.
+    pub fn with_seed(self, seed: Seed) -> Self {
+        Self { seed, ..self }
+    }
+
+    /// Takes a span of the weight store for this engine's weights.
+    pub(crate) fn reserve_load(&self) -> Millis {
+        let span = self
+            .weights
+            .as_ref()
+            .map(|weights| weights.reserve(self.weights_mb));
+        Millis(span.unwrap_or_default().as_millis() as u64)
+    }
+
+    /// Listens and serves by tasks.
+    pub async fn start(self, addr: SocketAddr) -> Result<Handle, Error> {
+        let shared = Arc::new(Shared::new(self));
+        let gate = Arc::clone(&shared.gate);
+        let handle = Handle::serve(addr, gate, route::router(Arc::clone(&shared))).await?;
+        let driver = tokio::spawn(driver::drive(shared));
+        Ok(handle.with_helper(driver.abort_handle()))
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/shared.rs
@@ -0,0 +1,203 @@
+//! State that the handlers and the driver share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+use tokio::sync::{Notify, mpsc};
+
+use super::completion::Export;
+use super::log::Log;
+use super::model::{Engine, Output, Sequence, prompt};
+use super::reply::Reply;
+use super::server::Server;
+use super::stream::Flow;
+use crate::clock::Clock;
+use crate::fault::Injector;
+use crate::lagged::Lagged;
+use crate::net::Gate;
+use crate::replica::{Load, Order, Orders, Run};
+
+/// One server's state.
+#[derive(Debug)]
+pub struct Shared {
+    pub gate: Arc<Gate>,
+    pub injector: Arc<Injector>,
+    pub clock: Clock,
+    /// Told when there is new work for the driver.
+    pub submitted: Notify,
+    server: Server,
+    state: Mutex<State>,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub struct State {
+    pub engine: Engine,
+    pub orders: Orders,
+    pub log: Log,
+    pub runs: Vec<Run>,
+    /// The answer before, for crossed answers.
+    pub last: Option<Reply>,
+    /// Sequence of each dispatch under way.
+    pub dispatches: IndexMap<String, Dispatch>,
+    sinks: IndexMap<u64, mpsc::UnboundedSender<Output>>,
+    issued: u64,
+    reports: Lagged<Load>,
+}
+
+/// A dispatch under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Dispatch {
+    pub id: u64,
+    /// Hash of the prompt.
+    pub prompt: u64,
+}
+
+impl Shared {
+    pub fn new(server: Server) -> Self {
+        let gate = Arc::<Gate>::default();
+        let random = server.seed.derive(1).generator();
+        let state = State {
+            engine: Engine::new(server.config.clone()),
+            orders: Orders::new(&server.version, server.fencing),
+            log: Log::new(server.lag, server.gaps, random),
+            runs: Vec::new(),
+            last: None,
+            dispatches: IndexMap::new(),
+            sinks: IndexMap::new(),
+            issued: 0,
+            reports: Lagged::new(server.lag, Load::default()),
+        };
+        Self {
+            gate: Arc::clone(&gate),
+            injector: Arc::new(Injector::new(gate, server.faults.clone(), server.seed)),
+            clock: Clock::new(),
+            submitted: Notify::new(),
+            server,
+            state: Mutex::new(state),
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.orders.settle(self.clock.now());
+        state
+    }
+
+    /// The version served now.
+    pub fn version(&self) -> String {
+        self.lock().orders.version.clone()
+    }
+
+    /// Meets an order; false if its fencing number is refused.
+    pub fn order(&self, order: Order) -> bool {
+        let load = self.server.reserve_load();
+        let now = self.clock.now();
+        self.lock().orders.meet(now, order, load)
+    }
+
+    /// Submits a sequence under a new id; its outputs.
+    pub fn submit(self: &Arc<Self>, reply: &Reply, sequence: Sequence) -> Flow {
+        let (sink, outputs) = mpsc::unbounded_channel();
+        let mut state = self.lock();
+        state.issued += 1;
+        let id = state.issued;
+        state.sinks.insert(id, sink);
+        if let Some(dispatch) = &reply.echo.dispatch {
+            let prompt = prompt::hash(reply.prompt.as_bytes());
+            state.dispatches.insert(dispatch.clone(), Dispatch { id, prompt });
+        }
+        state
+            .engine
+            .submit(self.clock.micros(), Sequence { id, ..sequence });
+        drop(state);
+        self.note();
+        self.submitted.notify_one();
+        Flow::new(Arc::clone(self), id, outputs)
+    }
+
+    /// Ends a sequence; false if it has ended already.
+    pub fn cancel(&self, id: u64) -> bool {
+        let mut state = self.lock();
+        state.forget(id);
+        state.engine.cancel(id)
+    }
+
+    /// Ends due iterations and hands out their outputs; when the next is due, in microseconds.
+    pub fn advance(&self) -> Option<u64> {
+        let mut outputs = Vec::new();
+        let mut state = self.lock();
+        state.engine.advance(self.clock.micros(), &mut outputs);
+        for output in outputs {
+            state.give(output);
+        }
+        let now = self.clock.now();
+        for change in state.engine.take_changes() {
+            state.log.push(now, change);
+        }
+        let next = state.engine.next();
+        drop(state);
+        self.note();
+        next
+    }
+
+    /// The load as it is reported.
+    pub fn report(&self) -> Load {
+        self.note();
+        let now = self.clock.now();
+        self.lock().reports.seen(now).clone()
+    }
+
+    fn note(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let load = state.load();
+        state.reports.push(now, load);
+        // NB: reading drops the states that no reader will see again.
+        state.reports.seen(now);
+    }
+}
+
+impl State {
+    /// Records a run.
+    pub fn record(&mut self, run: Run) {
+        let number = self.runs.len() as u64 + 1;
+        self.runs.push(Run { number, ..run });
+    }
+
+    /// The KV cache of a dispatch under way, as far as it is computed.
+    pub fn export(&self, dispatch: &str) -> Option<Export> {
+        let Dispatch { id, prompt } = *self.dispatches.get(dispatch)?;
+        let tokens = self.engine.computed(id)?;
+        Some(Export { prompt, tokens })
+    }
+
+    fn give(&mut self, output: Output) {
+        let (id, done) = match output {
+            Output::Token { id, .. } => (id, false),
+            Output::Done { id } => (id, true),
+        };
+        if let Some(sink) = self.sinks.get(&id) {
+            // A receiver that is gone cancels by its own drop.
+            let _gone = sink.send(output);
+        }
+        if done {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: u64) {
+        self.sinks.swap_remove(&id);
+        self.dispatches.retain(|_, dispatch| dispatch.id != id);
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            version: self.orders.version.clone(),
+            running: self.engine.running() as u64,
+            queued: self.engine.queued() as u64,
+            capacity: self.engine.config().max_running as u64,
+            cached_blocks: self.engine.cached_blocks() as u64,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/engine/stream.rs
@@ -0,0 +1,107 @@
+//! Answers as streams of events.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use axum::response::sse::Event;
+use futures::Stream;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use super::completion::{Done, Token};
+use super::model::Output;
+use super::reply::Reply;
+use super::shared::Shared;
+use super::token::token;
+use crate::fault::Twist;
+use crate::fault::injector::Flight;
+use crate::net::Peer;
+use crate::replica::whole::CUT_DELAY;
+
+/// A sequence under way; cancelled when dropped before its end.
+#[derive(Debug)]
+pub struct Flow {
+    shared: Arc<Shared>,
+    id: u64,
+    outputs: mpsc::UnboundedReceiver<Output>,
+    flight: Option<Flight>,
+}
+
+impl Flow {
+    pub fn new(shared: Arc<Shared>, id: u64, outputs: mpsc::UnboundedReceiver<Output>) -> Self {
+        Self {
+            shared,
+            id,
+            outputs,
+            flight: None,
+        }
+    }
+
+    /// Keeps the request counted as in flight for as long as the flow.
+    pub fn with_flight(mut self, flight: Flight) -> Self {
+        self.flight = Some(flight);
+        self
+    }
+
+    /// The next output; `None` after the end or a cancel.
+    pub async fn next(&mut self) -> Option<Output> {
+        let output = self.outputs.recv().await;
+        self.shared.injector.thaw().await;
+        output
+    }
+
+    /// Waits for the end; false if it was cancelled before.
+    pub async fn finish(&mut self) -> bool {
+        while let Some(output) = self.next().await {
+            if matches!(output, Output::Done { .. }) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+impl Drop for Flow {
+    fn drop(&mut self) {
+        self.shared.cancel(self.id);
+    }
+}
+
+/// The events of an answer with its twist.
+pub fn events(
+    mut flow: Flow,
+    reply: Reply,
+    twist: Option<Twist>,
+    peer: Peer,
+) -> impl Stream<Item = Result<Event, Infallible>> {
+    let half = reply.from + (reply.until.saturating_sub(reply.from)) / 2;
+    async_stream::stream! {
+        while let Some(output) = flow.next().await {
+            let Output::Token { index, .. } = output else {
+                let tokens = reply.until;
+                yield Ok(event(&Done { tokens }).event("done"));
+                return;
+            };
+            if twist == Some(Twist::Truncate) && index >= half {
+                return;
+            }
+            if twist == Some(Twist::Cut) && index >= half {
+                tokio::time::sleep(CUT_DELAY).await;
+                peer.0.cut();
+                return;
+            }
+            let token = Token { token: token(&reply.prompt, index) };
+            let copies = 1 + u32::from(twist == Some(Twist::Duplicate));
+            for _ in 0..copies {
+                yield Ok(event(&token).id(index.to_string()));
+            }
+        }
+    }
+}
+
+fn event<T>(data: &T) -> Event
+where
+    T: Serialize,
+{
+    Event::default().data(serde_json::to_string(data).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/fake/src/fault/plan.rs
@@ -0,0 +1,57 @@
+//! What one request will meet.
+
+use std::time::Duration;
+
+use axum::response::{IntoResponse, Response};
+use http::StatusCode;
+
+use crate::net::Peer;
+
+/// Faults drawn for one request, in the order in which they strike.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Wait before it runs.
+    pub delay: Duration,
+    /// What it meets instead of a run.
+    pub before: Option<Failure>,
+    /// Wait between the run and the answer.
+    pub late: Duration,
+    /// What it meets instead of its answer, having run.
+    pub after: Option<Failure>,
+    /// How its answer is changed.
+    pub twist: Option<Twist>,
+}
+
+/// An answer that does not come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The connection is reset.
+    Reset,
+    /// A status takes its place.
+    Status(StatusCode),
+}
+
+/// A change of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Twist {
+    /// It echoes the dispatch id of no request.
+    WrongDispatch,
+    /// The answer before is sent in its place.
+    Crossed,
+    /// Its parts are sent twice.
+    Duplicate,
+    /// It ends early in good form.
+    Truncate,
+    /// The connection is reset in the middle of it.
+    Cut,
+}
+
+impl Failure {
+    /// The failure as a response.
+    pub fn respond(self, peer: &Peer) -> Response {
+        match self {
+            Self::Reset => peer.reset(),
+            Self::Status(status) => status.into_response(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/handle.rs
@@ -0,0 +1,77 @@
+//! A running stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use axum::Router;
+use tokio::task::{AbortHandle, JoinHandle};
+
+use crate::Error;
+use crate::net::{Gate, Listener, Peer};
+
+/// A running stand-in; dropping it stops the server and cuts its connections.
+#[derive(Debug)]
+pub struct Handle {
+    addr: SocketAddr,
+    gate: Arc<Gate>,
+    server: JoinHandle<()>,
+    helpers: Vec<AbortHandle>,
+}
+
+impl Handle {
+    /// Serves `router` on `addr` by a task.
+    pub(crate) async fn serve(addr: SocketAddr, gate: Arc<Gate>, router: Router) -> Result<Self, Error> {
+        let listener = Listener::bind(addr, Arc::clone(&gate))
+            .await
+            .map_err(|cause| Error::Bind { addr, cause })?;
+        let addr = listener.addr();
+        let service = router.into_make_service_with_connect_info::<Peer>();
+        let server = tokio::spawn(async move {
+            if let Err(cause) = axum::serve(listener, service).await {
+                log::error!("server on {addr} ended: {cause}");
+            }
+        });
+        Ok(Self {
+            addr,
+            gate,
+            server,
+            helpers: Vec::new(),
+        })
+    }
+
+    /// A task that ends with the server.
+    pub(crate) fn with_helper(mut self, helper: AbortHandle) -> Self {
+        self.helpers.push(helper);
+        self
+    }
+
+    /// The address it listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The base URL, without a trailing slash.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr)
+    }
+
+    /// The switch of its port, to refuse or cut connections from the same process.
+    pub fn gate(&self) -> Arc<Gate> {
+        Arc::clone(&self.gate)
+    }
+
+    /// Stops at once, as a killed process would: the port is closed and connections are reset.
+    pub fn stop(self) {
+        drop(self);
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.server.abort();
+        for helper in &self.helpers {
+            helper.abort();
+        }
+        self.gate.cut();
+    }
+}
--- /dev/null
+++ b/crates/fake/src/kv/shared.rs
@@ -0,0 +1,83 @@
+//! State that the handlers share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use base::Millis;
+use base::seed::Generator;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use super::rate::Rate;
+use super::{Counts, Faults, Server, Store};
+use crate::clock::Clock;
+use crate::net::Gate;
+
+/// One server's state.
+#[derive(Debug)]
+pub struct Shared {
+    pub gate: Arc<Gate>,
+    pub written: Notify,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub struct State {
+    pub store: Store,
+    pub faults: Faults,
+    pub counts: Counts,
+    pub reads: Rate,
+    pub writes: Rate,
+    pub random: Generator,
+}
+
+impl Shared {
+    pub fn new(server: Server) -> Self {
+        Self {
+            gate: Arc::default(),
+            written: Notify::new(),
+            clock: Clock::new(),
+            state: Mutex::new(State {
+                store: Store::new(server.history),
+                faults: server.faults,
+                counts: Counts::default(),
+                reads: Rate::default(),
+                writes: Rate::default(),
+                random: server.seed.generator(),
+            }),
+        }
+    }
+
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends lapsed leases and wakes the watches that see it.
+    pub fn lapse(&self) {
+        let now = self.now();
+        if self.lock().store.lapse(now) {
+            self.written.notify_waiters();
+        }
+    }
+
+    /// Takes new faults into force.
+    pub fn switch(&self, faults: Faults) {
+        if faults.refuse_ms > 0 {
+            let span = Duration::from_millis(faults.refuse_ms);
+            self.gate.refuse(Instant::now() + span);
+        }
+        let mut state = self.lock();
+        if faults.compact {
+            state.store.compact();
+        }
+        state.faults = faults;
+        drop(state);
+        self.written.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/fake/src/kv/store.rs
@@ -0,0 +1,248 @@
+//! The stored state, without IO and clock.
+
+use std::collections::VecDeque;
+
+use base::Millis;
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+use super::Record;
+use super::lease::Lease;
+use super::page::{Item, Page};
+
+/// What a conditional write asks of the record before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing.
+    Any,
+    /// `If-None-Match: *`: there is no record.
+    Absent,
+    /// `If-Match: "revision"`.
+    Revision(u64),
+}
+
+/// Why a write was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The condition doesn't hold; the current revision, if there is a record.
+    Mismatch(Option<u64>),
+    /// The lease is unknown or has lapsed.
+    Lapsed,
+    /// There is no such key.
+    Missing,
+}
+
+/// A write to be stored.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// New value.
+    pub value: Bytes,
+    /// Lease to bind the key to.
+    pub lease: Option<String>,
+    /// Identity of the write.
+    pub write_id: Option<String>,
+}
+
+/// Records, leases and the history of writes.
+#[derive(Debug)]
+pub struct Store {
+    revision: u64,
+    records: IndexMap<String, Record>,
+    leases: IndexMap<String, Lease>,
+    leases_issued: u64,
+    history: VecDeque<Change>,
+    history_limit: usize,
+    /// Revision up to which history is gone.
+    compacted: u64,
+}
+
+#[derive(Debug)]
+struct Change {
+    item: Item,
+    value: Bytes,
+}
+
+impl Store {
+    /// An empty store that keeps `history_limit` past writes.
+    pub fn new(history_limit: usize) -> Self {
+        Self {
+            revision: 0,
+            records: IndexMap::new(),
+            leases: IndexMap::new(),
+            leases_issued: 0,
+            history: VecDeque::new(),
+            history_limit,
+            compacted: 0,
+        }
+    }
+
+    /// Revision of the last write.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The record of a key.
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// Stores a value; the new revision.
+    pub fn put(&mut self, key: &str, condition: Condition, write: Write) -> Result<u64, Refusal> {
+        self.check(key, condition)?;
+        if write
+            .lease
+            .as_ref()
+            .is_some_and(|lease| !self.leases.contains_key(lease))
+        {
+            return Err(Refusal::Lapsed);
+        }
+        self.revision += 1;
+        let record = Record {
+            revision: self.revision,
+            value: write.value,
+            lease: write.lease,
+            write_id: write.write_id,
+        };
+        self.remember(key, &record, false);
+        self.records.insert_sorted(key.to_owned(), record);
+        Ok(self.revision)
+    }
+
+    /// Deletes a key; the revision of the deletion.
+    pub fn delete(&mut self, key: &str, condition: Condition) -> Result<u64, Refusal> {
+        self.check(key, condition)?;
+        let Some(record) = self.records.shift_remove(key) else {
+            return Err(Refusal::Missing);
+        };
+        self.revision += 1;
+        let record = Record {
+            revision: self.revision,
+            value: Bytes::new(),
+            ..record
+        };
+        self.remember(key, &record, true);
+        Ok(self.revision)
+    }
+
+    /// Records whose keys start with `prefix`, after the key `after`, at most `limit`.
+    pub fn list(&self, prefix: &str, after: &str, limit: usize) -> Page {
+        let mut page = Page::new(self.revision);
+        let start = self
+            .records
+            .partition_point(|key, _| key.as_str() < prefix || key.as_str() <= after);
+        for (key, record) in self.records.iter().skip(start) {
+            if !key.starts_with(prefix) {
+                break;
+            }
+            if page.values.len() == limit {
+                page.head.more = true;
+                break;
+            }
+            page.push(item(key, record, false), record.value.clone());
+        }
+        page
+    }
+
+    /// Writes under `prefix` later than the revision `after`; `None` if that history is gone.
+    pub fn changes(&self, prefix: &str, after: u64) -> Option<Page> {
+        if after < self.compacted || after > self.revision {
+            return None;
+        }
+        let mut page = Page::new(self.revision);
+        let start = self
+            .history
+            .partition_point(|change| change.item.revision <= after);
+        for change in self.history.iter().skip(start) {
+            if change.item.key.starts_with(prefix) {
+                page.push(change.item.clone(), change.value.clone());
+            }
+        }
+        Some(page)
+    }
+
+    /// Forgets all history, so that watches meet a gap.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.compacted = self.revision;
+    }
+
+    /// Opens a lease; its id.
+    pub fn open_lease(&mut self, now: Millis, ttl: Millis) -> String {
+        self.leases_issued += 1;
+        let id = format!("lease-{}", self.leases_issued);
+        let deadline = now + ttl;
+        self.leases.insert(id.clone(), Lease { ttl, deadline });
+        id
+    }
+
+    /// Renews a lease; false if it has lapsed.
+    pub fn renew_lease(&mut self, now: Millis, id: &str) -> bool {
+        let Some(lease) = self.leases.get_mut(id) else {
+            return false;
+        };
+        lease.deadline = now + lease.ttl;
+        true
+    }
+
+    /// Ends a lease and deletes its keys; false if it has lapsed.
+    pub fn close_lease(&mut self, id: &str) -> bool {
+        if self.leases.shift_remove(id).is_none() {
+            return false;
+        }
+        let bound = |record: &Record| record.lease.as_deref() == Some(id);
+        let keys = self.records.iter().filter(|(_, record)| bound(record));
+        let keys = keys.map(|(key, _)| key.clone()).collect::<Vec<_>>();
+        for key in keys {
+            // The key is there: it was just listed.
+            let _deleted = self.delete(&key, Condition::Any);
+        }
+        true
+    }
+
+    /// Ends the leases whose deadline has passed; whether there were any.
+    pub fn lapse(&mut self, now: Millis) -> bool {
+        let lapsed = self.leases.iter().filter(|(_, lease)| lease.deadline <= now);
+        let lapsed = lapsed.map(|(id, _)| id.clone()).collect::<Vec<_>>();
+        for id in &lapsed {
+            self.close_lease(id);
+        }
+        !lapsed.is_empty()
+    }
+
+    fn check(&self, key: &str, condition: Condition) -> Result<(), Refusal> {
+        let current = self.records.get(key).map(|record| record.revision);
+        let holds = match condition {
+            Condition::Any => true,
+            Condition::Absent => current.is_none(),
+            Condition::Revision(revision) => current == Some(revision),
+        };
+        if holds {
+            Ok(())
+        } else {
+            Err(Refusal::Mismatch(current))
+        }
+    }
+
+    fn remember(&mut self, key: &str, record: &Record, deleted: bool) {
+        self.history.push_back(Change {
+            item: item(key, record, deleted),
+            value: record.value.clone(),
+        });
+        while self.history.len() > self.history_limit {
+            if let Some(change) = self.history.pop_front() {
+                self.compacted = change.item.revision;
+            }
+        }
+    }
+}
+
+fn item(key: &str, record: &Record, deleted: bool) -> Item {
+    Item {
+        key: key.to_owned(),
+        revision: record.revision,
+        length: record.value.len(),
+        deleted,
+        lease: record.lease.clone(),
+        write_id: record.write_id.clone(),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/net/peer.rs
@@ -0,0 +1,27 @@
+//! What a handler knows of the connection that its request came on.
+
+use std::sync::Arc;
+
+use axum::extract::connect_info::Connected;
+use axum::response::Response;
+use axum::serve::IncomingStream;
+
+use super::{Link, Listener};
+
+/// The connection of a request.
+#[derive(Clone, Debug)]
+pub struct Peer(pub Arc<Link>);
+
+impl Peer {
+    /// Cuts the connection; the response returned is never written.
+    pub fn reset(&self) -> Response {
+        self.0.cut();
+        Response::default()
+    }
+}
+
+impl Connected<IncomingStream<'_, Listener>> for Peer {
+    fn connect_info(stream: IncomingStream<'_, Listener>) -> Self {
+        Self(stream.io().link())
+    }
+}
--- /dev/null
+++ b/crates/fake/src/replica/echo.rs
@@ -0,0 +1,56 @@
+//! Headers that a replica echoes.
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::fault::{Plan, Twist};
+use crate::header;
+
+/// Dispatch id of no request.
+const NO_DISPATCH: &str = "00000000-0000-0000-0000-000000000000";
+
+/// What an answer repeats of its request, and the version that gave it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Echo {
+    /// Dispatch id that the request carried.
+    pub dispatch: Option<String>,
+    /// Idempotency key that the request carried.
+    pub key: Option<String>,
+    /// Version that serves it.
+    pub version: String,
+}
+
+impl Echo {
+    /// Reads a request's headers.
+    pub fn new(headers: &HeaderMap, version: String) -> Self {
+        Self {
+            dispatch: text(headers, header::DISPATCH),
+            key: text(headers, header::KEY),
+            version,
+        }
+    }
+
+    /// Adds the headers to an answer.
+    pub fn apply(&self, plan: &Plan, headers: &mut HeaderMap) {
+        let dispatch = if plan.twist == Some(Twist::WrongDispatch) {
+            Some(NO_DISPATCH)
+        } else {
+            self.dispatch.as_deref()
+        };
+        insert(headers, header::VERSION, Some(&self.version));
+        insert(headers, header::DISPATCH, dispatch);
+        insert(headers, header::KEY, self.key.as_deref());
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: &'static str, value: Option<&str>) {
+    // Echoed values came from headers, so they are valid.
+    if let Some(Ok(value)) = value.map(HeaderValue::from_str) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// A header's value as text.
+pub(crate) fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- /dev/null
+++ b/crates/fake/src/replica/whole.rs
@@ -0,0 +1,57 @@
+//! Answers sent as one body, and the faults that change them.
+
+use std::io;
+use std::time::Duration;
+
+use axum::body::Body;
+use axum::response::Response;
+use bytes::Bytes;
+use futures::Stream;
+use http::HeaderValue;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+
+use super::Echo;
+use crate::fault::{Plan, Twist};
+use crate::net::Peer;
+
+/// Wait before a cut, so that the part before it leaves first.
+pub(crate) const CUT_DELAY: Duration = Duration::from_millis(5);
+
+/// An answer with its body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Whole {
+    /// Echoed headers.
+    pub echo: Echo,
+    /// JSON body.
+    pub body: Bytes,
+}
+
+impl Whole {
+    /// The response with the plan's faults.
+    pub fn respond(self, plan: &Plan, peer: &Peer) -> Response {
+        let length = self.body.len();
+        let part = self.body.slice(..length / 2);
+        let body = match plan.twist {
+            Some(Twist::Truncate | Twist::Cut) => Body::from_stream(cut(part, peer.clone())),
+            Some(Twist::Duplicate) => Body::from([self.body.clone(), self.body].concat()),
+            Some(Twist::WrongDispatch | Twist::Crossed) | None => Body::from(self.body),
+        };
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if plan.twist == Some(Twist::Truncate) {
+            headers.insert(CONTENT_LENGTH, length.into());
+        }
+        self.echo.apply(plan, headers);
+        response
+    }
+}
+
+fn cut(part: Bytes, peer: Peer) -> impl Stream<Item = io::Result<Bytes>> {
+    async_stream::stream! {
+        yield Ok(part);
+        tokio::time::sleep(CUT_DELAY).await;
+        peer.0.cut();
+        yield Err(io::ErrorKind::ConnectionReset.into());
+    }
+}
--- /dev/null
+++ b/crates/fake/src/service/route.rs
@@ -0,0 +1,109 @@
+//! Routes and their handlers.
+
+use std::sync::Arc;
+
+use axum::body::Bytes;
+use axum::extract::{ConnectInfo, Query, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use http::{HeaderMap, Method, StatusCode, Uri};
+use serde::Deserialize;
+
+use super::Run;
+use super::shared::Shared;
+use crate::fault::{Faults, Plan, Twist};
+use crate::net::Peer;
+use crate::replica::{Echo, Load, Order, Orders, Whole};
+
+/// All routes over the shared state.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/v1/load", get(load))
+        .route("/v1/orders", post(order))
+        .route("/admin/runs", get(runs))
+        .route("/admin/orders", get(orders))
+        .route("/admin/faults", get(faults).put(switch))
+        .fallback(serve)
+        .with_state(shared)
+}
+
+async fn serve(
+    State(shared): State<Arc<Shared>>,
+    ConnectInfo(peer): ConnectInfo<Peer>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    let echo = Echo::new(&headers, shared.version());
+    let run = Run::new(method.as_str(), uri.path(), &echo);
+    let _flight = shared.injector.enter();
+    shared.note();
+    let plan = shared.injector.plan(&run.version, &run.path);
+    let response = meet(&shared, &peer, &plan, echo, run, &body).await;
+    shared.note();
+    response
+}
+
+async fn meet(shared: &Shared, peer: &Peer, plan: &Plan, echo: Echo, run: Run, body: &Bytes) -> Response {
+    tokio::time::sleep(plan.delay).await;
+    shared.injector.thaw().await;
+    if let Some(failure) = plan.before {
+        return failure.respond(peer);
+    }
+    let Some(body) = work(shared, run, body).await else {
+        return (StatusCode::BAD_REQUEST, "a top-up takes an account and an amount").into_response();
+    };
+    tokio::time::sleep(plan.late).await;
+    shared.injector.thaw().await;
+    if let Some(failure) = plan.after {
+        return failure.respond(peer);
+    }
+    let answer = Whole { echo, body };
+    let before = shared.lock().last.replace(answer.clone());
+    let crossed = before.filter(|_| plan.twist == Some(Twist::Crossed));
+    crossed.unwrap_or(answer).respond(plan, peer)
+}
+
+async fn work(shared: &Shared, run: Run, body: &Bytes) -> Option<Bytes> {
+    let _slot = shared.slots.acquire().await.ok()?;
+    tokio::time::sleep(shared.work.as_duration()).await;
+    shared.injector.thaw().await;
+    shared.lock().ledger.run(run, body)
+}
+
+async fn load(State(shared): State<Arc<Shared>>) -> Json<Load> {
+    Json(shared.report())
+}
+
+async fn order(State(shared): State<Arc<Shared>>, Json(order): Json<Order>) -> StatusCode {
+    if shared.order(order) {
+        StatusCode::ACCEPTED
+    } else {
+        StatusCode::CONFLICT
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct After {
+    after: u64,
+}
+
+async fn runs(State(shared): State<Arc<Shared>>, Query(query): Query<After>) -> Json<Vec<Run>> {
+    Json(shared.lock().ledger.runs(query.after).to_vec())
+}
+
+async fn orders(State(shared): State<Arc<Shared>>) -> Json<Orders> {
+    Json(shared.lock().orders.clone())
+}
+
+async fn faults(State(shared): State<Arc<Shared>>) -> Json<Faults> {
+    Json(shared.injector.faults())
+}
+
+async fn switch(State(shared): State<Arc<Shared>>, Json(faults): Json<Faults>) -> StatusCode {
+    shared.injector.switch(faults);
+    StatusCode::NO_CONTENT
+}
--- /dev/null
+++ b/crates/fake/src/service/shared.rs
@@ -0,0 +1,99 @@
+//! State that the handlers share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::Millis;
+use tokio::sync::Semaphore;
+
+use super::{Ledger, Server};
+use crate::clock::Clock;
+use crate::fault::Injector;
+use crate::lagged::Lagged;
+use crate::net::Gate;
+use crate::replica::{Load, Order, Orders, Whole};
+
+/// One server's state.
+#[derive(Debug)]
+pub struct Shared {
+    pub gate: Arc<Gate>,
+    pub injector: Arc<Injector>,
+    pub slots: Semaphore,
+    pub work: Millis,
+    capacity: u64,
+    load: Millis,
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+/// What the lock guards.
+#[derive(Debug)]
+pub struct State {
+    pub ledger: Ledger,
+    pub orders: Orders,
+    /// The answer before, for crossed answers.
+    pub last: Option<Whole>,
+    reports: Lagged<Load>,
+}
+
+impl Shared {
+    pub fn new(server: Server) -> Self {
+        let gate = Arc::<Gate>::default();
+        Self {
+            gate: Arc::clone(&gate),
+            injector: Arc::new(Injector::new(gate, server.faults, server.seed)),
+            slots: Semaphore::new(server.capacity),
+            work: server.work,
+            capacity: server.capacity as u64,
+            load: server.load,
+            clock: Clock::new(),
+            state: Mutex::new(State {
+                ledger: Ledger::default(),
+                orders: Orders::new(&server.version, server.fencing),
+                last: None,
+                reports: Lagged::new(server.lag, Load::default()),
+            }),
+        }
+    }
+
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.orders.settle(self.clock.now());
+        state
+    }
+
+    /// The version served now.
+    pub fn version(&self) -> String {
+        self.lock().orders.version.clone()
+    }
+
+    /// Meets an order; false if its fencing number is refused.
+    pub fn order(&self, order: Order) -> bool {
+        let now = self.clock.now();
+        self.lock().orders.meet(now, order, self.load)
+    }
+
+    /// Notes the present load for later reports.
+    pub fn note(&self) {
+        let now = self.clock.now();
+        let load = self.present();
+        self.lock().reports.push(now, load);
+    }
+
+    /// The load as it is reported.
+    pub fn report(&self) -> Load {
+        self.note();
+        let now = self.clock.now();
+        self.lock().reports.seen(now).clone()
+    }
+
+    fn present(&self) -> Load {
+        let in_flight = self.injector.in_flight();
+        Load {
+            version: self.version(),
+            running: in_flight.min(self.capacity),
+            queued: in_flight.saturating_sub(self.capacity),
+            capacity: self.capacity,
+            cached_blocks: 0,
+        }
+    }
+}
