Serve a request from end to end: caller, node, replica and back

Cause: the thin path was missing; every later proof needs a daemon that really carries requests. Ruled out on the way: a hang seen in the first demo runs was not the drain but an engine that refused a body without a content type, so that both replicas were ejected and requests waited for their deadline; streaming routes now say application/json themselves. Change: daemon (actors for traffic, claims and members; edges for callers, peers and operators; platform tasks), command-line tool with catalogue apply, nodes, replicas and demo.

--- /dev/null
+++ b/crates/ctl/src/app.rs
@@ -0,0 +1,50 @@
+//! The program: flags, then one command.
+
+use std::env;
+use std::process::ExitCode;
+
+use crate::args::{Bilberrylatch, BilberrylatchCmd};
+use crate::output::Output;
+use crate::{Client, Error, command, demo};
+
+/// Runs the command that the arguments name.
+pub fn run() -> ExitCode {
+    let args = Bilberrylatch::from_env_or_exit();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("can't start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(dispatch(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            error.exit().into()
+        }
+    }
+}
+
+async fn dispatch(args: Bilberrylatch) -> Result<(), Error> {
+    let output = if args.json { Output::Json } else { Output::Human };
+    match args.subcommand {
+        BilberrylatchCmd::Catalogue(catalogue) => command::catalogue::run(&args.node, output, catalogue).await,
+        BilberrylatchCmd::Nodes(_) => command::nodes::run(&client(args.node.as_deref())?, output).await,
+        BilberrylatchCmd::Replicas(_) => command::replicas::run(&client(args.node.as_deref())?, output).await,
+        BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
+    }
+}
+
+/// A client as flags and variables say.
+pub fn client(nodes: Option<&str>) -> Result<Client, Error> {
+    let nodes = match nodes {
+        Some(nodes) => nodes.to_owned(),
+        None => env::var("BILBERRYLATCH_NODE").unwrap_or_else(|_unset| "http://127.0.0.1:7400".to_owned()),
+    };
+    let token = env::var("BILBERRYLATCH_OPERATOR_TOKEN").map_err(|_unset| {
+        Error::Usage("BILBERRYLATCH_OPERATOR_TOKEN: missing; set it to the operators' token".to_owned())
+    })?;
+    let nodes = nodes.split(',').map(|node| node.trim().trim_end_matches('/').to_owned());
+    Client::new(nodes.filter(|node| !node.is_empty()).collect(), token)
+}
--- /dev/null
+++ b/crates/ctl/src/args.rs
@@ -0,0 +1,62 @@
+//! Flags of the tool.
+
+#![expect(missing_docs, reason = "the macro generates items without them")]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates a bilberrylatch deployment. The operators' token comes from BILBERRYLATCH_OPERATOR_TOKEN.
+    cmd bilberrylatch {
+        /// Nodes to ask, URLs separated by commas; also BILBERRYLATCH_NODE.
+        optional --node urls: String
+        /// Print JSON for scripts.
+        optional --json
+
+        /// The catalogue of endpoints.
+        cmd catalogue {
+            /// Check a file and report every finding with its place.
+            cmd check {
+                /// The file.
+                required file: PathBuf
+            }
+            /// Show what a file would change.
+            cmd diff {
+                /// The file.
+                required file: PathBuf
+            }
+            /// Put a file in force.
+            cmd apply {
+                /// The file.
+                required file: PathBuf
+                /// Id of the edit; repeating an edit with its id is safe.
+                optional --id id: String
+                /// Generation that the edit was made from; the one in force if it is not given.
+                optional --expected generation: u64
+                /// Who makes the edit.
+                optional --author name: String
+                /// Wait until every live node has it in force.
+                optional --wait
+                /// Longest wait, in seconds.
+                optional --timeout-seconds seconds: u64
+            }
+            /// Print the text in force.
+            cmd show {}
+            /// Tell how far the newest generation has got.
+            cmd status {}
+            /// Print the digest of a workspace's token for the catalogue.
+            cmd token {
+                /// The token.
+                required token: String
+            }
+        }
+        /// List nodes.
+        cmd nodes {}
+        /// List replicas as the asked node sees them.
+        cmd replicas {}
+        /// Run everything in one process, with stand-ins.
+        cmd demo {
+            /// Requests to send; without it the demo stays up.
+            optional --requests number: usize
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,106 @@
+//! Client of a node's operators' API.
+
+use std::time::Duration;
+
+use reqwest::{Method, RequestBuilder, Response, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use crate::Error;
+
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time to set up a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Asks one of several nodes.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    nodes: Vec<String>,
+    token: String,
+}
+
+/// What a refusal says.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Problem {
+    detail: String,
+}
+
+impl Client {
+    /// A client of `nodes`, asked in this order until one answers.
+    pub fn new(nodes: Vec<String>, token: String) -> Result<Self, Error> {
+        let http = reqwest::Client::builder()
+            .timeout(CALL_TIMEOUT)
+            .connect_timeout(CONNECT_TIMEOUT)
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()
+            .map_err(|error| Error::Usage(error.to_string()))?;
+        Ok(Self { http, nodes, token })
+    }
+
+    /// Reads a resource.
+    pub async fn get<T>(&self, path: &str) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        self.call(Method::GET, path, None).await
+    }
+
+    /// Sends a body and reads the answer.
+    pub async fn send<T>(&self, method: Method, path: &str, body: String) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        self.call(method, path, Some(body)).await
+    }
+
+    async fn call<T>(&self, method: Method, path: &str, body: Option<String>) -> Result<T, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let mut last = Error::Unreachable("none given".to_owned());
+        for node in &self.nodes {
+            let mut request = self.http.request(method.clone(), format!("{node}{path}")).bearer_auth(&self.token);
+            if let Some(body) = &body {
+                request = request.body(body.clone());
+            }
+            match exchange(request).await {
+                Ok(response) => return read(response).await,
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+}
+
+/// NB: only a connection that could not be made is tried at the next node; commands carry ids of their own, so
+/// that an answer lost later can be asked for again.
+async fn exchange(request: RequestBuilder) -> Result<Response, Error> {
+    match request.send().await {
+        Ok(response) => Ok(response),
+        Err(error) if error.is_connect() => Err(Error::Unreachable(error.to_string())),
+        Err(error) => Err(Error::Unsettled(format!("the node's answer was lost: {error}"))),
+    }
+}
+
+async fn read<T>(response: Response) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    let status = response.status();
+    let body = response.bytes().await.map_err(|error| Error::Unsettled(error.to_string()))?;
+    if status.is_success() {
+        let malformed = |error: serde_json::Error| Error::Refused { status: status.as_u16(), detail: error.to_string() };
+        return serde_json::from_slice(&body).map_err(malformed);
+    }
+    let problem: Problem = serde_json::from_slice(&body).unwrap_or_default();
+    Err(match status {
+        StatusCode::CONFLICT => Error::Conflict(problem.detail),
+        StatusCode::GATEWAY_TIMEOUT => Error::Unsettled(problem.detail),
+        _ => Error::Refused { status: status.as_u16(), detail: problem.detail },
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,5 @@
+//! The commands.
+
+pub mod catalogue;
+pub mod nodes;
+pub mod replicas;
--- /dev/null
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -0,0 +1,81 @@
+//! `catalogue apply`: an edit is accepted once, and `--wait` follows it until it is in force everywhere.
+
+use std::io::IsTerminal;
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use reqwest::Method;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use super::{Shown, Status, read};
+use crate::output::Output;
+use crate::{Client, Error, args};
+
+/// Longest wait if the flag does not say.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Span between two looks.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Attempts to settle an edit whose answer was lost.
+const SETTLE_ATTEMPTS: u32 = 5;
+
+/// The answer to an accepted edit.
+#[derive(Debug, Deserialize, Serialize)]
+struct Accepted {
+    generation: u64,
+}
+
+/// Applies a file.
+pub async fn run(client: &Client, output: Output, flags: args::Apply) -> Result<(), Error> {
+    let text = read(&flags.file)?;
+    let expected = match flags.expected {
+        Some(expected) => expected,
+        None => client.get::<Shown>("/v1/admin/catalogue").await?.generation,
+    };
+    let id = flags.id.unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string());
+    let author = flags.author.or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "operator".to_owned());
+    let accepted = submit(client, &text, expected, &id, &author).await?;
+    output.line(&format!("accepted as generation {}", accepted.generation), &accepted);
+    if flags.wait {
+        let timeout = flags.timeout_seconds.map_or(DEFAULT_TIMEOUT, Duration::from_secs);
+        wait(client, accepted.generation, timeout).await?;
+    }
+    Ok(())
+}
+
+/// Sends the edit; a lost answer is asked for again with the same id, so that it is never applied twice.
+async fn submit(client: &Client, text: &str, expected: u64, id: &str, author: &str) -> Result<Accepted, Error> {
+    let path = format!("/v1/admin/catalogue?expected={expected}&id={id}&author={author}");
+    let mut attempt = 1;
+    loop {
+        match client.send(Method::PUT, &path, text.to_owned()).await {
+            Err(Error::Unsettled(_)) if attempt < SETTLE_ATTEMPTS => {}
+            result => return result,
+        }
+        attempt += 1;
+        sleep(LOOK * attempt).await;
+    }
+}
+
+async fn wait(client: &Client, generation: u64, timeout: Duration) -> Result<(), Error> {
+    let bar = if std::io::stderr().is_terminal() { ProgressBar::new_spinner() } else { ProgressBar::hidden() };
+    bar.enable_steady_tick(LOOK);
+    let deadline = Instant::now() + timeout;
+    loop {
+        let status: Status = client.get("/v1/admin/catalogue/status").await?;
+        if status.in_force >= generation {
+            bar.finish_and_clear();
+            eprintln!("in force on all {} nodes", status.nodes);
+            return Ok(());
+        }
+        let zones: Vec<&str> = status.behind.iter().map(|zone| zone.zone.as_str()).collect();
+        let missing = format!("generation {generation} is missing in {}", zones.join(", "));
+        if Instant::now() >= deadline {
+            return Err(Error::Timeout(missing));
+        }
+        bar.set_message(missing);
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/output.rs
@@ -0,0 +1,49 @@
+//! Tables for people, JSON for scripts.
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+use serde::Serialize;
+
+/// Form of a command's output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Tables and sentences.
+    Human,
+    /// One JSON document.
+    Json,
+}
+
+impl Output {
+    /// Prints rows below a header, or `value` as JSON.
+    pub fn table<T>(self, header: &[&str], rows: Vec<Vec<String>>, value: &T)
+    where
+        T: Serialize,
+    {
+        match self {
+            Self::Human => {
+                let mut table = Table::new();
+                table.load_style(NOTHING).set_header(header.to_vec()).add_rows(rows);
+                println!("{table}");
+            }
+            Self::Json => json(value),
+        }
+    }
+
+    /// Prints a sentence, or `value` as JSON.
+    pub fn line<T>(self, sentence: &str, value: &T)
+    where
+        T: Serialize,
+    {
+        match self {
+            Self::Human => println!("{sentence}"),
+            Self::Json => json(value),
+        }
+    }
+}
+
+fn json<T>(value: &T)
+where
+    T: Serialize,
+{
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+}
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -61,7 +61,7 @@
 }
 
 async fn run_node(settings: Settings) -> Result<(), Error> {
-    logs::start(&settings)?;
+    logs::start(settings.log_format, settings.log_level)?;
     let node = Node::start(settings).await?;
     // The line that scripts and tests wait for.
     println!("listening {} peers {}", node.address(), node.peer_address());
--- a/crates/node/src/edge/intake.rs
+++ b/crates/node/src/edge/intake.rs
@@ -6,7 +6,7 @@
 use base::{Millis, Name};
 use bytes::Bytes;
 use catalogue::{Endpoint, Route};
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use route::arrival::Priority;
 
 use super::{Problem, auth};
@@ -106,6 +106,11 @@
         let detail = "a streaming route takes a JSON object as its body";
         return Err(Problem::new(StatusCode::BAD_REQUEST, "body-malformed", detail).counted());
     }
+    let mut passed = header::towards_replica(fields);
+    if route.stream {
+        // The body is a JSON object, whatever the caller called it.
+        passed.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    }
     Ok(Outgoing {
         request_id: request_id(fields),
         workspace,
@@ -113,7 +118,7 @@
         endpoint: endpoint.name,
         method,
         path,
-        fields: header::towards_replica(fields),
+        fields: passed,
         body,
         idempotent: route.idempotent,
         stream: route.stream,
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -7,21 +7,23 @@
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
 
+use log::LevelFilter;
+
 use crate::Error;
-use crate::settings::{Format, Settings};
+use crate::settings::Format;
 
 /// A line: time, level, module, message and named values.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:5} {t}: {m}{n}";
 
-/// Starts logging as the settings say.
-pub fn start(settings: &Settings) -> Result<(), Error> {
+/// Starts logging to standard error in this form, from this level on.
+pub fn start(format: Format, level: LevelFilter) -> Result<(), Error> {
     let failed = |cause: String| Error::Logs(cause);
-    let encoder: Box<dyn Encode> = match settings.log_format {
+    let encoder: Box<dyn Encode> = match format {
         Format::Human => Box::new(PatternEncoder::new(PATTERN)),
         Format::Json => Box::new(JsonEncoder::new()),
     };
     let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
-    let root = Root::builder().appender("console").build(settings.log_level);
+    let root = Root::builder().appender("console").build(level);
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
         .build(root)
--- a/src/bin/bilberrylatch.rs
+++ b/src/bin/bilberrylatch.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ctl::run()
+}
--- a/src/bin/bilberrylatchd.rs
+++ b/src/bin/bilberrylatchd.rs
@@ -1,2 +1,7 @@
-//! placeholder
-fn main() {}
+//! The daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    node::run()
+}
