--- /dev/null
+++ b/crates/fake/tests/service.rs
@@ -0,0 +1,269 @@
+//! The service over HTTP: what each fault does to the run and to the answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Millis;
+use fake::Handle;
+use fake::fault::{Bad, Badness, Faults, Trigger};
+use fake::replica::orders::Fencing;
+use fake::replica::{Load, Run};
+use fake::service::Server;
+use fake::service::ledger::{Answer, TopUp};
+use reqwest::{Client, Response};
+use serde_json::json;
+
+struct Bench {
+    client: Client,
+    handle: Handle,
+}
+
+impl Bench {
+    async fn new(server: Server) -> Self {
+        let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            client: Client::new(),
+            handle: server.start(addr).await.unwrap(),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.handle.url())
+    }
+
+    async fn top_up(&self, dispatch: &str) -> reqwest::Result<Response> {
+        let top_up = TopUp {
+            account: "pupil-1".to_owned(),
+            amount: 250,
+        };
+        let request = self
+            .client
+            .post(self.url("/topup"))
+            .json(&top_up)
+            .header("bilberrylatch-dispatch", dispatch);
+        request.header("bilberrylatch-key", "key-1").send().await
+    }
+
+    async fn runs(&self) -> Vec<Run> {
+        self.client
+            .get(self.url("/admin/runs"))
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap()
+    }
+
+    async fn order(&self, fencing: u64, version: &str) -> u16 {
+        let action = json!({"kind": "load-version", "version": version});
+        let request = self
+            .client
+            .post(self.url("/v1/orders"))
+            .json(&json!({"fencing": fencing, "action": action}));
+        request.send().await.unwrap().status().as_u16()
+    }
+
+    async fn load(&self) -> Load {
+        self.client
+            .get(self.url("/v1/load"))
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap()
+    }
+}
+
+const ONCE: Trigger = Trigger::next(1);
+
+#[derive(Debug, PartialEq)]
+enum Seen {
+    Whole,
+    Status(u16),
+    Reset,
+    Other(String),
+    Malformed,
+}
+
+struct Case {
+    set: fn(&mut Faults),
+    runs: usize,
+    seen: Seen,
+}
+
+fn bad(badness: Badness) -> Option<Bad> {
+    let bad = Bad {
+        badness,
+        version: Some("v1".to_owned()),
+        after_requests: 0,
+        over_load: 0,
+        route: "/topup".to_owned(),
+    };
+    Some(bad)
+}
+
+fn cases() -> Vec<Case> {
+    let case = |runs, seen, set| Case { set, runs, seen };
+    let other = |dispatch: &str| Seen::Other(dispatch.to_owned());
+    vec![
+        case(1, Seen::Whole, |_| ()),
+        case(1, Seen::Whole, |faults| faults.slow_ms = 5),
+        case(1, Seen::Whole, |faults| faults.freeze_ms = 20),
+        case(1, Seen::Whole, |faults| faults.late = ONCE),
+        case(0, Seen::Status(503), |faults| faults.fail_before = ONCE),
+        case(1, Seen::Status(503), |faults| faults.fail_after = ONCE),
+        case(0, Seen::Reset, |faults| faults.reset_before = ONCE),
+        case(1, Seen::Reset, |faults| faults.reset_after = ONCE),
+        case(1, other("00000000-0000-0000-0000-000000000000"), |faults| {
+            faults.wrong_dispatch = ONCE
+        }),
+        case(1, other("before"), |faults| faults.crossed = ONCE),
+        case(1, Seen::Malformed, |faults| faults.duplicate = ONCE),
+        case(1, Seen::Reset, |faults| faults.truncate = ONCE),
+        case(1, Seen::Reset, |faults| faults.cut = ONCE),
+        case(0, Seen::Status(500), |faults| {
+            faults.bad = bad(Badness::Fail(500))
+        }),
+        case(1, Seen::Whole, |faults| faults.bad = bad(Badness::Slow(5))),
+    ]
+}
+
+async fn see(answer: reqwest::Result<Response>) -> Seen {
+    let Ok(response) = answer else { return Seen::Reset };
+    if response.status() != 200 {
+        return Seen::Status(response.status().as_u16());
+    }
+    let dispatch = response.headers()["bilberrylatch-dispatch"]
+        .to_str()
+        .unwrap()
+        .to_owned();
+    if dispatch != "mine" {
+        return Seen::Other(dispatch);
+    }
+    let Ok(body) = response.bytes().await else {
+        return Seen::Reset;
+    };
+    match serde_json::from_slice::<Answer>(&body) {
+        Ok(answer) if answer.balance == 500 => Seen::Whole,
+        Ok(_) | Err(_) => Seen::Malformed,
+    }
+}
+
+#[tokio::test]
+async fn faults_and_runs() {
+    for (place, case) in cases().into_iter().enumerate() {
+        let bench = Bench::new(Server::new()).await;
+        bench.top_up("before").await.unwrap();
+        let mut faults = Faults {
+            late_ms: 20,
+            ..Faults::default()
+        };
+        (case.set)(&mut faults);
+        let switched = bench
+            .client
+            .put(bench.url("/admin/faults"))
+            .json(&faults)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(switched.status(), 204);
+        assert_eq!(see(bench.top_up("mine").await).await, case.seen, "case {place}");
+        let runs = bench.runs().await;
+        let mine = runs
+            .iter()
+            .filter(|run| run.dispatch.as_deref() == Some("mine"))
+            .collect::<Vec<_>>();
+        assert_eq!(mine.len(), case.runs, "case {place}");
+        assert!(
+            mine.iter()
+                .all(|run| run.key.as_deref() == Some("key-1") && run.path == "/topup")
+        );
+    }
+}
+
+#[test]
+fn a_bad_version_shows_when_its_conditions_hold() {
+    struct Case {
+        after: u64,
+        over: u64,
+        route: &'static str,
+        version: Option<&'static str>,
+        meets: bool,
+    }
+    let case = |after, over, route, version, meets| Case {
+        after,
+        over,
+        route,
+        version,
+        meets,
+    };
+    let cases = [
+        case(0, 0, "", None, true),
+        case(5, 2, "/topup", Some("v2"), true),
+        case(6, 0, "", None, false),
+        case(0, 3, "", None, false),
+        case(0, 0, "/balance", None, false),
+        case(0, 0, "", Some("v1"), false),
+    ];
+    let meeting = fake::fault::bad::Meeting {
+        version: "v2",
+        path: "/topup",
+        requests: 5,
+        in_flight: 3,
+    };
+    for case in cases {
+        let bad = Bad {
+            badness: Badness::Fail(500),
+            version: case.version.map(str::to_owned),
+            after_requests: case.after,
+            over_load: case.over,
+            route: case.route.to_owned(),
+        };
+        assert_eq!(bad.meets(meeting), case.meets);
+    }
+}
+
+#[tokio::test]
+async fn fencing_is_checked_or_ignored() {
+    struct Case {
+        fencing: Fencing,
+        second: u16,
+        version: &'static str,
+    }
+    let cases = [
+        Case {
+            fencing: Fencing::Checked,
+            second: 409,
+            version: "v2",
+        },
+        Case {
+            fencing: Fencing::Ignored,
+            second: 202,
+            version: "v3",
+        },
+    ];
+    for case in cases {
+        let bench = Bench::new(Server::new().with_fencing(case.fencing)).await;
+        assert_eq!(bench.order(7, "v2").await, 202);
+        assert_eq!(bench.order(6, "v3").await, case.second);
+        let answer = bench.top_up("d").await.unwrap();
+        assert_eq!(answer.headers()["bilberrylatch-version"], case.version);
+    }
+}
+
+#[tokio::test]
+async fn load_is_reported_late() {
+    let server = Server::new().with_capacity(1).with_work(Millis(400));
+    let bench = Bench::new(server.clone()).await;
+    let lagging = Bench::new(server.with_lag(Millis(100_000))).await;
+    let look = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let [now, late] = [bench.load().await, lagging.load().await];
+        assert_eq!((now.running, now.queued, now.capacity), (1, 1, 1));
+        assert_eq!((late.running, late.queued), (0, 0));
+    };
+    let answers = tokio::join!(bench.top_up("1"), bench.top_up("2"), lagging.top_up("1"), look);
+    assert!(answers.0.is_ok() && answers.1.is_ok() && answers.2.is_ok());
+}
