--- a/crates/fake/tests/service.rs
+++ b/crates/fake/tests/service.rs
@@ -93,15 +93,14 @@
     seen: Seen,
 }
 
-fn bad(badness: Badness) -> Option<Bad> {
-    let bad = Bad {
+fn bad(badness: Badness) -> Bad {
+    Bad {
         badness,
         version: Some("v1".to_owned()),
         after_requests: 0,
         over_load: 0,
         route: "/topup".to_owned(),
-    };
-    Some(bad)
+    }
 }
 
 fn cases() -> Vec<Case> {
@@ -117,16 +116,16 @@
         case(0, Seen::Reset, |faults| faults.reset_before = ONCE),
         case(1, Seen::Reset, |faults| faults.reset_after = ONCE),
         case(1, other("00000000-0000-0000-0000-000000000000"), |faults| {
-            faults.wrong_dispatch = ONCE
+            faults.wrong_dispatch = ONCE;
         }),
         case(1, other("before"), |faults| faults.crossed = ONCE),
         case(1, Seen::Malformed, |faults| faults.duplicate = ONCE),
         case(1, Seen::Reset, |faults| faults.truncate = ONCE),
         case(1, Seen::Reset, |faults| faults.cut = ONCE),
         case(0, Seen::Status(500), |faults| {
-            faults.bad = bad(Badness::Fail(500))
+            faults.bad = Some(bad(Badness::Fail(500)));
         }),
-        case(1, Seen::Whole, |faults| faults.bad = bad(Badness::Slow(5))),
+        case(1, Seen::Whole, |faults| faults.bad = Some(bad(Badness::Slow(5)))),
     ]
 }
 
