Stand-ins say which request ran, and can refuse as not run

Cause: a node judges a refusal by what the replica says of it, and a history is checked by the request that each run belongs to.

Change: runs record `Bilberrylatch-Request-Id`; failure answers echo the dispatch id, so that a 503 is not taken for another request's answer; the fault `reject` refuses with `Bilberrylatch-Outcome: not-run` and `Retry-After`.

--- a/crates/fake/src/engine/route.rs
+++ b/crates/fake/src/engine/route.rs
@@ -19,7 +19,7 @@
 use super::stream::{self, Flow};
 use crate::fault::{Faults, Plan, Twist};
 use crate::net::Peer;
-use crate::replica::{Echo, Load, Order, Orders, Run, Whole};
+use crate::replica::{Echo, Failed, Load, Order, Orders, Run, Whole};
 
 /// Path of completions.
 const COMPLETIONS: &str = "/v1/completions";
@@ -52,8 +52,14 @@
     let plan = shared.injector.plan(&reply.echo.version, COMPLETIONS);
     tokio::time::sleep(plan.delay).await;
     shared.injector.thaw().await;
+    let echo = &reply.echo.clone();
+    let failed = |failure| Failed {
+        failure,
+        echo,
+        plan: &plan,
+    };
     if let Some(failure) = plan.before {
-        return failure.respond(&peer);
+        return failed(failure).respond(&peer);
     }
     let mut flow = start(&shared, &reply, &completion).with_flight(flight);
     let held = !completion.stream || plan.after.is_some();
@@ -62,7 +68,7 @@
     }
     tokio::time::sleep(plan.late).await;
     if let Some(failure) = plan.after {
-        return failure.respond(&peer);
+        return failed(failure).respond(&peer);
     }
     let before = shared.lock().last.replace(reply.clone());
     let reply = before
--- a/crates/fake/src/fault/faults.rs
+++ b/crates/fake/src/fault/faults.rs
@@ -17,7 +17,9 @@
     pub freeze_ms: u64,
     /// Span from now for which connections are cut and refused, in milliseconds; admin calls are refused too.
     pub refuse_ms: u64,
-    /// Requests that fail without having run.
+    /// Requests refused with 503, `Bilberrylatch-Outcome: not-run` and `Retry-After: 1`; they do not run.
+    pub reject: Trigger,
+    /// Requests that fail without having run, and without saying so.
     pub fail_before: Trigger,
     /// Requests that run and are then answered with the failure status.
     pub fail_after: Trigger,
@@ -51,6 +53,7 @@
             slow_ms: 0,
             freeze_ms: 0,
             refuse_ms: 0,
+            reject: Trigger::default(),
             fail_before: Trigger::default(),
             fail_after: Trigger::default(),
             status: DEFAULT_STATUS,
--- a/crates/fake/src/fault/injector.rs
+++ b/crates/fake/src/fault/injector.rs
@@ -120,6 +120,7 @@
         let late = faults.late.strikes(random);
         let mut before = [
             (&mut faults.reset_before, Failure::Reset),
+            (&mut faults.reject, Failure::Rejected),
             (&mut faults.fail_before, status),
         ];
         let before = failure(badness).or(struck(&mut before, random));
--- a/crates/fake/src/fault/plan.rs
+++ b/crates/fake/src/fault/plan.rs
@@ -2,11 +2,8 @@
 
 use std::time::Duration;
 
-use axum::response::{IntoResponse, Response};
 use http::StatusCode;
 
-use crate::net::Peer;
-
 /// Faults drawn for one request, in the order in which they strike.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Plan {
@@ -27,6 +24,8 @@
 pub enum Failure {
     /// The connection is reset.
     Reset,
+    /// It is refused as not run.
+    Rejected,
     /// A status takes its place.
     Status(StatusCode),
 }
@@ -45,13 +44,3 @@
     /// The connection is reset in the middle of it.
     Cut,
 }
-
-impl Failure {
-    /// The failure as a response.
-    pub fn respond(self, peer: &Peer) -> Response {
-        match self {
-            Self::Reset => peer.reset(),
-            Self::Status(status) => status.into_response(),
-        }
-    }
-}
--- a/crates/fake/src/header.rs
+++ b/crates/fake/src/header.rs
@@ -6,6 +6,10 @@
 pub const KEY: &str = "bilberrylatch-key";
 /// Lease that a key of the key-value service is bound to.
 pub const LEASE: &str = "bilberrylatch-lease";
+/// What may be concluded of a request that was not answered; `not-run` beside a refusal.
+pub const OUTCOME: &str = "bilberrylatch-outcome";
+/// Identity of a request, the same at every node and replica.
+pub const REQUEST_ID: &str = "bilberrylatch-request-id";
 /// Revision of the key-value service after the call.
 pub const REVISION: &str = "bilberrylatch-revision";
 /// Version that served the request.
--- a/crates/fake/src/replica.rs
+++ b/crates/fake/src/replica.rs
@@ -1,6 +1,7 @@
 //! What engines and services have in common: load reports and orders.
 
 pub mod echo;
+pub mod failed;
 pub mod load;
 pub mod order;
 pub mod orders;
@@ -9,6 +10,7 @@
 pub mod whole;
 
 pub use echo::Echo;
+pub use failed::Failed;
 pub use load::Load;
 pub use order::Order;
 pub use orders::Orders;
--- a/crates/fake/src/replica/echo.rs
+++ b/crates/fake/src/replica/echo.rs
@@ -15,6 +15,8 @@
     pub dispatch: Option<String>,
     /// Idempotency key that the request carried.
     pub key: Option<String>,
+    /// Identity of the request; recorded, not echoed.
+    pub request: Option<String>,
     /// Version that serves it.
     pub version: String,
 }
@@ -25,6 +27,7 @@
         Self {
             dispatch: text(headers, header::DISPATCH),
             key: text(headers, header::KEY),
+            request: text(headers, header::REQUEST_ID),
             version,
         }
     }
--- a/crates/fake/src/replica/run.rs
+++ b/crates/fake/src/replica/run.rs
@@ -17,6 +17,8 @@
     pub dispatch: Option<String>,
     /// Idempotency key that the request carried.
     pub key: Option<String>,
+    /// Identity of the request that the system passed on.
+    pub request: Option<String>,
     /// Version that served it.
     pub version: String,
 }
@@ -30,6 +32,7 @@
             path: path.to_owned(),
             dispatch: echo.dispatch.clone(),
             key: echo.key.clone(),
+            request: echo.request.clone(),
             version: echo.version.clone(),
         }
     }
--- a/crates/fake/src/service/route.rs
+++ b/crates/fake/src/service/route.rs
@@ -14,7 +14,7 @@
 use super::shared::Shared;
 use crate::fault::{Faults, Plan, Twist};
 use crate::net::Peer;
-use crate::replica::{Echo, Load, Order, Orders, Whole};
+use crate::replica::{Echo, Failed, Load, Order, Orders, Whole};
 
 /// All routes over the shared state.
 pub fn router(shared: Arc<Shared>) -> Router {
@@ -50,7 +50,12 @@
     tokio::time::sleep(plan.delay).await;
     shared.injector.thaw().await;
     if let Some(failure) = plan.before {
-        return failure.respond(peer);
+        return Failed {
+            failure,
+            echo: &echo,
+            plan,
+        }
+        .respond(peer);
     }
     let Some(body) = work(shared, run, body).await else {
         return (StatusCode::BAD_REQUEST, "a top-up takes an account and an amount").into_response();
@@ -58,7 +63,12 @@
     tokio::time::sleep(plan.late).await;
     shared.injector.thaw().await;
     if let Some(failure) = plan.after {
-        return failure.respond(peer);
+        return Failed {
+            failure,
+            echo: &echo,
+            plan,
+        }
+        .respond(peer);
     }
     let answer = Whole { echo, body };
     let before = shared.lock().last.replace(answer.clone());
--- a/crates/fake/tests/service.rs
+++ b/crates/fake/tests/service.rs
@@ -113,6 +113,7 @@
         case(1, Seen::Whole, |faults| faults.late = ONCE),
         case(0, Seen::Status(503), |faults| faults.fail_before = ONCE),
         case(1, Seen::Status(503), |faults| faults.fail_after = ONCE),
+        case(0, Seen::Status(503), |faults| faults.reject = ONCE),
         case(0, Seen::Reset, |faults| faults.reset_before = ONCE),
         case(1, Seen::Reset, |faults| faults.reset_after = ONCE),
         case(1, other("00000000-0000-0000-0000-000000000000"), |faults| {
@@ -132,6 +133,12 @@
 async fn see(answer: reqwest::Result<Response>) -> Seen {
     let Ok(response) = answer else { return Seen::Reset };
     if response.status() != 200 {
+        let headers = response.headers();
+        assert_eq!(headers["bilberrylatch-dispatch"], "mine");
+        assert_eq!(
+            headers.contains_key("retry-after"),
+            headers.contains_key("bilberrylatch-outcome")
+        );
         return Seen::Status(response.status().as_u16());
     }
     let dispatch = response.headers()["bilberrylatch-dispatch"]
