--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -29,7 +29,9 @@
 async fn dispatch(args: Bilberrylatch) -> Result<(), Error> {
     let output = if args.json { Output::Json } else { Output::Human };
     match args.subcommand {
-        BilberrylatchCmd::Catalogue(catalogue) => command::catalogue::run(&args.node, output, catalogue).await,
+        BilberrylatchCmd::Catalogue(catalogue) => {
+            command::catalogue::run(&args.node, output, catalogue).await
+        }
         BilberrylatchCmd::Nodes(_) => command::nodes::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Replicas(_) => command::replicas::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
@@ -45,6 +47,8 @@
     let token = env::var("BILBERRYLATCH_OPERATOR_TOKEN").map_err(|_unset| {
         Error::Usage("BILBERRYLATCH_OPERATOR_TOKEN: missing; set it to the operators' token".to_owned())
     })?;
-    let nodes = nodes.split(',').map(|node| node.trim().trim_end_matches('/').to_owned());
+    let nodes = nodes
+        .split(',')
+        .map(|node| node.trim().trim_end_matches('/').to_owned());
     Client::new(nodes.filter(|node| !node.is_empty()).collect(), token)
 }
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -64,7 +64,10 @@
     {
         let mut last = Error::Unreachable("none given".to_owned());
         for node in &self.nodes {
-            let mut request = self.http.request(method.clone(), format!("{node}{path}")).bearer_auth(&self.token);
+            let mut request = self
+                .http
+                .request(method.clone(), format!("{node}{path}"))
+                .bearer_auth(&self.token);
             if let Some(body) = &body {
                 request = request.body(body.clone());
             }
@@ -92,15 +95,24 @@
     T: DeserializeOwned,
 {
     let status = response.status();
-    let body = response.bytes().await.map_err(|error| Error::Unsettled(error.to_string()))?;
+    let body = response
+        .bytes()
+        .await
+        .map_err(|error| Error::Unsettled(error.to_string()))?;
     if status.is_success() {
-        let malformed = |error: serde_json::Error| Error::Refused { status: status.as_u16(), detail: error.to_string() };
+        let malformed = |error: serde_json::Error| Error::Refused {
+            status: status.as_u16(),
+            detail: error.to_string(),
+        };
         return serde_json::from_slice(&body).map_err(malformed);
     }
     let problem: Problem = serde_json::from_slice(&body).unwrap_or_default();
     Err(match status {
         StatusCode::CONFLICT => Error::Conflict(problem.detail),
         StatusCode::GATEWAY_TIMEOUT => Error::Unsettled(problem.detail),
-        _ => Error::Refused { status: status.as_u16(), detail: problem.detail },
+        _ => Error::Refused {
+            status: status.as_u16(),
+            detail: problem.detail,
+        },
     })
 }
--- a/crates/ctl/src/command/catalogue.rs
+++ b/crates/ctl/src/command/catalogue.rs
@@ -68,7 +68,12 @@
         args::CatalogueCmd::Status(_) => status(&connect()?, output).await,
         args::CatalogueCmd::Token(token) => {
             let token_digest = catalogue::token::digest(&token.token);
-            output.line(&token_digest, &Digest { token_digest: token_digest.clone() });
+            output.line(
+                &token_digest,
+                &Digest {
+                    token_digest: token_digest.clone(),
+                },
+            );
             Ok(())
         }
     }
@@ -76,8 +81,14 @@
 
 /// Reads a file and checks it.
 pub fn read(path: &Path) -> Result<String, Error> {
-    let text = std::fs::read_to_string(path).map_err(|cause| Error::File { path: path.to_owned(), cause })?;
-    Catalogue::parse(&text).map_err(|findings| Error::Catalogue { path: path.to_owned(), findings })?;
+    let text = std::fs::read_to_string(path).map_err(|cause| Error::File {
+        path: path.to_owned(),
+        cause,
+    })?;
+    Catalogue::parse(&text).map_err(|findings| Error::Catalogue {
+        path: path.to_owned(),
+        findings,
+    })?;
     Ok(text)
 }
 
@@ -91,7 +102,11 @@
     let text = read(path)?;
     let shown: Shown = client.get("/v1/admin/catalogue").await?;
     let changed = shown.text != text;
-    println!("{} against generation {}", if changed { "changed" } else { "the same" }, shown.generation);
+    println!(
+        "{} against generation {}",
+        if changed { "changed" } else { "the same" },
+        shown.generation
+    );
     Ok(())
 }
 
@@ -110,7 +125,10 @@
     output.line(&sentence, &status);
     if output == Output::Human {
         for zone in &status.behind {
-            println!("behind: {}/{} at generation {}", zone.region, zone.zone, zone.generation);
+            println!(
+                "behind: {}/{} at generation {}",
+                zone.region, zone.zone, zone.generation
+            );
         }
     }
     Ok(())
--- a/crates/ctl/src/command/catalogue/apply.rs
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -34,10 +34,18 @@
         Some(expected) => expected,
         None => client.get::<Shown>("/v1/admin/catalogue").await?.generation,
     };
-    let id = flags.id.unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string());
-    let author = flags.author.or_else(|| std::env::var("USER").ok()).unwrap_or_else(|| "operator".to_owned());
+    let id = flags
+        .id
+        .unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string());
+    let author = flags
+        .author
+        .or_else(|| std::env::var("USER").ok())
+        .unwrap_or_else(|| "operator".to_owned());
     let accepted = submit(client, &text, expected, &id, &author).await?;
-    output.line(&format!("accepted as generation {}", accepted.generation), &accepted);
+    output.line(
+        &format!("accepted as generation {}", accepted.generation),
+        &accepted,
+    );
     if flags.wait {
         let timeout = flags.timeout_seconds.map_or(DEFAULT_TIMEOUT, Duration::from_secs);
         wait(client, accepted.generation, timeout).await?;
@@ -46,7 +54,13 @@
 }
 
 /// Sends the edit; a lost answer is asked for again with the same id, so that it is never applied twice.
-async fn submit(client: &Client, text: &str, expected: u64, id: &str, author: &str) -> Result<Accepted, Error> {
+async fn submit(
+    client: &Client,
+    text: &str,
+    expected: u64,
+    id: &str,
+    author: &str,
+) -> Result<Accepted, Error> {
     let path = format!("/v1/admin/catalogue?expected={expected}&id={id}&author={author}");
     let mut attempt = 1;
     loop {
@@ -60,7 +74,11 @@
 }
 
 async fn wait(client: &Client, generation: u64, timeout: Duration) -> Result<(), Error> {
-    let bar = if std::io::stderr().is_terminal() { ProgressBar::new_spinner() } else { ProgressBar::hidden() };
+    let bar = if std::io::stderr().is_terminal() {
+        ProgressBar::new_spinner()
+    } else {
+        ProgressBar::hidden()
+    };
     bar.enable_steady_tick(LOOK);
     let deadline = Instant::now() + timeout;
     loop {
--- a/crates/ctl/src/command/nodes.rs
+++ b/crates/ctl/src/command/nodes.rs
@@ -31,6 +31,10 @@
         ]
     };
     let rows = nodes.iter().map(row).collect();
-    output.table(&["NAME", "STATE", "ZONE", "CALLERS", "PEERS", "INCARNATION"], rows, &nodes);
+    output.table(
+        &["NAME", "STATE", "ZONE", "CALLERS", "PEERS", "INCARNATION"],
+        rows,
+        &nodes,
+    );
     Ok(())
 }
--- a/crates/ctl/src/command/replicas.rs
+++ b/crates/ctl/src/command/replicas.rs
@@ -33,6 +33,18 @@
         ]
     };
     let rows = replicas.iter().map(row).collect();
-    output.table(&["VM", "ENDPOINT", "ZONE", "VERSION", "STATE", "IN FLIGHT", "ADDRESS"], rows, &replicas);
+    output.table(
+        &[
+            "VM",
+            "ENDPOINT",
+            "ZONE",
+            "VERSION",
+            "STATE",
+            "IN FLIGHT",
+            "ADDRESS",
+        ],
+        rows,
+        &replicas,
+    );
     Ok(())
 }
--- a/crates/ctl/src/demo.rs
+++ b/crates/ctl/src/demo.rs
@@ -12,7 +12,9 @@
 
 /// Runs the demo; without `requests` it stays up until it is interrupted.
 pub async fn run(requests: Option<usize>) -> Result<(), Error> {
-    let level = std::env::var("BILBERRYLATCH_LOG_LEVEL").ok().and_then(|level| level.parse().ok());
+    let level = std::env::var("BILBERRYLATCH_LOG_LEVEL")
+        .ok()
+        .and_then(|level| level.parse().ok());
     node::logs::start(Format::Human, level.unwrap_or(LevelFilter::Warn))
         .map_err(|error| Error::Demo(error.to_string()))?;
     let deployment = Deployment::start().await?;
@@ -22,7 +24,13 @@
     let tally = caller::run(&deployment, requests).await?;
     deployment.stop().await;
     println!("{tally}");
-    if tally.is_clean() { Ok(()) } else { Err(Error::Demo("some requests had no answer or a wrong one".to_owned())) }
+    if tally.is_clean() {
+        Ok(())
+    } else {
+        Err(Error::Demo(
+            "some requests had no answer or a wrong one".to_owned(),
+        ))
+    }
 }
 
 async fn stay(deployment: Deployment) -> Result<(), Error> {
--- a/crates/ctl/src/demo/caller.rs
+++ b/crates/ctl/src/demo/caller.rs
@@ -34,7 +34,10 @@
 
 /// Sends `requests`, several at once.
 pub async fn run(deployment: &Deployment, requests: usize) -> Result<Tally, Error> {
-    let client = Client::builder().no_proxy().build().map_err(|error| Error::Demo(error.to_string()))?;
+    let client = Client::builder()
+        .no_proxy()
+        .build()
+        .map_err(|error| Error::Demo(error.to_string()))?;
     let urls = deployment.urls();
     let calls = (0..requests).map(|index| one(client.clone(), urls[index % urls.len()].clone(), index));
     let mut tally = Tally::default();
@@ -53,7 +56,10 @@
     };
     result.unwrap_or_else(|error| {
         eprintln!("request {index}: {error}");
-        Tally { unanswered: 1, ..Tally::default() }
+        Tally {
+            unanswered: 1,
+            ..Tally::default()
+        }
     })
 }
 
@@ -73,18 +79,37 @@
     let mut next = 0;
     while let Some(Ok(event)) = events.next().await {
         match event.event.as_str() {
-            "done" if next == TOKENS => return Ok(Tally { answered: 1, ..Tally::default() }),
-            "error" => return Ok(Tally { unknown: 1, ..Tally::default() }),
+            "done" if next == TOKENS => {
+                return Ok(Tally {
+                    answered: 1,
+                    ..Tally::default()
+                });
+            }
+            "error" => {
+                return Ok(Tally {
+                    unknown: 1,
+                    ..Tally::default()
+                });
+            }
             _token => {}
         }
-        let wanted = fake::engine::completion::Token { token: token(&prompt, next) };
-        let right = serde_json::from_str(&event.data).is_ok_and(|found: fake::engine::completion::Token| found == wanted);
+        let wanted = fake::engine::completion::Token {
+            token: token(&prompt, next),
+        };
+        let right = serde_json::from_str(&event.data)
+            .is_ok_and(|found: fake::engine::completion::Token| found == wanted);
         if !right {
-            return Ok(Tally { wrong: 1, ..Tally::default() });
+            return Ok(Tally {
+                wrong: 1,
+                ..Tally::default()
+            });
         }
         next += 1;
     }
-    Ok(Tally { wrong: 1, ..Tally::default() })
+    Ok(Tally {
+        wrong: 1,
+        ..Tally::default()
+    })
 }
 
 async fn top_up(client: &Client, url: &str, index: usize) -> Result<Tally, reqwest::Error> {
@@ -110,13 +135,36 @@
     }
     let balance: Balance = response.json().await?;
     let right = balance.account == account && balance.balance == AMOUNT;
-    Ok(if right { Tally { answered: 1, ..Tally::default() } } else { Tally { wrong: 1, ..Tally::default() } })
+    Ok(if right {
+        Tally {
+            answered: 1,
+            ..Tally::default()
+        }
+    } else {
+        Tally {
+            wrong: 1,
+            ..Tally::default()
+        }
+    })
 }
 
 fn refused(response: &Response) -> Tally {
-    match response.headers().get("bilberrylatch-outcome").and_then(|value| value.to_str().ok()) {
-        Some("not-run") => Tally { refused: 1, ..Tally::default() },
-        Some(_other) => Tally { unknown: 1, ..Tally::default() },
-        None => Tally { unanswered: 1, ..Tally::default() },
+    match response
+        .headers()
+        .get("bilberrylatch-outcome")
+        .and_then(|value| value.to_str().ok())
+    {
+        Some("not-run") => Tally {
+            refused: 1,
+            ..Tally::default()
+        },
+        Some(_other) => Tally {
+            unknown: 1,
+            ..Tally::default()
+        },
+        None => Tally {
+            unanswered: 1,
+            ..Tally::default()
+        },
     }
 }
--- a/crates/ctl/src/demo/deployment.rs
+++ b/crates/ctl/src/demo/deployment.rs
@@ -49,13 +49,21 @@
         let mut stand_ins = Vec::new();
         let mut vms = Vec::new();
         for index in 0..REPLICAS {
-            let engine = fake::engine::Server::new().start(loopback()).await.map_err(failed)?;
+            let engine = fake::engine::Server::new()
+                .start(loopback())
+                .await
+                .map_err(failed)?;
             vms.push(vm(index, "assistant", "demo-engine", engine.addr()));
-            let service = fake::service::Server::new().start(loopback()).await.map_err(failed)?;
+            let service = fake::service::Server::new()
+                .start(loopback())
+                .await
+                .map_err(failed)?;
             vms.push(vm(index, "ledger", "demo-service", service.addr()));
             stand_ins.extend([engine, service]);
         }
-        let cloud = vms.into_iter().fold(fake::cloud::Server::new(), fake::cloud::Server::with_vm);
+        let cloud = vms
+            .into_iter()
+            .fold(fake::cloud::Server::new(), fake::cloud::Server::with_vm);
         let cloud = cloud.start(loopback()).await.map_err(failed)?;
         let store = fake::kv::Server::new().start(loopback()).await.map_err(failed)?;
         let nodes = start_nodes(&store.url(), &cloud.url()).await?;
@@ -67,7 +75,10 @@
 
     /// URLs of the nodes.
     pub fn urls(&self) -> Vec<String> {
-        self.nodes.iter().map(|node| format!("http://{}", node.address())).collect()
+        self.nodes
+            .iter()
+            .map(|node| format!("http://{}", node.address()))
+            .collect()
     }
 
     /// Stops nodes, then stand-ins.
@@ -119,7 +130,9 @@
             log_format: Format::Human,
             log_level: log::LevelFilter::Info,
         };
-        let node = Node::start(settings).await.map_err(|error| Error::Demo(error.to_string()))?;
+        let node = Node::start(settings)
+            .await
+            .map_err(|error| Error::Demo(error.to_string()))?;
         nodes.push(node);
     }
     Ok(nodes)
@@ -163,7 +176,10 @@
             f,
             "  curl -X POST -H 'Authorization: Bearer {WORKSPACE_TOKEN}' {first}/v1/endpoints/ledger/keys"
         )?;
-        writeln!(f, "  BILBERRYLATCH_OPERATOR_TOKEN={OPERATOR_TOKEN} bilberrylatch --node {first} nodes")?;
+        writeln!(
+            f,
+            "  BILBERRYLATCH_OPERATOR_TOKEN={OPERATOR_TOKEN} bilberrylatch --node {first} nodes"
+        )?;
         write!(f, "stop with Ctrl-C")
     }
 }
--- a/crates/ctl/src/demo/tally.rs
+++ b/crates/ctl/src/demo/tally.rs
@@ -38,6 +38,10 @@
         if !self.is_clean() {
             writeln!(f, "unanswered {}, wrong {}", self.unanswered, self.wrong)?;
         }
-        write!(f, "answered {}, refused {}, unknown {}", self.answered, self.refused, self.unknown)
+        write!(
+            f,
+            "answered {}, refused {}, unknown {}",
+            self.answered, self.refused, self.unknown
+        )
     }
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -71,7 +71,9 @@
                 }
                 Ok(())
             }
-            Self::Unreachable(detail) => write!(f, "no node answered: {detail}; set --node or BILBERRYLATCH_NODE"),
+            Self::Unreachable(detail) => {
+                write!(f, "no node answered: {detail}; set --node or BILBERRYLATCH_NODE")
+            }
             Self::Refused { status, detail } => write!(f, "refused ({status}): {detail}"),
             Self::Unsettled(detail) => write!(f, "{detail}; the command may be repeated as it was"),
             Self::Timeout(detail) => write!(f, "time ran out: {detail}"),
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -22,7 +22,10 @@
         match self {
             Self::Human => {
                 let mut table = Table::new();
-                table.load_style(NOTHING).set_header(header.to_vec()).add_rows(rows);
+                table
+                    .load_style(NOTHING)
+                    .set_header(header.to_vec())
+                    .add_rows(rows);
                 println!("{table}");
             }
             Self::Json => json(value),
--- a/crates/node/src/actor.rs
+++ b/crates/node/src/actor.rs
@@ -2,10 +2,12 @@
 
 pub mod claims;
 pub mod members;
+pub mod rollouts;
 pub mod traffic;
 
 pub use claims::Claims;
 pub use members::Members;
+pub use rollouts::Rollouts;
 pub use traffic::Traffic;
 
 /// Messages that wait at one actor, at most; senders wait beyond that.
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -93,7 +93,8 @@
             Action::Halt { .. } => self.granted = false,
             Action::Answer { call, answer } => {
                 if let Answer::Refused(reason) = &answer {
-                    metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label()).increment(1);
+                    metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label())
+                        .increment(1);
                 }
                 self.last(call, Verdict::Answer(answer));
             }
@@ -131,7 +132,10 @@
 
     async fn handle(&mut self, issue: Issue, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let Opened { call, verdicts } = self.open();
-        self.step(Event::Issue { call, binding: issue.0 });
+        self.step(Event::Issue {
+            call,
+            binding: issue.0,
+        });
         verdicts
     }
 }
@@ -154,8 +158,19 @@
 
     async fn handle(&mut self, arrive: Arrive, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let Opened { call, verdicts } = self.open();
-        let Arrive { key, binding, fingerprint, home } = arrive;
-        self.step(Event::Arrive { call, key, binding, fingerprint, home });
+        let Arrive {
+            key,
+            binding,
+            fingerprint,
+            home,
+        } = arrive;
+        self.step(Event::Arrive {
+            call,
+            key,
+            binding,
+            fingerprint,
+            home,
+        });
         verdicts
     }
 }
@@ -174,7 +189,10 @@
 
     async fn handle(&mut self, dispatch: Dispatch, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         self.granted = false;
-        self.step(Event::Dispatch { call: dispatch.call, key: dispatch.key });
+        self.step(Event::Dispatch {
+            call: dispatch.call,
+            key: dispatch.key,
+        });
         self.granted
     }
 }
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -21,12 +21,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::actor::Traffic;
-use crate::actor::traffic;
+use crate::actor::{Rollouts, Traffic, rollouts, traffic};
 use crate::clock::Clock;
 use crate::serving::Serving;
 use crate::snapshot::Snapshot;
-pub use message::{Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Tick, Whereabouts};
+pub use message::{
+    Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Spread, Tick, Veto, Whereabouts,
+};
 pub use status::{Addresses, Force, Nodes};
 pub use text::{Text, Want};
 
@@ -51,6 +52,8 @@
     pub peers: wire::Endpoint,
     /// Routing, which applies catalogues and marks.
     pub traffic: ActorRef<Traffic>,
+    /// Rollouts, which hear vetoes and announcements.
+    pub rollouts: ActorRef<Rollouts>,
     /// Where the catalogue in force is published.
     pub snapshot: watch::Sender<Arc<Snapshot>>,
     /// Where the verdict on serving is published.
@@ -67,6 +70,7 @@
     config: Config,
     peers: wire::Endpoint,
     traffic: ActorRef<Traffic>,
+    rollouts: ActorRef<Rollouts>,
     snapshot: watch::Sender<Arc<Snapshot>>,
     serving: watch::Sender<Serving>,
     wanted: mpsc::Sender<Want>,
@@ -82,7 +86,18 @@
     type Error = Infallible;
 
     async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        let Arguments { node, seeds, seed, clock, peers, traffic, snapshot, serving, wanted } = arguments;
+        let Arguments {
+            node,
+            seeds,
+            seed,
+            clock,
+            peers,
+            traffic,
+            rollouts,
+            snapshot,
+            serving,
+            wanted,
+        } = arguments;
         start_ticks(&actor);
         Ok(Self {
             clock,
@@ -90,6 +105,7 @@
             config: Config::new(config::Settings::new()),
             peers,
             traffic,
+            rollouts,
             snapshot,
             serving,
             wanted,
@@ -143,7 +159,11 @@
     }
 
     fn log(&self, node: Incarnation, state: &str) {
-        let name = self.gossip.view().member(node).map(|member| member.node().name.to_string());
+        let name = self
+            .gossip
+            .view()
+            .member(node)
+            .map(|member| member.node().name.to_string());
         log::info!(state = state, incarnation = node.to_string(); "node {} {state}", name.unwrap_or_default());
     }
 
@@ -166,13 +186,22 @@
                 return self.config_step(now, config::Event::Known(head.generation)).await;
             }
             Body::Mark { vm, ended: false } => {
-                let identity = traffic::replica::Identity { vm: vm.name, incarnation: vm.incarnation };
+                let identity = traffic::replica::Identity {
+                    vm: vm.name,
+                    incarnation: vm.incarnation,
+                };
                 let _gone = self.traffic.tell(traffic::replica::Leave { identity }).await;
             }
             Body::Veto { evidence, .. } => {
+                if let Ok(veto) = wire::decode(&evidence) {
+                    let _gone = self.rollouts.tell(rollouts::Vetoed(Box::new(veto))).await;
+                }
                 let _gone = self.traffic.tell(traffic::rollout::Learned(evidence)).await;
             }
-            Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } | Body::Demand { .. } => {}
+            Body::Demand { report, .. } => {
+                let _gone = self.rollouts.tell(rollouts::Announced(report)).await;
+            }
+            Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } => {}
         }
         Vec::new()
     }
@@ -194,7 +223,10 @@
     }
 
     fn publish(&self, now: Millis) {
-        let serving = Serving { verdict: self.config.serving(now), until: now + VERDICT_HOLDS };
+        let serving = Serving {
+            verdict: self.config.serving(now),
+            until: now + VERDICT_HOLDS,
+        };
         self.serving.send_replace(serving);
     }
 
--- a/crates/node/src/actor/members/message.rs
+++ b/crates/node/src/actor/members/message.rs
@@ -90,7 +90,11 @@
     type Reply = ();
 
     async fn handle(&mut self, mark: Mark, _context: &mut Context<Self, Self::Reply>) {
-        self.step(Event::Put(Body::Mark { vm: mark.0, ended: false })).await;
+        self.step(Event::Put(Body::Mark {
+            vm: mark.0,
+            ended: false,
+        }))
+        .await;
     }
 }
 
@@ -107,7 +111,42 @@
     type Reply = ();
 
     async fn handle(&mut self, veto: Veto, _context: &mut Context<Self, Self::Reply>) {
-        self.step(Event::Put(Body::Veto { id: veto.id, evidence: veto.evidence })).await;
+        self.step(Event::Put(Body::Veto {
+            id: veto.id,
+            evidence: veto.evidence,
+        }))
+        .await;
+    }
+}
+
+impl Veto {
+    /// The veto as it is spread.
+    pub fn new(veto: &rollout::Veto) -> Self {
+        let evidence = wire::encode(veto).map(Bytes::from).unwrap_or_default();
+        Self {
+            id: veto.rollout.0,
+            evidence,
+        }
+    }
+}
+
+/// Something that all nodes are to know, replaced by later versions.
+#[derive(Clone, Debug)]
+pub struct Spread {
+    /// Identifies the series.
+    pub id: u64,
+    /// Order within the series.
+    pub version: u64,
+    /// The encoded announcement.
+    pub report: Bytes,
+}
+
+impl Message<Spread> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, spread: Spread, _context: &mut Context<Self, Self::Reply>) {
+        let Spread { id, version, report } = spread;
+        self.step(Event::Put(Body::Demand { id, version, report })).await;
     }
 }
 
@@ -153,13 +192,19 @@
 
     async fn handle(&mut self, asked: Whereabouts, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         let Some(member) = self.gossip.view().member(asked.0) else {
-            return Ok(Found { home: Home::Unreachable, peer: None });
+            return Ok(Found {
+                home: Home::Unreachable,
+                peer: None,
+            });
         };
         let home = match member.state() {
             State::Alive | State::Leaving => Home::Alive,
             State::Suspect => Home::Unreachable,
             State::Gone => Home::Gone,
         };
-        Ok(Found { home, peer: Some(member.node().peer) })
+        Ok(Found {
+            home,
+            peer: Some(member.node().peer),
+        })
     }
 }
--- a/crates/node/src/actor/members/status.rs
+++ b/crates/node/src/actor/members/status.rs
@@ -8,7 +8,7 @@
 use member::address::{Caller, List, Settings};
 use member::node::State;
 use member::{Acks, Generation};
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use super::Members;
 
@@ -30,7 +30,12 @@
             zone: asked.zone.unwrap_or_else(|| self.node.zone.clone()),
             seed: asked.seed,
         };
-        Ok(List::new(self.gossip.view(), &IndexMap::new(), &caller, &Settings::new()))
+        Ok(List::new(
+            self.gossip.view(),
+            &IndexMap::new(),
+            &caller,
+            &Settings::new(),
+        ))
     }
 }
 
@@ -53,8 +58,9 @@
     pub caller: SocketAddr,
     /// Where peers connect.
     pub peer: SocketAddr,
-    /// `alive`, `leaving`, `suspect` or `gone`.
-    pub state: &'static str,
+    /// Its state.
+    #[serde(serialize_with = "lower_case")]
+    pub state: State,
 }
 
 impl Message<Nodes> for Members {
@@ -67,12 +73,6 @@
 
 fn line(member: &member::view::Member) -> Line {
     let node = member.node();
-    let state = match member.state() {
-        State::Alive => "alive",
-        State::Leaving => "leaving",
-        State::Suspect => "suspect",
-        State::Gone => "gone",
-    };
     Line {
         name: node.name.clone(),
         incarnation: node.incarnation,
@@ -80,10 +80,24 @@
         region: node.region.clone(),
         caller: node.caller,
         peer: node.peer,
-        state,
+        state: member.state(),
     }
 }
 
+/// States as operators read them.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the serializer's signature")]
+fn lower_case<S>(state: &State, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    serializer.serialize_str(match state {
+        State::Alive => "alive",
+        State::Leaving => "leaving",
+        State::Suspect => "suspect",
+        State::Gone => "gone",
+    })
+}
+
 /// Asks how far a generation has got.
 #[derive(Clone, Copy, Debug)]
 pub struct Force;
--- a/crates/node/src/actor/members/text.rs
+++ b/crates/node/src/actor/members/text.rs
@@ -53,7 +53,11 @@
 
     /// Takes a text in if a known generation has it.
     pub(super) async fn take_text(&mut self, now: Millis, digest: Digest, bytes: &Bytes) -> Vec<Action> {
-        let named = self.digests.iter().rev().find(|(_generation, known)| **known == digest);
+        let named = self
+            .digests
+            .iter()
+            .rev()
+            .find(|(_generation, known)| **known == digest);
         let Some(generation) = named.map(|(generation, _digest)| *generation) else {
             return Vec::new();
         };
@@ -76,7 +80,10 @@
         self.checked.retain(|other, _snapshot| *other > generation);
         if let Some(catalogue) = &snapshot.catalogue {
             let nodes = self.gossip.view().present().count() as u32;
-            let apply = traffic::Apply { catalogue: Arc::clone(catalogue), nodes };
+            let apply = traffic::Apply {
+                catalogue: Arc::clone(catalogue),
+                nodes,
+            };
             let _gone = self.traffic.tell(apply).await;
         }
         log::info!(generation = generation.0; "catalogue generation {} in force here", generation.0);
--- /dev/null
+++ b/crates/node/src/actor/rollouts/announcement.rs
@@ -0,0 +1,50 @@
+//! What a controller tells all nodes, spread by gossip.
+
+use base::{Incarnation, Name};
+use rollout::Shares;
+use serde::{Deserialize, Serialize};
+
+use crate::hash;
+
+/// Which node controls an endpoint's rollouts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The node.
+    pub node: Incarnation,
+    /// Its fencing number; a higher one is later.
+    pub fence: u64,
+}
+
+/// One announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Announcement {
+    /// Shares in force.
+    Shares(Shares),
+    /// Who controls an endpoint.
+    Holder {
+        /// The endpoint.
+        endpoint: Name,
+        /// The node.
+        holder: Holder,
+    },
+}
+
+impl Announcement {
+    /// Identifies the series that this announcement is the latest of.
+    pub fn id(&self) -> u64 {
+        match self {
+            Self::Shares(shares) => hash::stable(&format!("shares/{}", shares.endpoint)),
+            Self::Holder { endpoint, .. } => hash::stable(&format!("holder/{endpoint}")),
+        }
+    }
+
+    /// Order within the series: by generation or fencing number, then by time, so that repeats are news.
+    pub fn version(&self, wall_seconds: u64) -> u64 {
+        const TIME_BITS: u32 = 32;
+        let order = match self {
+            Self::Shares(shares) => shares.generation,
+            Self::Holder { holder, .. } => holder.fence,
+        };
+        (order << TIME_BITS) | (wall_seconds & u64::from(u32::MAX))
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/rollouts/seat.rs
@@ -0,0 +1,51 @@
+//! One endpoint's role and controller on this node.
+
+use base::{Incarnation, Millis, Seed};
+use catalogue::{Endpoint, Fencing};
+use indexmap::IndexMap;
+use member::role::{Role, Settings};
+use rollout::{Controller, Id};
+use tokio::sync::oneshot;
+
+use super::Reply;
+use crate::platform::registration::TTL;
+
+/// Longest time that an order to a replica is under way.
+const LONGEST_ORDER: Millis = Millis::from_secs(5);
+
+/// The role, and the controller that acts while it is held.
+#[derive(Debug)]
+pub struct Seat {
+    /// The role.
+    pub role: Role,
+    /// The controller.
+    pub controller: Controller,
+    /// Operators that wait for their declaration or undo to take effect.
+    pub waiting: IndexMap<Id, oneshot::Sender<Reply>>,
+    /// Whether the controller has been told that the role is held.
+    pub acting: bool,
+}
+
+impl Seat {
+    /// A seat that is not held.
+    pub fn new(endpoint: &Endpoint, incarnation: Incarnation, seed: Seed) -> Self {
+        let settings = match endpoint.fencing {
+            Fencing::Checked => Settings::new(),
+            Fencing::Ignored => Settings::new().with_unfenced(Millis(TTL.as_millis() as u64), LONGEST_ORDER),
+        };
+        Self {
+            role: Role::new(incarnation, seed, settings),
+            controller: Controller::new(),
+            waiting: IndexMap::new(),
+            acting: false,
+        }
+    }
+
+    /// Answers an operator that waits for `id`.
+    pub fn answer(&mut self, id: Id, reply: Reply) {
+        if let Some(waiting) = self.waiting.swap_remove(&id) {
+            // An operator that went away asks again.
+            let _gone = waiting.send(reply);
+        }
+    }
+}
--- a/crates/node/src/actor/traffic.rs
+++ b/crates/node/src/actor/traffic.rs
@@ -11,12 +11,12 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
+use ::rollout::{Assignment, Guard, Id, Split, Veto};
 use base::{Millis, Name, Seed};
 use indexmap::IndexMap;
-use kameo::actor::ActorRef;
 use kameo::Actor;
+use kameo::actor::ActorRef;
 use rand::RngExt;
-use ::rollout::{Assignment, Guard, Split};
 use route::{Action, CallKey, DispatchId, EndpointKey, Event, ReplicaKey, Router, WorkspaceKey};
 use tokio::sync::mpsc;
 
@@ -40,6 +40,8 @@
     pub clock: Clock,
     /// This run of the process.
     pub incarnation: base::Incarnation,
+    /// Where vetoes of this node go.
+    pub vetoes: mpsc::Sender<Veto>,
 }
 
 /// A workspace's use of one endpoint.
@@ -58,13 +60,25 @@
     endpoint: Name,
     route: Name,
     assignment: Option<Assignment>,
+    /// The version drawn or, without a rollout, the stable one.
+    version: Option<Name>,
     arrived: Millis,
 }
 
+/// What a dispatch says about a version: only the drawn version's first dispatch is evidence.
+#[derive(Clone, Debug)]
+struct Version {
+    endpoint: Name,
+    route: Name,
+    assignment: Option<Assignment>,
+}
+
 /// A dispatch that has not ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Flight {
     call: CallKey,
+    started: Millis,
+    evidence: Option<Version>,
 }
 
 /// Carries events of requests and replicas into the router, the split and the guard.
@@ -84,6 +98,8 @@
     calls: IndexMap<CallKey, Call>,
     flights: IndexMap<DispatchId, Flight>,
     next_call: u64,
+    rollouts: IndexMap<Name, Id>,
+    vetoes: mpsc::Sender<Veto>,
     actions: Vec<Action>,
 }
 
@@ -108,6 +124,8 @@
             calls: IndexMap::new(),
             flights: IndexMap::new(),
             next_call: 0,
+            rollouts: IndexMap::new(),
+            vetoes: arguments.vetoes,
             actions: Vec::new(),
         })
     }
@@ -133,7 +151,6 @@
                 Action::Dispatch(dispatch) => self.order_dispatch(dispatch),
                 Action::Cancel { dispatch } => self.order(self.call_of(dispatch), Order::Cancel(dispatch)),
                 Action::Answered { call, dispatch } => {
-                    self.flights.swap_remove(&dispatch);
                     self.end(now, call, Order::Answered(dispatch));
                 }
                 Action::Refuse { call, refusal } => {
@@ -146,17 +163,42 @@
     }
 
     fn order_dispatch(&mut self, dispatch: route::action::Dispatch) {
-        let target = self.keys.get(&dispatch.replica).and_then(|identity| self.replicas.get(identity));
+        let target = self
+            .keys
+            .get(&dispatch.replica)
+            .and_then(|identity| self.replicas.get(identity));
         let Some(target) = target.map(|replica| Target::new(dispatch, replica)) else {
             return;
         };
         if let Some(cause) = dispatch.cause {
             metrics::counter!("bilberrylatch_retries_total", "cause" => cause.as_str()).increment(1);
         }
-        self.flights.insert(dispatch.id, Flight { call: dispatch.call });
+        let evidence = self.evidence(&dispatch, &target);
+        if let Some(version) = &evidence {
+            self.evidence_began(version);
+        }
+        let started = self.clock.now();
+        self.flights.insert(
+            dispatch.id,
+            Flight {
+                call: dispatch.call,
+                started,
+                evidence,
+            },
+        );
         self.order(Some(dispatch.call), Order::Dispatch(target));
     }
 
+    fn evidence(&self, dispatch: &route::action::Dispatch, target: &Target) -> Option<Version> {
+        let call = self.calls.get(&dispatch.call)?;
+        let drawn = call.version.as_ref() == Some(&target.version);
+        (dispatch.attempt == 1 && drawn).then(|| Version {
+            endpoint: call.endpoint.clone(),
+            route: call.route.clone(),
+            assignment: call.assignment,
+        })
+    }
+
     fn call_of(&self, dispatch: DispatchId) -> Option<CallKey> {
         self.flights.get(&dispatch).map(|flight| flight.call)
     }
--- a/crates/node/src/actor/traffic/arrive.rs
+++ b/crates/node/src/actor/traffic/arrive.rs
@@ -4,6 +4,7 @@
 use kameo::message::{Context, Message};
 use route::arrival::Priority;
 use route::event::Finish;
+use route::failure::Kind;
 use route::{Arrival, CallKey, DispatchId, Event, Prefix};
 use tokio::sync::mpsc;
 
@@ -42,8 +43,13 @@
         let stable = self.stable(&arrive.endpoint);
         let choice = self.split.choose(&arrive.endpoint, &arrive.route, draw);
         let assignment = choice.map(|choice| choice.assignment);
-        let version = choice.map(|choice| choice.version.clone()).or_else(|| stable.clone());
-        let tenant = Tenant { endpoint: arrive.endpoint.clone(), workspace: arrive.workspace };
+        let version = choice
+            .map(|choice| choice.version.clone())
+            .or_else(|| stable.clone());
+        let tenant = Tenant {
+            endpoint: arrive.endpoint.clone(),
+            workspace: arrive.workspace,
+        };
         let endpoint = self.endpoints.get(&arrive.endpoint).copied().unwrap_or_default();
         let workspace = self.tenants.get(&tenant).copied().unwrap_or_default();
         let mut arrival = Arrival::new(key, endpoint, workspace, arrive.deadline)
@@ -53,15 +59,18 @@
         if let Some(prefix) = arrive.prefix {
             arrival = arrival.with_prefix(prefix);
         }
-        if let Some(version) = version {
-            let fallback = stable.filter(|stable| *stable != version).map(|stable| self.router.version(&stable));
-            arrival = arrival.with_version(self.router.version(&version), fallback);
+        if let Some(version) = &version {
+            let fallback = stable
+                .filter(|stable| stable != version)
+                .map(|stable| self.router.version(&stable));
+            arrival = arrival.with_version(self.router.version(version), fallback);
         }
         let call = Call {
             orders: arrive.orders,
             endpoint: arrive.endpoint,
             route: arrive.route,
             assignment,
+            version: version.clone(),
             arrived: self.clock.now(),
         };
         self.calls.insert(key, call);
@@ -89,14 +98,37 @@
     pub dispatch: DispatchId,
     /// How it ended.
     pub finish: Finish,
+    /// Whether the endpoint answered with a server error.
+    pub server_error: bool,
 }
 
 impl Message<Finished> for Traffic {
     type Reply = ();
 
     async fn handle(&mut self, finished: Finished, _context: &mut Context<Self, Self::Reply>) {
-        self.step(Event::Finished { dispatch: finished.dispatch, finish: finished.finish });
-        self.flights.swap_remove(&finished.dispatch);
+        let Finished {
+            dispatch,
+            finish,
+            server_error,
+        } = finished;
+        let flight = self.flights.swap_remove(&dispatch);
+        self.step(Event::Finished { dispatch, finish });
+        let Some(flight) = flight else { return };
+        let Some(version) = flight.evidence else { return };
+        let failed = server_error || speaks_against(finish);
+        self.evidence_ended(version, flight.started, failed);
+    }
+}
+
+/// Whether an end speaks against the version that ran, not against the VM that it ran on.
+const fn speaks_against(finish: Finish) -> bool {
+    match finish {
+        Finish::Whole => false,
+        Finish::Cut { .. } => true,
+        Finish::Failed(failure) => match failure.kind {
+            Kind::Reset | Kind::Timeout | Kind::Status | Kind::Mismatch => true,
+            Kind::Refused | Kind::Connect | Kind::Rejected | Kind::Cancelled => false,
+        },
     }
 }
 
--- a/crates/node/src/actor/traffic/catalogue.rs
+++ b/crates/node/src/actor/traffic/catalogue.rs
@@ -45,7 +45,10 @@
             let settings = endpoint_settings(endpoint);
             let key = match left.swap_remove(&endpoint.name) {
                 Some(key) => {
-                    self.step(Event::EndpointChanged { endpoint: key, settings });
+                    self.step(Event::EndpointChanged {
+                        endpoint: key,
+                        settings,
+                    });
                     key
                 }
                 None => self.router.add_endpoint(settings),
@@ -62,7 +65,10 @@
         let mut kept = IndexMap::new();
         for endpoint in &catalogue.endpoints {
             for share in &endpoint.shares {
-                let tenant = Tenant { endpoint: endpoint.name.clone(), workspace: share.workspace.clone() };
+                let tenant = Tenant {
+                    endpoint: endpoint.name.clone(),
+                    workspace: share.workspace.clone(),
+                };
                 let settings = self.tenant_settings(catalogue, endpoint, share);
                 let key = match left.swap_remove(&tenant) {
                     Some(workspace) => {
@@ -86,8 +92,11 @@
         endpoint: &Endpoint,
         share: &catalogue::Share,
     ) -> workspace::Settings {
-        let weight =
-            catalogue.workspaces.iter().find(|w| w.name == share.workspace).map_or(1, |w| w.weight.max(1));
+        let weight = catalogue
+            .workspaces
+            .iter()
+            .find(|w| w.name == share.workspace)
+            .map_or(1, |w| w.weight.max(1));
         let part = (share.in_flight / self.nodes).max(1);
         workspace::Settings::new(part)
             .with_weight(weight)
--- a/crates/node/src/actor/traffic/replica.rs
+++ b/crates/node/src/actor/traffic/replica.rs
@@ -8,6 +8,7 @@
 use route::{Event, ReplicaKey, replica};
 
 use super::Traffic;
+use crate::hash;
 
 /// One run of one VM.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -21,18 +22,11 @@
 impl Identity {
     /// A number that is the same on every node.
     fn number(&self) -> u64 {
-        let digest = stable_hash(self.vm.as_str());
+        let digest = hash::stable(self.vm.as_str());
         digest ^ self.incarnation.0.rotate_left(17)
     }
 }
 
-fn stable_hash(text: &str) -> u64 {
-    // FNV-1a, 64 bit: stable between processes and builds.
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    text.bytes().fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
-}
-
 /// A replica.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -164,7 +158,10 @@
     }
 
     fn capacity(&self, endpoint: &Name) -> u32 {
-        let limits = self.catalogue.as_ref().and_then(|catalogue| catalogue.endpoint(endpoint.as_str()));
+        let limits = self
+            .catalogue
+            .as_ref()
+            .and_then(|catalogue| catalogue.endpoint(endpoint.as_str()));
         limits.map_or(1, |endpoint| endpoint.limits.in_flight)
     }
 }
--- a/crates/node/src/actor/traffic/report.rs
+++ b/crates/node/src/actor/traffic/report.rs
@@ -5,8 +5,8 @@
 use route::{Event, replica};
 use serde::Serialize;
 
-use super::replica::Identity;
 use super::Traffic;
+use super::replica::Identity;
 
 /// A replica reported its load.
 #[derive(Clone, Debug)]
@@ -21,9 +21,15 @@
     type Reply = ();
 
     async fn handle(&mut self, report: Report, _context: &mut Context<Self, Self::Reply>) {
-        let key = self.replicas.get(&report.identity).and_then(|replica| replica.key);
+        let key = self
+            .replicas
+            .get(&report.identity)
+            .and_then(|replica| replica.key);
         if let Some(replica) = key {
-            self.step(Event::Report { replica, report: report.report });
+            self.step(Event::Report {
+                replica,
+                report: report.report,
+            });
         }
     }
 }
--- a/crates/node/src/actor/traffic/rollout.rs
+++ b/crates/node/src/actor/traffic/rollout.rs
@@ -1,9 +1,36 @@
 //! Rollouts on this node: shares, evidence and vetoes.
 
+use base::{Millis, Name};
 use bytes::Bytes;
 use kameo::message::{Context, Message};
+use rollout::guard::{Action, Event};
+use rollout::{Id, Shares, Summary, Veto};
 
-use super::Traffic;
+use super::{Traffic, Version};
+
+/// Shares came into force.
+#[derive(Clone, Debug)]
+pub struct Applied(pub Box<Shares>);
+
+impl Message<Applied> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, applied: Applied, _context: &mut Context<Self, Self::Reply>) {
+        if !self.split.apply((*applied.0).clone()) {
+            return;
+        }
+        let shares = &applied.0;
+        self.rollouts.insert(shares.endpoint.clone(), shares.rollout);
+        let percent = shares.rest.fraction() * 100.0;
+        log::info!(
+            "rollout {} of {}: {:?}, share {percent}%",
+            shares.rollout,
+            shares.endpoint,
+            shares.stage
+        );
+        self.guard_step(Event::Applied(applied.0));
+    }
+}
 
 /// A veto that a peer spread, encoded.
 #[derive(Clone, Debug)]
@@ -13,9 +40,96 @@
     type Reply = ();
 
     async fn handle(&mut self, learned: Learned, _context: &mut Context<Self, Self::Reply>) {
-        match wire::decode::<::rollout::Veto>(&learned.0) {
-            Ok(veto) => self.split.veto(veto.rollout),
+        match wire::decode::<Veto>(&learned.0) {
+            Ok(veto) => self.veto(&veto),
             Err(error) => log::warn!("veto dropped: {error}"),
         }
     }
 }
+
+/// A veto of this node's controller.
+#[derive(Clone, Debug)]
+pub struct VetoedElsewhere(pub Veto);
+
+impl Message<VetoedElsewhere> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, vetoed: VetoedElsewhere, _context: &mut Context<Self, Self::Reply>) {
+        self.veto(&vetoed.0);
+    }
+}
+
+/// Asks for this node's evidence on every rollout.
+#[derive(Clone, Copy, Debug)]
+pub struct Summaries;
+
+impl Message<Summaries> for Traffic {
+    type Reply = Vec<(Name, Summary)>;
+
+    async fn handle(
+        &mut self,
+        _summaries: Summaries,
+        _context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let rollouts: Vec<(Name, Id)> = self
+            .rollouts
+            .iter()
+            .map(|(endpoint, rollout)| (endpoint.clone(), *rollout))
+            .collect();
+        rollouts
+            .into_iter()
+            .map(|(endpoint, rollout)| (endpoint, self.guard.summary(rollout)))
+            .collect()
+    }
+}
+
+impl Traffic {
+    /// Brings the version's share to zero here, at once and for good.
+    fn veto(&mut self, veto: &Veto) {
+        self.split.veto(veto.rollout);
+        self.guard_step(Event::Vetoed(veto.rollout));
+    }
+
+    pub(super) fn guard_step(&mut self, event: Event) {
+        let now = self.clock.now();
+        for action in self.guard.step(now, event) {
+            match action {
+                Action::Veto(veto) => self.veto_here(*veto),
+                Action::Cap { rollout, route, cap } => self.split.cap(rollout, &route, cap),
+            }
+        }
+    }
+
+    fn veto_here(&mut self, veto: Veto) {
+        metrics::counter!("bilberrylatch_vetoes_total").increment(1);
+        log::warn!(
+            "version {} of {} is bad here: {:?}",
+            veto.version,
+            veto.endpoint,
+            veto.evidence
+        );
+        self.split.veto(veto.rollout);
+        // A full queue means that vetoes wait already; the controller hears of this one by its evidence.
+        let _full = self.vetoes.try_send(veto);
+    }
+
+    /// A dispatch to the drawn version began.
+    pub(super) fn evidence_began(&mut self, version: &Version) {
+        self.guard_step(Event::Started {
+            endpoint: version.endpoint.clone(),
+            route: version.route.clone(),
+            assignment: version.assignment,
+        });
+    }
+
+    /// It ended.
+    pub(super) fn evidence_ended(&mut self, version: Version, started: Millis, failed: bool) {
+        self.guard_step(Event::Finished {
+            endpoint: version.endpoint,
+            route: version.route,
+            assignment: version.assignment,
+            started,
+            failed,
+        });
+    }
+}
--- a/crates/node/src/actor/traffic/tick.rs
+++ b/crates/node/src/actor/traffic/tick.rs
@@ -4,6 +4,7 @@
 
 use kameo::actor::ActorRef;
 use kameo::message::{Context, Message};
+use rollout::guard;
 use route::Event;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -24,6 +25,7 @@
         if due {
             self.step(Event::Tick);
         }
+        self.guard_step(guard::Event::Tick);
     }
 }
 
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -75,7 +75,8 @@
 
 /// Waits for SIGTERM or SIGINT. Further ones change nothing: their handlers stay installed.
 async fn terminated() {
-    let (Ok(mut term), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    let (Ok(mut term), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
         return std::future::pending().await;
     };
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -13,7 +13,9 @@
 impl Clock {
     /// A clock that starts now.
     pub fn new() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 
     /// The present point.
--- a/crates/node/src/dispatch/attempt.rs
+++ b/crates/node/src/dispatch/attempt.rs
@@ -48,7 +48,12 @@
     let fields = header::towards_caller(response.headers());
     let body = tokio::time::timeout(idle, collect(response)).await;
     let body = body.map_err(|_elapsed| Failure::new(Kind::Timeout, true))??;
-    Ok(Whole { status, fields, body, version: Some(target.version.clone()) })
+    Ok(Whole {
+        status,
+        fields,
+        body,
+        version: Some(target.version.clone()),
+    })
 }
 
 /// The body, if it is whole and not too large. A body cut short is an error of the library.
@@ -56,7 +61,9 @@
     let mut body = bytes::BytesMut::new();
     loop {
         let chunk = response.chunk().await.map_err(|error| classify(&error))?;
-        let Some(chunk) = chunk else { return Ok(body.freeze()) };
+        let Some(chunk) = chunk else {
+            return Ok(body.freeze());
+        };
         if body.len() + chunk.len() > ANSWER_LIMIT_BYTES {
             return Err(Failure::new(Kind::Mismatch, true));
         }
@@ -66,7 +73,11 @@
 
 fn classify(error: &reqwest::Error) -> Failure {
     if error.is_connect() {
-        let kind = if error.is_timeout() { Kind::Connect } else { Kind::Refused };
+        let kind = if error.is_timeout() {
+            Kind::Connect
+        } else {
+            Kind::Refused
+        };
         return Failure::new(kind, false);
     }
     if error.is_timeout() {
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -117,8 +117,9 @@
             match order {
                 Order::Dispatch(target) => match self.dispatch(&target).await {
                     Tried::Ended(finish, answer) => {
+                        let server_error = answer.as_ref().is_some_and(Whole::is_server_error);
                         whole = answer;
-                        self.finished(target.dispatch, finish).await;
+                        self.finished(target.dispatch, finish, server_error).await;
                     }
                     Tried::CallerGone => {
                         self.cancel(target.dispatch).await;
@@ -158,7 +159,10 @@
     async fn grant(&mut self) -> bool {
         let Some(permit) = self.permit else { return true };
         if !self.granted {
-            let asked = claims::Dispatch { call: permit.call, key: permit.key };
+            let asked = claims::Dispatch {
+                call: permit.call,
+                key: permit.key,
+            };
             self.granted = self.shared.claims.ask(asked).await.unwrap_or(false);
         }
         self.granted
@@ -202,7 +206,9 @@
         let _gone = self.shared.traffic.tell(Began(target.dispatch)).await;
         if !self.began {
             self.began = true;
-            let began = Part::Began { version: target.version.clone() };
+            let began = Part::Began {
+                version: target.version.clone(),
+            };
             if parts.send(began).await.is_err() {
                 return Tried::CallerGone;
             }
@@ -217,7 +223,11 @@
         response: reqwest::Response,
     ) -> Tried {
         let before = self.delivered;
-        let mut relay = Relay { sender: parts, expected: before, idle: self.outgoing.idle };
+        let mut relay = Relay {
+            sender: parts,
+            expected: before,
+            idle: self.outgoing.idle,
+        };
         let relayed = tokio::select! {
             relayed = relay.run(response) => relayed,
             () = parts.closed() => Relayed::CallerGone,
@@ -226,18 +236,36 @@
         self.delivered = relay.expected;
         match relayed {
             Relayed::Whole => Tried::Ended(Finish::Whole, None),
-            Relayed::Cut => Tried::Ended(Finish::Cut { tokens: self.delivered - before }, None),
+            Relayed::Cut => Tried::Ended(
+                Finish::Cut {
+                    tokens: self.delivered - before,
+                },
+                None,
+            ),
             Relayed::CallerGone => Tried::CallerGone,
         }
     }
 
-    async fn finished(&self, dispatch: DispatchId, finish: Finish) {
-        let _gone = self.shared.traffic.tell(Finished { dispatch, finish }).await;
+    async fn finished(&self, dispatch: DispatchId, finish: Finish, server_error: bool) {
+        let _gone = self
+            .shared
+            .traffic
+            .tell(Finished {
+                dispatch,
+                finish,
+                server_error,
+            })
+            .await;
     }
 
     async fn cancel(&self, dispatch: DispatchId) {
         let _gone = self.shared.traffic.tell(Cancelled(self.call)).await;
-        self.finished(dispatch, Finish::Failed(Failure::new(Kind::Cancelled, true))).await;
+        self.finished(
+            dispatch,
+            Finish::Failed(Failure::new(Kind::Cancelled, true)),
+            false,
+        )
+        .await;
     }
 }
 
--- a/crates/node/src/dispatch/header.rs
+++ b/crates/node/src/dispatch/header.rs
@@ -72,7 +72,10 @@
 
 /// A field as text.
 pub fn text(fields: &HeaderMap, name: &HeaderName) -> Option<String> {
-    fields.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    fields
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned)
 }
 
 /// A value from text that is known to be plain.
--- a/crates/node/src/dispatch/outgoing.rs
+++ b/crates/node/src/dispatch/outgoing.rs
@@ -65,7 +65,8 @@
         if !self.stream {
             return self.body.clone();
         }
-        let Ok(mut body) = serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(&self.body) else {
+        let Ok(mut body) = serde_json::from_slice::<serde_json::Map<String, serde_json::Value>>(&self.body)
+        else {
             return self.body.clone();
         };
         body.insert("stream".to_owned(), true.into());
--- a/crates/node/src/dispatch/stream.rs
+++ b/crates/node/src/dispatch/stream.rs
@@ -69,7 +69,15 @@
         if index > self.expected {
             return Relayed::Cut;
         }
-        let sent = self.send(Part::Token(Token { index, data: event.data }), Relayed::Whole).await;
+        let sent = self
+            .send(
+                Part::Token(Token {
+                    index,
+                    data: event.data,
+                }),
+                Relayed::Whole,
+            )
+            .await;
         if sent == Relayed::Whole {
             self.expected += 1;
         }
--- a/crates/node/src/dispatch/whole.rs
+++ b/crates/node/src/dispatch/whole.rs
@@ -18,6 +18,11 @@
 }
 
 impl Whole {
+    /// Whether the endpoint says that it failed.
+    pub fn is_server_error(&self) -> bool {
+        self.status.is_server_error()
+    }
+
     /// The answer as it is kept under an idempotency key.
     pub fn to_record(&self) -> claim::Record {
         let header = |(name, value): (&HeaderName, &HeaderValue)| claim::record::Header {
--- a/crates/node/src/edge/addresses.rs
+++ b/crates/node/src/edge/addresses.rs
@@ -38,12 +38,21 @@
 /// `GET /v1/addresses?endpoint=&zone=`.
 pub async fn handle(State(shared): State<Shared>, Query(asked): Query<Asked>) -> Response {
     let seed = Seed(uuid::Uuid::new_v4().as_u64_pair().0);
-    let addresses = Addresses { zone: asked.zone.map(Name::from), seed };
+    let addresses = Addresses {
+        zone: asked.zone.map(Name::from),
+        seed,
+    };
     let Ok(list) = shared.members.ask(addresses).await else {
         return Problem::stopping().counted().into_response();
     };
-    let lines = list.addresses.iter().map(|address| Line { address: address.caller, zone: address.zone.clone() });
-    let answer =
-        Answer { endpoint: asked.endpoint, addresses: lines.collect(), lifetime_ms: list.lifetime.0 };
+    let lines = list.addresses.iter().map(|address| Line {
+        address: address.caller,
+        zone: address.zone.clone(),
+    });
+    let answer = Answer {
+        endpoint: asked.endpoint,
+        addresses: lines.collect(),
+        lifetime_ms: list.lifetime.0,
+    };
     Json(answer).into_response()
 }
--- a/crates/node/src/edge/admin/catalogue.rs
+++ b/crates/node/src/edge/admin/catalogue.rs
@@ -53,7 +53,11 @@
         return problem.into_response();
     }
     let snapshot = shared.snapshot();
-    Json(Shown { generation: snapshot.generation, text: snapshot.text.to_string() }).into_response()
+    Json(Shown {
+        generation: snapshot.generation,
+        text: snapshot.text.to_string(),
+    })
+    .into_response()
 }
 
 /// `GET /v1/admin/catalogue/status`.
@@ -80,20 +84,41 @@
     }
 }
 
-async fn try_apply(shared: &Shared, edit: &Edit, fields: &HeaderMap, text: &str) -> Result<u64, Box<Response>> {
+async fn try_apply(
+    shared: &Shared,
+    edit: &Edit,
+    fields: &HeaderMap,
+    text: &str,
+) -> Result<u64, Box<Response>> {
     auth::operator(shared, fields).map_err(boxed)?;
     if text.len() > TEXT_LIMIT_BYTES {
-        let detail = format!("the catalogue has {} bytes; the limit is {TEXT_LIMIT_BYTES}", text.len());
-        return Err(boxed(Problem::new(StatusCode::PAYLOAD_TOO_LARGE, "catalogue-too-large", detail)));
+        let detail = format!(
+            "the catalogue has {} bytes; the limit is {TEXT_LIMIT_BYTES}",
+            text.len()
+        );
+        return Err(boxed(Problem::new(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "catalogue-too-large",
+            detail,
+        )));
     }
     Catalogue::parse(text).map_err(|findings| {
-        boxed(Problem::new(StatusCode::UNPROCESSABLE_ENTITY, "catalogue-wrong", findings.to_string()))
+        boxed(Problem::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "catalogue-wrong",
+            findings.to_string(),
+        ))
     })?;
-    let head = accept(&shared.store, text, edit.expected, &edit.id, &edit.author).await.map_err(refused)?;
+    let head = accept(&shared.store, text, edit.expected, &edit.id, &edit.author)
+        .await
+        .map_err(|why| Box::new(refused(why)))?;
     let generation = head.accepted(&edit.id).unwrap_or(head.generation);
     if let Some(head) = gossiped(&head) {
         let _gone = shared.members.tell(members::Head(head)).await;
-        let _gone = shared.members.tell(Text(bytes::Bytes::copy_from_slice(text.as_bytes()))).await;
+        let _gone = shared
+            .members
+            .tell(Text(bytes::Bytes::copy_from_slice(text.as_bytes())))
+            .await;
     }
     Ok(generation)
 }
@@ -102,26 +127,37 @@
     Box::new(problem.into_response())
 }
 
-fn refused(refused: Refused) -> Box<Response> {
+fn refused(refused: Refused) -> Response {
     const RETRY_AFTER: base::Millis = base::Millis::from_secs(2);
     match refused {
         Refused::Conflict(head) => {
-            let last = head.edits.last().map(|edit| edit.author.clone()).unwrap_or_default();
-            let detail = format!("generation {} by '{last}' came first; diff against it and apply again", head.generation);
-            let conflict = Conflict { r#type: "catalogue-conflict", detail, head: *head };
-            Box::new((StatusCode::CONFLICT, Json(conflict)).into_response())
+            let last = head
+                .edits
+                .last()
+                .map(|edit| edit.author.clone())
+                .unwrap_or_default();
+            let detail = format!(
+                "generation {} by '{last}' came first; diff against it and apply again",
+                head.generation
+            );
+            let conflict = Conflict {
+                r#type: "catalogue-conflict",
+                detail,
+                head: *head,
+            };
+            (StatusCode::CONFLICT, Json(conflict)).into_response()
         }
         Refused::Unsettled(cause) => {
             let detail = format!("the edit may have been accepted; apply again with the same id: {cause}");
             let problem = Problem::new(StatusCode::GATEWAY_TIMEOUT, "edit-unsettled", detail)
                 .with_outcome(base::Outcome::Unknown)
                 .with_retry_after(RETRY_AFTER);
-            boxed(problem)
+            problem.into_response()
         }
         Refused::Unavailable(cause) => {
             let problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "platform-unavailable", cause)
                 .with_retry_after(RETRY_AFTER);
-            boxed(problem)
+            problem.into_response()
         }
     }
 }
--- a/crates/node/src/edge/admin/metrics.rs
+++ b/crates/node/src/edge/admin/metrics.rs
@@ -14,5 +14,9 @@
 
 /// `GET /metrics`.
 pub async fn render() -> String {
-    HANDLE.get().and_then(Option::as_ref).map(PrometheusHandle::render).unwrap_or_default()
+    HANDLE
+        .get()
+        .and_then(Option::as_ref)
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
 }
--- a/crates/node/src/edge/auth.rs
+++ b/crates/node/src/edge/auth.rs
@@ -22,7 +22,10 @@
     let token = token(fields).ok_or_else(unknown)?;
     let snapshot = shared.snapshot();
     let catalogue = snapshot.catalogue.as_ref().ok_or_else(no_catalogue)?;
-    catalogue.authenticate(token).map(|workspace| workspace.name.clone()).ok_or_else(unknown)
+    catalogue
+        .authenticate(token)
+        .map(|workspace| workspace.name.clone())
+        .ok_or_else(unknown)
 }
 
 /// Whether the request carries the operators' token.
@@ -39,11 +42,17 @@
 pub fn no_catalogue() -> Problem {
     const RETRY_AFTER: base::Millis = base::Millis::from_secs(2);
     let detail = "this node has no catalogue yet; apply one, or come back when it has caught up";
-    Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-catalogue", detail).with_retry_after(RETRY_AFTER).counted()
+    Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-catalogue", detail)
+        .with_retry_after(RETRY_AFTER)
+        .counted()
 }
 
 fn token(fields: &HeaderMap) -> Option<&str> {
-    fields.get(header::AUTHORIZATION)?.to_str().ok()?.strip_prefix(BEARER)
+    fields
+        .get(header::AUTHORIZATION)?
+        .to_str()
+        .ok()?
+        .strip_prefix(BEARER)
 }
 
 /// NB: digests are compared so that timing tells nothing about the token.
--- a/crates/node/src/edge/call.rs
+++ b/crates/node/src/edge/call.rs
@@ -64,7 +64,11 @@
 
 /// The node ended in the middle of a request.
 pub fn broken(outcome: Outcome) -> Problem {
-    Problem::new(StatusCode::BAD_GATEWAY, "node-failed", "this node failed in the middle of the request")
-        .with_outcome(outcome)
-        .counted()
+    Problem::new(
+        StatusCode::BAD_GATEWAY,
+        "node-failed",
+        "this node failed in the middle of the request",
+    )
+    .with_outcome(outcome)
+    .counted()
 }
--- a/crates/node/src/edge/claimed.rs
+++ b/crates/node/src/edge/claimed.rs
@@ -67,9 +67,17 @@
 
 fn arrive(outgoing: &Outgoing, key: Key, home: Home) -> Arrive {
     let binding = Binding::new(outgoing.endpoint.clone(), outgoing.workspace.clone());
-    let fingerprint =
-        Fingerprint::new(outgoing.method.as_str().as_bytes(), outgoing.path.as_bytes(), &outgoing.body);
-    Arrive { key, binding, fingerprint, home }
+    let fingerprint = Fingerprint::new(
+        outgoing.method.as_str().as_bytes(),
+        outgoing.path.as_bytes(),
+        &outgoing.body,
+    );
+    Arrive {
+        key,
+        binding,
+        fingerprint,
+        home,
+    }
 }
 
 fn closed(answer: Answer) -> Closed {
@@ -85,7 +93,11 @@
         Some(driver) => drive(driver.with_permit(permit)).await,
         None => Finish::NotRun,
     };
-    let finished = Finished { call: permit.call, key: permit.key, result };
+    let finished = Finished {
+        call: permit.call,
+        key: permit.key,
+        result,
+    };
     let _gone = shared.claims.tell(finished).await;
 }
 
@@ -150,7 +162,8 @@
 }
 
 fn key_foreign(endpoint: &Name) -> Problem {
-    let detail =
-        format!("this is no key of this system: get one by POST /v1/endpoints/{endpoint}/keys and use it as given");
+    let detail = format!(
+        "this is no key of this system: get one by POST /v1/endpoints/{endpoint}/keys and use it as given"
+    );
     Problem::new(StatusCode::BAD_REQUEST, "key-malformed", detail).counted()
 }
--- a/crates/node/src/edge/http.rs
+++ b/crates/node/src/edge/http.rs
@@ -19,10 +19,15 @@
     let operators = Router::new()
         .route("/v1/admin/nodes", get(admin::lists::nodes))
         .route("/v1/admin/replicas", get(admin::lists::replicas))
-        .route("/v1/admin/catalogue", get(admin::catalogue::show).put(admin::catalogue::apply))
+        .route(
+            "/v1/admin/catalogue",
+            get(admin::catalogue::show).put(admin::catalogue::apply),
+        )
         .route("/v1/admin/catalogue/status", get(admin::catalogue::status))
         .layer(DefaultBodyLimit::max(ADMIN_BODY_BYTES));
-    let open = Router::new().route("/metrics", get(admin::metrics::render)).route("/healthz", get(healthy));
+    let open = Router::new()
+        .route("/metrics", get(admin::metrics::render))
+        .route("/healthz", get(healthy));
     callers.merge(operators).merge(open).with_state(shared)
 }
 
--- a/crates/node/src/edge/intake.rs
+++ b/crates/node/src/edge/intake.rs
@@ -41,8 +41,19 @@
     let admitted = look_up(shared, endpoint, workspace, &parts.method, path)?;
     let limit = admitted.endpoint.limits.body_bytes as usize;
     let body = read(body, limit).await?;
-    let query = parts.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
-    outgoing(shared, admitted, parts.method, format!("{path}{query}"), &parts.headers, body)
+    let query = parts
+        .uri
+        .query()
+        .map(|query| format!("?{query}"))
+        .unwrap_or_default();
+    outgoing(
+        shared,
+        admitted,
+        parts.method,
+        format!("{path}{query}"),
+        &parts.headers,
+        body,
+    )
 }
 
 /// Refuses new work while this node could be behind.
@@ -51,9 +62,13 @@
     let verdict = shared.serving.borrow().at(shared.clock.now());
     match verdict {
         Ok(_generation) => Ok(()),
-        Err(refusal) => Err(Problem::new(StatusCode::SERVICE_UNAVAILABLE, "node-behind", refusal.to_string())
-            .with_retry_after(ELSEWHERE_AFTER)
-            .counted()),
+        Err(refusal) => Err(Problem::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "node-behind",
+            refusal.to_string(),
+        )
+        .with_retry_after(ELSEWHERE_AFTER)
+        .counted()),
     }
 }
 
@@ -78,7 +93,11 @@
         let detail = format!("endpoint '{endpoint}' has no route for {method} {path}");
         return Err(Problem::new(StatusCode::NOT_FOUND, "no-route", detail).counted());
     };
-    Ok(Admitted { endpoint: entry.clone(), route: route.clone(), workspace })
+    Ok(Admitted {
+        endpoint: entry.clone(),
+        route: route.clone(),
+        workspace,
+    })
 }
 
 async fn read(body: Body, limit: usize) -> Result<Bytes, Problem> {
@@ -96,7 +115,11 @@
     fields: &HeaderMap,
     body: Bytes,
 ) -> Result<Outgoing, Problem> {
-    let Admitted { endpoint, route, workspace } = admitted;
+    let Admitted {
+        endpoint,
+        route,
+        workspace,
+    } = admitted;
     let own = Duration::from_millis(endpoint.limits.timeout_ms);
     let timeout = match asked_timeout(fields)? {
         Some(asked) => asked.min(own),
@@ -109,7 +132,10 @@
     let mut passed = header::towards_replica(fields);
     if route.stream {
         // The body is a JSON object, whatever the caller called it.
-        passed.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        passed.insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
     }
     Ok(Outgoing {
         request_id: request_id(fields),
@@ -139,9 +165,14 @@
     const MAX_BYTES: usize = 64;
     let given = header::text(fields, &header::REQUEST_ID);
     let usable = |id: &String| {
-        id.len() <= MAX_BYTES && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
+        id.len() <= MAX_BYTES
+            && id
+                .bytes()
+                .all(|byte| byte.is_ascii_alphanumeric() || byte == b'-')
     };
-    given.filter(usable).unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string())
+    given
+        .filter(usable)
+        .unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string())
 }
 
 fn asked_timeout(fields: &HeaderMap) -> Result<Option<Duration>, Problem> {
@@ -173,7 +204,10 @@
         "normal" => Ok(Priority::Normal),
         "batch" => Ok(Priority::Batch),
         _ => {
-            let detail = format!("header '{}': '{text}' is not interactive, normal or batch", header::PRIORITY);
+            let detail = format!(
+                "header '{}': '{text}' is not interactive, normal or batch",
+                header::PRIORITY
+            );
             Err(Problem::new(StatusCode::BAD_REQUEST, "header-malformed", detail).counted())
         }
     }
--- a/crates/node/src/edge/keys.rs
+++ b/crates/node/src/edge/keys.rs
@@ -36,7 +36,10 @@
     intake::may_serve(shared)?;
     let workspace = auth::workspace(shared, fields)?;
     let snapshot = shared.snapshot();
-    let entry = snapshot.catalogue.as_ref().and_then(|catalogue| catalogue.endpoint(endpoint));
+    let entry = snapshot
+        .catalogue
+        .as_ref()
+        .and_then(|catalogue| catalogue.endpoint(endpoint));
     if entry.is_none_or(|entry| entry.share(workspace.as_str()).is_none()) {
         let detail = format!("workspace '{workspace}' has no share of an endpoint '{endpoint}'");
         return Err(Problem::new(StatusCode::FORBIDDEN, "no-share", detail).counted());
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -12,10 +12,11 @@
 use wire::head::Field;
 use wire::{Call, Channel, Frame, Head, Incoming};
 
-use super::claimed::{self, Closed};
 use super::Problem;
+use super::claimed::{self, Closed};
 use crate::actor::claims::Import;
 use crate::actor::members::Gossiped;
+use crate::actor::rollouts::Report;
 use crate::dispatch::header::{OUTCOME, VERSION};
 use crate::dispatch::{Outgoing, Whole, header};
 use crate::shared::Shared;
@@ -30,9 +31,18 @@
 pub async fn serve(shared: Shared, mut incoming: mpsc::Receiver<Incoming>) {
     while let Some(incoming) = incoming.recv().await {
         match incoming {
-            Incoming::Frame { frame: Frame::Gossip(bytes), .. } => {
+            Incoming::Frame {
+                frame: Frame::Gossip(bytes),
+                ..
+            } => {
                 let _gone = shared.members.tell(Gossiped(bytes)).await;
             }
+            Incoming::Frame {
+                frame: Frame::Evidence(bytes),
+                ..
+            } => {
+                let _gone = shared.rollouts.tell(Report(bytes)).await;
+            }
             Incoming::Frame { from, .. } => log::warn!("frame from {from} needs an exchange; dropped"),
             Incoming::Channel { from, channel } => {
                 tokio::spawn(exchange(shared.clone(), from, channel));
@@ -129,7 +139,9 @@
 
 async fn collect(channel: &mut Channel) -> Result<Closed, wire::Error> {
     let Frame::Head(head) = channel.receive().await? else {
-        return Err(wire::Error::Malformed("an answer starts with its head".to_owned()));
+        return Err(wire::Error::Malformed(
+            "an answer starts with its head".to_owned(),
+        ));
     };
     let mut body = bytes::BytesMut::new();
     loop {
@@ -147,9 +159,18 @@
     let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let version = header::text(&fields, &VERSION).map(Name::from);
     match header::text(&fields, &OUTCOME).as_deref() {
-        Some("answered") => Closed::Whole(Whole { status, fields, body, version }),
+        Some("answered") => Closed::Whole(Whole {
+            status,
+            fields,
+            body,
+            version,
+        }),
         outcome => {
-            let outcome = if outcome == Some("not-run") { Outcome::NotRun } else { Outcome::Unknown };
+            let outcome = if outcome == Some("not-run") {
+                Outcome::NotRun
+            } else {
+                Outcome::Unknown
+            };
             Closed::Refused(refused(status, outcome, &fields, &body))
         }
     }
@@ -157,7 +178,10 @@
 
 fn refused(status: StatusCode, outcome: Outcome, fields: &HeaderMap, body: &Bytes) -> Problem {
     let text: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
-    let detail = text.get("detail").and_then(serde_json::Value::as_str).unwrap_or("refused by the key's node");
+    let detail = text
+        .get("detail")
+        .and_then(serde_json::Value::as_str)
+        .unwrap_or("refused by the key's node");
     let problem = Problem::new(status, "refused-at-home", detail).with_outcome(outcome);
     match header::text(fields, &http::header::RETRY_AFTER).and_then(|text| text.parse().ok()) {
         Some(seconds) => problem.with_retry_after(Millis::from_secs(seconds)),
@@ -171,23 +195,38 @@
     if let Some(version) = &whole.version {
         fields.push(field(&VERSION, version.as_str()));
     }
-    Head { status: whole.status.as_u16(), fields }
+    Head {
+        status: whole.status.as_u16(),
+        fields,
+    }
 }
 
 fn problem_head(problem: &Problem) -> Head {
     let mut fields = vec![field(&OUTCOME, problem.outcome.as_str())];
     if let Some(span) = problem.retry_after {
-        fields.push(field(&http::header::RETRY_AFTER, &span.as_secs_ceil().to_string()));
+        fields.push(field(
+            &http::header::RETRY_AFTER,
+            &span.as_secs_ceil().to_string(),
+        ));
+    }
+    Head {
+        status: problem.status.as_u16(),
+        fields,
     }
-    Head { status: problem.status.as_u16(), fields }
 }
 
 fn field(name: &HeaderName, value: &str) -> Field {
-    Field { name: name.as_str().to_owned(), value: Bytes::copy_from_slice(value.as_bytes()) }
+    Field {
+        name: name.as_str().to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    }
 }
 
 fn to_field((name, value): (&HeaderName, &HeaderValue)) -> Field {
-    Field { name: name.as_str().to_owned(), value: Bytes::copy_from_slice(value.as_bytes()) }
+    Field {
+        name: name.as_str().to_owned(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    }
 }
 
 fn to_pair(field: &Field) -> Option<(HeaderName, HeaderValue)> {
--- a/crates/node/src/edge/problem.rs
+++ b/crates/node/src/edge/problem.rs
@@ -49,7 +49,13 @@
         D: Into<String>,
     {
         let outcome = Outcome::NotRun;
-        Self { status, label, detail: detail.into(), outcome, retry_after: None }
+        Self {
+            status,
+            label,
+            detail: detail.into(),
+            outcome,
+            retry_after: None,
+        }
     }
 
     /// Says what the caller may conclude.
@@ -67,7 +73,8 @@
     /// The refusal of the router.
     pub fn from_refusal(refusal: Refusal) -> Self {
         let reason = refusal.reason;
-        let problem = Self::new(status(reason), reason.as_str(), detail(reason)).with_outcome(refusal.outcome);
+        let problem =
+            Self::new(status(reason), reason.as_str(), detail(reason)).with_outcome(refusal.outcome);
         match refusal.retry_after {
             Some(span) => problem.with_retry_after(span),
             None => problem,
@@ -79,7 +86,11 @@
         const REPEAT_AFTER: Millis = Millis::from_secs(1);
         let status = StatusCode::from_u16(reason.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
         let problem = Self::new(status, reason.label(), reason.to_string()).with_outcome(reason.outcome());
-        if reason.repeat_later() { problem.with_retry_after(REPEAT_AFTER) } else { problem }
+        if reason.repeat_later() {
+            problem.with_retry_after(REPEAT_AFTER)
+        } else {
+            problem
+        }
     }
 
     /// The node stops and takes no new work.
--- a/crates/node/src/edge/streamed.rs
+++ b/crates/node/src/edge/streamed.rs
@@ -25,7 +25,9 @@
     let end = tokio::spawn(run(driver));
     match parts.recv().await {
         Some(Part::Began { version }) => {
-            let mut response = Sse::new(events(parts)).keep_alive(KeepAlive::default()).into_response();
+            let mut response = Sse::new(events(parts))
+                .keep_alive(KeepAlive::default())
+                .into_response();
             response.headers_mut().insert(VERSION, value(version.as_str()));
             response
         }
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -42,7 +42,10 @@
                  BILBERRYLATCH_LISTEN"
             ),
             Self::Peers(cause) => {
-                write!(f, "{cause}; choose another address with --peer-listen or BILBERRYLATCH_PEER_LISTEN")
+                write!(
+                    f,
+                    "{cause}; choose another address with --peer-listen or BILBERRYLATCH_PEER_LISTEN"
+                )
             }
             Self::Client(cause) => write!(f, "can't set up an HTTP client: {cause}"),
             Self::Logs(cause) => write!(f, "can't set up logs: {cause}"),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod edge;
 pub mod error;
 pub mod exit;
+pub mod hash;
 pub mod logs;
 pub mod node;
 pub mod platform;
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -22,7 +22,10 @@
         Format::Human => Box::new(PatternEncoder::new(PATTERN)),
         Format::Json => Box::new(JsonEncoder::new()),
     };
-    let console = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let console = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(encoder)
+        .build();
     let root = Root::builder().appender("console").build(level);
     let config = Config::builder()
         .appender(Appender::builder().build("console", Box::new(console)))
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 use wire::{Identity, Incoming};
 
-use crate::actor::{Claims, MAILBOX, Members, Traffic, claims, members, traffic};
+use crate::actor::{Claims, MAILBOX, Members, Rollouts, Traffic, claims, members, rollouts, traffic};
 use crate::clock::Clock;
 use crate::edge;
 use crate::error::Error;
@@ -27,6 +27,9 @@
 /// Questions to the platform that wait at once.
 const WANTS: usize = 16;
 
+/// Vetoes of this node that wait to be spread.
+const VETOES: usize = 64;
+
 /// Time to set up a connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -50,10 +53,17 @@
         edge::admin::metrics::install();
         let listener = TcpListener::bind(settings.listen)
             .await
-            .map_err(|cause| Error::Listen { address: settings.listen, cause })?;
-        let listen = listener.local_addr().map_err(|cause| Error::Listen { address: settings.listen, cause })?;
+            .map_err(|cause| Error::Listen {
+                address: settings.listen,
+                cause,
+            })?;
+        let listen = listener.local_addr().map_err(|cause| Error::Listen {
+            address: settings.listen,
+            cause,
+        })?;
         let identity = Identity::new(&settings.peer_secret).map_err(Error::Peers)?;
-        let (peers, incoming) = wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
+        let (peers, incoming) =
+            wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
         let peer_listen = peers.address().map_err(Error::Peers)?;
         let parts = Parts::new(settings, peers, listen, peer_listen)?;
         Ok(parts.run(listener, incoming))
@@ -97,6 +107,7 @@
     shared: Shared,
     node: member::Node,
     wanted: mpsc::Receiver<members::Want>,
+    found: mpsc::Receiver<rollout::Veto>,
     listen: SocketAddr,
     peer_listen: SocketAddr,
 }
@@ -121,12 +132,31 @@
             region: settings.region.clone(),
         };
         let http = http_client()?;
-        let backend = store::http::Http::new(&settings.store).map_err(|error| Error::Client(error.to_string()))?;
+        let backend =
+            store::http::Http::new(&settings.store).map_err(|error| Error::Client(error.to_string()))?;
+        let (vetoes, found) = mpsc::channel(VETOES);
         let traffic = Traffic::spawn_with_mailbox(
-            traffic::Arguments { seed: seed.derive(1), zone: settings.zone.clone(), clock, incarnation },
+            traffic::Arguments {
+                seed: seed.derive(1),
+                zone: settings.zone.clone(),
+                clock,
+                incarnation,
+                vetoes,
+            },
             mailbox::bounded(MAILBOX),
         );
         let claims = spawn_claims(&settings, incarnation, clock);
+        let (shared_sender, shared_receiver) = watch::channel(None);
+        let rollouts = Rollouts::spawn_with_mailbox(
+            rollouts::Arguments {
+                incarnation,
+                seed: seed.derive(3),
+                clock,
+                traffic: traffic.clone(),
+                shared: shared_receiver,
+            },
+            mailbox::bounded(MAILBOX),
+        );
         let (snapshot_sender, snapshot) = watch::channel(Arc::new(Snapshot::empty()));
         let (serving_sender, serving) = watch::channel(Serving::asking());
         let (wanted_sender, wanted) = mpsc::channel(WANTS);
@@ -137,6 +167,7 @@
             clock,
             peers: peers.clone(),
             traffic: traffic.clone(),
+            rollouts: rollouts.clone(),
             snapshot: snapshot_sender,
             serving: serving_sender,
             wanted: wanted_sender,
@@ -149,6 +180,7 @@
             traffic,
             claims,
             members,
+            rollouts,
             snapshot,
             serving,
             store: store::Client::new(backend),
@@ -156,27 +188,65 @@
             http,
             stop: Stop::new(),
         };
-        Ok(Self { shared, node, wanted, listen, peer_listen })
+        shared_sender.send_replace(Some(shared.clone()));
+        Ok(Self {
+            shared,
+            node,
+            wanted,
+            found,
+            listen,
+            peer_listen,
+        })
     }
 
     fn run(self, listener: TcpListener, incoming: mpsc::Receiver<Incoming>) -> Node {
-        let Self { shared, node, wanted, listen, peer_listen } = self;
+        let Self {
+            shared,
+            node,
+            wanted,
+            found,
+            listen,
+            peer_listen,
+        } = self;
         let tasks = vec![
             tokio::spawn(edge::peer::serve(shared.clone(), incoming)),
             tokio::spawn(platform::catalogue::watch(shared.clone(), wanted)),
             tokio::spawn(platform::nodes::watch(shared.clone())),
+            tokio::spawn(spread_vetoes(shared.clone(), found)),
             tokio::spawn(platform::cloud::list(shared.clone())),
             tokio::spawn(platform::cloud::notices(shared.clone())),
         ];
         let registration = tokio::spawn(platform::registration::keep(shared.clone(), node));
         let server = tokio::spawn(serve(shared.clone(), listener));
-        Node { shared, listen, peer_listen, tasks, server, registration }
+        Node {
+            shared,
+            listen,
+            peer_listen,
+            tasks,
+            server,
+            registration,
+        }
+    }
+}
+
+/// Tells peers and this node's controllers of versions that this node found bad.
+async fn spread_vetoes(shared: Shared, mut found: mpsc::Receiver<rollout::Veto>) {
+    while let Some(veto) = found.recv().await {
+        let _gone = shared.members.tell(members::Veto::new(&veto)).await;
+        let _gone = shared.rollouts.tell(rollouts::Vetoed(Box::new(veto))).await;
     }
 }
 
 fn spawn_claims(settings: &Settings, incarnation: Incarnation, clock: Clock) -> ActorRef<Claims> {
     let secret = claim::Secret::new(settings.peer_secret.as_bytes());
-    Claims::spawn_with_mailbox(claims::Arguments { incarnation, secret, clock }, mailbox::bounded(MAILBOX))
+    Claims::spawn_with_mailbox(
+        claims::Arguments {
+            incarnation,
+            secret,
+            clock,
+        },
+        mailbox::bounded(MAILBOX),
+    )
 }
 
 /// Order among the runs of this node's name: the wall clock's milliseconds at the start.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -4,9 +4,11 @@
 pub mod cloud;
 pub mod nodes;
 pub mod registration;
+pub mod rollout;
 pub mod vm;
 
 use base::Name;
+use member::node::State;
 use member::role::rank;
 
 use crate::actor::members::Nodes;
@@ -24,7 +26,9 @@
         return false;
     };
     let zone = &shared.settings.zone;
-    let alive = nodes.iter().filter(|node| node.state == "alive" && node.zone == *zone);
+    let alive = nodes
+        .iter()
+        .filter(|node| node.state == State::Alive && node.zone == *zone);
     let role = Name::new(format!("watcher/{zone}"));
     rank(&role, shared.incarnation, alive.map(|node| node.incarnation)).is_none_or(|rank| rank < WATCHERS)
 }
--- a/crates/node/src/platform/catalogue.rs
+++ b/crates/node/src/platform/catalogue.rs
@@ -49,8 +49,12 @@
     let Some(record) = store.get(HEAD_KEY).await? else {
         return Ok(Stored::default());
     };
-    let head = serde_json::from_slice(&record.value).map_err(|error| store::Error::Protocol(error.to_string()))?;
-    Ok(Stored { head, revision: record.revision })
+    let head =
+        serde_json::from_slice(&record.value).map_err(|error| store::Error::Protocol(error.to_string()))?;
+    Ok(Stored {
+        head,
+        revision: record.revision,
+    })
 }
 
 /// Reads the text that a head names.
@@ -75,7 +79,7 @@
     id: &str,
     author: &str,
 ) -> Result<Head, Refused> {
-    let stored = read(store).await.map_err(unavailable)?;
+    let stored = read(store).await.map_err(|error| unavailable(&error))?;
     if stored.head.accepted(id).is_some() {
         return Ok(stored.head);
     }
@@ -85,19 +89,25 @@
     let next = stored.head.next(text, id, author);
     write_text(store, text, &next).await?;
     let value = serde_json::to_vec(&next).map_err(|error| Refused::Unavailable(error.to_string()))?;
-    let condition = if stored.revision == 0 { Condition::Absent } else { Condition::Revision(stored.revision) };
+    let condition = if stored.revision == 0 {
+        Condition::Absent
+    } else {
+        Condition::Revision(stored.revision)
+    };
     let write = Write::new(HEAD_KEY, Bytes::from(value), condition);
     match store.write(&write).await {
         Ok(_revision) => Ok(next),
         Err(store::Error::Conflict(_)) => after_conflict(store, id).await,
         Err(store::Error::Unsettled(cause)) => Err(Refused::Unsettled(cause)),
-        Err(error) => Err(unavailable(error)),
+        Err(error) => Err(unavailable(&error)),
     }
 }
 
 /// A conflict may be with this very edit, followed by others.
 async fn after_conflict(store: &store::Client, id: &str) -> Result<Head, Refused> {
-    let stored = read(store).await.map_err(|error| Refused::Unsettled(error.to_string()))?;
+    let stored = read(store)
+        .await
+        .map_err(|error| Refused::Unsettled(error.to_string()))?;
     if stored.head.accepted(id).is_some() {
         return Ok(stored.head);
     }
@@ -111,13 +121,13 @@
         let write = Write::new(key, Bytes::copy_from_slice(chunk), Condition::Any);
         match store.write(&write).await {
             Ok(_revision) => {}
-            Err(error) => return Err(unavailable(error)),
+            Err(error) => return Err(unavailable(&error)),
         }
     }
     Ok(())
 }
 
-fn unavailable(error: store::Error) -> Refused {
+fn unavailable(error: &store::Error) -> Refused {
     Refused::Unavailable(error.to_string())
 }
 
@@ -125,7 +135,10 @@
 pub fn gossiped(head: &Head) -> Option<generation::Head> {
     let digest = blake3::Hash::from_hex(&head.digest).ok()?;
     let digest = generation::Digest(*digest.as_bytes());
-    Some(generation::Head { generation: Generation(head.generation), digest })
+    Some(generation::Head {
+        generation: Generation(head.generation),
+        digest,
+    })
 }
 
 /// Watches the head while this node watches for its zone, and answers what the members want.
@@ -155,7 +168,9 @@
         if shared.snapshot().generation >= head.generation.0 {
             return;
         }
-        let Ok(stored) = read(&shared.store).await else { continue };
+        let Ok(stored) = read(&shared.store).await else {
+            continue;
+        };
         let named = gossiped(&stored.head);
         if named.is_none_or(|named| named.digest != head.digest) {
             let _ended = tell_head(shared).await;
@@ -171,7 +186,10 @@
 /// Reads the head and tells the members; the revision read.
 async fn tell_head(shared: &Shared) -> Result<u64, store::Error> {
     let stored = read(&shared.store).await?;
-    let empty = generation::Head { generation: Generation(0), digest: generation::Digest([0; 32]) };
+    let empty = generation::Head {
+        generation: Generation(0),
+        digest: generation::Digest([0; 32]),
+    };
     let head = gossiped(&stored.head).unwrap_or(empty);
     let _gone = shared.members.tell(members::Head(head)).await;
     Ok(stored.revision)
--- a/crates/node/src/platform/cloud.rs
+++ b/crates/node/src/platform/cloud.rs
@@ -37,7 +37,10 @@
 async fn tell(shared: &Shared, vms: &[Vm]) {
     let replicas = vms.iter().filter_map(Vm::replica).collect();
     let _gone = shared.traffic.tell(Roster { replicas }).await;
-    let listed = vms.iter().map(|vm| item::Vm { name: vm.id.clone(), incarnation: incarnation(&vm.incarnation) });
+    let listed = vms.iter().map(|vm| item::Vm {
+        name: vm.id.clone(),
+        incarnation: incarnation(&vm.incarnation),
+    });
     let _gone = shared.members.tell(Listed(listed.collect())).await;
 }
 
@@ -50,7 +53,10 @@
             continue;
         }
         let wait = NOTICE_WAIT.as_millis();
-        let url = format!("{}/v1/notices?after={after}&timeout_ms={wait}", shared.settings.cloud);
+        let url = format!(
+            "{}/v1/notices?after={after}&timeout_ms={wait}",
+            shared.settings.cloud
+        );
         match get::<Vec<Notice>>(&shared, url, NOTICE_WAIT).await {
             Ok(notices) => {
                 for notice in notices {
@@ -68,7 +74,10 @@
 
 async fn take(shared: &Shared, notice: &Notice) {
     metrics::counter!("bilberrylatch_notices_total").increment(1);
-    let vm = item::Vm { name: notice.vm.clone(), incarnation: incarnation(&notice.incarnation) };
+    let vm = item::Vm {
+        name: notice.vm.clone(),
+        incarnation: incarnation(&notice.incarnation),
+    };
     log::info!(vm = notice.vm.as_str(), remaining_ms = notice.remaining_ms; "reclaim notice for {}", notice.vm);
     let own = notice.kind == Kind::Node && notice.vm == shared.settings.name;
     if own {
--- a/crates/node/src/platform/registration.rs
+++ b/crates/node/src/platform/registration.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use base::Millis;
 use bytes::Bytes;
 use member::Node;
 use store::{Condition, Lease, Write};
 use tokio::time::sleep;
 
+use crate::actor::rollouts::Leased;
+use crate::hash;
 use crate::shared::Shared;
 use crate::stop::Phase;
 
@@ -45,10 +48,15 @@
 }
 
 async fn renew(shared: &Shared, node: &Node, lease: &mut Option<Lease>) -> Result<(), store::Error> {
+    let sent = shared.clock.now();
     if let Some(held) = lease {
         match shared.store.renew(held).await {
             Err(store::Error::Lapsed) => *lease = None,
-            result => return result,
+            Ok(()) => {
+                tell(shared, held, sent).await;
+                return Ok(());
+            }
+            Err(error) => return Err(error),
         }
     }
     let granted = shared.store.grant(TTL).await?;
@@ -56,6 +64,17 @@
     let key = format!("{PREFIX}{}", node.name);
     let write = Write::new(key, Bytes::from(value), Condition::Any).with_lease(granted.clone());
     shared.store.write(&write).await?;
+    tell(shared, &granted, sent).await;
     *lease = Some(granted);
     Ok(())
 }
+
+/// Roles last as long as the lease, reckoned from when its renewal was sent.
+async fn tell(shared: &Shared, lease: &Lease, sent: Millis) {
+    let until = sent + Millis(TTL.as_millis() as u64);
+    let leased = Leased {
+        lease: member::role::Lease(hash::stable(&lease.0)),
+        until,
+    };
+    let _gone = shared.rollouts.tell(leased).await;
+}
--- /dev/null
+++ b/crates/node/src/platform/rollout.rs
@@ -0,0 +1,190 @@
+//! Records of roles and rollouts at the platform. Each call runs as a task and tells its outcome to the actor.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::Name;
+use bytes::Bytes;
+use kameo::actor::WeakActorRef;
+use member::role::{Event, Observed, Record, Revision};
+use rollout::event::StoreResult;
+use rollout::{Stored, Summary, Wall};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use store::{Condition, Error, Write};
+
+use super::registration::PREFIX;
+use crate::actor::Rollouts;
+use crate::actor::members::Whereabouts;
+use crate::actor::rollouts::announcement::Holder;
+use crate::actor::rollouts::message::RoleReading;
+use crate::actor::rollouts::{RoleRead, RoleWritten, RolloutRead, RolloutWritten};
+use crate::shared::Shared;
+
+/// The wall clock.
+pub fn wall() -> Wall {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Wall(since.map_or(0, |since| since.as_millis() as u64))
+}
+
+fn role_key(endpoint: &Name) -> String {
+    format!("roles/controller/{endpoint}")
+}
+
+fn rollout_key(endpoint: &Name) -> String {
+    format!("rollouts/{endpoint}")
+}
+
+/// Reads a role's record, and whether its holder is registered.
+pub fn read_role(shared: Shared, actor: WeakActorRef<Rollouts>, endpoint: Name) {
+    tokio::spawn(async move {
+        let reading = RoleReading(observe(&shared, &endpoint).await.ok());
+        tell(&actor, RoleRead { endpoint, reading }).await;
+    });
+}
+
+async fn observe(shared: &Shared, endpoint: &Name) -> Result<Option<Observed>, Error> {
+    let Some(record) = shared.store.get(&role_key(endpoint)).await? else {
+        return Ok(None);
+    };
+    let revision = Revision(record.revision);
+    let record: Record = parse(&record.value)?;
+    let lease_lives = match record.holder {
+        Some(holder) => is_registered(shared, holder).await?,
+        None => false,
+    };
+    Ok(Some(Observed {
+        record,
+        revision,
+        lease_lives,
+    }))
+}
+
+/// A registration vanishes with its node's lease, so it stands for the lease.
+async fn is_registered(shared: &Shared, holder: base::Incarnation) -> Result<bool, Error> {
+    let listing = shared.store.list(PREFIX).await?;
+    let nodes = listing
+        .entries
+        .iter()
+        .filter_map(|entry| parse::<member::Node>(&entry.value).ok());
+    Ok(nodes.into_iter().any(|node| node.incarnation == holder))
+}
+
+/// Swaps a role's record.
+pub fn swap_role(
+    shared: Shared,
+    actor: WeakActorRef<Rollouts>,
+    endpoint: Name,
+    expect: Option<Revision>,
+    record: Record,
+) {
+    tokio::spawn(async move {
+        let condition = expect.map_or(Condition::Absent, |revision| Condition::Revision(revision.0));
+        let event = match write(&shared, role_key(&endpoint), &record, condition).await {
+            Ok(_revision) => Event::Swapped(record.write),
+            Err(Error::Conflict(_)) => Event::Conflict(record.write),
+            Err(_unsettled) => Event::Lost(record.write),
+        };
+        tell(&actor, RoleWritten { endpoint, event }).await;
+    });
+}
+
+/// Reads a rollout's record, for a role just taken up if `acquired`.
+pub fn load(shared: Shared, actor: WeakActorRef<Rollouts>, endpoint: Name, acquired: Option<u64>) {
+    tokio::spawn(async move {
+        let stored = read_rollout(&shared, &endpoint).await.ok();
+        tell(
+            &actor,
+            RolloutRead {
+                endpoint,
+                stored,
+                acquired,
+            },
+        )
+        .await;
+    });
+}
+
+/// Reads a rollout's record.
+pub async fn read_rollout(shared: &Shared, endpoint: &Name) -> Result<Option<Box<Stored>>, Error> {
+    let Some(record) = shared.store.get(&rollout_key(endpoint)).await? else {
+        return Ok(None);
+    };
+    Ok(Some(Box::new(Stored {
+        record: parse(&record.value)?,
+        generation: record.revision,
+    })))
+}
+
+/// Writes a rollout's record if it stands as expected.
+pub fn store(
+    shared: Shared,
+    actor: WeakActorRef<Rollouts>,
+    endpoint: Name,
+    record: Box<rollout::Record>,
+    expected: u64,
+) {
+    tokio::spawn(async move {
+        let condition = if expected == 0 {
+            Condition::Absent
+        } else {
+            Condition::Revision(expected)
+        };
+        let result = match write(&shared, rollout_key(&endpoint), &*record, condition).await {
+            Ok(revision) => StoreResult::Ok(revision),
+            Err(Error::Conflict(_)) => match read_rollout(&shared, &endpoint).await {
+                Ok(stored) => StoreResult::Conflict(stored),
+                Err(_unread) => StoreResult::Lost,
+            },
+            Err(Error::Unavailable(_) | Error::OverBudget) => StoreResult::Unavailable,
+            Err(_unsettled) => StoreResult::Lost,
+        };
+        tell(&actor, RolloutWritten { endpoint, result }).await;
+    });
+}
+
+/// Sends evidence to the node that controls the rollout. A lost one is replaced by the next.
+pub fn send_summary(shared: Shared, holder: Holder, summary: &Summary) {
+    let Ok(bytes) = wire::encode(summary) else { return };
+    metrics::counter!("bilberrylatch_peer_bytes_total", "kind" => "evidence").increment(bytes.len() as u64);
+    tokio::spawn(async move {
+        let Ok(found) = shared.members.ask(Whereabouts(holder.node)).await else {
+            return;
+        };
+        let Some(peer) = found.peer else { return };
+        if let Err(error) = shared
+            .peers
+            .send(peer, &wire::Frame::Evidence(Bytes::from(bytes)))
+            .await
+        {
+            log::debug!("evidence to {peer} lost: {error}");
+        }
+    });
+}
+
+async fn write<T>(shared: &Shared, key: String, value: &T, condition: Condition) -> Result<u64, Error>
+where
+    T: Serialize,
+{
+    let bytes = serde_json::to_vec(value).map_err(|error| Error::Protocol(error.to_string()))?;
+    shared
+        .store
+        .write(&Write::new(key, Bytes::from(bytes), condition))
+        .await
+}
+
+fn parse<T>(bytes: &[u8]) -> Result<T, Error>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(bytes).map_err(|error| Error::Protocol(error.to_string()))
+}
+
+async fn tell<M>(actor: &WeakActorRef<Rollouts>, message: M)
+where
+    M: Send + 'static,
+    Rollouts: kameo::message::Message<M>,
+{
+    if let Some(actor) = actor.upgrade() {
+        let _ended = actor.tell(message).await;
+    }
+}
--- a/crates/node/src/platform/vm.rs
+++ b/crates/node/src/platform/vm.rs
@@ -79,7 +79,10 @@
         }
         let address: SocketAddr = self.addr.parse().ok()?;
         Some(Replica {
-            identity: Identity { vm: self.id.clone(), incarnation: incarnation(&self.incarnation) },
+            identity: Identity {
+                vm: self.id.clone(),
+                incarnation: incarnation(&self.incarnation),
+            },
             endpoint: self.endpoint.clone(),
             zone: self.zone.clone(),
             class: self.class.clone(),
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -16,7 +16,10 @@
 impl Serving {
     /// Before the first verdict.
     pub const fn asking() -> Self {
-        Self { verdict: Err(Refusal::Asking), until: Millis::NEVER }
+        Self {
+            verdict: Err(Refusal::Asking),
+            until: Millis::NEVER,
+        }
     }
 
     /// The verdict at `now`.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -78,7 +78,12 @@
         let store = source.url("store", args.store.as_deref());
         let cloud = source.url("cloud", args.cloud.as_deref());
         let peers = source.addresses("peers", args.peers.as_deref());
-        let drain = source.seconds("drain-seconds", args.drain_seconds.as_deref(), 30, DRAIN_MAX_SECONDS);
+        let drain = source.seconds(
+            "drain-seconds",
+            args.drain_seconds.as_deref(),
+            30,
+            DRAIN_MAX_SECONDS,
+        );
         let log_format = source.format("log-format", args.log_format.as_deref());
         let log_level = source.level("log-level", args.log_level.as_deref());
         let peer_secret = source.secret("PEER_SECRET");
@@ -127,20 +132,30 @@
 {
     fn address(&mut self, name: &str, flag: Option<&str>, default: Option<&str>) -> SocketAddr {
         let unset = SocketAddr::from(([127, 0, 0, 1], 0));
-        self.parse(name, flag, default, "an IP address and port, for example 10.0.0.5:7400", |text| {
-            SocketAddr::from_str(text).ok()
-        })
+        self.parse(
+            name,
+            flag,
+            default,
+            "an IP address and port, for example 10.0.0.5:7400",
+            |text| SocketAddr::from_str(text).ok(),
+        )
         .unwrap_or(unset)
     }
 
     fn addresses(&mut self, name: &str, flag: Option<&str>) -> Vec<SocketAddr> {
-        self.parse(name, flag, Some(""), "IP:PORT addresses separated by commas", |text| {
-            text.split(',')
-                .map(str::trim)
-                .filter(|part| !part.is_empty())
-                .map(|part| SocketAddr::from_str(part).ok())
-                .collect()
-        })
+        self.parse(
+            name,
+            flag,
+            Some(""),
+            "IP:PORT addresses separated by commas",
+            |text| {
+                text.split(',')
+                    .map(str::trim)
+                    .filter(|part| !part.is_empty())
+                    .map(|part| SocketAddr::from_str(part).ok())
+                    .collect()
+            },
+        )
         .unwrap_or_default()
     }
 
@@ -154,18 +169,33 @@
     }
 
     fn url(&mut self, name: &str, flag: Option<&str>) -> String {
-        self.parse(name, flag, None, "a URL, for example http://10.0.0.9:7100", |text| {
-            let url = reqwest::Url::parse(text).ok()?;
-            matches!(url.scheme(), "http" | "https").then(|| text.trim_end_matches('/').to_owned())
-        })
+        self.parse(
+            name,
+            flag,
+            None,
+            "a URL, for example http://10.0.0.9:7100",
+            |text| {
+                let url = reqwest::Url::parse(text).ok()?;
+                matches!(url.scheme(), "http" | "https").then(|| text.trim_end_matches('/').to_owned())
+            },
+        )
         .unwrap_or_default()
     }
 
     fn seconds(&mut self, name: &str, flag: Option<&str>, default: u64, max: u64) -> Duration {
         let default = default.to_string();
-        self.parse(name, flag, Some(&default), &format!("whole seconds from 0 to {max}"), |text| {
-            text.parse().ok().filter(|seconds| *seconds <= max).map(Duration::from_secs)
-        })
+        self.parse(
+            name,
+            flag,
+            Some(&default),
+            &format!("whole seconds from 0 to {max}"),
+            |text| {
+                text.parse()
+                    .ok()
+                    .filter(|seconds| *seconds <= max)
+                    .map(Duration::from_secs)
+            },
+        )
         .unwrap_or_default()
     }
 
@@ -179,8 +209,14 @@
     }
 
     fn level(&mut self, name: &str, flag: Option<&str>) -> LevelFilter {
-        self.parse(name, flag, Some("info"), "error, warn, info, debug or trace", |text| text.parse().ok())
-            .unwrap_or(LevelFilter::Info)
+        self.parse(
+            name,
+            flag,
+            Some("info"),
+            "error, warn, info, debug or trace",
+            |text| text.parse().ok(),
+        )
+        .unwrap_or(LevelFilter::Info)
     }
 
     fn secret(&mut self, name: &str) -> String {
--- a/crates/node/src/settings/finding.rs
+++ b/crates/node/src/settings/finding.rs
@@ -17,7 +17,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.value {
             Some(value) => write!(f, "{}: '{value}' is not {}", self.place, self.allowed),
-            None => write!(f, "{}: missing or too short; set it to {}", self.place, self.allowed),
+            None => write!(
+                f,
+                "{}: missing or too short; set it to {}",
+                self.place, self.allowed
+            ),
         }
     }
 }
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -18,7 +18,10 @@
 {
     /// Reads variables with `variable`.
     pub fn new(variable: V) -> Self {
-        Self { variable, findings: Findings::default() }
+        Self {
+            variable,
+            findings: Findings::default(),
+        }
     }
 
     /// The setting `name` read by `parse`; `None` after a finding.
@@ -41,7 +44,11 @@
         };
         let parsed = text.as_deref().and_then(parse);
         if parsed.is_none() {
-            self.findings.0.push(Finding { place, value: text, allowed: allowed.to_owned() });
+            self.findings.0.push(Finding {
+                place,
+                value: text,
+                allowed: allowed.to_owned(),
+            });
         }
         parsed
     }
@@ -54,7 +61,11 @@
         let place = format!("{PREFIX}{name}");
         let parsed = (self.variable)(&place).as_deref().and_then(parse);
         if parsed.is_none() {
-            self.findings.0.push(Finding { place, value: None, allowed: allowed.to_owned() });
+            self.findings.0.push(Finding {
+                place,
+                value: None,
+                allowed: allowed.to_owned(),
+            });
         }
         parsed
     }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,7 +6,7 @@
 use kameo::actor::ActorRef;
 use tokio::sync::watch;
 
-use crate::actor::{Claims, Members, Traffic};
+use crate::actor::{Claims, Members, Rollouts, Traffic};
 use crate::clock::Clock;
 use crate::serving::Serving;
 use crate::settings::Settings;
@@ -28,6 +28,8 @@
     pub claims: ActorRef<Claims>,
     /// Nodes and what they tell each other.
     pub members: ActorRef<Members>,
+    /// Controllers of rollouts.
+    pub rollouts: ActorRef<Rollouts>,
     /// The catalogue in force.
     pub snapshot: watch::Receiver<Arc<Snapshot>>,
     /// Whether new work may be taken.
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -18,6 +18,10 @@
 impl Snapshot {
     /// No catalogue yet.
     pub fn empty() -> Self {
-        Self { generation: 0, text: Arc::from(""), catalogue: None }
+        Self {
+            generation: 0,
+            text: Arc::from(""),
+            catalogue: None,
+        }
     }
 }
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -23,7 +23,9 @@
     /// A node that serves.
     pub fn new() -> Self {
         let (sender, _receiver) = watch::channel(Phase::Serving);
-        Self { sender: std::sync::Arc::new(sender) }
+        Self {
+            sender: std::sync::Arc::new(sender),
+        }
     }
 
     /// The present phase.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -18,7 +18,8 @@
 where
     T: DeserializeOwned,
 {
-    let (value, rest) = postcard::take_from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
+    let (value, rest) =
+        postcard::take_from_bytes(bytes).map_err(|error| Error::Malformed(error.to_string()))?;
     if !rest.is_empty() {
         return Err(Error::Malformed(format!("{} bytes follow the value", rest.len())));
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -10,6 +10,8 @@
 pub enum Frame {
     /// A frame of the membership protocol, encoded by its own crate.
     Gossip(Bytes),
+    /// Evidence on a rollout for its controller, encoded by its own crate.
+    Evidence(Bytes),
     /// A request for the node that its idempotency key names.
     Forward(Call),
     /// Head of the answer to a forwarded request.
@@ -22,10 +24,6 @@
     Handover(Bytes),
     /// The hand-over was taken in.
     Accepted,
-    /// Asks for the catalogue's text with this digest.
-    Fetch(String),
-    /// The text asked for, if the peer has it.
-    Text(Option<Bytes>),
 }
 
 impl Frame {
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -23,16 +23,22 @@
     assert_eq!(frame, gossip);
 
     let mut channel = client.open(address).await.unwrap();
-    channel.send(&Frame::Fetch("digest".to_owned())).await.unwrap();
+    channel
+        .send(&Frame::Handover(Bytes::from_static(b"keys")))
+        .await
+        .unwrap();
     let Some(Incoming::Channel {
         channel: mut answer, ..
     }) = incoming.recv().await
     else {
         panic!("no channel")
     };
-    assert_eq!(answer.receive().await.unwrap(), Frame::Fetch("digest".to_owned()));
-    answer.send(&Frame::Text(None)).await.unwrap();
-    assert_eq!(channel.receive().await.unwrap(), Frame::Text(None));
+    assert_eq!(
+        answer.receive().await.unwrap(),
+        Frame::Handover(Bytes::from_static(b"keys"))
+    );
+    answer.send(&Frame::Accepted).await.unwrap();
+    assert_eq!(channel.receive().await.unwrap(), Frame::Accepted);
 }
 
 #[tokio::test]
@@ -55,11 +61,11 @@
         accepted: false,
     },
     Case {
-        bytes: &[4],
+        bytes: &[5],
         accepted: true,
     },
     Case {
-        bytes: &[4, 0],
+        bytes: &[5, 0],
         accepted: false,
     },
     Case {
--- /dev/null
+++ b/tests/system/deployment.rs
@@ -0,0 +1,244 @@
+//! A small deployment of real processes: stand-ins and nodes.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use reqwest::{Client, RequestBuilder};
+use serde_json::{Value, json};
+
+use crate::process::Process;
+
+/// Operators' token.
+pub const OPERATOR: &str = "system-test-operator";
+
+/// Peers' secret.
+const SECRET: &str = "system-test-peer-secret";
+
+/// Token of the test's workspace; its digest stands in the catalogue.
+pub const TOKEN: &str = "demo-workspace-token";
+
+/// Looks until a state is reached, and the span between them.
+const LOOKS: u32 = 600;
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Availability zones.
+pub const ZONES: [&str; 3] = ["demo-a", "demo-b", "demo-c"];
+
+/// Processes of one deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    pub kv: Process,
+    pub cloud: Process,
+    pub engines: Vec<Process>,
+    pub services: Vec<Process>,
+    pub nodes: Vec<Process>,
+    pub client: Client,
+}
+
+impl Deployment {
+    /// Starts stand-ins with two replicas of each endpoint, `nodes` nodes over three zones, and applies the catalogue.
+    pub async fn start(nodes: usize) -> Self {
+        let deployment = Self::start_empty(nodes).await;
+        let file = deployment.catalogue_file();
+        let applied = deployment.tool(&["catalogue", "apply", "--wait", file.to_str().unwrap()]);
+        assert!(
+            applied.status.success(),
+            "{}",
+            String::from_utf8_lossy(&applied.stderr)
+        );
+        deployment.wait_ready().await;
+        deployment
+    }
+
+    async fn start_empty(nodes: usize) -> Self {
+        let kv = fake(&["kv"]);
+        let cloud = fake(&["cloud"]);
+        let engines = vec![fake(&["engine"]), fake(&["engine"])];
+        let services = vec![fake(&["service"]), fake(&["service"])];
+        let client = Client::builder().no_proxy().build().unwrap();
+        let mut deployment = Self {
+            kv,
+            cloud,
+            engines,
+            services,
+            nodes: Vec::new(),
+            client,
+        };
+        deployment.register("assistant", "demo-engine", 0).await;
+        deployment.register("ledger", "demo-service", 0).await;
+        for index in 0..nodes {
+            let node = deployment.start_node(index);
+            deployment.nodes.push(node);
+        }
+        deployment
+    }
+
+    /// Starts the node with this index; its name and zone follow from it.
+    pub fn start_node(&self, index: usize) -> Process {
+        let peers: Vec<String> = self
+            .nodes
+            .iter()
+            .filter_map(|node| node.peers)
+            .map(|peers| peers.to_string())
+            .collect();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatchd"));
+        command
+            .env("BILBERRYLATCH_PEER_SECRET", SECRET)
+            .env("BILBERRYLATCH_OPERATOR_TOKEN", OPERATOR)
+            .env("BILBERRYLATCH_PEERS", peers.join(","))
+            .args([
+                "--listen",
+                "127.0.0.1:0",
+                "--peer-listen",
+                "127.0.0.1:0",
+                "--region",
+                "demo",
+            ])
+            .args([
+                "--name",
+                &format!("node-{index}"),
+                "--zone",
+                ZONES[index % ZONES.len()],
+            ])
+            .args([
+                "--store",
+                &self.kv.url(),
+                "--cloud",
+                &self.cloud.url(),
+                "--drain-seconds",
+                "20",
+            ]);
+        Process::start(&mut command)
+    }
+
+    /// Registers the replicas of an endpoint at the cloud; `run` tells their incarnations apart.
+    pub async fn register(&self, endpoint: &str, class: &str, run: usize) {
+        let replicas = if endpoint == "assistant" {
+            &self.engines
+        } else {
+            &self.services
+        };
+        for (index, replica) in replicas.iter().enumerate() {
+            let vm = json!({
+                "id": format!("{endpoint}-{index}"), "kind": "replica", "endpoint": endpoint,
+                "zone": ZONES[index % ZONES.len()], "class": class, "reclaimable": true,
+                "addr": replica.address.to_string(), "version": "v1", "model": "", "state": "live",
+                "incarnation": format!("{:016x}", run * 100 + index + 1),
+            });
+            let url = format!("{}/admin/vms/{endpoint}-{index}", self.cloud.url());
+            self.client
+                .put(url)
+                .json(&vm)
+                .send()
+                .await
+                .unwrap()
+                .error_for_status()
+                .unwrap();
+        }
+    }
+
+    /// Runs the command-line tool against the nodes.
+    pub fn tool(&self, arguments: &[&str]) -> Output {
+        let urls: Vec<String> = self.nodes.iter().map(Process::url).collect();
+        Command::new(env!("CARGO_BIN_EXE_bilberrylatch"))
+            .env("BILBERRYLATCH_OPERATOR_TOKEN", OPERATOR)
+            .env("BILBERRYLATCH_NODE", urls.join(","))
+            .args(arguments)
+            .output()
+            .expect("the tool runs")
+    }
+
+    /// The catalogue that the demo and these tests share.
+    pub fn catalogue_file(&self) -> PathBuf {
+        PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("crates/ctl/src/demo/demo.toml")
+    }
+
+    /// Waits until every node serves and sees every replica.
+    pub async fn wait_ready(&self) {
+        for node in &self.nodes {
+            let wanted = self.engines.len() + self.services.len();
+            self.wait_for(node, "/v1/admin/replicas", |list| {
+                list.as_array().is_some_and(|l| l.len() == wanted)
+            })
+            .await;
+            self.wait_for(node, "/v1/admin/catalogue/status", |status| {
+                status["applied"] != json!(0)
+            })
+            .await;
+        }
+    }
+
+    /// Waits until an operators' resource at `node` looks as wanted.
+    pub async fn wait_for<W>(&self, node: &Process, path: &str, wanted: W) -> Value
+    where
+        W: Fn(&Value) -> bool,
+    {
+        let mut last = Value::Null;
+        for _look in 0..LOOKS {
+            if let Ok(response) = self.operator(node, path).send().await {
+                last = response.json().await.unwrap_or_default();
+                if wanted(&last) {
+                    return last;
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        panic!("{path} at {} did not get as wanted: {last}", node.address)
+    }
+
+    fn operator(&self, node: &Process, path: &str) -> RequestBuilder {
+        self.client
+            .get(format!("{}{path}", node.url()))
+            .bearer_auth(OPERATOR)
+    }
+
+    /// A request of the workspace to an endpoint, by way of `node`.
+    pub fn call(&self, node: &Process, endpoint: &str, path: &str) -> RequestBuilder {
+        self.client
+            .post(format!("{}/v1/endpoints/{endpoint}/{path}", node.url()))
+            .bearer_auth(TOKEN)
+    }
+
+    /// An idempotency key from `node`.
+    pub async fn key(&self, node: &Process) -> String {
+        let issued: Value = self
+            .call(node, "ledger", "keys")
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap();
+        issued["key"].as_str().expect("a key is issued").to_owned()
+    }
+
+    /// Runs recorded at the services, one JSON object each.
+    pub async fn runs(&self) -> Vec<Value> {
+        let mut runs = Vec::new();
+        for service in &self.services {
+            let url = format!("{}/admin/runs?after=0", service.url());
+            let list: Vec<Value> = self.client.get(url).send().await.unwrap().json().await.unwrap();
+            runs.extend(list);
+        }
+        runs
+    }
+
+    /// Switches the faults of a stand-in.
+    pub async fn faults(&self, stand_in: &Process, faults: Value) {
+        let url = format!("{}/admin/faults", stand_in.url());
+        self.client
+            .put(url)
+            .json(&faults)
+            .send()
+            .await
+            .unwrap()
+            .error_for_status()
+            .unwrap();
+    }
+}
+
+fn fake(arguments: &[&str]) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatch-fake"));
+    Process::start(command.args(arguments).args(["--listen", "127.0.0.1:0"]))
+}
--- /dev/null
+++ b/tests/system/process.rs
@@ -0,0 +1,92 @@
+//! A program under test as a process of its own.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+/// Longest wait for a program to say where it listens, or to end.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A running program; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    /// Where it listens for callers.
+    pub address: SocketAddr,
+    /// Where it listens for peers, if it is a node.
+    pub peers: Option<SocketAddr>,
+}
+
+impl Process {
+    /// Starts a program and waits for its line `listening ADDR`.
+    pub fn start(command: &mut Command) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(stderr())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the program says where it listens");
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let address = words
+            .get(1)
+            .and_then(|word| word.parse().ok())
+            .expect("an address after 'listening'");
+        let peers = words.get(3).and_then(|word| word.parse().ok());
+        Self {
+            child,
+            address,
+            peers,
+        }
+    }
+
+    /// The base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+    }
+
+    /// Waits for the end.
+    pub fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the process can be waited for") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "the process did not end");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Kills it at once, as a lost VM would end.
+    pub fn kill(&mut self) {
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Logs are shown only when asked for.
+fn stderr() -> Stdio {
+    if std::env::var_os("BILBERRYLATCH_TEST_LOGS").is_some() {
+        Stdio::inherit()
+    } else {
+        Stdio::null()
+    }
+}
--- /dev/null
+++ b/tests/system/smoke.rs
@@ -0,0 +1,56 @@
+//! The whole path: a stream and a top-up through real processes, every byte checked.
+
+use reqwest::StatusCode;
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+use crate::sse::Stream;
+
+#[tokio::test]
+async fn stream_and_top_up_through_real_processes() {
+    let deployment = Deployment::start(3).await;
+    let node = &deployment.nodes[1];
+
+    let url = format!("{}/v1/addresses?endpoint=assistant&zone=demo-b", node.url());
+    let addresses: Value = deployment
+        .client
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    let addresses = addresses["addresses"].as_array().expect("addresses").clone();
+    assert_eq!(addresses.len(), 3);
+    assert_eq!(addresses[0]["zone"], json!("demo-b"));
+
+    let body = json!({"prompt": "smoke", "max_tokens": 12});
+    let response = deployment
+        .call(node, "assistant", "v1/completions")
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.headers()["bilberrylatch-version"], "v1");
+    Stream::read(response).await.assert_whole("smoke", 0, 12);
+
+    // Asked for at one node, used at another, repeated at a third: runs once, and every answer is the same.
+    let key = deployment.key(node).await;
+    let body = json!({"account": "pupil", "amount": 250});
+    for other in [&deployment.nodes[0], &deployment.nodes[2], node] {
+        let response = deployment
+            .call(other, "ledger", "topup")
+            .header("idempotency-key", &key)
+            .json(&body)
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(response.headers()["bilberrylatch-outcome"], "answered");
+        let answer: Value = response.json().await.unwrap();
+        assert_eq!(answer, json!({"account": "pupil", "balance": 250, "run": 1}));
+    }
+    assert_eq!(deployment.runs().await.len(), 1);
+}
