--- /dev/null
+++ b/crates/claim/tests/handover.rs
@@ -0,0 +1,189 @@
+//! Hand-overs of issued keys: which pieces certify what.
+
+use base::{Incarnation, Millis, Name};
+use bytes::Bytes;
+use claim::table::{Action, Event, Finish, Home};
+use claim::{Answer, Binding, Call, Fingerprint, Handover, Key, Reason, Record, Secret, Table};
+use slotmap::SlotMap;
+
+/// Room for two keys without an answer.
+const PIECE_BYTES: usize = 130;
+/// Keys issued at the home; the last one never arrives.
+const KEYS: usize = 4;
+
+struct Case {
+    /// Pieces of the export made while three keys run: keys 0 and 1, then key 2.
+    first: &'static [usize],
+    /// Pieces of the export made after key 0 was answered: key 0, then keys 1 and 2.
+    second: &'static [usize],
+    /// What repeats of the four keys are told; nothing stands for the recorded answer.
+    told: [Option<Reason>; KEYS],
+}
+
+const CASES: [Case; 5] = [
+    Case {
+        first: &[0, 1],
+        second: &[],
+        told: [
+            Some(Reason::Interrupted),
+            Some(Reason::Interrupted),
+            Some(Reason::Interrupted),
+            Some(Reason::NeverRun),
+        ],
+    },
+    Case {
+        first: &[0, 1],
+        second: &[0, 1],
+        told: [
+            None,
+            Some(Reason::Interrupted),
+            Some(Reason::Interrupted),
+            Some(Reason::NeverRun),
+        ],
+    },
+    Case {
+        first: &[0, 0],
+        second: &[],
+        told: [
+            Some(Reason::Interrupted),
+            Some(Reason::Interrupted),
+            Some(Reason::HandoverPartial),
+            Some(Reason::HandoverPartial),
+        ],
+    },
+    Case {
+        first: &[1],
+        second: &[0],
+        told: [
+            None,
+            Some(Reason::HandoverPartial),
+            Some(Reason::Interrupted),
+            Some(Reason::HandoverPartial),
+        ],
+    },
+    Case {
+        first: &[],
+        second: &[],
+        told: [Some(Reason::HomeGone); KEYS],
+    },
+];
+
+#[test]
+fn only_all_pieces_of_one_export_certify() {
+    for (place, case) in CASES.iter().enumerate() {
+        let mut home = Stopped::new();
+        let first = home.table.export(PIECE_BYTES);
+        home.answer_first();
+        let second = home.table.export(PIECE_BYTES);
+        let chosen = case.first.iter().map(|piece| &first[*piece]);
+        let mut heir = heir(chosen.chain(case.second.iter().map(|piece| &second[*piece])));
+        for (key, told) in home.keys.iter().zip(case.told) {
+            assert_eq!(ask(&mut heir, *key), told, "case {place}, key {}", key.number);
+        }
+    }
+}
+
+#[test]
+fn a_second_hand_over_keeps_what_the_first_certified() {
+    let mut home = Stopped::new();
+    home.answer_first();
+    let pieces = home.table.export(PIECE_BYTES);
+    let again = heir(pieces.iter()).export(PIECE_BYTES);
+    let mut last = heir(again.iter());
+    let told = home.keys.iter().map(|key| ask(&mut last, *key));
+    let wanted = [
+        None,
+        Some(Reason::Interrupted),
+        Some(Reason::Interrupted),
+        Some(Reason::NeverRun),
+    ];
+    assert!(told.eq(wanted));
+}
+
+/// A home with three running keys and one that never arrived.
+struct Stopped {
+    table: Table,
+    keys: Vec<Key>,
+    calls: SlotMap<Call, ()>,
+}
+
+impl Stopped {
+    fn new() -> Self {
+        let mut home = Self {
+            table: Table::new(Incarnation(1), Secret::new(b"secret")),
+            keys: Vec::new(),
+            calls: SlotMap::with_key(),
+        };
+        for _ in 0..KEYS {
+            let (call, binding) = (home.calls.insert(()), binding());
+            if let [Action::Issued { key, .. }] =
+                home.table.step(Millis::ZERO, Event::Issue { call, binding })[..]
+            {
+                home.keys.push(key);
+            }
+        }
+        for key in home.keys[..KEYS - 1].iter().copied() {
+            let call = home.calls.insert(());
+            home.table.step(Millis::ZERO, arrive(call, key));
+            home.table.step(Millis::ZERO, Event::Dispatch { call, key });
+        }
+        home
+    }
+
+    fn answer_first(&mut self) {
+        let call = self.calls.keys().nth(KEYS).unwrap();
+        let result = Finish::Answered(Record {
+            body: Bytes::from(vec![7; 100]),
+            ..Record::default()
+        });
+        let key = self.keys[0];
+        self.table.step(Millis::ZERO, Event::Finish { call, key, result });
+    }
+}
+
+fn heir<'a, P>(pieces: P) -> Table
+where
+    P: Iterator<Item = &'a Handover>,
+{
+    let mut table = Table::new(Incarnation(2), Secret::new(b"secret"));
+    for piece in pieces {
+        table.step(Millis::ZERO, Event::Import(piece.clone()));
+    }
+    table
+}
+
+fn ask(table: &mut Table, key: Key) -> Option<Reason> {
+    let call = SlotMap::<Call, ()>::with_key().insert(());
+    match &table.step(Millis::ZERO, arrive(call, key))[..] {
+        [
+            Action::Answer {
+                answer: Answer::Refused(reason),
+                ..
+            },
+        ] => Some(*reason),
+        [
+            Action::Answer {
+                answer: Answer::Recorded(record),
+                ..
+            },
+        ] => {
+            assert_eq!(record.body, vec![7; 100]);
+            None
+        }
+        actions => panic!("unexpected {actions:?}"),
+    }
+}
+
+fn arrive(call: Call, key: Key) -> Event {
+    Event::Arrive {
+        call,
+        key,
+        binding: binding(),
+        fingerprint: Fingerprint::new(b"POST", b"/", b""),
+        home: Home::Gone,
+    }
+}
+
+fn binding() -> Binding {
+    Binding::new(Name::new("cyfrif"), Name::new("tills"))
+}
--- /dev/null
+++ b/crates/claim/tests/issued.rs
@@ -0,0 +1,50 @@
+//! Stateful fuzzing of issued keys: several tables, against the set of runs as the only oracle.
+
+mod issued {
+    pub mod op;
+    pub mod world;
+}
+
+use issued::op::Op;
+use issued::world::{self, World};
+
+/// What the schedules must have met, so that they prove something.
+const MET: [&str; 16] = [
+    "run",
+    "join",
+    "forward",
+    "dispatch",
+    "halt",
+    "recorded",
+    "not-started",
+    "interrupted",
+    "record-dropped",
+    "key-expired",
+    "keys-full",
+    "key-crowded",
+    "node-stopping",
+    "home-gone",
+    "handover-partial",
+    "never-run",
+];
+
+/// Schedules a run.
+const SCHEDULES: u64 = 4_000;
+/// Steps of the longest schedule.
+const STEPS: usize = 120;
+
+#[test]
+fn a_key_runs_once_and_every_repeat_is_told_the_truth() {
+    fn property(ops: Vec<Op>) -> bool {
+        let mut world = World::new();
+        for op in ops {
+            world.apply(op);
+        }
+        world.finish();
+        true
+    }
+    check::property(SCHEDULES, STEPS, property as fn(Vec<Op>) -> bool);
+    for label in MET {
+        assert!(world::met(label), "no schedule met `{label}`");
+    }
+}
