Route: an oracle for every step; a full version blocks no other

Cause: nothing checked the decisions. The first random run showed that a request waiting for a full version, or one that avoids the replica where it just failed, blocked requests of the same workspace behind it while a replica was idle. Weighed: looking further down the flow (rejected: 256 canary requests at its head would still block) against one lane a set of accepted versions in each flow (taken). Avoiding the last replica became a preference, not a bar. Change: lanes; a random run against a plain record: one end a request, no dispatch to leaving or ejected replicas, limits, shares, versions, deadlines, retry budgets, at most once, resumed tokens, no idle replica while a first dispatch waits. Not caught yet: the estimate with reports off by one (needs a case of its own).

--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::key::{CallKey, WorkspaceKey};
-use flow::{Entry, Flow};
+use flow::{Entry, Flow, Lane};
 
 /// Virtual time that one dispatch costs a workspace of weight one.
 const COST: u64 = 1 << 20;
@@ -54,7 +54,7 @@
     }
 
     /// Adds a request.
-    pub fn push(&mut self, workspace: WorkspaceKey, weight: u32, entry: Entry) {
+    pub fn push(&mut self, workspace: WorkspaceKey, weight: u32, lane: Lane, entry: Entry) {
         let flow = self.flows.entry(workspace).or_default();
         if flow.is_empty() {
             flow.weight = weight.max(1);
@@ -67,16 +67,16 @@
                 });
             }
         }
-        flow.insert(entry);
+        flow.insert(lane, entry);
         self.len += 1;
     }
 
     /// Takes a request out; whether it was there.
-    pub fn remove(&mut self, workspace: WorkspaceKey, entry: Entry) -> bool {
+    pub fn remove(&mut self, workspace: WorkspaceKey, lane: Lane, entry: Entry) -> bool {
         let Some(flow) = self.flows.get_mut(&workspace) else {
             return false;
         };
-        if !flow.remove(entry) {
+        if !flow.remove(lane, entry) {
             return false;
         }
         self.len -= 1;
@@ -95,9 +95,9 @@
         self.ready.iter().copied()
     }
 
-    /// The request of a workspace that comes first.
-    pub fn head(&self, workspace: WorkspaceKey) -> Option<CallKey> {
-        self.flows.get(&workspace).and_then(Flow::head)
+    /// The first requests of a workspace, one for each set of versions that they accept, in order.
+    pub fn heads(&self, workspace: WorkspaceKey) -> Vec<Entry> {
+        self.flows.get(&workspace).map(Flow::heads).unwrap_or_default()
     }
 
     /// Charges a dispatch to a workspace; its next turn comes the later the smaller its weight.
--- a/crates/route/src/queue/flow.rs
+++ b/crates/route/src/queue/flow.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use indexmap::IndexMap;
+
 use crate::arrival::Priority;
-use crate::key::CallKey;
+use crate::key::{CallKey, VersionKey};
 
 /// Place of a request in its flow: by priority, then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -14,37 +16,66 @@
     pub call: CallKey,
 }
 
+/// The versions that a request accepts. Requests of one lane can go to the same replicas, so that
+/// those of a full version don't block the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Lane {
+    pub version: Option<VersionKey>,
+    pub fallback: Option<VersionKey>,
+}
+
 /// One workspace's requests, its weight and its next start tag.
 #[derive(Debug, Default)]
 pub(crate) struct Flow {
-    waiting: BTreeSet<Entry>,
+    lanes: IndexMap<Lane, BTreeSet<Entry>>,
+    len: usize,
     pub tag: u64,
     pub weight: u32,
     pub parked: bool,
 }
 
 impl Flow {
-    pub fn len(&self) -> usize {
-        self.waiting.len()
+    pub const fn len(&self) -> usize {
+        self.len
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+    pub const fn is_empty(&self) -> bool {
+        self.len == 0
     }
 
-    pub fn insert(&mut self, entry: Entry) {
-        self.waiting.insert(entry);
+    pub fn insert(&mut self, lane: Lane, entry: Entry) {
+        if self.lanes.entry(lane).or_default().insert(entry) {
+            self.len += 1;
+        }
     }
 
-    pub fn remove(&mut self, entry: Entry) -> bool {
-        self.waiting.remove(&entry)
+    /// Takes a request out; whether it was there.
+    pub fn remove(&mut self, lane: Lane, entry: Entry) -> bool {
+        let Some(entries) = self.lanes.get_mut(&lane) else {
+            return false;
+        };
+        if !entries.remove(&entry) {
+            return false;
+        }
+        self.len -= 1;
+        if entries.is_empty() {
+            self.lanes.swap_remove(&lane);
+        }
+        true
     }
 
-    pub fn head(&self) -> Option<CallKey> {
-        self.waiting.first().map(|entry| entry.call)
+    /// The first request of each lane, in order.
+    pub fn heads(&self) -> Vec<Entry> {
+        let mut heads: Vec<Entry> = self
+            .lanes
+            .values()
+            .filter_map(|entries| entries.first().copied())
+            .collect();
+        heads.sort_unstable();
+        heads
     }
 
     pub fn calls(&self) -> impl Iterator<Item = CallKey> + '_ {
-        self.waiting.iter().map(|entry| entry.call)
+        self.lanes.values().flatten().map(|entry| entry.call)
     }
 }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -88,6 +88,7 @@
             limit: self.limit.value(),
             leaving: self.phase > Phase::Live,
             ejected: self.health.state() == health::State::Ejected,
+            probing: self.health.state() == health::State::HalfOpen,
         }
     }
 }
--- a/crates/route/src/replica/view.rs
+++ b/crates/route/src/replica/view.rs
@@ -11,4 +11,6 @@
     pub leaving: bool,
     /// Whether it takes no requests after failures.
     pub ejected: bool,
+    /// Whether it takes one request at a time, to see whether it works again.
+    pub probing: bool,
 }
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -111,9 +111,10 @@
         let left = call.deadline - now;
         let answer = endpoint.speed.answer().min(Millis(left.0 / 2));
         let give_up = call.deadline - answer;
+        let weight = workspace.settings.weight;
         endpoint
             .queue
-            .push(arrival.workspace, workspace.settings.weight, call.entry());
+            .push(arrival.workspace, weight, call.lane(), call.entry());
         self.set_timer(key, Some(give_up));
         self.pump(now, arrival.endpoint, actions);
     }
@@ -130,7 +131,9 @@
             return;
         };
         if let Some(endpoint) = self.endpoints.get_mut(call.arrival.endpoint) {
-            endpoint.queue.remove(call.arrival.workspace, call.entry());
+            endpoint
+                .queue
+                .remove(call.arrival.workspace, call.lane(), call.entry());
         }
     }
 
--- a/crates/route/src/router/call.rs
+++ b/crates/route/src/router/call.rs
@@ -4,7 +4,7 @@
 
 use crate::arrival::Arrival;
 use crate::key::{DispatchId, ReplicaKey};
-use crate::queue::flow::Entry;
+use crate::queue::flow::{Entry, Lane};
 use crate::retry::Cause;
 
 /// Where a request stands.
@@ -71,6 +71,14 @@
         }
     }
 
+    /// The versions that it accepts.
+    pub const fn lane(&self) -> Lane {
+        Lane {
+            version: self.arrival.version,
+            fallback: self.arrival.fallback,
+        }
+    }
+
     /// What may be said when it is refused.
     pub const fn outcome(&self) -> Outcome {
         if self.may_have_run {
--- a/crates/route/src/router/choose.rs
+++ b/crates/route/src/router/choose.rs
@@ -26,6 +26,7 @@
     replicas: &'a SlotMap<ReplicaKey, Replica>,
     endpoint: &'a Endpoint,
     call: &'a Call,
+    avoid: Option<ReplicaKey>,
 }
 
 impl Router {
@@ -33,13 +34,20 @@
     pub(super) fn choose(&mut self, now: Millis, key: CallKey) -> Option<ReplicaKey> {
         let call = self.calls.get(&key)?;
         let endpoint = self.endpoints.get(call.arrival.endpoint)?;
-        let view = View {
+        let mut view = View {
             now,
             zone: self.zone,
             replicas: &self.replicas,
             endpoint,
             call,
+            avoid: call.avoid,
         };
+        let chosen = view.choose(&mut self.generator);
+        if chosen.is_some() || view.avoid.is_none() {
+            return chosen;
+        }
+        // Where it failed last is better than no replica; else it would block what waits behind it.
+        view.avoid = None;
         view.choose(&mut self.generator)
     }
 }
@@ -125,13 +133,12 @@
             .map_or(f32::MAX, |replica| replica.score(self.now))
     }
 
-    /// Whether the replica has room and did not fail the request just now while there are others.
+    /// Whether the replica has room and did not fail the request just now.
     fn suits(&self, key: ReplicaKey) -> bool {
-        if self.call.avoid == Some(key) && self.endpoint.pools.live() > 1 {
-            return false;
-        }
-        self.replicas
-            .get(key)
-            .is_some_and(|replica| replica.has_room(self.now))
+        self.avoid != Some(key)
+            && self
+                .replicas
+                .get(key)
+                .is_some_and(|replica| replica.has_room(self.now))
     }
 }
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -80,7 +80,7 @@
         false
     }
 
-    /// Dispatches the flow's first request if a replica suits it.
+    /// Dispatches the flow's first request that a replica suits; whether there was one.
     fn dispatch_head(
         &mut self,
         now: Millis,
@@ -88,19 +88,17 @@
         workspace: WorkspaceKey,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(key) = self
-            .endpoints
-            .get(endpoint)
-            .and_then(|endpoint| endpoint.queue.head(workspace))
-        else {
+        let Some(endpoint) = self.endpoints.get(endpoint) else {
             return false;
         };
-        let Some(replica) = self.choose(now, key) else {
-            return false;
-        };
-        self.unqueue(key);
-        self.dispatch(now, key, replica, actions);
-        true
+        for head in endpoint.queue.heads(workspace) {
+            if let Some(replica) = self.choose(now, head.call) {
+                self.unqueue(head.call);
+                self.dispatch(now, head.call, replica, actions);
+                return true;
+            }
+        }
+        false
     }
 
     /// Sends a request, which is in no queue, to a replica.
--- /dev/null
+++ b/crates/route/tests/route/cases.rs
@@ -0,0 +1,1 @@
+//! Tables of refusals and retries.
--- /dev/null
+++ b/crates/route/tests/route/fairness.rs
@@ -0,0 +1,1 @@
+//! Fairness.
--- /dev/null
+++ b/crates/route/tests/route/world.rs
@@ -0,0 +1,345 @@
+//! A router with one endpoint, driven by operations and watched by the oracle.
+
+use base::{Millis, Name, Seed};
+use route::event::{Event, Finish};
+use route::failure::{Failure, Kind};
+use route::replica::{Report, Spec};
+use route::{
+    Action, Arrival, CallKey, DispatchId, EndpointKey, Prefix, ReplicaKey, Router, VersionKey, WorkspaceKey,
+    ZoneKey, endpoint, workspace,
+};
+
+use crate::op::{End, Op};
+use crate::oracle::{Machine, Oracle, Request};
+
+pub struct World {
+    pub now: Millis,
+    pub router: Router,
+    pub oracle: Oracle,
+    pub endpoint: EndpointKey,
+    pub workspaces: Vec<WorkspaceKey>,
+    pub zones: Vec<ZoneKey>,
+    pub versions: Vec<VersionKey>,
+    calls: u64,
+}
+
+const CAPACITY: u32 = 3;
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut router = Router::new(Seed(seed)).with_zone(&Name::from("a"));
+        let settings = endpoint::Settings::new(Millis(100))
+            .with_max_queue(12)
+            .with_affinity(true);
+        let endpoint = router.add_endpoint(settings);
+        let workspaces = vec![
+            router.add_workspace(workspace::Settings::new(8)),
+            router.add_workspace(workspace::Settings::new(4).with_weight(3)),
+            router.add_workspace(workspace::Settings::new(2)),
+        ];
+        let zones = ["a", "b", "c"]
+            .map(|name| router.zone(&Name::from(name)))
+            .to_vec();
+        let versions = ["v1", "v2"]
+            .map(|name| router.version(&Name::from(name)))
+            .to_vec();
+        let mut oracle = Oracle::default();
+        oracle.max_attempts = settings.max_attempts;
+        for (key, share) in workspaces.iter().zip([8, 4, 2]) {
+            oracle.shares.insert(*key, share);
+        }
+        let mut world = Self {
+            now: Millis(1),
+            router,
+            oracle,
+            endpoint,
+            workspaces,
+            zones,
+            versions,
+            calls: 0,
+        };
+        for pick in 0..4 {
+            world.add(pick);
+        }
+        world
+    }
+
+    pub fn run(&mut self, op: Op) {
+        match op {
+            Op::Arrive {
+                workspace,
+                wait,
+                flags,
+            } => self.arrive(workspace, wait, flags),
+            Op::Sent(pick) => self.sent(pick),
+            Op::First(pick) => self.first(pick),
+            Op::Finish { pick, end } => self.finish(pick, end),
+            Op::Cancel(pick) => self.cancel(pick),
+            Op::Leave(pick) => self.leave(pick, false),
+            Op::Gone(pick) => self.leave(pick, true),
+            Op::Add(pick) => self.add(pick),
+            Op::Report { pick, running } => self.report(pick, running),
+            Op::Share { workspace, share } => self.share(workspace, share),
+            Op::Pass(span) => self.pass(Millis(u64::from(span))),
+            Op::Cached { pick, prefix } => {
+                if let Some(replica) = self.replica(pick) {
+                    self.step(Event::PrefixCached {
+                        replica,
+                        prefix: Prefix(u64::from(prefix % 4)),
+                    });
+                }
+            }
+            Op::RemoveEndpoint => self.remove_endpoint(),
+            Op::RemoveWorkspace(pick) => self.remove_workspace(pick),
+        }
+    }
+
+    /// Ends all that runs; after it nothing may be left.
+    pub fn drain(&mut self) {
+        while !self.oracle.flights.is_empty() {
+            self.finish(0, End::Whole);
+        }
+        self.pass(Millis(60_000));
+        while !self.oracle.flights.is_empty() {
+            self.finish(0, End::Whole);
+            self.pass(Millis(60_000));
+        }
+        for request in self.oracle.requests.values() {
+            assert!(request.ended, "never ended: {request:?}");
+        }
+        assert_eq!(self.router.queued(self.endpoint), 0);
+        assert_eq!(self.router.in_flight(self.endpoint), 0);
+    }
+
+    pub fn step(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.router.step(self.now, event, &mut actions);
+        self.settle(&actions);
+    }
+
+    fn settle(&mut self, actions: &[Action]) {
+        for action in actions {
+            self.oracle.check(self.now, &self.router, *action);
+        }
+        self.oracle.check_rest(self.now, &self.router);
+    }
+
+    fn arrive(&mut self, workspace: u8, wait: u16, flags: u8) {
+        self.calls += 1;
+        let call = CallKey(self.calls);
+        let workspace = self.workspaces[usize::from(workspace) % self.workspaces.len()];
+        let deadline = self.now + Millis(u64::from(wait));
+        let mut arrival =
+            Arrival::new(call, self.endpoint, workspace, deadline).with_idempotent(flags & 1 == 1);
+        if flags & 2 == 2 {
+            arrival = arrival.with_prefix(Prefix(u64::from(flags >> 4) % 4));
+        }
+        if flags & 4 == 4 {
+            let fallback = (flags & 8 == 8).then_some(self.versions[0]);
+            arrival = arrival.with_version(self.versions[1], fallback);
+        }
+        let request = Request {
+            arrival,
+            ended: false,
+            flight: None,
+            attempts: 0,
+            losses: 0,
+            may_have_run: false,
+            delivered: 0,
+            deadline,
+        };
+        self.oracle.requests.insert(call, request);
+        self.step(Event::Arrive(arrival));
+    }
+
+    fn flight(&self, pick: u8) -> Option<DispatchId> {
+        let len = self.oracle.flights.len();
+        let index = usize::from(pick).checked_rem(len)?;
+        self.oracle.flights.get_index(index).map(|(id, _)| *id)
+    }
+
+    fn sent(&mut self, pick: u8) {
+        let Some(dispatch) = self.flight(pick) else { return };
+        self.oracle.flights[&dispatch].sent = true;
+        self.step(Event::Sent { dispatch });
+    }
+
+    fn first(&mut self, pick: u8) {
+        let Some(dispatch) = self.flight(pick) else { return };
+        let flight = &mut self.oracle.flights[&dispatch];
+        flight.sent = true;
+        flight.first = true;
+        self.step(Event::FirstToken { dispatch });
+    }
+
+    fn finish(&mut self, pick: u8, end: End) {
+        let Some(dispatch) = self.flight(pick) else { return };
+        let flight = self.oracle.flights[&dispatch];
+        let finish = finish(end, flight.sent, flight.first);
+        if end == End::Refused && finish != Finish::Whole {
+            self.oracle.machines[&flight.replica].live = false;
+        }
+        self.oracle.flights.shift_remove(&dispatch);
+        self.oracle.machines[&flight.replica].in_flight -= 1;
+        *self.oracle.used.entry(flight.workspace).or_default() -= 1;
+        let lost = !self.oracle.machines[&flight.replica].live;
+        let request = &mut self.oracle.requests[&flight.call];
+        if !request.ended {
+            note(request, flight.sent, finish, lost, self.now);
+            if finish != Finish::Whole {
+                self.oracle.lost.insert(flight.call, lost);
+                request.flight = None;
+            }
+        }
+        self.step(Event::Finished { dispatch, finish });
+    }
+
+    fn cancel(&mut self, pick: u8) {
+        let open: Vec<CallKey> = self
+            .oracle
+            .requests
+            .iter()
+            .filter(|(_, request)| !request.ended)
+            .map(|(key, _)| *key)
+            .collect();
+        let Some(index) = usize::from(pick).checked_rem(open.len()) else {
+            return;
+        };
+        let call = open[index];
+        self.oracle.requests[&call].ended = true;
+        self.step(Event::Cancelled { call });
+    }
+
+    fn replica(&self, pick: u8) -> Option<ReplicaKey> {
+        let live: Vec<ReplicaKey> = self
+            .oracle
+            .machines
+            .iter()
+            .filter(|(_, machine)| machine.live)
+            .map(|(key, _)| *key)
+            .collect();
+        let index = usize::from(pick).checked_rem(live.len())?;
+        Some(live[index])
+    }
+
+    fn leave(&mut self, pick: u8, gone: bool) {
+        let Some(replica) = self.replica(pick) else { return };
+        self.oracle.machines[&replica].live = false;
+        if gone {
+            self.step(Event::ReplicaGone { replica });
+        } else {
+            self.step(Event::ReplicaLeaving { replica });
+        }
+    }
+
+    pub fn add(&mut self, pick: u8) {
+        let live = self
+            .oracle
+            .machines
+            .values()
+            .filter(|machine| machine.live)
+            .count();
+        if live >= 8 {
+            return;
+        }
+        let version = self.versions[usize::from(pick) % 2];
+        let spec = Spec {
+            endpoint: self.endpoint,
+            zone: self.zones[usize::from(pick) % 3],
+            version,
+            capacity: CAPACITY,
+            identity: u64::from(pick),
+        };
+        let mut actions = Vec::new();
+        let Some(key) = self.router.add_replica(self.now, spec, &mut actions) else {
+            return;
+        };
+        let machine = Machine {
+            version,
+            capacity: CAPACITY,
+            live: true,
+            in_flight: 0,
+            reported: false,
+        };
+        self.oracle.machines.insert(key, machine);
+        self.settle(&actions);
+    }
+
+    fn report(&mut self, pick: u8, running: u8) {
+        let Some(replica) = self.replica(pick) else { return };
+        self.oracle.machines[&replica].reported = true;
+        let report = Report {
+            running: u32::from(running),
+            queued: 0,
+            age: Millis(100),
+        };
+        self.step(Event::Report { replica, report });
+    }
+
+    fn share(&mut self, pick: u8, share: u8) {
+        let workspace = self.workspaces[usize::from(pick) % self.workspaces.len()];
+        let Some(old) = self.oracle.shares.get_mut(&workspace) else {
+            return;
+        };
+        *old = u32::from(share);
+        let settings = workspace::Settings::new(u32::from(share));
+        self.step(Event::WorkspaceChanged { workspace, settings });
+    }
+
+    /// Time passes as the router asks for it.
+    pub fn pass(&mut self, span: Millis) {
+        let until = self.now + span;
+        while let Some(at) = self.router.wake_at().filter(|at| *at <= until) {
+            self.now = self.now.max(at);
+            self.step(Event::Tick);
+        }
+        self.now = until;
+    }
+
+    fn remove_endpoint(&mut self) {
+        self.oracle.endpoint_removed = true;
+        for machine in self.oracle.machines.values_mut() {
+            machine.live = false;
+        }
+        let endpoint = self.endpoint;
+        self.step(Event::EndpointRemoved { endpoint });
+    }
+
+    fn remove_workspace(&mut self, pick: u8) {
+        let workspace = self.workspaces[usize::from(pick) % self.workspaces.len()];
+        self.oracle.shares.swap_remove(&workspace);
+        self.step(Event::WorkspaceRemoved { workspace });
+    }
+}
+
+/// The end that is possible for a dispatch that is so far.
+fn finish(end: End, sent: bool, first: bool) -> Finish {
+    let failed = |kind, may_have_run| Finish::Failed(Failure::new(kind, may_have_run));
+    match end {
+        End::Refused if !sent => failed(Kind::Refused, false),
+        End::ResetBefore => failed(Kind::Reset, false),
+        End::Rejected if !first => failed(Kind::Rejected, false),
+        End::Cut if first => Finish::Cut { tokens: 5 },
+        End::Reset => failed(Kind::Reset, true),
+        End::Status | End::Cut => failed(Kind::Status, true),
+        End::Whole | End::Refused | End::Rejected => Finish::Whole,
+    }
+}
+
+fn note(request: &mut Request, sent: bool, finish: Finish, lost: bool, now: Millis) {
+    if finish == Finish::Whole {
+        return;
+    }
+    request.losses += u8::from(lost);
+    match finish {
+        Finish::Whole => {}
+        Finish::Failed(failure) => {
+            request.may_have_run |= failure.may_have_run || (sent && failure.kind != Kind::Rejected);
+        }
+        Finish::Cut { tokens } => {
+            request.may_have_run = true;
+            request.delivered += tokens;
+            request.deadline = request.deadline.max(now + Millis(10_000));
+        }
+    }
+}
