--- /dev/null
+++ b/crates/route/benches/policy.rs
@@ -0,0 +1,2 @@
+//! Policies against their baselines in virtual time.
+fn main() {}
--- /dev/null
+++ b/crates/route/benches/route.rs
@@ -0,0 +1,152 @@
+//! Cost of the router's steps by the number of replicas.
+
+use base::{Millis, Name, Seed};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use route::event::{Event, Finish};
+use route::replica::{Report, Spec};
+use route::{
+    Action, Arrival, CallKey, DispatchId, EndpointKey, Prefix, ReplicaKey, Router, WorkspaceKey, endpoint,
+    workspace,
+};
+
+const REPLICAS: [u32; 4] = [10, 100, 1_000, 12_000];
+const ZONES: u32 = 4;
+const VERSIONS: u32 = 2;
+const CAPACITY: u32 = 16;
+/// Requests in flight on one node in the runs that hold some.
+const HELD: u32 = 800;
+
+struct Fixture {
+    router: Router,
+    endpoint: EndpointKey,
+    workspace: WorkspaceKey,
+    replicas: Vec<ReplicaKey>,
+    actions: Vec<Action>,
+    calls: u64,
+    now: Millis,
+}
+
+impl Fixture {
+    fn new(replicas: u32, affinity: bool) -> Self {
+        let mut router = Router::new(Seed(1)).with_zone(&Name::from("zone-0"));
+        let settings = endpoint::Settings::new(Millis(500)).with_affinity(affinity);
+        let endpoint = router.add_endpoint(settings);
+        let workspace = router.add_workspace(workspace::Settings::new(u32::MAX));
+        let mut actions = Vec::new();
+        let mut keys = Vec::new();
+        for index in 0..replicas {
+            let spec = Spec {
+                endpoint,
+                zone: router.zone(&Name::from(format!("zone-{}", index % ZONES))),
+                version: router.version(&Name::from(format!("v{}", index % VERSIONS))),
+                capacity: CAPACITY,
+                identity: u64::from(index).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            };
+            keys.extend(router.add_replica(Millis(0), spec, &mut actions));
+        }
+        Self {
+            router,
+            endpoint,
+            workspace,
+            replicas: keys,
+            actions,
+            calls: 0,
+            now: Millis(1),
+        }
+    }
+
+    fn arrive(&mut self) -> Option<DispatchId> {
+        self.calls += 1;
+        // Ten events a millisecond, so that latencies stay within the target.
+        self.now = Millis(1 + self.calls / 10);
+        let deadline = self.now + Millis(5_000);
+        let arrival = Arrival::new(CallKey(self.calls), self.endpoint, self.workspace, deadline)
+            .with_prefix(Prefix(self.calls % 1_000));
+        self.actions.clear();
+        self.router
+            .step(self.now, Event::Arrive(arrival), &mut self.actions);
+        self.actions.iter().find_map(|action| match action {
+            Action::Dispatch(dispatch) => Some(dispatch.id),
+            _ => None,
+        })
+    }
+
+    fn finish(&mut self, dispatch: DispatchId) {
+        let finish = Finish::Whole;
+        self.router
+            .step(self.now, Event::Finished { dispatch, finish }, &mut self.actions);
+    }
+
+    fn request(&mut self) {
+        if let Some(dispatch) = self.arrive() {
+            self.finish(dispatch);
+        }
+    }
+
+    /// Leaves so many requests in flight.
+    fn load(&mut self, requests: u32) {
+        for _ in 0..requests {
+            self.arrive();
+        }
+    }
+
+    fn report(&mut self) {
+        let index = self.calls as usize % self.replicas.len();
+        self.calls += 1;
+        let event = Event::Report {
+            replica: self.replicas[index],
+            report: Report {
+                running: 4,
+                queued: 0,
+                age: Millis(0),
+            },
+        };
+        self.router.step(self.now, event, &mut self.actions);
+    }
+}
+
+fn requests(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    for replicas in REPLICAS {
+        for affinity in [false, true] {
+            let mut fixture = Fixture::new(replicas, affinity);
+            let name = if affinity { "affinity" } else { "plain" };
+            group.bench_function(BenchmarkId::new(name, replicas), |bencher| {
+                bencher.iter(|| fixture.request());
+            });
+        }
+        let mut fixture = Fixture::new(replicas, false);
+        fixture.load(HELD.min(replicas * CAPACITY / 2));
+        group.bench_function(BenchmarkId::new("held-800", replicas), |bencher| {
+            bencher.iter(|| fixture.request());
+        });
+    }
+    group.finish();
+}
+
+/// Cost by the requests that one node has in flight.
+fn in_flight(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("in-flight");
+    for requests in [1_000, 10_000, 100_000] {
+        let mut fixture = Fixture::new(12_000, false);
+        fixture.load(requests);
+        group.bench_function(BenchmarkId::from_parameter(requests), |bencher| {
+            bencher.iter(|| fixture.request());
+        });
+    }
+    group.finish();
+}
+
+fn reports(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("report");
+    for replicas in REPLICAS {
+        let mut fixture = Fixture::new(replicas, false);
+        group.bench_function(BenchmarkId::from_parameter(replicas), |bencher| {
+            bencher.iter(|| fixture.report());
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, requests, in_flight, reports);
+criterion_main!(benches);
--- a/crates/route/src/endpoint.rs
+++ b/crates/route/src/endpoint.rs
@@ -6,10 +6,9 @@
 
 pub use settings::Settings;
 
-use indexmap::IndexSet;
-
 use crate::affinity::Table;
 use crate::budget::Budget;
+use crate::hash::Set;
 use crate::key::ReplicaKey;
 use crate::queue::Queue;
 use pool::Pools;
@@ -23,7 +22,7 @@
 pub(crate) struct Endpoint {
     pub settings: Settings,
     pub pools: Pools,
-    pub ejected: IndexSet<ReplicaKey>,
+    pub ejected: Set<ReplicaKey>,
     pub queue: Queue,
     pub budget: Budget,
     pub speed: Speed,
@@ -37,7 +36,7 @@
         Self {
             settings,
             pools: Pools::default(),
-            ejected: IndexSet::new(),
+            ejected: Set::default(),
             queue: Queue::default(),
             budget: Budget::default(),
             speed: Speed::new(settings.latency_target),
--- a/crates/route/src/endpoint/pool.rs
+++ b/crates/route/src/endpoint/pool.rs
@@ -1,12 +1,11 @@
 //! Dense lists of the replicas that take work, by version and availability zone.
 
-use indexmap::{IndexMap, IndexSet};
-
+use crate::hash::{Map, Set};
 use crate::key::{ReplicaKey, VersionKey, ZoneKey};
 use crate::replica::Spec;
 
 /// Replicas with a free slot, in no order; a draw by index costs the same at every size.
-pub(crate) type Pool = IndexSet<ReplicaKey>;
+pub(crate) type Pool = Set<ReplicaKey>;
 
 /// The replicas of an endpoint, or of one of its versions.
 #[derive(Debug, Default)]
@@ -15,7 +14,7 @@
     pub live: usize,
     /// Free replicas of all zones.
     pub all: Pool,
-    zones: IndexMap<ZoneKey, Pool>,
+    zones: Map<ZoneKey, Pool>,
 }
 
 impl Group {
@@ -40,7 +39,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pools {
     any: Group,
-    versions: IndexMap<VersionKey, Group>,
+    versions: Map<VersionKey, Group>,
 }
 
 impl Pools {
--- /dev/null
+++ b/crates/route/src/hash.rs
@@ -0,0 +1,39 @@
+//! Hashing of keys that the node numbers itself.
+
+use std::hash::{BuildHasherDefault, Hasher};
+
+use indexmap::{IndexMap, IndexSet};
+
+/// The odd constant of Fibonacci hashing: it spreads neighbouring numbers over the high bits.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Multiplicative hash of one small number.
+///
+/// NB: only for keys that no caller can choose; others could be made to collide.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Fibonacci(u64);
+
+impl Hasher for Fibonacci {
+    fn finish(&self) -> u64 {
+        self.0 ^ self.0 >> 32
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(u64::from(*byte));
+        }
+    }
+
+    fn write_u32(&mut self, i: u32) {
+        self.write_u64(u64::from(i));
+    }
+
+    fn write_u64(&mut self, i: u64) {
+        self.0 = (self.0 ^ i).wrapping_mul(SPREAD);
+    }
+}
+
+/// A map by keys that the node numbers itself.
+pub(crate) type Map<K, V> = IndexMap<K, V, BuildHasherDefault<Fibonacci>>;
+/// A set of keys that the node numbers itself.
+pub(crate) type Set<K> = IndexSet<K, BuildHasherDefault<Fibonacci>>;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod event;
 pub mod failure;
+pub(crate) mod hash;
 pub mod key;
 pub(crate) mod queue;
 pub mod refusal;
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -4,8 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use indexmap::IndexMap;
-
+use crate::hash::Map;
 use crate::key::{CallKey, WorkspaceKey};
 use flow::{Entry, Flow, Lane};
 
@@ -22,7 +21,7 @@
 /// The waiting requests of an endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
-    flows: IndexMap<WorkspaceKey, Flow>,
+    flows: Map<WorkspaceKey, Flow>,
     /// Flows with waiting requests whose workspace is below its share.
     ready: BTreeSet<Turn>,
     /// Start tag of the last dispatch.
--- a/crates/route/src/queue/flow.rs
+++ b/crates/route/src/queue/flow.rs
@@ -2,9 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use indexmap::IndexMap;
-
 use crate::arrival::Priority;
+use crate::hash::Map;
 use crate::key::{CallKey, VersionKey};
 
 /// Place of a request in its flow: by priority, then by arrival.
@@ -27,7 +26,7 @@
 /// One workspace's requests, its weight and its next start tag.
 #[derive(Debug, Default)]
 pub(crate) struct Flow {
-    lanes: IndexMap<Lane, BTreeSet<Entry>>,
+    lanes: Map<Lane, BTreeSet<Entry>>,
     len: usize,
     pub tag: u64,
     pub weight: u32,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,12 +11,13 @@
 
 use base::seed::Generator;
 use base::{Millis, Name, Seed};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use slotmap::SlotMap;
 
 use crate::action::Action;
 use crate::endpoint::{self, Endpoint};
 use crate::event::Event;
+use crate::hash::Map;
 use crate::key::{CallKey, DispatchId, EndpointKey, ReplicaKey, VersionKey, WorkspaceKey, ZoneKey};
 use crate::replica::{self, Replica};
 use crate::workspace::{self, Workspace};
@@ -34,8 +35,8 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     replicas: SlotMap<ReplicaKey, Replica>,
     workspaces: SlotMap<WorkspaceKey, Workspace>,
-    calls: IndexMap<CallKey, Call>,
-    flights: IndexMap<DispatchId, Flight>,
+    calls: Map<CallKey, Call>,
+    flights: Map<DispatchId, Flight>,
     timers: Timers,
     /// Arrivals so far.
     arrivals: u64,
@@ -54,8 +55,8 @@
             endpoints: SlotMap::with_key(),
             replicas: SlotMap::with_key(),
             workspaces: SlotMap::with_key(),
-            calls: IndexMap::new(),
-            flights: IndexMap::new(),
+            calls: Map::default(),
+            flights: Map::default(),
             timers: Timers::default(),
             arrivals: 0,
             dispatches: 0,
--- a/crates/route/src/workspace.rs
+++ b/crates/route/src/workspace.rs
@@ -1,8 +1,7 @@
 //! Workspaces: their settings and what the router keeps of each.
 
-use indexmap::IndexSet;
-
 use crate::budget::Budget;
+use crate::hash::Set;
 use crate::key::EndpointKey;
 
 /// Weight and limit of one workspace on this node.
@@ -46,7 +45,7 @@
     pub in_flight: u32,
     pub budget: Budget,
     /// Endpoints where its requests wait for its share alone.
-    pub parked: IndexSet<EndpointKey>,
+    pub parked: Set<EndpointKey>,
 }
 
 impl Workspace {
@@ -55,7 +54,7 @@
             settings,
             in_flight: 0,
             budget: Budget::default(),
-            parked: IndexSet::new(),
+            parked: Set::default(),
         }
     }
 
