--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -84,14 +84,14 @@
         }
         let left = arrival.deadline - now;
         let answer = endpoint.speed.answer();
-        let turns = endpoint.queue.turns(arrival.workspace, workspace.settings.weight);
-        if endpoint.speed.wait(turns, endpoint.in_flight) + answer > left {
-            return Some(Reason::DeadlineUnmet);
-        }
         let own_wait = endpoint.speed.wait((own + 1) as f64, workspace.settings.share);
         if !workspace.has_share() && own_wait + answer > left {
             return Some(Reason::WorkspaceLimit);
         }
+        let turns = endpoint.queue.turns(arrival.workspace, workspace.settings.weight);
+        if endpoint.speed.wait(turns, endpoint.in_flight) + answer > left {
+            return Some(Reason::DeadlineUnmet);
+        }
         None
     }
 
@@ -161,7 +161,8 @@
             Reason::NoEndpoint | Reason::NoWorkspace | Reason::MayHaveRun => return None,
             Reason::NoReplica => RETRY_AFTER_NO_REPLICA,
             Reason::RetryBudget | Reason::Attempts => RETRY_AFTER_BUDGET,
-            Reason::Overloaded | Reason::DeadlineUnmet | Reason::WorkspaceLimit => self.drain_time(call),
+            Reason::WorkspaceLimit => self.own_drain_time(call),
+            Reason::Overloaded | Reason::DeadlineUnmet => self.drain_time(call),
         };
         let span = span.max(RETRY_AFTER_LEAST);
         Some(span + Millis(self.generator.random_range(0..=span.0 / 2)))
@@ -176,4 +177,18 @@
             .speed
             .wait(endpoint.queue.len() as f64, endpoint.in_flight)
     }
+
+    /// Time until what the workspace has waiting here has been dispatched within its share.
+    fn own_drain_time(&self, call: &Call) -> Millis {
+        let arrival = &call.arrival;
+        let Some(endpoint) = self.endpoints.get(arrival.endpoint) else {
+            return Millis::ZERO;
+        };
+        let share = self
+            .workspaces
+            .get(arrival.workspace)
+            .map_or(0, |workspace| workspace.settings.share);
+        let turns = endpoint.queue.len_of(arrival.workspace) + 1;
+        endpoint.speed.wait(turns as f64, share)
+    }
 }
