member: fuzz gossip, configuration and roles; a node out of contact takes itself for gone

Cause: random schedules of cuts, losses, freezes, restarts, outages and edits over 7 nodes found, in this order: - 'node-0 serves, though it is gone at node-3': a node cut off for long served again on the first frames after the heal, before it heard of its end. Now a node that had neither a renewal nor more than half of the nodes in reach for 15 s takes itself for gone (Refusal::Fenced, Action::Fence); a silent node is gone after 35 s at the earliest. - the same, when a majority came back only with the heal: a node is declared gone only by one that has reached more than half all the while, and an answer that others heard from the platform no longer counts as contact. - 'node-0 serves with 1, accepted is 2': a part of the fleet whose nodes were all restarted did not know of the part it was cut off from, and said that a generation was in force everywhere. Registrations now outlive their leases until the incarnation is gone (Event::Registered takes node::Registration with 'lapsed'), a new incarnation of the same process keeps its view (Gossip::with_incarnation, Config::renew), and only a serving node's word on what is in force counts. - 'learned twice': an item that had expired here came back from a peer that reckoned it younger; items within 5 s of their end are no longer taken. - roles: a read whose answer never came stopped a candidate for good; calls now time out. A release now frees the record, and its successor waits only for orders in flight. Weighed: asking again after each cut (a serving peer may not have heard of the end yet) against taking oneself for gone; the second needs no message. Conclusion: what the fuzz found is mended; API grown by Registration, Renewed, Fence, with_incarnation and renew.

--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -3,7 +3,8 @@
 //! A node never applies a lower generation. It asks the platform and its peers before it serves for the first time
 //! and after a pause longer than its registration. It refuses new work while it could be behind: when nobody it
 //! hears has had an answer of the platform for longer than the bound, and it does not reach more than half of
-//! the known nodes either.
+//! the known nodes either. A node that was out of contact for so long that it may have been declared gone takes itself
+//! for gone: it is never in doubt whether a gone node serves.
 
 use std::fmt;
 
@@ -23,6 +24,11 @@
     pub bound: Millis,
     /// Wait at the start after a peer's answer, so that the peers know this node before it serves.
     pub settle: Millis,
+    /// A node out of contact for this long takes itself for gone.
+    ///
+    /// NB: together with the span within which a zone counts as heard of, this stays below the span after which a
+    /// silent node is suspect and then gone.
+    pub fence_after: Millis,
     /// Time between two askings.
     pub ask: Millis,
 }
@@ -34,6 +40,7 @@
             registration: Millis::from_secs(10),
             bound: Millis::from_secs(15),
             settle: Millis::from_secs(2),
+            fence_after: Millis::from_secs(15),
             ask: Millis(500),
         }
     }
@@ -56,6 +63,8 @@
     Fetched(Generation),
     /// The platform answered this node with the generation of the head record.
     Platform(Generation),
+    /// The platform renewed this node's registration.
+    Renewed,
     /// A peer told all it holds; it serves with this generation, or serves no new work.
     Peer(Option<Generation>),
     /// The platform's newest answer to anyone, as far as it is known here.
@@ -75,6 +84,8 @@
     Fetch(Generation),
     /// Put this generation in force.
     Apply(Generation),
+    /// This incarnation may have been declared gone: end it and start a new one.
+    Fence,
 }
 
 /// The actions of one step.
@@ -135,6 +146,8 @@
     current: Option<Moment>,
     confirmed: Option<Answer>,
     is_majority: bool,
+    /// When the registration was last renewed, or more than half of the nodes were in reach.
+    contact: Option<Millis>,
     fenced: bool,
 }
 
@@ -158,10 +171,22 @@
             current: None,
             confirmed: None,
             is_majority: false,
+            contact: None,
             fenced: false,
         }
     }
 
+    /// For the next incarnation of the same process: it keeps what it has applied, and asks before it serves.
+    #[must_use]
+    pub fn renew(&self) -> Self {
+        Self {
+            applied: self.applied,
+            known: self.known,
+            behind_since: self.behind_since,
+            ..Self::new(self.settings)
+        }
+    }
+
     /// The generation in force on this node.
     pub fn applied(&self) -> Option<Generation> {
         self.applied
@@ -174,7 +199,7 @@
 
     /// The generation to serve new work with, or why none may be served.
     pub fn serving(&self, now: Millis) -> Result<Generation, Refusal> {
-        if self.fenced {
+        if self.fenced || self.is_out_of_contact(now) {
             return Err(Refusal::Fenced);
         }
         let applied = self.applied.ok_or(Refusal::Empty)?;
@@ -199,27 +224,70 @@
     /// Takes one event.
     pub fn step(&mut self, now: Millis, event: Event) -> Actions {
         let mut actions = Actions::new();
-        if self.has_paused(now) {
-            self.asked = Asked::Open;
-            self.next_ask = now;
-            // NB: what was in reach before the pause says nothing now.
-            self.is_majority = false;
-        }
+        self.contact.get_or_insert(now);
+        self.wake(now, &mut actions);
         self.last_step = Some(now);
         match event {
             Event::Tick => {}
             Event::Known(generation) => self.know(now, generation, &mut actions),
             Event::Fetched(generation) => self.apply(generation, &mut actions),
             Event::Platform(generation) => self.take_platform(now, generation, &mut actions),
+            Event::Renewed => self.touch(now, &mut actions),
             Event::Peer(serving) => self.take_peer(now, serving, &mut actions),
             Event::Confirmed(confirmed) => self.take_confirmed(now, confirmed, &mut actions),
-            Event::Reach(reach) => self.is_majority = reach.is_majority(),
-            Event::Fenced => self.fenced = true,
+            Event::Reach(reach) => self.take_reach(now, reach, &mut actions),
+            Event::Fenced => self.fence(&mut actions),
         }
         self.ask(now, &mut actions);
         actions
     }
 
+    /// Notes a pause that ends with this step, and the end of this incarnation.
+    fn wake(&mut self, now: Millis, actions: &mut Actions) {
+        if self.asked != Asked::Open && self.is_out_of_contact(now) {
+            self.fence(actions);
+        }
+        if self.has_paused(now) {
+            self.asked = Asked::Open;
+            self.next_ask = now;
+            // What was in reach before the pause says nothing now.
+            self.is_majority = false;
+        }
+    }
+
+    fn fence(&mut self, actions: &mut Actions) {
+        if !self.fenced {
+            self.fenced = true;
+            actions.push(Action::Fence);
+        }
+    }
+
+    /// Whether this incarnation was declared gone, or takes itself for gone.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    fn is_out_of_contact(&self, now: Millis) -> bool {
+        let bound = self.settings.fence_after;
+        self.contact.is_some_and(|at| now.since(at) >= bound)
+    }
+
+    fn take_reach(&mut self, now: Millis, reach: Reach, actions: &mut Actions) {
+        self.is_majority = reach.is_majority();
+        if self.is_majority {
+            self.touch(now, actions);
+        }
+    }
+
+    /// Notes contact. A node that was out of contact before it ever served is fenced only now, so that one
+    /// started in an outage doesn't start again and again.
+    fn touch(&mut self, now: Millis, actions: &mut Actions) {
+        if self.is_out_of_contact(now) {
+            self.fence(actions);
+        }
+        self.contact = Some(now);
+    }
+
     fn has_paused(&self, now: Millis) -> bool {
         self.last_step
             .is_some_and(|last| now.since(last) >= self.settings.registration)
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -78,6 +78,9 @@
     ended: IndexSet<Incarnation>,
     /// Nodes missing from the platform's list, with the time since when.
     unregistered: IndexMap<Incarnation, Millis>,
+    /// Since when more than half of the known nodes have been in reach without a break.
+    majority: Option<Millis>,
+    last_tick: Millis,
     /// VMs with a mark missing from the VM list, with the time since when.
     unlisted: IndexMap<Vm, Millis>,
     /// Generations applied by the nodes of the own zone, as they told it.
@@ -123,6 +126,8 @@
             chunks: Chunks::default(),
             ended: IndexSet::new(),
             unregistered: IndexMap::new(),
+            majority: None,
+            last_tick: Millis::ZERO,
             unlisted: IndexMap::new(),
             applied: IndexMap::new(),
             own_applied: None,
@@ -134,17 +139,36 @@
             seeds,
             me,
         };
-        let status = gossip.me.clone();
-        gossip.take(
-            Millis::ZERO,
-            Moment::at(Millis::ZERO),
-            gossip.settings.hops,
-            Body::Status(status),
-            &mut Vec::new(),
-        );
+        gossip.introduce(Millis::ZERO);
         gossip
     }
 
+    /// The next incarnation of the same process, after [`Action::Fenced`] or at a pause: it keeps what it knows of others.
+    pub fn with_incarnation(mut self, now: Millis, incarnation: Incarnation, epoch: u64) -> Self {
+        let mut node = self.me.node.clone();
+        node.incarnation = incarnation;
+        node.epoch = epoch;
+        self.me = Status {
+            node,
+            beat: 0,
+            leaving: false,
+            suspect: false,
+            gone: false,
+        };
+        self.fenced = false;
+        self.serving = false;
+        self.stale = true;
+        self.timers = Timers::default();
+        self.introduce(now);
+        self
+    }
+
+    /// Puts the own state among the items, to be told with the first tick.
+    fn introduce(&mut self, now: Millis) {
+        let body = Body::Status(self.me.clone());
+        self.put(now, body, &mut Vec::new());
+    }
+
     /// With other periods and bounds.
     pub fn with_settings(mut self, settings: Settings) -> Self {
         self.settings = settings;
@@ -220,7 +244,7 @@
             Event::Tick => self.tick(now, &mut actions),
             Event::Reachable(node) => self.hear(now, node, &mut actions),
             Event::Unreachable(node) => self.suspect(now, node, &mut actions),
-            Event::Registered(nodes) => self.registered(now, &nodes, &mut actions),
+            Event::Registered(listed) => self.registered(now, &listed, &mut actions),
             Event::Listed(vms) => self.listed(now, &vms, &mut actions),
             Event::Ended(node) => self.end(now, node, &mut actions),
             Event::Confirmed(generation) => self.confirm(now, generation),
@@ -237,6 +261,7 @@
     fn tick(&mut self, now: Millis, actions: &mut Actions) {
         self.refresh(now);
         self.check_watched(now, actions);
+        self.check_majority(now);
         self.beat(now, actions);
         self.report(now, actions);
         self.collect(now, actions);
@@ -305,7 +330,7 @@
 
     /// Takes one body if it is news, and lines it up to be pushed on.
     fn take(&mut self, now: Millis, put: Moment, hops: u8, body: Body, actions: &mut Actions) {
-        if !self.store.is_news(&body) || expiry::is_expired(now, put, &body) || !self.has_room(&body) {
+        if !self.store.is_news(&body) || expiry::is_stale(now, put, &body) || !self.has_room(&body) {
             return;
         }
         if let Body::Status(status) = &body
--- a/crates/member/src/gossip/ending.rs
+++ b/crates/member/src/gossip/ending.rs
@@ -2,7 +2,7 @@
 //!
 //! A node's incarnation is gone when a later incarnation of its name is known, when it said goodbye, when the cloud
 //! says that its VM has ended, or when its registration has lapsed at an answering platform, its heartbeats have
-//! been missing for the bound, and this node reaches more than half of the known nodes. The last condition lets
+//! been missing for the bound, and this node has reached more than half of the known nodes all the while. The last condition lets
 //! a node that reaches more than half itself serve on through an outage: it can't have been declared gone.
 
 use base::{Incarnation, Millis};
@@ -11,7 +11,7 @@
 use super::{Actions, Gossip};
 use crate::frame::Message;
 use crate::item::{Body, Key, Status, Vm};
-use crate::node::{Node, State};
+use crate::node::{Node, Registration, State};
 
 /// Most incarnations remembered as gone; the oldest are dropped beyond.
 const ENDED: usize = 65_536;
@@ -73,11 +73,12 @@
     }
 
     /// Takes the platform's list of registrations.
-    pub(super) fn registered(&mut self, now: Millis, nodes: &[Node], actions: &mut Actions) {
-        for node in nodes {
-            self.learn_node(now, node, actions);
+    pub(super) fn registered(&mut self, now: Millis, listed: &[Registration], actions: &mut Actions) {
+        for it in listed {
+            self.learn_node(now, &it.node, actions);
         }
-        let listed: IndexSet<Incarnation> = nodes.iter().map(|it| it.incarnation).collect();
+        let listed = listed.iter().filter(|it| !it.lapsed);
+        let listed: IndexSet<Incarnation> = listed.map(|it| it.node.incarnation).collect();
         let missing = self.view.present().map(|it| it.node().incarnation);
         let missing: IndexSet<Incarnation> = missing.filter(|it| !listed.contains(it)).collect();
         self.unregistered.retain(|node, _| missing.contains(node));
@@ -87,11 +88,22 @@
         self.end_lapsed(now, actions);
     }
 
-    fn end_lapsed(&mut self, now: Millis, actions: &mut Actions) {
-        if !self.reach(now).is_majority() {
+    /// Notes since when more than half of the known nodes are in reach; a pause of this node breaks the span.
+    pub(super) fn check_majority(&mut self, now: Millis) {
+        let has_paused = now.since(self.last_tick) > self.settings.suspect_after;
+        self.last_tick = now;
+        if has_paused || !self.reach(now).is_majority() {
+            self.majority = None;
             return;
         }
+        self.majority.get_or_insert(now);
+    }
+
+    fn end_lapsed(&mut self, now: Millis, actions: &mut Actions) {
         let bound = self.settings.gone_after;
+        if self.majority.is_none_or(|since| now.since(since) < bound) {
+            return;
+        }
         let is_lapsed = |since: Millis| now.since(since) >= bound;
         let is_silent = |node: Incarnation| {
             let member = self.view.member(node);
--- a/crates/member/src/gossip/event.rs
+++ b/crates/member/src/gossip/event.rs
@@ -7,7 +7,7 @@
 use crate::frame::Frame;
 use crate::generation::Digest;
 use crate::item::{Body, Vm};
-use crate::node::Node;
+use crate::node::Registration;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
@@ -22,8 +22,8 @@
     Reachable(Incarnation),
     /// A connection to the node failed.
     Unreachable(Incarnation),
-    /// The platform answered with all registrations that have not lapsed.
-    Registered(Vec<Node>),
+    /// The platform answered with all registrations, lapsed ones among them.
+    Registered(Vec<Registration>),
     /// The VM list answered with all VMs, live and leaving.
     Listed(Vec<Vm>),
     /// The cloud says that the VM of this incarnation has ended.
--- a/crates/member/src/gossip/expiry.rs
+++ b/crates/member/src/gossip/expiry.rs
@@ -14,6 +14,8 @@
 const COUNT: Millis = Millis::from_secs(60);
 /// A report of demand is held for this long.
 const DEMAND: Millis = Millis::from_secs(60);
+/// Longest difference between two nodes' reckonings of an item's age.
+const GRACE: Millis = Millis::from_secs(5);
 /// A veto is held for this long.
 const VETO: Millis = Millis::from_secs(86_400);
 
@@ -29,8 +31,14 @@
     }
 }
 
+/// Whether a body put at `put` is no longer taken from others: `GRACE` before it expires, so that what has expired here
+/// isn't taken back from a peer that reckons it a little younger.
+pub(super) fn is_stale(now: Millis, put: Moment, body: &Body) -> bool {
+    lifetime(body).is_some_and(|lifetime| put.age(now) + GRACE >= lifetime)
+}
+
 /// Whether a body put at `put` is past its lifetime.
-pub(super) fn is_expired(now: Millis, put: Moment, body: &Body) -> bool {
+fn is_expired(now: Millis, put: Moment, body: &Body) -> bool {
     lifetime(body).is_some_and(|lifetime| put.age(now) >= lifetime)
 }
 
--- a/crates/member/src/gossip/health.rs
+++ b/crates/member/src/gossip/health.rs
@@ -204,6 +204,7 @@
         }
         if *status == self.me {
             self.view.insert(now, status.clone());
+            self.end_superseded(now, status, actions);
             return true;
         }
         if self.fenced {
--- a/crates/member/src/gossip/settings.rs
+++ b/crates/member/src/gossip/settings.rs
@@ -50,7 +50,7 @@
             report: Millis(5_000),
             gone_after: Millis(30_000),
             ended_after: Millis(60_000),
-            heard_within: Millis(15_000),
+            heard_within: Millis(12_000),
             wire_allowance: Millis(100),
             fan_out: 3,
             hops: 16,
--- a/crates/member/src/node.rs
+++ b/crates/member/src/node.rs
@@ -31,6 +31,18 @@
     }
 }
 
+/// A node as the platform lists it.
+///
+/// NB: the record must outlive its lease, and be deleted only once the incarnation is gone. If records went with
+/// their leases, a part of the fleet whose nodes were all replaced would not know of the part it is cut off from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registration {
+    /// The node.
+    pub node: Node,
+    /// Whether its lease has lapsed.
+    pub lapsed: bool,
+}
+
 /// What is held of a node's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum State {
--- a/crates/member/src/role.rs
+++ b/crates/member/src/role.rs
@@ -4,114 +4,19 @@
 //! holder and the holder's lease; the role is vacant when that lease has lapsed or the holder has released it. The
 //! lease is that of the node's registration, so renewals cost one write a node and not one a role.
 
+mod event;
 mod rank;
 mod record;
+mod settings;
 
 use base::seed::Generator;
 use base::{Incarnation, Millis, Seed};
 use rand::RngExt;
 
+pub use event::{Action, Event};
 pub use rank::rank;
 pub use record::{Fence, Lease, Observed, Record, Revision, Write};
-
-/// Periods and bounds of a [`Role`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// Taken off the lease's end: no order leaves later. Covers drift of the clock and the order's way.
-    pub margin: Millis,
-    /// Time between two reads of the record.
-    pub poll: Millis,
-    /// Wait before an attempt, for each better ranked candidate.
-    pub stagger: Millis,
-    /// First wait after a failure; doubled at each further one.
-    pub backoff: Millis,
-    /// Longest wait after a failure.
-    pub longest_backoff: Millis,
-    /// Candidates of this rank and above take no part.
-    pub candidates: usize,
-    /// Extra wait of a new holder before its first order; set where endpoints ignore fencing.
-    pub wait_out: Millis,
-}
-
-impl Settings {
-    /// The standard settings, for endpoints that check fencing.
-    pub const fn new() -> Self {
-        Self {
-            margin: Millis(2_000),
-            poll: Millis(5_000),
-            stagger: Millis(1_000),
-            backoff: Millis(250),
-            longest_backoff: Millis(10_000),
-            candidates: 3,
-            wait_out: Millis::ZERO,
-        }
-    }
-
-    /// For endpoints that ignore fencing: a new holder waits out a whole lease and the longest order in flight.
-    pub fn with_unfenced(mut self, lease: Millis, longest_order: Millis) -> Self {
-        self.wait_out = lease + longest_order;
-        self
-    }
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// Something that happened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// Time passes.
-    Tick,
-    /// The node's place among the candidates, best first; `None` if it is no candidate.
-    Rank(Option<usize>),
-    /// The node's lease was granted or renewed; `until` is reckoned from when the request was sent.
-    Leased {
-        /// The lease.
-        lease: Lease,
-        /// Its end on the own clock.
-        until: Millis,
-    },
-    /// The node's lease has lapsed.
-    Lapsed,
-    /// The record was read, or a watch told of it; `None` if there is none yet.
-    Read(Option<Observed>),
-    /// The read failed or was not answered in time.
-    ReadFailed,
-    /// The swap took effect.
-    Swapped(Write),
-    /// The swap was refused: the record had changed.
-    Conflict(Write),
-    /// The swap was not answered: it may have taken effect.
-    Lost(Write),
-    /// Give the role up: the node is leaving, or the role isn't needed.
-    Release,
-}
-
-/// Something to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Read the record and whether its lease lives.
-    Read,
-    /// Write the record if its revision is still `expect`, or create it if `expect` is `None`.
-    Swap {
-        /// The revision that was read.
-        expect: Option<Revision>,
-        /// The new record.
-        record: Record,
-    },
-    /// The role is held with this fencing number; orders may leave from the given time on.
-    Held {
-        /// The fencing number.
-        fence: Fence,
-        /// When the first order may leave.
-        from: Millis,
-    },
-    /// The role is no longer held.
-    Ended(Fence),
-}
+pub use settings::Settings;
 
 /// The actions of one step.
 pub type Actions = Vec<Action>;
@@ -130,6 +35,7 @@
     record: Record,
     /// Whether the wait of a new holder is due if it took effect.
     wait_out: Millis,
+    sent: Millis,
     lost: bool,
 }
 
@@ -154,9 +60,12 @@
     vacant: Option<Vacant>,
     highest: Fence,
     next_read: Millis,
-    reading: bool,
+    /// When the read that is not answered yet was sent.
+    reading: Option<Millis>,
     failures: u32,
     released: bool,
+    /// Whether the record may still name this node after the release.
+    freeing: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -179,9 +88,10 @@
             vacant: None,
             highest: Fence(0),
             next_read: Millis::ZERO,
-            reading: false,
+            reading: None,
             failures: 0,
             released: false,
+            freeing: false,
         }
     }
 
@@ -213,9 +123,10 @@
             Event::Swapped(write) => self.swapped(now, write, &mut actions),
             Event::Conflict(write) => self.conflict(now, write),
             Event::Lost(write) => self.lose(now, write),
-            Event::Release => self.release(&mut actions),
+            Event::Release => self.release(now, &mut actions),
         }
         self.check_lease(now, &mut actions);
+        self.check_pending(now);
         self.attempt(now, &mut actions);
         self.read(now, &mut actions);
         actions
@@ -247,7 +158,7 @@
     }
 
     fn take_record(&mut self, now: Millis, observed: Option<Observed>, actions: &mut Actions) {
-        self.reading = false;
+        self.reading = None;
         self.failures = 0;
         self.next_read = now + self.settings.poll;
         if let Some(observed) = observed {
@@ -270,9 +181,14 @@
         let Some(observed) = observed else { return };
         if !self.is_own(&observed.record) {
             self.drop_holding(actions);
+            self.freeing = false;
+            return;
+        }
+        if self.released {
+            self.free(now, observed, actions);
             return;
         }
-        if self.holding.is_some() || self.released {
+        if self.holding.is_some() {
             return;
         }
         let own_write = pending.filter(|it| it.record.write == observed.record.write);
@@ -281,6 +197,19 @@
         self.hold(now, observed.record, wait_out, actions);
     }
 
+    /// Frees the record after a release; the fencing number stays for the next holder to raise.
+    fn free(&mut self, now: Millis, observed: Observed, actions: &mut Actions) {
+        if self.pending.is_some() {
+            return;
+        }
+        let record = Record {
+            holder: None,
+            write: self.draw_write(),
+            ..observed.record
+        };
+        self.swap(now, Some(observed), record, Millis::ZERO, actions);
+    }
+
     fn is_own(&self, record: &Record) -> bool {
         let is_lease = self.own.is_some_and(|own| own.lease == record.lease);
         record.holder == Some(self.me) && is_lease
@@ -332,17 +261,25 @@
         };
         let was_released = before.is_none_or(|it| it.holder.is_none());
         let wait_out = if was_released {
-            Millis::ZERO
+            self.settings.wait_after_release
         } else {
             self.settings.wait_out
         };
-        self.swap(vacant.observed, record, wait_out, actions);
+        self.swap(now, vacant.observed, record, wait_out, actions);
     }
 
-    fn swap(&mut self, observed: Option<Observed>, record: Record, wait_out: Millis, actions: &mut Actions) {
+    fn swap(
+        &mut self,
+        now: Millis,
+        observed: Option<Observed>,
+        record: Record,
+        wait_out: Millis,
+        actions: &mut Actions,
+    ) {
         self.pending = Some(Pending {
             record,
             wait_out,
+            sent: now,
             lost: false,
         });
         let expect = observed.map(|it| it.revision);
@@ -379,8 +316,16 @@
         }
     }
 
+    fn check_pending(&mut self, now: Millis) {
+        let limit = self.settings.answer_within;
+        let late = self.pending.filter(|it| !it.lost && now.since(it.sent) >= limit);
+        if let Some(late) = late {
+            self.lose(now, late.record.write);
+        }
+    }
+
     fn fail(&mut self, now: Millis) {
-        self.reading = false;
+        self.reading = None;
         let doubled = self.settings.backoff.0 << self.failures.min(16);
         let longest = doubled.min(self.settings.longest_backoff.0);
         self.failures += 1;
@@ -390,17 +335,22 @@
     fn read(&mut self, now: Millis, actions: &mut Actions) {
         let is_lost = self.pending.is_some_and(|it| it.lost);
         let takes_part = self.rank.is_some_and(|rank| rank < self.settings.candidates);
-        let is_needed = is_lost || self.holding.is_some() || (takes_part && !self.released);
-        if !is_needed || self.reading || now < self.next_read {
+        let is_needed = is_lost || self.freeing || self.holding.is_some() || (takes_part && !self.released);
+        let is_reading = self
+            .reading
+            .is_some_and(|sent| now.since(sent) < self.settings.answer_within);
+        if !is_needed || is_reading || now < self.next_read {
             return;
         }
-        self.reading = true;
+        self.reading = Some(now);
         actions.push(Action::Read);
     }
 
-    /// Stops acting at once; the record is freed if its revision is known, else the lease runs out.
-    fn release(&mut self, actions: &mut Actions) {
+    /// Stops acting at once, and frees the record once it has been read.
+    fn release(&mut self, now: Millis, actions: &mut Actions) {
+        self.freeing = self.holding.is_some() || self.pending.is_some();
         self.released = true;
+        self.next_read = now;
         self.drop_holding(actions);
     }
 }
--- /dev/null
+++ b/crates/member/tests/model/fleet.rs
@@ -0,0 +1,311 @@
+//! A fleet of nodes with a model of the network and of the platform, driven as the daemon drives a node.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Name, Seed};
+use member::gossip::{Action, Event};
+use member::item::Body;
+use member::node::Registration;
+use member::{Config, Frame, Generation, Gossip, Node, config, generation};
+use rand::RngExt;
+
+/// Time between two ticks.
+pub const TICK: u64 = 100;
+const RENEWAL: u64 = 3_000;
+const REGISTRATION: u64 = 10_000;
+const WATCH: u64 = 2_000;
+
+/// One VM with the node on it.
+pub struct Vm {
+    pub gossip: Gossip,
+    pub config: Config,
+    pub node: Node,
+    pub up: bool,
+    pub frozen: bool,
+    /// Side of a cut; nodes of different sides can't reach each other, and the platform is on side 0.
+    pub side: u8,
+    pub learned: Vec<Body>,
+    pub gone_here: Vec<Incarnation>,
+    pub up_here: Vec<Incarnation>,
+    pub applied: Vec<Generation>,
+}
+
+/// A frame under way.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Flight {
+    at: u64,
+    number: u64,
+    to: usize,
+    from_side: u8,
+}
+
+/// The nodes, the network and the platform.
+pub struct Fleet {
+    pub now: u64,
+    pub vms: Vec<Vm>,
+    pub head: Generation,
+    pub outage: bool,
+    /// The platform's registrations, each with the time at which its lease lapses.
+    registrations: indexmap::IndexMap<Name, (Node, u64)>,
+    /// Chance in percent that a frame is lost, and again that it arrives twice.
+    pub loss: u32,
+    pub generator: Generator,
+    flights: BinaryHeap<Reverse<Flight>>,
+    frames: indexmap::IndexMap<u64, Frame>,
+    number: u64,
+    incarnations: u64,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), index as u16 + 1)
+}
+
+pub fn head_of(generation: Generation) -> generation::Head {
+    let digest = generation::Digest::of(&generation.0.to_le_bytes());
+    generation::Head { generation, digest }
+}
+
+impl Fleet {
+    pub fn new(count: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: 1_000,
+            vms: Vec::new(),
+            head: Generation(1),
+            outage: false,
+            registrations: indexmap::IndexMap::new(),
+            loss: 0,
+            generator: Seed(seed).generator(),
+            flights: BinaryHeap::new(),
+            frames: indexmap::IndexMap::new(),
+            number: 0,
+            incarnations: 0,
+        };
+        for index in 0..count {
+            let vm = fleet.start(index);
+            fleet.vms.push(vm);
+        }
+        fleet
+    }
+
+    fn start(&mut self, index: usize) -> Vm {
+        self.incarnations += 1;
+        let zone = index % 4;
+        let node = Node {
+            name: Name::new(format!("node-{index}")),
+            incarnation: Incarnation(self.generator.random()),
+            epoch: self.incarnations,
+            peer: address(index),
+            caller: address(index),
+            zone: Name::new(format!("zone-{zone}")),
+            region: Name::new(format!("region-{}", zone / 2)),
+        };
+        let seeds = (0..4).map(address).collect();
+        Vm {
+            gossip: Gossip::new(node.clone(), seeds, Seed(self.generator.random())),
+            config: Config::new(config::Settings::new()),
+            node,
+            up: true,
+            frozen: false,
+            side: 0,
+            learned: Vec::new(),
+            gone_here: Vec::new(),
+            up_here: Vec::new(),
+            applied: Vec::new(),
+        }
+    }
+
+    /// Ends the process on a VM without a word and starts a new one.
+    pub fn restart(&mut self, index: usize) {
+        let side = self.vms[index].side;
+        self.vms[index] = self.start(index);
+        self.vms[index].side = side;
+    }
+
+    /// Starts the next incarnation in the same process.
+    fn renew(&mut self, index: usize) {
+        self.incarnations += 1;
+        let incarnation = Incarnation(self.generator.random());
+        let vm = &mut self.vms[index];
+        vm.node.incarnation = incarnation;
+        vm.node.epoch = self.incarnations;
+        let gossip = vm.gossip.clone();
+        vm.gossip = gossip.with_incarnation(Millis(self.now), incarnation, self.incarnations);
+        vm.config = vm.config.renew();
+    }
+
+    /// Swaps the head record: an operator's edit; false in an outage.
+    pub fn edit(&mut self) -> bool {
+        if !self.outage {
+            self.head.0 += 1;
+        }
+        !self.outage
+    }
+
+    pub fn put(&mut self, index: usize, body: Body) {
+        self.step(index, Event::Put(body));
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(TICK) {
+            self.now += TICK;
+            self.deliver();
+            for index in 0..self.vms.len() {
+                if self.vms[index].up && !self.vms[index].frozen {
+                    self.tick(index);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(Reverse(flight)) = self.flights.peek()
+            && flight.at <= self.now
+        {
+            let Some(Reverse(flight)) = self.flights.pop() else {
+                return;
+            };
+            let Some(frame) = self.frames.swap_remove(&flight.number) else {
+                continue;
+            };
+            let vm = &self.vms[flight.to];
+            if vm.up && !vm.frozen && vm.side == flight.from_side {
+                self.step(flight.to, Event::Receive(frame));
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, frame: &Frame) {
+        let to = usize::from(to.port()) - 1;
+        if to >= self.vms.len() || self.generator.random_range(0..100) < self.loss {
+            return;
+        }
+        let copies = 1 + u64::from(self.generator.random_range(0..100) < self.loss);
+        for _ in 0..copies {
+            self.number += 1;
+            let at = self.now + self.generator.random_range(1..200);
+            let from_side = self.vms[from].side;
+            let number = self.number;
+            self.frames.insert(number, frame.clone());
+            self.flights.push(Reverse(Flight {
+                at,
+                number,
+                to,
+                from_side,
+            }));
+        }
+    }
+
+    pub fn answers(&self, index: usize) -> bool {
+        !self.outage && self.vms[index].side == 0
+    }
+
+    fn tick(&mut self, index: usize) {
+        if self.vms[index].config.is_fenced() {
+            self.renew(index);
+        }
+        self.step(index, Event::Tick);
+        if self.answers(index) && self.now % RENEWAL < TICK {
+            let node = self.vms[index].node.clone();
+            let lapses = self.now + REGISTRATION;
+            self.registrations.insert(node.name.clone(), (node, lapses));
+            self.configure(index, config::Event::Renewed);
+        }
+        if self.answers(index) && (self.now + 7 * TICK * index as u64) % WATCH < TICK {
+            self.watch(index);
+        }
+        let now = Millis(self.now);
+        let reach = self.vms[index].gossip.reach(now);
+        self.configure(index, config::Event::Reach(reach));
+        if let Some(confirmed) = self.vms[index].gossip.confirmed(now) {
+            self.configure(index, config::Event::Confirmed(confirmed));
+        }
+        self.configure(index, config::Event::Tick);
+        self.tell_applied(index);
+    }
+
+    /// Reads the head record and the registrations.
+    fn watch(&mut self, index: usize) {
+        let gone = &self.vms[index].gone_here;
+        self.registrations
+            .retain(|_, it| !gone.contains(&it.0.incarnation));
+        let registered = self.registrations.values().map(|(node, lapses)| Registration {
+            node: node.clone(),
+            lapsed: *lapses <= self.now,
+        });
+        let registered = registered.collect();
+        self.step(index, Event::Registered(registered));
+        self.read_head(index);
+    }
+
+    fn read_head(&mut self, index: usize) {
+        let head = self.head;
+        self.put(index, Body::Head(head_of(head)));
+        self.step(index, Event::Confirmed(head));
+        self.configure(index, config::Event::Platform(head));
+    }
+
+    fn configure(&mut self, index: usize, event: config::Event) {
+        let now = Millis(self.now);
+        let actions = self.vms[index].config.step(now, event);
+        for action in actions {
+            self.obey(index, action);
+        }
+    }
+
+    fn obey(&mut self, index: usize, action: config::Action) {
+        match action {
+            config::Action::Ask => {
+                self.step(index, Event::Ask);
+                if self.answers(index) {
+                    self.watch(index);
+                }
+            }
+            config::Action::Fetch(generation) => self.configure(index, config::Event::Fetched(generation)),
+            config::Action::Apply(generation) => {
+                self.vms[index].applied.push(generation);
+                self.tell_applied(index);
+            }
+            config::Action::Fence => {}
+        }
+    }
+
+    fn tell_applied(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        let Some(generation) = vm.config.applied() else {
+            return;
+        };
+        let serving = vm.config.serving(Millis(self.now)).is_ok();
+        self.step(index, Event::Applied { generation, serving });
+    }
+
+    pub fn step(&mut self, index: usize, event: Event) {
+        let actions = self.vms[index].gossip.step(Millis(self.now), event);
+        for action in actions {
+            match action {
+                Action::Send { to, frame } => self.send(index, to, &frame),
+                Action::Learned(body) => self.learn(index, body),
+                Action::NodeUp(node) | Action::NodeLeaving(node) | Action::NodeSuspect(node) => {
+                    self.vms[index].up_here.push(node);
+                    assert!(
+                        !self.vms[index].gone_here.contains(&node),
+                        "a gone incarnation came back"
+                    );
+                }
+                Action::NodeGone(node) => self.vms[index].gone_here.push(node),
+                Action::Exchanged { serving, .. } => self.configure(index, config::Event::Peer(serving)),
+                Action::Fenced => self.configure(index, config::Event::Fenced),
+                Action::Fetched { .. } => {}
+            }
+        }
+    }
+
+    fn learn(&mut self, index: usize, body: Body) {
+        if let Body::Head(head) = &body {
+            self.configure(index, config::Event::Known(head.generation));
+        }
+        self.vms[index].learned.push(body);
+    }
+}
