--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -32,6 +32,9 @@
         BilberrylatchCmd::Catalogue(catalogue) => {
             command::catalogue::run(&args.node, output, catalogue).await
         }
+        BilberrylatchCmd::Rollout(rollout) => {
+            command::rollout::run(args.node.as_deref(), output, rollout).await
+        }
         BilberrylatchCmd::Nodes(_) => command::nodes::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Replicas(_) => command::replicas::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -3,6 +3,7 @@
 #![expect(missing_docs, reason = "the macro generates items without them")]
 
 use std::path::PathBuf;
+use std::str::FromStr;
 
 xflags::xflags! {
     /// Operates a bilberrylatch deployment. The operators' token comes from BILBERRYLATCH_OPERATOR_TOKEN.
@@ -49,6 +50,27 @@
                 required token: String
             }
         }
+        /// Rollouts of versions: start, status, undo or wait.
+        cmd rollout {
+            /// What to do: start, status, undo or wait.
+            required action: Action
+            /// The endpoint.
+            required endpoint: String
+            /// The version to move to, for start.
+            optional to: String
+            /// The version that serves now; the catalogue's stable one if it is not given.
+            optional --from version: String
+            /// Time to move over, in seconds.
+            optional --within-seconds seconds: u64
+            /// Time to watch the version at full share, in seconds.
+            optional --watch-seconds seconds: u64
+            /// Id of the rollout; repeating a start with its id is safe.
+            optional --id id: String
+            /// Who asks.
+            optional --operator name: String
+            /// Longest wait, in seconds.
+            optional --timeout-seconds seconds: u64
+        }
         /// List nodes.
         cmd nodes {}
         /// List replicas as the asked node sees them.
@@ -60,3 +82,28 @@
         }
     }
 }
+
+/// What to do with rollouts.
+///
+/// NB: a name stands once in the macro's commands, and `status` is the catalogue's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    Start,
+    Status,
+    Undo,
+    Wait,
+}
+
+impl FromStr for Action {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "start" => Ok(Self::Start),
+            "status" => Ok(Self::Status),
+            "undo" => Ok(Self::Undo),
+            "wait" => Ok(Self::Wait),
+            _ => Err(format!("'{text}' is not start, status, undo or wait")),
+        }
+    }
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -27,6 +27,7 @@
 #[serde(default)]
 struct Problem {
     detail: String,
+    node: Option<String>,
 }
 
 impl Client {
@@ -42,6 +43,13 @@
         Ok(Self { http, nodes, token })
     }
 
+    /// Asks this node first.
+    pub fn with_first(mut self, node: String) -> Self {
+        self.nodes.retain(|other| *other != node);
+        self.nodes.insert(0, node);
+        self
+    }
+
     /// Reads a resource.
     pub async fn get<T>(&self, path: &str) -> Result<T, Error>
     where
@@ -69,7 +77,9 @@
                 .request(method.clone(), format!("{node}{path}"))
                 .bearer_auth(&self.token);
             if let Some(body) = &body {
-                request = request.body(body.clone());
+                request = request
+                    .header("content-type", "application/json")
+                    .body(body.clone());
             }
             match exchange(request).await {
                 Ok(response) => return read(response).await,
@@ -109,6 +119,7 @@
     let problem: Problem = serde_json::from_slice(&body).unwrap_or_default();
     Err(match status {
         StatusCode::CONFLICT => Error::Conflict(problem.detail),
+        StatusCode::MISDIRECTED_REQUEST => Error::Elsewhere(problem.node),
         StatusCode::GATEWAY_TIMEOUT => Error::Unsettled(problem.detail),
         _ => Error::Refused {
             status: status.as_u16(),
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -3,3 +3,4 @@
 pub mod catalogue;
 pub mod nodes;
 pub mod replicas;
+pub mod rollout;
--- a/crates/ctl/src/command/catalogue.rs
+++ b/crates/ctl/src/command/catalogue.rs
@@ -2,7 +2,7 @@
 
 pub mod apply;
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use catalogue::Catalogue;
 use serde::{Deserialize, Serialize};
@@ -92,7 +92,7 @@
     Ok(text)
 }
 
-fn check(output: Output, path: &PathBuf) -> Result<(), Error> {
+fn check(output: Output, path: &Path) -> Result<(), Error> {
     read(path)?;
     output.line("the catalogue is in order", &"ok");
     Ok(())
--- a/crates/ctl/src/command/catalogue/apply.rs
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -13,7 +13,7 @@
 use crate::{Client, Error, args};
 
 /// Longest wait if the flag does not say.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Span between two looks.
 const LOOK: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/ctl/src/command/rollout.rs
@@ -0,0 +1,195 @@
+//! `rollout`: start, status, undo, wait.
+
+use std::io::IsTerminal;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::Name;
+use indicatif::ProgressBar;
+use reqwest::Method;
+use rollout::{Id, Reason, Stage, Stored, Verdict, Wall};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use crate::app::client;
+use crate::args::{self, Action};
+use crate::output::Output;
+use crate::{Client, Error};
+
+/// Time to move over if the flag does not say.
+const DEFAULT_WITHIN_SECONDS: u64 = 3600;
+
+/// Time to watch at full share if the flag does not say.
+const DEFAULT_WATCH_SECONDS: u64 = 600;
+
+/// Attempts to reach the controlling node, and the span between them.
+const ATTEMPTS: u32 = 40;
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Answer to a command that took effect.
+#[derive(Debug, Deserialize, Serialize)]
+struct Accepted {
+    id: String,
+}
+
+/// Runs one of the rollout's commands.
+pub async fn run(node: Option<&str>, output: Output, flags: args::Rollout) -> Result<(), Error> {
+    let client = client(node)?;
+    match flags.action {
+        Action::Start => start(&client, output, flags).await,
+        Action::Status => status(&client, output, &flags.endpoint).await,
+        Action::Undo => undo(&client, output, flags).await,
+        Action::Wait => wait(&client, output, flags).await,
+    }
+}
+
+async fn start(client: &Client, output: Output, flags: args::Rollout) -> Result<(), Error> {
+    let Some(to) = flags.to else {
+        return Err(Error::Usage(
+            "say which version to move to: rollout start ENDPOINT VERSION".to_owned(),
+        ));
+    };
+    let id = match flags.id {
+        Some(id) => id,
+        None => Id::new(wall(), uuid::Uuid::new_v4().as_u64_pair().0).to_string(),
+    };
+    let body = json!({
+        "id": id,
+        "to": to,
+        "from": flags.from,
+        "within_seconds": flags.within_seconds.unwrap_or(DEFAULT_WITHIN_SECONDS),
+        "watch_seconds": flags.watch_seconds.unwrap_or(DEFAULT_WATCH_SECONDS),
+        "operator": operator(flags.operator),
+    });
+    let path = format!("/v1/admin/rollouts/{}", flags.endpoint);
+    let accepted = submit(client, &path, &body.to_string()).await?;
+    output.line(&format!("rollout {} started", accepted.id), &accepted);
+    Ok(())
+}
+
+async fn undo(client: &Client, output: Output, flags: args::Rollout) -> Result<(), Error> {
+    let Some(stored) = read(client, &flags.endpoint).await? else {
+        return Err(Error::Usage(format!(
+            "endpoint '{}' has no rollout",
+            flags.endpoint
+        )));
+    };
+    let id = stored.record.plan.id.to_string();
+    let body = json!({"id": id, "operator": operator(flags.operator)});
+    let path = format!("/v1/admin/rollouts/{}/undo", flags.endpoint);
+    let accepted = submit(client, &path, &body.to_string()).await?;
+    output.line(&format!("rollout {} is taken back", accepted.id), &accepted);
+    Ok(())
+}
+
+/// Sends a command until the controlling node has taken it. Commands carry an id, so repeating them is safe.
+async fn submit(client: &Client, path: &str, body: &str) -> Result<Accepted, Error> {
+    let mut client = client.clone();
+    let mut attempt = 1;
+    loop {
+        let error = match client.send(Method::POST, path, body.to_owned()).await {
+            Ok(accepted) => return Ok(accepted),
+            Err(error) => error,
+        };
+        match error {
+            Error::Elsewhere(Some(node)) => client = client.with_first(node),
+            Error::Elsewhere(None) | Error::Unsettled(_) => {}
+            Error::Refused { status, .. } if status == reqwest::StatusCode::SERVICE_UNAVAILABLE.as_u16() => {}
+            error => return Err(error),
+        }
+        if attempt == ATTEMPTS {
+            return Err(Error::Timeout("no node took the command".to_owned()));
+        }
+        attempt += 1;
+        sleep(PAUSE).await;
+    }
+}
+
+async fn read(client: &Client, endpoint: &str) -> Result<Option<Stored>, Error> {
+    client.get(&format!("/v1/admin/rollouts/{endpoint}")).await
+}
+
+async fn status(client: &Client, output: Output, endpoint: &str) -> Result<(), Error> {
+    let stored = read(client, endpoint).await?;
+    let sentence = stored.as_ref().map_or_else(|| "no rollout".to_owned(), describe);
+    output.line(&sentence, &stored);
+    Ok(())
+}
+
+async fn wait(client: &Client, output: Output, flags: args::Rollout) -> Result<(), Error> {
+    let bar = if std::io::stderr().is_terminal() {
+        ProgressBar::new_spinner()
+    } else {
+        ProgressBar::hidden()
+    };
+    bar.enable_steady_tick(PAUSE);
+    let limit = Duration::from_secs(flags.timeout_seconds.unwrap_or(DEFAULT_WITHIN_SECONDS));
+    let deadline = Instant::now() + limit;
+    loop {
+        let stored = read(client, &flags.endpoint).await;
+        if let Ok(Some(stored)) = &stored {
+            bar.set_message(describe(stored));
+            if let Some(verdict) = &stored.record.verdict {
+                bar.finish_and_clear();
+                output.line(&describe(stored), stored);
+                return ended(verdict);
+            }
+        }
+        if Instant::now() >= deadline {
+            return Err(Error::Timeout("the rollout has not ended".to_owned()));
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// An undone rollout fails the command, so that scripts see it.
+fn ended(verdict: &Verdict) -> Result<(), Error> {
+    match verdict {
+        Verdict::Done(_) => Ok(()),
+        Verdict::Undone(reason) => Err(Error::Undone(explain(reason))),
+    }
+}
+
+fn describe(stored: &Stored) -> String {
+    let record = &stored.record;
+    let plan = &record.plan;
+    let state = match (&record.verdict, record.stage) {
+        (Some(Verdict::Done(reason)), _) => format!("done: {}", explain(reason)),
+        (Some(Verdict::Undone(reason)), _) => format!("undone: {}", explain(reason)),
+        (None, Stage::Watching) => "all traffic moved, watching".to_owned(),
+        (None, _) => format!("moving, share {}", stored.shares().rest),
+    };
+    format!(
+        "rollout {} of {} from {} to {} by '{}': {state}",
+        plan.id, plan.endpoint, plan.from, plan.to, plan.operator
+    )
+}
+
+fn explain(reason: &Reason) -> String {
+    match reason {
+        Reason::Moved { thin } if thin.is_empty() => "nothing spoke against the version".to_owned(),
+        Reason::Moved { thin } => {
+            let routes: Vec<&str> = thin.iter().map(Name::as_str).collect();
+            format!(
+                "nothing spoke against the version; little traffic on {}",
+                routes.join(", ")
+            )
+        }
+        Reason::Vetoed(veto) => {
+            let route = veto.route.as_ref().map_or("any route", Name::as_str);
+            format!("version {} is bad on {route}: {:?}", veto.version, veto.evidence)
+        }
+        Reason::Operator(operator) => format!("taken back by '{operator}'"),
+        other => format!("{other:?}"),
+    }
+}
+
+fn operator(flag: Option<String>) -> String {
+    flag.or_else(|| std::env::var("USER").ok())
+        .unwrap_or_else(|| "operator".to_owned())
+}
+
+fn wall() -> Wall {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Wall(since.map_or(0, |since| since.as_millis() as u64))
+}
--- a/crates/ctl/src/demo/deployment.rs
+++ b/crates/ctl/src/demo/deployment.rs
@@ -52,20 +52,23 @@
             let engine = fake::engine::Server::new()
                 .start(loopback())
                 .await
-                .map_err(failed)?;
+                .map_err(|error| failed(&error))?;
             vms.push(vm(index, "assistant", "demo-engine", engine.addr()));
             let service = fake::service::Server::new()
                 .start(loopback())
                 .await
-                .map_err(failed)?;
+                .map_err(|error| failed(&error))?;
             vms.push(vm(index, "ledger", "demo-service", service.addr()));
             stand_ins.extend([engine, service]);
         }
         let cloud = vms
             .into_iter()
             .fold(fake::cloud::Server::new(), fake::cloud::Server::with_vm);
-        let cloud = cloud.start(loopback()).await.map_err(failed)?;
-        let store = fake::kv::Server::new().start(loopback()).await.map_err(failed)?;
+        let cloud = cloud.start(loopback()).await.map_err(|error| failed(&error))?;
+        let store = fake::kv::Server::new()
+            .start(loopback())
+            .await
+            .map_err(|error| failed(&error))?;
         let nodes = start_nodes(&store.url(), &cloud.url()).await?;
         stand_ins.extend([cloud, store]);
         let deployment = Self { stand_ins, nodes };
@@ -156,7 +159,7 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn failed(error: fake::Error) -> Error {
+fn failed(error: &fake::Error) -> Error {
     Error::Demo(error.to_string())
 }
 
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -35,6 +35,10 @@
     },
     /// Another edit came first.
     Conflict(String),
+    /// Another node must take the command; its URL, if it is known.
+    Elsewhere(Option<String>),
+    /// The rollout was taken back.
+    Undone(String),
     /// The edit may have been accepted.
     Unsettled(String),
     /// The time to wait ran out.
@@ -48,8 +52,8 @@
     pub const fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::File { .. } => Exit::Usage,
-            Self::Catalogue { .. } | Self::Refused { .. } | Self::Demo(_) => Exit::Failed,
-            Self::Unreachable(_) => Exit::Unreachable,
+            Self::Catalogue { .. } | Self::Refused { .. } | Self::Demo(_) | Self::Undone(_) => Exit::Failed,
+            Self::Unreachable(_) | Self::Elsewhere(_) => Exit::Unreachable,
             Self::Conflict(_) => Exit::Conflict,
             Self::Unsettled(_) => Exit::Unsettled,
             Self::Timeout(_) => Exit::Timeout,
@@ -76,6 +80,8 @@
             }
             Self::Refused { status, detail } => write!(f, "refused ({status}): {detail}"),
             Self::Unsettled(detail) => write!(f, "{detail}; the command may be repeated as it was"),
+            Self::Elsewhere(_) => f.write_str("another node controls this endpoint's rollouts"),
+            Self::Undone(detail) => write!(f, "undone: {detail}"),
             Self::Timeout(detail) => write!(f, "time ran out: {detail}"),
         }
     }
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -229,6 +229,18 @@
     }
 }
 
+/// Closes the table and asks for all that a peer needs, in pieces of about this many bytes.
+#[derive(Clone, Copy, Debug)]
+pub struct Export(pub usize);
+
+impl Message<Export> for Claims {
+    type Reply = Vec<Handover>;
+
+    async fn handle(&mut self, export: Export, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        self.table.export(export.0)
+    }
+}
+
 /// A peer hands its keys over.
 #[derive(Clone, Debug)]
 pub struct Import(pub Handover);
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -23,17 +23,23 @@
 
 use crate::actor::{Rollouts, Traffic, rollouts, traffic};
 use crate::clock::Clock;
+use crate::heritage::Heritage;
 use crate::serving::Serving;
 use crate::snapshot::Snapshot;
+use crate::stop::{Phase, Stop};
 pub use message::{
-    Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Spread, Tick, Veto, Whereabouts,
+    Bequeath, Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Renewed, Spread, Tick, Veto,
+    Whereabouts,
 };
-pub use status::{Addresses, Force, Nodes};
+pub use status::{Addresses, Force, Line, Nodes};
 pub use text::{Text, Want};
 
 /// Span between two ticks; that of the gossip.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Stopped nodes whose heir is remembered.
+const HEIRS: usize = 16_384;
+
 /// Time for which a verdict on serving holds.
 const VERDICT_HOLDS: Millis = Millis::from_secs(3);
 
@@ -58,6 +64,10 @@
     pub snapshot: watch::Sender<Arc<Snapshot>>,
     /// Where the verdict on serving is published.
     pub serving: watch::Sender<Serving>,
+    /// The node's life, which ends when it is fenced.
+    pub stop: Stop,
+    /// What an earlier incarnation of this process knew.
+    pub heritage: Option<Heritage>,
     /// What the platform is to be asked for.
     pub wanted: mpsc::Sender<Want>,
 }
@@ -74,11 +84,14 @@
     snapshot: watch::Sender<Arc<Snapshot>>,
     serving: watch::Sender<Serving>,
     wanted: mpsc::Sender<Want>,
+    stop: Stop,
     /// Checked catalogues that are not applied yet, by generation.
     checked: IndexMap<Generation, Snapshot>,
     /// Digests of the generations known.
     digests: IndexMap<Generation, Digest>,
     node: Node,
+    /// Who took the keys of stopped nodes over, oldest first.
+    heirs: IndexMap<Incarnation, Incarnation>,
 }
 
 impl Actor for Members {
@@ -97,21 +110,45 @@
             snapshot,
             serving,
             wanted,
+            stop,
+            heritage,
         } = arguments;
         start_ticks(&actor);
+        let (gossip, config) = match heritage {
+            Some(heritage) => (
+                heritage
+                    .gossip
+                    .with_incarnation(clock.now(), node.incarnation, node.epoch),
+                heritage.config,
+            ),
+            None => (
+                Gossip::new(node.clone(), seeds, seed),
+                Config::new(config::Settings::new()),
+            ),
+        };
+        if let Some(catalogue) = &snapshot.borrow().catalogue {
+            let nodes = gossip.view().present().count() as u32;
+            let apply = traffic::Apply {
+                catalogue: Arc::clone(catalogue),
+                nodes,
+            };
+            let _gone = traffic.tell(apply).try_send();
+        }
         Ok(Self {
             clock,
-            gossip: Gossip::new(node.clone(), seeds, seed),
-            config: Config::new(config::Settings::new()),
+            gossip,
+            config,
             peers,
             traffic,
             rollouts,
             snapshot,
             serving,
             wanted,
+            stop,
             checked: IndexMap::new(),
             digests: IndexMap::new(),
             node,
+            heirs: IndexMap::new(),
         })
     }
 }
@@ -158,6 +195,16 @@
         Vec::new()
     }
 
+    fn note_heir(&mut self, report: &Bytes) {
+        let Ok(rollouts::Announcement::Heir { home, heir }) = wire::decode(report) else {
+            return;
+        };
+        self.heirs.insert(home, heir);
+        if self.heirs.len() > HEIRS {
+            self.heirs.shift_remove_index(0);
+        }
+    }
+
     fn log(&self, node: Incarnation, state: &str) {
         let name = self
             .gossip
@@ -199,6 +246,7 @@
                 let _gone = self.traffic.tell(traffic::rollout::Learned(evidence)).await;
             }
             Body::Demand { report, .. } => {
+                self.note_heir(&report);
                 let _gone = self.rollouts.tell(rollouts::Announced(report)).await;
             }
             Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } => {}
@@ -216,6 +264,12 @@
                 }
                 config::Action::Fetch(generation) => actions.extend(self.fetch(now, generation)),
                 config::Action::Apply(generation) => actions.extend(self.apply(now, generation).await),
+                // A node that says goodbye is declared gone, too.
+                config::Action::Fence if self.stop.phase() > Phase::Serving => {}
+                config::Action::Fence => {
+                    log::error!("this incarnation may have been declared gone; starting a new one");
+                    self.stop.fence();
+                }
             }
         }
         self.publish(now);
--- a/crates/node/src/actor/members/message.rs
+++ b/crates/node/src/actor/members/message.rs
@@ -1,6 +1,7 @@
 //! Messages about nodes, the head record and VMs.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::Incarnation;
 use bytes::Bytes;
@@ -8,10 +9,11 @@
 use kameo::message::{Context, Message};
 use member::gossip::Event;
 use member::item::{Body, Vm};
-use member::node::State;
-use member::{Node, config, generation};
+use member::node::{Registration, State};
+use member::{config, generation};
 
 use super::Members;
+use crate::heritage::Heritage;
 
 /// Time passed.
 #[derive(Clone, Copy, Debug)]
@@ -60,7 +62,7 @@
 
 /// The platform answered with all registrations.
 #[derive(Clone, Debug)]
-pub struct Registered(pub Vec<Node>);
+pub struct Registered(pub Vec<Registration>);
 
 impl Message<Registered> for Members {
     type Reply = ();
@@ -70,6 +72,39 @@
     }
 }
 
+/// The platform renewed this node's registration.
+#[derive(Clone, Copy, Debug)]
+pub struct Renewed;
+
+impl Message<Renewed> for Members {
+    type Reply = ();
+
+    async fn handle(&mut self, _renewed: Renewed, _context: &mut Context<Self, Self::Reply>) {
+        self.configure(config::Event::Renewed).await;
+    }
+}
+
+/// Asks for what the next incarnation keeps.
+#[derive(Clone, Copy, Debug)]
+pub struct Bequeath;
+
+impl Message<Bequeath> for Members {
+    type Reply = Result<Box<Heritage>, std::convert::Infallible>;
+
+    async fn handle(
+        &mut self,
+        _bequeath: Bequeath,
+        _context: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let snapshot = Arc::clone(&self.snapshot.borrow());
+        Ok(Box::new(Heritage {
+            gossip: self.gossip.clone(),
+            config: self.config.renew(),
+            snapshot,
+        }))
+    }
+}
+
 /// The VM list answered with all VMs.
 #[derive(Clone, Debug)]
 pub struct Listed(pub Vec<Vm>);
@@ -185,26 +220,47 @@
     pub home: Home,
     /// Where it listens for peers, if it may answer.
     pub peer: Option<SocketAddr>,
+    /// Where it listens for callers.
+    pub caller: Option<SocketAddr>,
 }
 
 impl Message<Whereabouts> for Members {
     type Reply = Result<Found, std::convert::Infallible>;
 
     async fn handle(&mut self, asked: Whereabouts, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        let Some(member) = self.gossip.view().member(asked.0) else {
-            return Ok(Found {
-                home: Home::Unreachable,
-                peer: None,
-            });
-        };
-        let home = match member.state() {
-            State::Alive | State::Leaving => Home::Alive,
-            State::Suspect => Home::Unreachable,
-            State::Gone => Home::Gone,
+        let member = self.gossip.view().member(asked.0);
+        let peer = member.map(|member| member.node().peer);
+        let caller = member.map(|member| member.node().caller);
+        let home = match member.map(member::view::Member::state) {
+            Some(State::Alive | State::Leaving) => {
+                return Ok(Found {
+                    home: Home::Alive,
+                    peer,
+                    caller,
+                });
+            }
+            Some(State::Suspect) => {
+                return Ok(Found {
+                    home: Home::Unreachable,
+                    peer,
+                    caller,
+                });
+            }
+            Some(State::Gone) => Home::Gone,
+            None => Home::Unreachable,
         };
-        Ok(Found {
-            home,
-            peer: Some(member.node().peer),
+        let heir = self
+            .heirs
+            .get(&asked.0)
+            .and_then(|heir| self.gossip.view().member(*heir));
+        let heir = heir.filter(|heir| heir.state() != State::Gone);
+        Ok(match heir {
+            Some(heir) => Found {
+                home: Home::Heir(heir.node().incarnation),
+                peer: Some(heir.node().peer),
+                caller,
+            },
+            None => Found { home, peer, caller },
         })
     }
 }
--- a/crates/node/src/actor/rollouts/message.rs
+++ b/crates/node/src/actor/rollouts/message.rs
@@ -203,6 +203,8 @@
                     self.holders.insert(endpoint, holder);
                 }
             }
+            // The members keep those.
+            Ok(Announcement::Heir { .. }) => {}
             Err(error) => log::warn!("announcement dropped: {error}"),
         }
     }
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -6,6 +6,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::Bilberrylatchd;
+use crate::clock::Clock;
 use crate::exit::Exit;
 use crate::node::Node;
 use crate::settings::Settings;
@@ -62,12 +63,25 @@
 
 async fn run_node(settings: Settings) -> Result<(), Error> {
     logs::start(settings.log_format, settings.log_level)?;
-    let node = Node::start(settings).await?;
+    let clock = Clock::new();
+    let mut node = Node::start_with(settings.clone(), clock, None).await?;
     // The line that scripts and tests wait for.
     println!("listening {} peers {}", node.address(), node.peer_address());
-    tokio::select! {
-        () = terminated() => {}
-        () = node.asked_to_stop() => {}
+    // Later incarnations keep the addresses, also those that the system chose.
+    let settings = Settings {
+        listen: node.address(),
+        peer_listen: node.peer_address(),
+        ..settings
+    };
+    let mut terminated = std::pin::pin!(terminated());
+    loop {
+        tokio::select! {
+            () = &mut terminated => break,
+            () = node.asked_to_stop() => break,
+            () = node.fenced() => {}
+        }
+        let heritage = node.retire().await;
+        node = Node::start_with(settings.clone(), clock, heritage).await?;
     }
     node.stop().await;
     Ok(())
--- a/crates/node/src/edge.rs
+++ b/crates/node/src/edge.rs
@@ -6,6 +6,7 @@
 pub mod call;
 pub mod claimed;
 pub mod drain;
+pub mod handover;
 pub mod http;
 pub mod intake;
 pub mod keys;
--- a/crates/node/src/edge/admin.rs
+++ b/crates/node/src/edge/admin.rs
@@ -3,3 +3,4 @@
 pub mod catalogue;
 pub mod lists;
 pub mod metrics;
+pub mod rollouts;
--- a/crates/node/src/edge/drain.rs
+++ b/crates/node/src/edge/drain.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::{Instant, sleep};
 
+use super::handover;
 use crate::actor::claims::Seal;
 use crate::actor::members::{Goodbye, Leaving};
 use crate::actor::traffic::Queues;
@@ -31,6 +32,7 @@
         }
         sleep(LOOK).await;
     }
+    handover::run(shared).await;
     let _gone = shared.members.tell(Goodbye).await;
     log::info!("drained");
 }
--- /dev/null
+++ b/crates/node/src/edge/handover.rs
@@ -0,0 +1,109 @@
+//! Handing a stopping node's idempotency keys to a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Incarnation;
+use bytes::Bytes;
+use claim::Handover;
+use indexmap::IndexSet;
+use member::node::State;
+use tokio::time::{sleep, timeout};
+use wire::Frame;
+
+use crate::actor::claims::Export;
+use crate::actor::members::{Nodes, Spread};
+use crate::actor::rollouts::Announcement;
+use crate::platform::rollout::wall;
+use crate::shared::Shared;
+
+/// Size of one piece, in bytes.
+const PIECE_BYTES: usize = 512 * 1024;
+
+/// Time for one piece.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for the announcement to leave with the gossip's next ticks.
+const ANNOUNCE: Duration = Duration::from_millis(400);
+
+/// Peers that are tried.
+const HEIRS_TRIED: usize = 3;
+
+/// A peer that may take the keys over.
+#[derive(Clone, Copy, Debug)]
+struct Heir {
+    node: Incarnation,
+    address: SocketAddr,
+}
+
+/// Hands everything over to the first peer that takes it, and tells all nodes which.
+pub async fn run(shared: &Shared) {
+    let Ok(pieces) = shared.claims.ask(Export(PIECE_BYTES)).await else {
+        return;
+    };
+    for heir in heirs(shared).await {
+        match give(shared, heir, &pieces).await {
+            Ok(()) => {
+                announce(shared, heir, &pieces).await;
+                return;
+            }
+            Err(error) => log::warn!("keys not handed over to {}: {error}", heir.address),
+        }
+    }
+    log::warn!("keys not handed over: repeats will be told 'unknown'");
+}
+
+/// Peers that stay, those of other zones first: this one's zone may be the one that is reclaimed.
+async fn heirs(shared: &Shared) -> Vec<Heir> {
+    let Ok(mut nodes) = shared.members.ask(Nodes).await else {
+        return Vec::new();
+    };
+    nodes.retain(|node| node.state == State::Alive && node.incarnation != shared.incarnation);
+    nodes.sort_by_key(|node| node.zone == shared.settings.zone);
+    let heir = |node: &crate::actor::members::Line| Heir {
+        node: node.incarnation,
+        address: node.peer,
+    };
+    nodes.iter().take(HEIRS_TRIED).map(heir).collect()
+}
+
+async fn give(shared: &Shared, heir: Heir, pieces: &[Handover]) -> Result<(), wire::Error> {
+    for piece in pieces {
+        let bytes = Bytes::from(wire::encode(piece)?);
+        let given = timeout(PIECE_TIMEOUT, give_piece(shared, heir, bytes)).await;
+        given.unwrap_or_else(|_elapsed| Err(wire::Error::Broken("no answer in time".to_owned())))?;
+    }
+    Ok(())
+}
+
+async fn give_piece(shared: &Shared, heir: Heir, piece: Bytes) -> Result<(), wire::Error> {
+    let mut channel = shared.peers.open(heir.address).await?;
+    channel.send(&Frame::Handover(piece)).await?;
+    channel.finish()?;
+    match channel.receive().await? {
+        Frame::Accepted => Ok(()),
+        _other => Err(wire::Error::Malformed("acceptance expected".to_owned())),
+    }
+}
+
+async fn announce(shared: &Shared, heir: Heir, pieces: &[Handover]) {
+    const MILLIS_A_SECOND: u64 = 1000;
+    let homes: IndexSet<Incarnation> = pieces.iter().map(|piece| piece.home).collect();
+    for home in homes {
+        let announcement = Announcement::Heir {
+            home,
+            heir: heir.node,
+        };
+        let Ok(bytes) = wire::encode(&announcement) else {
+            continue;
+        };
+        let version = announcement.version(wall().0 / MILLIS_A_SECOND);
+        let spread = Spread {
+            id: announcement.id(),
+            version,
+            report: Bytes::from(bytes),
+        };
+        let _gone = shared.members.tell(spread).await;
+    }
+    sleep(ANNOUNCE).await;
+}
--- a/crates/node/src/edge/http.rs
+++ b/crates/node/src/edge/http.rs
@@ -24,6 +24,11 @@
             get(admin::catalogue::show).put(admin::catalogue::apply),
         )
         .route("/v1/admin/catalogue/status", get(admin::catalogue::status))
+        .route(
+            "/v1/admin/rollouts/{endpoint}",
+            get(admin::rollouts::status).post(admin::rollouts::declare),
+        )
+        .route("/v1/admin/rollouts/{endpoint}/undo", post(admin::rollouts::undo))
         .layer(DefaultBodyLimit::max(ADMIN_BODY_BYTES));
     let open = Router::new()
         .route("/metrics", get(admin::metrics::render))
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -24,6 +24,9 @@
 /// Largest piece of a body in one frame, in bytes.
 const DATA_BYTES: usize = 256 * 1024;
 
+/// Time for a peer to say that it has a request.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time beyond the request's own for the answer of a peer.
 const ANSWER_MARGIN: Duration = Duration::from_secs(1);
 
@@ -73,6 +76,8 @@
 }
 
 async fn answer(shared: &Shared, call: Call, channel: &mut Channel) -> Result<(), wire::Error> {
+    // At once, so that the sender knows that its peer lives.
+    channel.send(&Frame::Accepted).await?;
     let outgoing = outgoing(shared, call);
     let closed = claimed::settle(shared, outgoing).await;
     let (head, body) = match closed {
@@ -131,12 +136,25 @@
         let mut channel = shared.peers.open(peer).await?;
         channel.send(&Frame::Forward(call)).await?;
         channel.finish()?;
+        accepted(&mut channel).await?;
         collect(&mut channel).await
     };
     let waited = timeout(left.as_duration() + ANSWER_MARGIN, exchange).await;
     waited.unwrap_or_else(|_elapsed| Err(wire::Error::Broken("no answer in time".to_owned())))
 }
 
+/// Waits for the peer's word that it has the request: a peer that is gone is known by its silence.
+async fn accepted(channel: &mut Channel) -> Result<(), wire::Error> {
+    let silent = |_elapsed| Err(wire::Error::Broken("the peer is silent".to_owned()));
+    match timeout(ACCEPT_TIMEOUT, channel.receive())
+        .await
+        .unwrap_or_else(silent)?
+    {
+        Frame::Accepted => Ok(()),
+        _other => Err(wire::Error::Malformed("acceptance expected".to_owned())),
+    }
+}
+
 async fn collect(channel: &mut Channel) -> Result<Closed, wire::Error> {
     let Frame::Head(head) = channel.receive().await? else {
         return Err(wire::Error::Malformed(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod exit;
 pub mod hash;
+pub mod heritage;
 pub mod logs;
 pub mod node;
 pub mod platform;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::edge;
 use crate::error::Error;
+use crate::heritage::Heritage;
 use crate::platform;
 use crate::serving::Serving;
 use crate::settings::Settings;
@@ -50,6 +51,15 @@
 impl Node {
     /// Binds the addresses and starts all tasks. The platform and the peers need not answer yet.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
+        Self::start_with(settings, Clock::new(), None).await
+    }
+
+    /// Starts the next incarnation of the same process.
+    pub async fn start_with(
+        settings: Settings,
+        clock: Clock,
+        heritage: Option<Heritage>,
+    ) -> Result<Self, Error> {
         edge::admin::metrics::install();
         let listener = TcpListener::bind(settings.listen)
             .await
@@ -65,7 +75,7 @@
         let (peers, incoming) =
             wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
         let peer_listen = peers.address().map_err(Error::Peers)?;
-        let parts = Parts::new(settings, peers, listen, peer_listen)?;
+        let parts = Parts::new(settings, clock, heritage, peers, listen, peer_listen)?;
         Ok(parts.run(listener, incoming))
     }
 
@@ -89,6 +99,18 @@
         self.shared.stop.reached(Phase::Draining).await;
     }
 
+    /// Waits until this incarnation may have been declared gone by others.
+    pub async fn fenced(&self) {
+        self.shared.stop.fenced().await;
+    }
+
+    /// Stops gracefully, and keeps what the next incarnation of this process needs.
+    pub async fn retire(self) -> Option<Heritage> {
+        let heritage = self.shared.members.ask(members::Bequeath).await.ok();
+        self.stop().await;
+        heritage.map(|heritage| *heritage)
+    }
+
     /// Stops gracefully: withdraws the address, finishes accepted work, hands over, and ends.
     pub async fn stop(self) {
         edge::drain::run(&self.shared).await;
@@ -115,13 +137,14 @@
 impl Parts {
     fn new(
         settings: Settings,
+        clock: Clock,
+        heritage: Option<Heritage>,
         peers: wire::Endpoint,
         listen: SocketAddr,
         peer_listen: SocketAddr,
     ) -> Result<Self, Error> {
         let incarnation = Incarnation(rand::rng().random());
         let seed = Seed(rand::rng().random());
-        let clock = Clock::new();
         let node = member::Node {
             name: settings.name.clone(),
             incarnation,
@@ -157,8 +180,12 @@
             },
             mailbox::bounded(MAILBOX),
         );
-        let (snapshot_sender, snapshot) = watch::channel(Arc::new(Snapshot::empty()));
+        let snapshot = heritage
+            .as_ref()
+            .map_or_else(|| Arc::new(Snapshot::empty()), |it| Arc::clone(&it.snapshot));
+        let (snapshot_sender, snapshot) = watch::channel(snapshot);
         let (serving_sender, serving) = watch::channel(Serving::asking());
+        let stop = Stop::new();
         let (wanted_sender, wanted) = mpsc::channel(WANTS);
         let arguments = members::Arguments {
             node: node.clone(),
@@ -171,6 +198,8 @@
             snapshot: snapshot_sender,
             serving: serving_sender,
             wanted: wanted_sender,
+            stop: stop.clone(),
+            heritage,
         };
         let members = Members::spawn_with_mailbox(arguments, mailbox::bounded(MAILBOX));
         let shared = Shared {
@@ -186,7 +215,7 @@
             store: store::Client::new(backend),
             peers,
             http,
-            stop: Stop::new(),
+            stop,
         };
         shared_sender.send_replace(Some(shared.clone()));
         Ok(Self {
--- a/crates/node/src/platform/registration.rs
+++ b/crates/node/src/platform/registration.rs
@@ -1,22 +1,29 @@
-//! This node's registration: a record that vanishes with the node's lease.
+//! This node's registration at the platform.
+//!
+//! Two records: `nodes/{name}/{incarnation}` says where the node is and stands until its incarnation is gone;
+//! `alive/{incarnation}` is bound to a lease and vanishes when the node stops renewing it.
 
 use std::time::Duration;
 
-use base::Millis;
+use base::{Incarnation, Millis};
 use bytes::Bytes;
 use member::Node;
 use store::{Condition, Lease, Write};
 use tokio::time::sleep;
 
+use crate::actor::members::Renewed;
 use crate::actor::rollouts::Leased;
 use crate::hash;
 use crate::shared::Shared;
 use crate::stop::Phase;
 
-/// Keys of registrations start with this.
-pub const PREFIX: &str = "nodes/";
+/// Keys of nodes' records start with this.
+pub const NODES: &str = "nodes/";
 
-/// Lifetime of a registration without renewal.
+/// Keys of leased records start with this.
+pub const ALIVE: &str = "alive/";
+
+/// Lifetime of a lease without renewal.
 pub const TTL: Duration = Duration::from_secs(10);
 
 /// Span between renewals.
@@ -25,6 +32,16 @@
 /// Span between attempts while the platform is down.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// Key of a node's record.
+pub fn node_key(node: &Node) -> String {
+    format!("{NODES}{}/{}", node.name, node.incarnation)
+}
+
+/// Key of a node's leased record.
+pub fn alive_key(incarnation: Incarnation) -> String {
+    format!("{ALIVE}{incarnation}")
+}
+
 /// Keeps the registration until the node has ended, then withdraws it.
 pub async fn keep(shared: Shared, node: Node) {
     let mut lease = None;
@@ -41,40 +58,58 @@
             () = shared.stop.reached(Phase::Ended) => break,
         }
     }
+    withdraw(&shared, &node, lease).await;
+}
+
+/// Without an answer the lease lapses on its own, and a watcher deletes the record.
+async fn withdraw(shared: &Shared, node: &Node, lease: Option<Lease>) {
     if let Some(lease) = lease {
-        // Without an answer the lease lapses on its own.
         let _unanswered = shared.store.revoke(&lease).await;
     }
+    let _unanswered = shared
+        .store
+        .write_once(&Write::delete(node_key(node), Condition::Any))
+        .await;
 }
 
 async fn renew(shared: &Shared, node: &Node, lease: &mut Option<Lease>) -> Result<(), store::Error> {
     let sent = shared.clock.now();
     if let Some(held) = lease {
         match shared.store.renew(held).await {
-            Err(store::Error::Lapsed) => *lease = None,
             Ok(()) => {
-                tell(shared, held, sent).await;
+                renewed(shared, held, sent).await;
                 return Ok(());
             }
+            Err(store::Error::Lapsed) => *lease = None,
             Err(error) => return Err(error),
         }
     }
-    let granted = shared.store.grant(TTL).await?;
-    let value = serde_json::to_vec(node).map_err(|error| store::Error::Protocol(error.to_string()))?;
-    let key = format!("{PREFIX}{}", node.name);
-    let write = Write::new(key, Bytes::from(value), Condition::Any).with_lease(granted.clone());
-    shared.store.write(&write).await?;
-    tell(shared, &granted, sent).await;
+    let granted = register(shared, node).await?;
+    renewed(shared, &granted, sent).await;
     *lease = Some(granted);
     Ok(())
 }
 
+/// NB: the leased record comes first, so that a node whose record is listed without it has really lapsed.
+async fn register(shared: &Shared, node: &Node) -> Result<Lease, store::Error> {
+    let granted = shared.store.grant(TTL).await?;
+    let alive = Write::new(alive_key(node.incarnation), Bytes::new(), Condition::Any);
+    shared.store.write(&alive.with_lease(granted.clone())).await?;
+    let value = serde_json::to_vec(node).map_err(|error| store::Error::Protocol(error.to_string()))?;
+    shared
+        .store
+        .write(&Write::new(node_key(node), Bytes::from(value), Condition::Any))
+        .await?;
+    Ok(granted)
+}
+
 /// Roles last as long as the lease, reckoned from when its renewal was sent.
-async fn tell(shared: &Shared, lease: &Lease, sent: Millis) {
+async fn renewed(shared: &Shared, lease: &Lease, sent: Millis) {
     let until = sent + Millis(TTL.as_millis() as u64);
     let leased = Leased {
         lease: member::role::Lease(hash::stable(&lease.0)),
         until,
     };
     let _gone = shared.rollouts.tell(leased).await;
+    let _gone = shared.members.tell(Renewed).await;
 }
--- a/crates/node/src/platform/rollout.rs
+++ b/crates/node/src/platform/rollout.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use store::{Condition, Error, Write};
 
-use super::registration::PREFIX;
+use super::registration::alive_key;
 use crate::actor::Rollouts;
 use crate::actor::members::Whereabouts;
 use crate::actor::rollouts::announcement::Holder;
@@ -59,14 +59,9 @@
     }))
 }
 
-/// A registration vanishes with its node's lease, so it stands for the lease.
+/// The leased record vanishes with its node's lease, so it stands for the lease.
 async fn is_registered(shared: &Shared, holder: base::Incarnation) -> Result<bool, Error> {
-    let listing = shared.store.list(PREFIX).await?;
-    let nodes = listing
-        .entries
-        .iter()
-        .filter_map(|entry| parse::<member::Node>(&entry.value).ok());
-    Ok(nodes.into_iter().any(|node| node.incarnation == holder))
+    Ok(shared.store.get(&alive_key(holder)).await?.is_some())
 }
 
 /// Swaps a role's record.
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,5 +1,7 @@
 //! The phases of a node's life.
 
+use std::sync::Arc;
+
 use tokio::sync::watch;
 
 /// How far a graceful stop has come.
@@ -16,15 +18,18 @@
 /// Tells every task which phase the node is in. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Stop {
-    sender: std::sync::Arc<watch::Sender<Phase>>,
+    sender: Arc<watch::Sender<Phase>>,
+    fenced: Arc<watch::Sender<bool>>,
 }
 
 impl Stop {
     /// A node that serves.
     pub fn new() -> Self {
         let (sender, _receiver) = watch::channel(Phase::Serving);
+        let (fenced, _receiver) = watch::channel(false);
         Self {
-            sender: std::sync::Arc::new(sender),
+            sender: Arc::new(sender),
+            fenced: Arc::new(fenced),
         }
     }
 
@@ -44,6 +49,17 @@
         });
     }
 
+    /// Says that this incarnation may have been declared gone.
+    pub fn fence(&self) {
+        self.fenced.send_replace(true);
+    }
+
+    /// Waits until this incarnation may have been declared gone.
+    pub async fn fenced(&self) {
+        let mut receiver = self.fenced.subscribe();
+        let _closed = receiver.wait_for(|fenced| *fenced).await;
+    }
+
     /// Waits until `phase` is reached.
     pub async fn reached(&self, phase: Phase) {
         let mut receiver = self.sender.subscribe();
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -12,7 +12,7 @@
 use crate::{Channel, Error, FRAME_LIMIT_BYTES, Frame, Identity};
 
 /// Time to set up a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Frames that wait to be handled, at most; further ones wait at their sender.
 const INCOMING_LIMIT: usize = 1024;
--- a/tests/system/deployment.rs
+++ b/tests/system/deployment.rs
@@ -40,7 +40,7 @@
     /// Starts stand-ins with two replicas of each endpoint, `nodes` nodes over three zones, and applies the catalogue.
     pub async fn start(nodes: usize) -> Self {
         let deployment = Self::start_empty(nodes).await;
-        let file = deployment.catalogue_file();
+        let file = Self::catalogue_file();
         let applied = deployment.tool(&["catalogue", "apply", "--wait", file.to_str().unwrap()]);
         assert!(
             applied.status.success(),
@@ -150,7 +150,7 @@
     }
 
     /// The catalogue that the demo and these tests share.
-    pub fn catalogue_file(&self) -> PathBuf {
+    pub fn catalogue_file() -> PathBuf {
         PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("crates/ctl/src/demo/demo.toml")
     }
 
--- /dev/null
+++ b/tests/system/keys.rs
@@ -0,0 +1,209 @@
+//! Non-idempotent requests run at most once, whatever happens to the node that their key names.
+
+use std::time::{Duration, Instant};
+
+use nix::sys::signal::Signal;
+use reqwest::{Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+use crate::process::Process;
+
+/// Bound on any answer to a repeat: at once, but for the time to notice that a peer is silent.
+const AT_ONCE: Duration = Duration::from_secs(3);
+
+async fn top_up(deployment: &Deployment, node: &Process, key: &str) -> Response {
+    let body = json!({"account": "pupil", "amount": 250});
+    let call = deployment
+        .call(node, "ledger", "topup")
+        .header("idempotency-key", key)
+        .json(&body);
+    call.send().await.expect("an answer")
+}
+
+fn outcome(response: &Response) -> String {
+    response.headers()["bilberrylatch-outcome"]
+        .to_str()
+        .unwrap()
+        .to_owned()
+}
+
+/// Asks for the same key until the outcome is `wanted`; never a second run meanwhile.
+async fn repeat_until(deployment: &Deployment, node: &Process, key: &str, wanted: &str) -> Response {
+    const LOOKS: u32 = 100;
+    for _look in 0..LOOKS {
+        let started = Instant::now();
+        let response = top_up(deployment, node, key).await;
+        assert!(started.elapsed() < AT_ONCE, "a repeat was held back");
+        assert_ne!(outcome(&response), "not-run", "the request ran");
+        if outcome(&response) == wanted {
+            return response;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    panic!("no answer with outcome {wanted}")
+}
+
+#[tokio::test]
+async fn same_key_at_two_nodes_at_once_runs_once() {
+    let deployment = Deployment::start(3).await;
+    for _round in 0..10 {
+        let key = deployment.key(&deployment.nodes[0]).await;
+        let before = deployment.runs().await.len();
+        let (one, other) = tokio::join!(
+            top_up(&deployment, &deployment.nodes[1], &key),
+            top_up(&deployment, &deployment.nodes[2], &key)
+        );
+        assert_eq!((one.status(), other.status()), (StatusCode::OK, StatusCode::OK));
+        let (one, other): (Value, Value) = (one.json().await.unwrap(), other.json().await.unwrap());
+        assert_eq!(one, other);
+        assert_eq!(deployment.runs().await.len(), before + 1);
+    }
+}
+
+#[tokio::test]
+async fn home_killed_leaves_repeats_unknown() {
+    let mut deployment = Deployment::start(3).await;
+    let key = deployment.key(&deployment.nodes[0]).await;
+    let fresh = deployment.key(&deployment.nodes[0]).await;
+    assert_eq!(
+        top_up(&deployment, &deployment.nodes[0], &key).await.status(),
+        StatusCode::OK
+    );
+    deployment.nodes[0].kill();
+    for key in [&key, &fresh] {
+        let started = Instant::now();
+        let response = top_up(&deployment, &deployment.nodes[1], key).await;
+        assert!(started.elapsed() < AT_ONCE, "the answer was held back");
+        assert_eq!(outcome(&response), "unknown");
+    }
+    assert_eq!(deployment.runs().await.len(), 1);
+}
+
+#[tokio::test]
+async fn home_stopped_hands_its_answers_over() {
+    let mut deployment = Deployment::start(3).await;
+    let key = deployment.key(&deployment.nodes[0]).await;
+    let fresh = deployment.key(&deployment.nodes[0]).await;
+    let first: Value = top_up(&deployment, &deployment.nodes[1], &key)
+        .await
+        .json()
+        .await
+        .unwrap();
+    deployment.nodes[0].signal(Signal::SIGTERM);
+    deployment.nodes[0].signal(Signal::SIGTERM);
+    assert!(deployment.nodes[0].wait().success());
+    for node in &deployment.nodes[1..] {
+        let response = repeat_until(&deployment, node, &key, "answered").await;
+        assert_eq!(response.json::<Value>().await.unwrap(), first);
+        let never_run = top_up(&deployment, node, &fresh).await;
+        assert_eq!(
+            outcome(&never_run),
+            "not-run",
+            "its home certified that it never ran"
+        );
+    }
+    assert_eq!(deployment.runs().await.len(), 1);
+}
+
+#[tokio::test]
+async fn issued_keys_go_on_while_the_platform_is_down() {
+    let deployment = Deployment::start(3).await;
+    deployment
+        .faults(&deployment.kv, json!({"outage": "unavailable"}))
+        .await;
+    for round in 1..=20_usize {
+        let key = deployment.key(&deployment.nodes[round % 3]).await;
+        let response = top_up(&deployment, &deployment.nodes[(round + 1) % 3], &key).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(deployment.runs().await.len(), round);
+    }
+}
+
+#[tokio::test]
+async fn frozen_home_runs_nothing_twice_when_it_wakes() {
+    let deployment = Deployment::start(3).await;
+    let key = deployment.key(&deployment.nodes[0]).await;
+    deployment.nodes[0].signal(Signal::SIGSTOP);
+    let response = top_up(&deployment, &deployment.nodes[1], &key).await;
+    assert_eq!(outcome(&response), "unknown");
+    // Longer than the registration's lease.
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let response = top_up(&deployment, &deployment.nodes[2], &key).await;
+    assert_eq!(outcome(&response), "unknown");
+    deployment.nodes[0].signal(Signal::SIGCONT);
+    for _repeat in 0..10 {
+        for node in &deployment.nodes {
+            top_up(&deployment, node, &key).await;
+        }
+    }
+    assert!(deployment.runs().await.len() <= 1);
+}
+
+/// A fault of the ledger in the middle of a top-up, and what the caller may be told.
+struct Fault {
+    faults: fn() -> Value,
+    outcomes: &'static [&'static str],
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault {
+        faults: || json!({"reset_before": {"next": 1}}),
+        outcomes: &["unknown"],
+    },
+    Fault {
+        faults: || json!({"reset_after": {"next": 1}}),
+        outcomes: &["unknown"],
+    },
+    Fault {
+        faults: || json!({"wrong_dispatch": {"next": 1}}),
+        outcomes: &["unknown"],
+    },
+    Fault {
+        faults: || json!({"truncate": {"next": 1}}),
+        outcomes: &["unknown"],
+    },
+    Fault {
+        faults: || json!({"cut": {"next": 1}}),
+        outcomes: &["unknown"],
+    },
+    Fault {
+        faults: || json!({"fail_after": {"next": 1}}),
+        outcomes: &["answered", "unknown"],
+    },
+    Fault {
+        faults: || json!({"reject": {"next": 1}}),
+        outcomes: &["answered"],
+    },
+    Fault {
+        faults: || json!({"late": {"next": 1}, "late_ms": 300}),
+        outcomes: &["answered"],
+    },
+];
+
+#[tokio::test]
+async fn outcomes_tell_the_truth_when_the_ledger_fails() {
+    let deployment = Deployment::start(2).await;
+    for (index, fault) in FAULTS.iter().enumerate() {
+        let before = deployment.runs().await.len();
+        for service in &deployment.services {
+            deployment.faults(service, (fault.faults)()).await;
+        }
+        let key = deployment.key(&deployment.nodes[0]).await;
+        let response = top_up(&deployment, &deployment.nodes[0], &key).await;
+        let told = outcome(&response);
+        assert!(
+            fault.outcomes.contains(&told.as_str()),
+            "fault {index}: told {told}"
+        );
+        for service in &deployment.services {
+            deployment.faults(service, json!({})).await;
+        }
+        let again = outcome(&top_up(&deployment, &deployment.nodes[1], &key).await);
+        assert_eq!(again, told, "fault {index}: a repeat is told the same");
+        assert!(
+            deployment.runs().await.len() <= before + 1,
+            "fault {index}: ran twice"
+        );
+    }
+}
--- /dev/null
+++ b/tests/system/leaving.rs
@@ -0,0 +1,82 @@
+//! A replica that leaves gets no new work after a few seconds, also when the VM list lags or the platform is down.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+
+/// Bound on the time from the notice to the last new request.
+const BOUND: Duration = Duration::from_secs(5);
+
+async fn runs_at(deployment: &Deployment, index: usize) -> usize {
+    let url = format!("{}/admin/runs?after=0", deployment.services[index].url());
+    let runs: Vec<Value> = deployment
+        .client
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .json()
+        .await
+        .unwrap();
+    runs.len()
+}
+
+async fn check_balances(deployment: &Deployment, count: usize) {
+    for index in 0..count {
+        let node = &deployment.nodes[index % deployment.nodes.len()];
+        let url = format!("{}/v1/endpoints/ledger/balance/pupil", node.url());
+        let response = deployment
+            .client
+            .get(url)
+            .bearer_auth(crate::deployment::TOKEN)
+            .send()
+            .await
+            .unwrap();
+        assert!(response.status().is_success());
+    }
+}
+
+struct Case {
+    cloud: fn() -> Value,
+    kv: fn() -> Value,
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        cloud: || json!({"lag_ms": 60_000}),
+        kv: || json!({}),
+    },
+    Case {
+        cloud: || json!({"lag_ms": 60_000}),
+        kv: || json!({"outage": "unavailable"}),
+    },
+];
+
+#[tokio::test]
+async fn no_new_work_after_the_notice() {
+    for case in CASES {
+        let deployment = Deployment::start(3).await;
+        deployment.faults(&deployment.cloud, (case.cloud)()).await;
+        deployment.faults(&deployment.kv, (case.kv)()).await;
+        check_balances(&deployment, 30).await;
+        assert!(runs_at(&deployment, 0).await > 0);
+        let url = format!("{}/admin/vms/ledger-0/notice", deployment.cloud.url());
+        deployment
+            .client
+            .post(url)
+            .json(&json!({"notice_ms": 60_000}))
+            .send()
+            .await
+            .unwrap();
+        tokio::time::sleep(BOUND).await;
+        let before = runs_at(&deployment, 0).await;
+        check_balances(&deployment, 60).await;
+        assert_eq!(
+            runs_at(&deployment, 0).await,
+            before,
+            "a leaving replica got new work"
+        );
+    }
+}
--- a/tests/system/process.rs
+++ b/tests/system/process.rs
@@ -9,7 +9,7 @@
 use nix::unistd::Pid;
 
 /// Longest wait for a program to say where it listens, or to end.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// A running program; dropping it kills it.
 #[derive(Debug)]
--- a/tests/system/sse.rs
+++ b/tests/system/sse.rs
@@ -37,8 +37,8 @@
         };
         let Some(data) = field("data:") else { return };
         if let Some(name) = field("event:") {
-            self.end = name.to_owned();
-            self.end_data = data.to_owned();
+            name.clone_into(&mut self.end);
+            data.clone_into(&mut self.end_data);
             return;
         }
         let body: Value = serde_json::from_str(data).unwrap_or_default();
--- /dev/null
+++ b/tests/system/streams.rs
@@ -0,0 +1,121 @@
+//! Streams are whole, also when replicas or nodes leave in the middle.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+use crate::process::Process;
+use crate::sse::Stream;
+
+/// Tokens of a stream that is long enough to be interrupted.
+const TOKENS: u32 = 60;
+
+/// Streams under way at once.
+const STREAMS: usize = 12;
+
+async fn stream(deployment: &Deployment, node: &Process, prompt: &str) -> Stream {
+    let body = json!({"prompt": prompt, "max_tokens": TOKENS});
+    let response = deployment
+        .call(node, "assistant", "v1/completions")
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    assert!(response.status().is_success(), "{}", response.status());
+    Stream::read(response).await
+}
+
+/// Runs streams over all nodes, does `meanwhile` in their middle, and checks every token of every stream.
+async fn all_whole<M>(deployment: &Deployment, nodes: &[usize], meanwhile: M)
+where
+    M: Future<Output = ()>,
+{
+    let prompts: Vec<String> = (0..STREAMS).map(|index| format!("lease file {index}")).collect();
+    let streams = prompts.iter().enumerate().map(|(index, prompt)| {
+        let node = &deployment.nodes[nodes[index % nodes.len()]];
+        stream(deployment, node, prompt)
+    });
+    let interruption = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        meanwhile.await;
+    };
+    let (streams, ()) = tokio::join!(futures::future::join_all(streams), interruption);
+    for (stream, prompt) in streams.iter().zip(&prompts) {
+        stream.assert_whole(prompt, 0, TOKENS);
+    }
+}
+
+#[tokio::test]
+async fn replica_killed_in_mid_stream_loses_no_token() {
+    let mut deployment = Deployment::start(2).await;
+    let engine = deployment.engines.remove(0);
+    all_whole(&deployment, &[0, 1], async move { drop(engine) }).await;
+}
+
+#[tokio::test]
+async fn reclaim_with_notice_loses_no_token() {
+    let mut deployment = Deployment::start(3).await;
+    let mut engine = deployment.engines.remove(0);
+    let url = format!("{}/admin/vms/assistant-0/notice", deployment.cloud.url());
+    let client = deployment.client.clone();
+    all_whole(&deployment, &[0, 1, 2], async move {
+        client
+            .post(url)
+            .json(&json!({"notice_ms": 500}))
+            .send()
+            .await
+            .unwrap();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        engine.kill();
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn node_stopped_in_mid_stream_cuts_nothing() {
+    let deployment = Deployment::start(3).await;
+    let node = &deployment.nodes[1];
+    all_whole(&deployment, &[0, 1, 2], async { node.signal(Signal::SIGTERM) }).await;
+}
+
+#[tokio::test]
+async fn all_nodes_but_one_stopped_in_mid_stream_cut_nothing() {
+    let deployment = Deployment::start(3).await;
+    all_whole(&deployment, &[0, 1, 2], async {
+        deployment.nodes[0].signal(Signal::SIGTERM);
+        deployment.nodes[2].signal(Signal::SIGTERM);
+    })
+    .await;
+}
+
+/// Faults of one engine that an idempotent stream gets over.
+const FAULTS: [fn() -> Value; 6] = [
+    || json!({"truncate": {"next": 4}}),
+    || json!({"cut": {"next": 4}}),
+    || json!({"duplicate": {"next": 4}}),
+    || json!({"wrong_dispatch": {"next": 4}}),
+    || json!({"fail_before": {"next": 4}}),
+    || json!({"reset_before": {"next": 4}}),
+];
+
+#[tokio::test]
+async fn faulty_answers_never_reach_the_caller() {
+    for faults in FAULTS {
+        let deployment = Deployment::start(1).await;
+        deployment.faults(&deployment.engines[0], faults()).await;
+        all_whole(&deployment, &[0], async {}).await;
+    }
+}
+
+#[tokio::test]
+async fn stream_resumes_at_another_node() {
+    let deployment = Deployment::start(2).await;
+    let body = json!({"prompt": "resume", "max_tokens": 10});
+    let call = deployment
+        .call(&deployment.nodes[1], "assistant", "v1/completions")
+        .json(&body);
+    let response = call.header("last-event-id", "3").send().await.unwrap();
+    Stream::read(response).await.assert_whole("resume", 4, 10);
+}
