Let batches state the span since the one before, so that ages survive a reader

Cause: a node that reads a log anew took every claim in it as just made, so claims outlived their retention with each reader, up to a full shard that refuses. Seen in fuzzing, when nodes had to claim again at the end. Weighed: wall-clock times in batches (rejected: clocks of machines can be set back or ahead, and an age that is too large lets a key run twice); spans are measured by one node's own monotonic clock, and add up to less than the truth. Change: a span in each batch, a clock a log; the fuzzing now ends with each node claiming a new key.

--- a/crates/claim/src/ledger.rs
+++ b/crates/claim/src/ledger.rs
@@ -9,6 +9,7 @@
 mod base;
 mod batch;
 mod claim;
+mod clock;
 mod context;
 mod event;
 mod key;
--- a/crates/claim/src/ledger/batch.rs
+++ b/crates/claim/src/ledger/batch.rs
@@ -18,6 +18,8 @@
 pub(super) struct Batch {
     /// Names this write, so that a write whose answer was lost is told from another node's.
     pub id: WriteId,
+    /// Time since the batch before was written, at least.
+    pub span: Millis,
     /// What the batch says, in order.
     pub entries: Vec<Entry>,
 }
@@ -63,9 +65,10 @@
 }
 
 impl Batch {
-    pub const fn new(id: WriteId) -> Self {
+    pub const fn new(id: WriteId, span: Millis) -> Self {
         Self {
             id,
+            span,
             entries: Vec::new(),
         }
     }
--- a/crates/claim/src/ledger/claim.rs
+++ b/crates/claim/src/ledger/claim.rs
@@ -1,8 +1,7 @@
 //! One claimed key, as the log says.
 
-use base::Millis;
-
 use super::batch::Ticket;
+use super::clock::Point;
 use crate::{Fate, Fingerprint};
 
 /// A claim that was applied from the log.
@@ -10,8 +9,8 @@
 pub(super) struct Claim {
     pub fingerprint: Fingerprint,
     pub ticket: Ticket,
-    /// The claim was not made before this point.
-    pub at: Millis,
+    /// The claim was not made after this point.
+    pub at: Point,
     /// The sequence number that last stated it.
     pub sequence: u64,
     /// How its run ended, once known.
@@ -24,8 +23,4 @@
     pub fn bytes(&self) -> usize {
         self.fate.as_ref().map_or(0, Fate::bytes)
     }
-
-    pub fn expired(&self, now: Millis, retention: Millis) -> bool {
-        now.since(self.at) >= retention
-    }
 }
--- a/crates/claim/src/ledger/log.rs
+++ b/crates/claim/src/ledger/log.rs
@@ -17,6 +17,7 @@
 use super::base::Base;
 use super::batch::Entry;
 use super::claim::Claim;
+use super::clock::Clock;
 use super::context::Context;
 use super::{Event, Key, Version};
 use crate::Reason;
@@ -31,6 +32,8 @@
 pub(super) struct Log {
     /// Every sequence number below is applied.
     next: u64,
+    /// Ages of claims.
+    clock: Clock,
     /// Claims in force.
     claims: IndexMap<Key, Claim>,
     /// Where each claim was last stated.
@@ -139,8 +142,9 @@
     }
 
     /// Forgets what was read, but not what this node does: the log is read again from `first`.
-    fn restart(&mut self, first: u64) {
+    fn restart(&mut self, now: Millis, first: u64) {
         self.next = first;
+        self.clock = Clock::new(now);
         self.claims.clear();
         self.tail.clear();
         self.recorded.clear();
--- a/crates/claim/src/ledger/log/apply.rs
+++ b/crates/claim/src/ledger/log/apply.rs
@@ -14,6 +14,7 @@
     pub fn apply(&mut self, context: &mut Context<'_>, batch: Batch) {
         let sequence = self.next;
         self.next += 1;
+        self.clock.advance(context.now, batch.span);
         for entry in batch.entries {
             self.apply_entry(context, sequence, entry);
         }
@@ -36,7 +37,7 @@
                 fate,
                 age,
             } => {
-                let at = context.now - age;
+                let at = self.clock.point(age);
                 self.apply_kept(
                     context,
                     key,
@@ -74,7 +75,7 @@
             Claim {
                 fingerprint,
                 ticket,
-                at: context.now,
+                at: self.clock.point(Millis::ZERO),
                 sequence,
                 fate: None,
                 idle,
--- a/crates/claim/src/ledger/log/compose.rs
+++ b/crates/claim/src/ledger/log/compose.rs
@@ -10,10 +10,11 @@
 impl Log {
     /// The batch for the next sequence number, from everything that waits; nothing if nothing does.
     pub fn compose(&mut self, context: &mut Context<'_>) -> Option<Batch> {
-        let mut batch = Batch::new(WriteId {
+        let id = WriteId {
             by: context.by,
             number: self.write,
-        });
+        };
+        let mut batch = Batch::new(id, self.clock.span(context.now));
         let mut room = context.limits.batch_bytes;
         self.add_claims(context, &mut batch, &mut room);
         self.add_notes(&mut batch, &mut room);
@@ -65,7 +66,7 @@
                 continue;
             };
             let wanted = self.wants.contains_key(&stated.key);
-            if wanted || self.stale(stated) || claim.expired(context.now, context.limits.retention) {
+            if wanted || self.stale(stated) || self.expired(context, claim) {
                 continue;
             }
             let entry = Entry::Kept {
@@ -73,7 +74,7 @@
                 fingerprint: claim.fingerprint,
                 ticket: claim.ticket,
                 fate: claim.fate.clone(),
-                age: context.now.since(claim.at),
+                age: self.clock.age(context.now, claim.at),
             };
             if !add(batch, &mut left, entry) {
                 return;
--- a/crates/claim/src/ledger/log/io.rs
+++ b/crates/claim/src/ledger/log/io.rs
@@ -221,7 +221,7 @@
         };
         self.await_trim(now);
         if base.first > self.next {
-            self.restart(base.first);
+            self.restart(now, base.first);
         }
     }
 
--- a/crates/claim/src/ledger/log/trim.rs
+++ b/crates/claim/src/ledger/log/trim.rs
@@ -7,6 +7,7 @@
 use super::tail::Stated;
 use crate::ledger::Action;
 use crate::ledger::base::Base;
+use crate::ledger::claim::Claim;
 use crate::ledger::context::Context;
 
 /// Moves of the base that wait for their deletes; later moves cover those left out.
@@ -92,9 +93,10 @@
         }
         let retention = context.limits.retention;
         self.sweep_at = context.now + Millis((retention.0 / SWEEPS).max(1));
+        let clock = self.clock;
         let bytes = &mut self.bytes;
         self.claims.retain(|_, claim| {
-            let keep = !claim.expired(context.now, retention);
+            let keep = clock.age(context.now, claim.at) < retention;
             if !keep {
                 *bytes -= claim.bytes();
             }
@@ -111,12 +113,17 @@
         let unused = context.now.since(self.used) >= context.limits.idle;
         let quiet = self.op.is_idle() && self.open() == 0 && self.notes.is_empty();
         if unused && quiet && self.next > 0 {
-            self.restart(0);
+            self.restart(context.now, 0);
             self.checked = None;
             self.trims.clear();
         }
     }
 
+    /// Whether a claim is certain to be older than the retention.
+    pub fn expired(&self, context: &Context<'_>, claim: &Claim) -> bool {
+        self.clock.age(context.now, claim.at) >= context.limits.retention
+    }
+
     /// Whether a statement is no longer the last one of a claim in force.
     pub(super) fn stale(&self, stated: &Stated) -> bool {
         is_stale(&self.claims, stated)
--- a/crates/claim/src/ledger/log/want.rs
+++ b/crates/claim/src/ledger/log/want.rs
@@ -130,7 +130,7 @@
         let Some(claim) = self.claims.get(&key) else {
             return Known::Free;
         };
-        if claim.idle || claim.expired(context.now, context.limits.retention) {
+        if claim.idle || self.expired(context, claim) {
             return Known::Free;
         }
         if claim.fingerprint != fingerprint {
--- a/crates/claim/tests/chosen/world.rs
+++ b/crates/claim/tests/chosen/world.rs
@@ -13,6 +13,9 @@
 use super::op::Op;
 
 const KEYS: u8 = 5;
+const NODES: u8 = 3;
+/// Tries of a node to claim a key, over more than two retention times.
+const RECOVERIES: usize = 12;
 const LIMITS: Limits = Limits {
     shards: 1,
     retention: Millis(300),
@@ -24,7 +27,7 @@
     linger: Millis(2),
     backoff: Millis(2),
     backoff_max: Millis(8),
-    idle: Millis(300),
+    idle: Millis(60),
     claims: 4,
     wants: 8,
     waiters: 3,
@@ -70,6 +73,7 @@
 struct Node {
     ledger: Ledger,
     paused: bool,
+    sealed: bool,
 }
 
 struct Request {
@@ -128,12 +132,12 @@
             outage: false,
             requests: Vec::new(),
             ghosts: Vec::new(),
-            keys: (0..KEYS).map(|_| Chosen::default()).collect(),
+            keys: (0..KEYS + NODES).map(|_| Chosen::default()).collect(),
             calls: SlotMap::with_key(),
             order: Vec::new(),
             open: Vec::new(),
         };
-        for _ in 0..3 {
+        for _ in 0..NODES {
             let node = world.start();
             world.nodes.push(node);
         }
@@ -167,7 +171,7 @@
                 }
             }
             Op::Leave { call } => self.leave(call),
-            Op::Seal { node } => self.step(node.into(), Event::Seal),
+            Op::Seal { node } => self.seal(node.into()),
             Op::Restart { node } => self.restart(node.into()),
             Op::Pause { node } => self.nodes[usize::from(node)].paused ^= true,
             Op::Outage => self.outage ^= true,
@@ -196,6 +200,30 @@
             let dead = self.position(asked.by).is_none();
             assert!(dead || asked.waits == Waits::Nothing, "a call was never answered");
         }
+        self.recover();
+    }
+
+    /// With the service well, each node can claim again, once what it holds has expired.
+    fn recover(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].sealed {
+                continue;
+            }
+            let runs = self.open.len();
+            let fresh = KEYS + node as u8;
+            let tries = (0..RECOVERIES).take_while(|_| {
+                self.pass(LIMITS.idle - Millis(1));
+                self.round(node, fresh);
+                self.open.len() == runs
+            });
+            assert!(tries.count() < RECOVERIES, "a node can't claim any longer");
+            self.end(runs, 2);
+        }
+    }
+
+    fn seal(&mut self, node: usize) {
+        self.step(node, Event::Seal);
+        self.nodes[node].sealed |= !self.nodes[node].paused;
     }
 
     fn start(&mut self) -> Node {
@@ -204,6 +232,7 @@
         Node {
             ledger,
             paused: false,
+            sealed: false,
         }
     }
 
