Add the cases that callers meet to the tests of chosen keys

Change: cases for repeats, outages, claims that land late and late results; one test binary for chosen keys.

--- a/crates/claim/tests/chosen.rs
+++ b/crates/claim/tests/chosen.rs
@@ -1,8 +1,11 @@
 //! Stateful fuzzing of chosen keys: several ledgers over a model of the key-value service, against the set of runs as
-//! the only oracle.
+//! the only oracle; cases that callers meet; bounds of log and memory.
 
 mod chosen {
+    mod cases;
     pub mod kv;
+    mod log;
+    pub mod node;
     pub mod op;
     pub mod world;
 }
--- /dev/null
+++ b/crates/claim/tests/chosen/cases.rs
@@ -0,0 +1,152 @@
+//! Chosen keys in the cases that callers meet: repeats, outages, answers lost, a claim that lands late.
+
+use base::Millis;
+use claim::Reason;
+use claim::ledger::Limits;
+
+use super::node::{Mode, Node, Service, Told};
+
+/// One shard, so that a claim of any key shows that all was read.
+const LIMITS: Limits = Limits {
+    shards: 1,
+    retention: Millis::from_secs(3_600),
+    delete_after: Millis::from_secs(60),
+    base_valid: Millis::from_secs(20),
+    patience: Millis(500),
+    dispatch_within: Millis::from_secs(30),
+    write_interval: Millis(50),
+    linger: Millis(100),
+    backoff: Millis(50),
+    backoff_max: Millis::from_secs(2),
+    idle: Millis::from_secs(600),
+    claims: 100,
+    wants: 100,
+    waiters: 10,
+    bytes: 10_000,
+    record_bytes: 1_000,
+    batch_bytes: 10_000,
+    log: 100,
+    read_ahead: 8,
+};
+const KEY: u64 = 1;
+const OTHER_KEY: u64 = 2;
+
+#[test]
+fn repeats_meet_the_first_run() {
+    let (mut service, mut first, mut second) = scene();
+    let call = granted(first.want(&mut service, KEY, b"a"));
+    assert_eq!(first.want(&mut service, KEY, b"a"), Told::Joined);
+    assert_eq!(
+        first.want(&mut service, KEY, b"b"),
+        Told::Refused(Reason::Mismatch)
+    );
+    assert_eq!(second.want(&mut service, KEY, b"a"), Told::Taken);
+    assert!(first.dispatch(&mut service, KEY, call));
+    assert!(
+        !first.dispatch(&mut service, KEY, call),
+        "a second dispatch is granted"
+    );
+    first.answer(&mut service, KEY, call, 7);
+    assert_eq!(first.want(&mut service, KEY, b"a"), Told::Recorded(7));
+    first.pass(&mut service, LIMITS.linger + Millis(100));
+    // Another claim lets the second node read on.
+    granted(second.want(&mut service, OTHER_KEY, b""));
+    assert_eq!(second.want(&mut service, KEY, b"a"), Told::Recorded(7));
+    assert_eq!(
+        second.want(&mut service, KEY, b"b"),
+        Told::Refused(Reason::Mismatch)
+    );
+}
+
+#[test]
+fn an_outage_refuses_at_once_and_replays_what_is_known() {
+    let (mut service, mut node, _) = scene();
+    let call = granted(node.want(&mut service, KEY, b""));
+    node.dispatch(&mut service, KEY, call);
+    node.answer(&mut service, KEY, call, 7);
+    node.pass(&mut service, Millis(200));
+    service.mode = Mode::Down;
+    let start = node.now;
+    assert_eq!(
+        node.want(&mut service, OTHER_KEY, b""),
+        Told::Refused(Reason::Outage)
+    );
+    assert_eq!(
+        node.want(&mut service, OTHER_KEY, b""),
+        Told::Refused(Reason::Outage)
+    );
+    assert_eq!(node.want(&mut service, KEY, b""), Told::Recorded(7));
+    assert_eq!(node.now, start, "a call was held back");
+    service.mode = Mode::Well;
+    node.pass(&mut service, LIMITS.backoff_max);
+    granted(node.want(&mut service, OTHER_KEY, b""));
+}
+
+#[test]
+fn a_claim_that_lands_late_is_released_and_never_run() {
+    let (mut service, mut first, mut second) = scene();
+    granted(first.want(&mut service, OTHER_KEY, b""));
+    first.pass(&mut service, Millis(100));
+    service.mode = Mode::Losing;
+    let told = first.want(&mut service, KEY, b"");
+    assert!(
+        matches!(told, Told::Refused(Reason::Deadline | Reason::Outage)),
+        "{told:?}"
+    );
+    service.mode = Mode::Well;
+    service.settle_ghosts();
+    // Whoever looks before the release meets a claim, and must not run.
+    assert_eq!(second.want(&mut service, KEY, b""), Told::Taken);
+    first.pass(&mut service, LIMITS.backoff_max + Millis(200));
+    granted(second.want(&mut service, 3, b""));
+    granted(second.want(&mut service, KEY, b""));
+}
+
+#[test]
+fn a_claim_that_lands_late_can_be_claimed_anew_by_its_node() {
+    let (mut service, mut first, mut second) = scene();
+    granted(first.want(&mut service, OTHER_KEY, b""));
+    first.pass(&mut service, Millis(100));
+    service.mode = Mode::Losing;
+    first.want(&mut service, KEY, b"");
+    service.mode = Mode::Well;
+    service.settle_ghosts();
+    first.pass(&mut service, LIMITS.backoff_max);
+    let call = granted(first.want(&mut service, KEY, b""));
+    assert!(first.dispatch(&mut service, KEY, call));
+    first.pass(&mut service, Millis(500));
+    assert_eq!(second.want(&mut service, KEY, b""), Told::Taken);
+}
+
+#[test]
+fn a_late_result_is_not_taken_for_that_of_a_newer_claim() {
+    let limits = Limits {
+        retention: Millis(1_000),
+        ..LIMITS
+    };
+    let (mut service, mut first, mut second) =
+        (Service::default(), Node::new(1, limits), Node::new(2, limits));
+    let old = granted(first.want(&mut service, KEY, b""));
+    assert!(first.dispatch(&mut service, KEY, old));
+    assert_eq!(second.want(&mut service, KEY, b""), Told::Taken);
+    second.pass(&mut service, limits.retention);
+    let new = granted(second.want(&mut service, KEY, b""));
+    assert!(second.dispatch(&mut service, KEY, new));
+    first.answer(&mut service, KEY, old, 7);
+    first.pass(&mut service, Millis(500));
+    granted(second.want(&mut service, OTHER_KEY, b""));
+    assert_eq!(second.want(&mut service, KEY, b""), Told::Joined);
+    second.answer(&mut service, KEY, new, 8);
+    assert_eq!(second.want(&mut service, KEY, b""), Told::Recorded(8));
+}
+
+fn scene() -> (Service, Node, Node) {
+    (Service::default(), Node::new(1, LIMITS), Node::new(2, LIMITS))
+}
+
+fn granted(told: Told) -> claim::Call {
+    let Told::Granted(call) = told else {
+        panic!("not granted but {told:?}");
+    };
+    call
+}
--- a/crates/claim/tests/chosen/kv.rs
+++ b/crates/claim/tests/chosen/kv.rs
@@ -25,7 +25,6 @@
 
 impl Kv {
     /// Values held, without the bases.
-    #[allow(dead_code, reason = "one of the test files that share this model doesn't ask")]
     pub fn len(&self) -> usize {
         self.values.len()
     }
@@ -115,11 +114,6 @@
         Version(Bytes::copy_from_slice(&self.version.to_le_bytes()))
     }
 }
-
-#[allow(
-    dead_code,
-    reason = "one of the test files that share this model has no failures"
-)]
 /// What the sender of a request is told when there is no answer.
 pub fn failure(request: &Action, lost: bool) -> Option<Event> {
     match request {
@@ -151,11 +145,6 @@
         _ => None,
     }
 }
-
-#[allow(
-    dead_code,
-    reason = "one of the test files that share this model has no failures"
-)]
 /// Whether the sender is told that the service is not available.
 pub fn failed(event: &Event) -> bool {
     matches!(
