Route: policies against baselines in virtual time

Cause: the choice of replica, limits and queues must be measured against their baselines in the same run. Change: a bench with a model engine (continuous batching, prompts before decoding, LRU cache of 24 prefixes, reports and cache events 500 ms late, one event in ten lost), 4 nodes, 18 engines in 4 zones, 200 lease files with 15 requests each; seven scenarios, five policies, five seeds with spread.

--- a/crates/route/benches/policy.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-//! Policies against their baselines in virtual time.
-fn main() {}
--- /dev/null
+++ b/crates/route/benches/policy/main.rs
@@ -0,0 +1,43 @@
+//! Policies against their baselines in virtual time: one table a scenario, mean and spread over the seeds.
+//!
+//! `cargo bench -p route --bench policy [scenario]`
+
+mod engine;
+mod policy;
+mod run;
+mod scenario;
+mod summary;
+
+use std::env;
+
+use policy::POLICIES;
+use run::Run;
+use scenario::SCENARIOS;
+use summary::{Spread, Summary};
+
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+
+fn main() {
+    let wanted = env::args().skip(1).find(|argument| !argument.starts_with("--"));
+    for scenario in SCENARIOS {
+        if wanted
+            .as_ref()
+            .is_some_and(|wanted| !scenario.name.contains(wanted.as_str()))
+        {
+            continue;
+        }
+        println!(
+            "\n{}: mean (least..greatest) of {} seeds",
+            scenario.name,
+            SEEDS.len()
+        );
+        println!("{}", Spread::HEADER);
+        for policy in POLICIES {
+            let summaries: Vec<Summary> = SEEDS
+                .iter()
+                .map(|seed| Summary::new(&Run::new(scenario, policy, *seed).run()))
+                .collect();
+            println!("{:16}{}", policy.name(), Spread::new(&summaries));
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/benches/policy/run.rs
@@ -0,0 +1,451 @@
+//! One run: nodes, engines and arrivals in virtual time.
+
+use std::collections::VecDeque;
+
+use base::seed::Generator;
+use base::{Millis, Name, Seed};
+use rand::RngExt;
+use route::event::{Event, Finish};
+use route::failure::{Failure, Kind};
+use route::replica::{Report, Spec};
+use route::{
+    Action, Arrival, CallKey, DispatchId, EndpointKey, Prefix, ReplicaKey, Router, WorkspaceKey, endpoint,
+    workspace,
+};
+
+use crate::engine::{Engine, MAX_BATCH, Progress};
+use crate::policy::{Baseline, Policy};
+use crate::scenario::Scenario;
+
+/// Span of one moment.
+const MOMENT: Millis = Millis(5);
+/// How often engines report, and how late reports and cache events come.
+const REPORT_EVERY: Millis = Millis(500);
+const LAG: Millis = Millis(500);
+/// One in so many cache events is lost.
+const EVENT_LOSS: u32 = 10;
+pub const TARGET: Millis = Millis(1_000);
+const DEADLINE: Millis = Millis(4_000);
+const NODES: usize = 4;
+const ZONES: usize = 4;
+/// Lease files that are worked on at once, and requests until one is replaced.
+const FILES: usize = 200;
+const REQUESTS_A_FILE: u32 = 15;
+const TOKENS: f64 = 80.0;
+/// Attempts after which a baseline gives up.
+const BASELINE_ATTEMPTS: u32 = 10;
+
+/// One request's record.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    pub arrived_at: Millis,
+    pub workspace: usize,
+    pub first_at: Option<Millis>,
+    pub done: bool,
+    pub refused: bool,
+    pub attempts: u32,
+    node: usize,
+    prefix: Prefix,
+}
+
+/// A dispatch at an engine.
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    call: usize,
+    node: usize,
+    engine: usize,
+    dispatch: Option<DispatchId>,
+    ended: bool,
+}
+
+struct Node {
+    router: Router,
+    endpoint: EndpointKey,
+    workspaces: Vec<WorkspaceKey>,
+    replicas: Vec<ReplicaKey>,
+    baseline: Baseline,
+}
+
+/// Something that reaches the nodes late.
+#[derive(Clone, Copy, Debug)]
+enum Late {
+    Report { engine: usize, report: Report },
+    Cached { engine: usize, prefix: Prefix },
+    Evicted { engine: usize, prefix: Prefix },
+}
+
+struct Delayed {
+    at: Millis,
+    late: Late,
+}
+
+pub struct Run {
+    scenario: Scenario,
+    policy: Policy,
+    generator: Generator,
+    now: Millis,
+    nodes: Vec<Node>,
+    pub engines: Vec<Engine>,
+    pub records: Vec<Record>,
+    flights: Vec<Flight>,
+    delayed: VecDeque<Delayed>,
+    files: Vec<Prefix>,
+    next_file: u64,
+}
+
+impl Run {
+    pub fn new(scenario: Scenario, policy: Policy, seed: u64) -> Self {
+        let mut run = Self {
+            scenario,
+            policy,
+            generator: Seed(seed).generator(),
+            now: Millis(0),
+            nodes: (0..NODES)
+                .map(|index| Node::new(index, policy, scenario, seed))
+                .collect(),
+            engines: Vec::new(),
+            records: Vec::new(),
+            flights: Vec::new(),
+            delayed: VecDeque::new(),
+            files: (0..FILES as u64).map(Prefix).collect(),
+            next_file: FILES as u64,
+        };
+        for index in 0..scenario.engines {
+            run.add_engine(index);
+        }
+        for engine in run.engines.iter_mut().take(scenario.slow_engines) {
+            engine.slowness = 3.0;
+        }
+        run
+    }
+
+    pub fn run(mut self) -> Self {
+        while self.now < self.scenario.length {
+            self.now = self.now + MOMENT;
+            self.reclaim();
+            self.deliver();
+            self.arrivals();
+            self.work();
+            self.report();
+            for node in 0..NODES {
+                self.step(node, Event::Tick);
+            }
+        }
+        self
+    }
+
+    fn add_engine(&mut self, index: usize) {
+        self.engines.push(Engine::new());
+        for node in 0..NODES {
+            let actions = self.nodes[node].add(self.now, index);
+            self.act(node, actions);
+        }
+    }
+
+    fn reclaim(&mut self) {
+        let Some(reclaim) = self.scenario.reclaim else {
+            return;
+        };
+        if self.now == reclaim.gone_at {
+            for engine in (0..self.scenario.engines).filter(|engine| engine % ZONES == 0) {
+                let lost = self.engines[engine].kill();
+                for id in lost {
+                    self.fail(id as usize, Kind::Reset);
+                }
+            }
+        }
+        if self.now == reclaim.back_at {
+            for index in (0..self.scenario.engines).filter(|engine| engine % ZONES == 0) {
+                self.add_engine(index);
+            }
+        }
+    }
+
+    fn arrivals(&mut self) {
+        for stream in 0..self.scenario.streams.len() {
+            let rate = self.scenario.streams[stream].rate(self.now);
+            let mut expected = rate * MOMENT.0 as f64 / 1_000.0;
+            while expected > 0.0 {
+                if self.generator.random_range(0.0..1.0) < expected.min(1.0) {
+                    self.arrive(stream);
+                }
+                expected -= 1.0;
+            }
+        }
+    }
+
+    fn arrive(&mut self, workspace: usize) {
+        let file = self.generator.random_range(0..self.files.len());
+        let prefix = self.files[file];
+        if self.generator.random_range(0..REQUESTS_A_FILE) == 0 {
+            self.files[file] = Prefix(self.next_file);
+            self.next_file += 1;
+        }
+        let node = self.generator.random_range(0..NODES);
+        let call = self.records.len();
+        self.records.push(Record {
+            arrived_at: self.now,
+            workspace,
+            first_at: None,
+            done: false,
+            refused: false,
+            attempts: 0,
+            node,
+            prefix,
+        });
+        if self.policy.is_baseline() {
+            return self.send_baseline(call);
+        }
+        let target = &self.nodes[node];
+        let arrival = Arrival::new(
+            CallKey(call as u64),
+            target.endpoint,
+            target.workspaces[workspace],
+            self.now + DEADLINE,
+        );
+        self.step(
+            node,
+            Event::Arrive(arrival.with_idempotent(true).with_prefix(prefix)),
+        );
+    }
+
+    /// A baseline sends at once, and again at once after a failure.
+    fn send_baseline(&mut self, call: usize) {
+        let record = self.records[call];
+        // NB: baselines learn of lost engines at once, by the failure; that favours them.
+        let live: Vec<usize> = (0..self.engines.len())
+            .filter(|engine| self.engines[*engine].live)
+            .collect();
+        let node = &mut self.nodes[record.node];
+        node.baseline.in_flight.resize(self.engines.len(), 0);
+        let Some(engine) = node.baseline.choose(self.policy, &live, &mut self.generator) else {
+            self.records[call].refused = true;
+            return;
+        };
+        if record.attempts >= BASELINE_ATTEMPTS {
+            self.records[call].refused = true;
+            return;
+        }
+        node.baseline.in_flight[engine] += 1;
+        self.fly(call, engine, None);
+    }
+
+    fn fly(&mut self, call: usize, engine: usize, dispatch: Option<DispatchId>) {
+        let record = &mut self.records[call];
+        record.attempts += 1;
+        let id = self.flights.len();
+        self.flights.push(Flight {
+            call,
+            node: record.node,
+            engine,
+            dispatch,
+            ended: false,
+        });
+        let prefix = record.prefix;
+        if self.engines[engine].live {
+            self.engines[engine].submit(id as u64, prefix, TOKENS);
+        } else {
+            self.fail(id, Kind::Refused);
+        }
+    }
+
+    fn fail(&mut self, id: usize, kind: Kind) {
+        let Some(flight) = self.end(id) else { return };
+        match flight.dispatch {
+            None => self.send_baseline(flight.call),
+            Some(dispatch) => {
+                let finish = Finish::Failed(Failure::new(kind, kind != Kind::Refused));
+                self.step(flight.node, Event::Finished { dispatch, finish });
+            }
+        }
+    }
+
+    /// Marks a flight as ended; none if it was already.
+    fn end(&mut self, id: usize) -> Option<Flight> {
+        let flight = &mut self.flights[id];
+        if flight.ended {
+            return None;
+        }
+        flight.ended = true;
+        let flight = *flight;
+        if flight.dispatch.is_none() {
+            self.nodes[flight.node].baseline.in_flight[flight.engine] -= 1;
+        }
+        Some(flight)
+    }
+
+    fn step(&mut self, node: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.nodes[node].router.step(self.now, event, &mut actions);
+        self.act(node, actions);
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Dispatch(dispatch) => {
+                    let replicas = &self.nodes[node].replicas;
+                    let engine = replicas.iter().position(|key| *key == dispatch.replica);
+                    self.fly(
+                        dispatch.call.0 as usize,
+                        engine.unwrap_or_default(),
+                        Some(dispatch.id),
+                    );
+                }
+                Action::Cancel { dispatch } => self.cancel(node, dispatch),
+                Action::Answered { call, .. } => self.records[call.0 as usize].done = true,
+                Action::Refuse { call, .. } => self.records[call.0 as usize].refused = true,
+            }
+        }
+    }
+
+    fn cancel(&mut self, node: usize, dispatch: DispatchId) {
+        let is_it = |flight: &Flight| flight.node == node && flight.dispatch == Some(dispatch);
+        let Some(id) = self.flights.iter().rposition(is_it) else {
+            return;
+        };
+        self.engines[self.flights[id].engine].cancel(id as u64);
+        self.fail(id, Kind::Cancelled);
+    }
+
+    fn work(&mut self) {
+        let mut progress = Vec::new();
+        for engine in 0..self.engines.len() {
+            if !self.engines[engine].live {
+                continue;
+            }
+            progress.clear();
+            self.engines[engine].work(MOMENT.0 as f64, &mut progress);
+            for step in progress.clone() {
+                self.progress(engine, step);
+            }
+        }
+    }
+
+    fn progress(&mut self, engine: usize, progress: Progress) {
+        match progress {
+            Progress::First(id) => {
+                let flight = self.flights[id as usize];
+                self.records[flight.call].first_at.get_or_insert(self.now);
+                if let Some(dispatch) = flight.dispatch {
+                    self.step(flight.node, Event::FirstToken { dispatch });
+                }
+            }
+            Progress::Done(id) => {
+                let Some(flight) = self.end(id as usize) else {
+                    return;
+                };
+                self.records[flight.call].done = true;
+                if let Some(dispatch) = flight.dispatch {
+                    let finish = Finish::Whole;
+                    self.step(flight.node, Event::Finished { dispatch, finish });
+                }
+            }
+            Progress::Cached(prefix) => self.delay(Late::Cached { engine, prefix }),
+            Progress::Evicted(prefix) => self.delay(Late::Evicted { engine, prefix }),
+        }
+    }
+
+    fn delay(&mut self, late: Late) {
+        let is_lost = self.generator.random_range(0..EVENT_LOSS) == 0;
+        if !is_lost {
+            self.delayed.push_back(Delayed {
+                at: self.now + LAG,
+                late,
+            });
+        }
+    }
+
+    fn report(&mut self) {
+        if !self.now.0.is_multiple_of(REPORT_EVERY.0) {
+            return;
+        }
+        for engine in 0..self.engines.len() {
+            let source = &self.engines[engine];
+            let report = Report {
+                running: source.running() as u32,
+                queued: source.queued() as u32,
+                age: LAG,
+            };
+            if source.live {
+                self.delayed.push_back(Delayed {
+                    at: self.now + LAG,
+                    late: Late::Report { engine, report },
+                });
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while self.delayed.front().is_some_and(|delayed| delayed.at <= self.now) {
+            let Some(delayed) = self.delayed.pop_front() else {
+                return;
+            };
+            for node in 0..NODES {
+                let replica = |engine: usize| self.nodes[node].replicas[engine];
+                let event = match delayed.late {
+                    Late::Report { engine, report } => Event::Report {
+                        replica: replica(engine),
+                        report,
+                    },
+                    Late::Cached { engine, prefix } => Event::PrefixCached {
+                        replica: replica(engine),
+                        prefix,
+                    },
+                    Late::Evicted { engine, prefix } => Event::PrefixEvicted {
+                        replica: replica(engine),
+                        prefix,
+                    },
+                };
+                self.step(node, event);
+            }
+        }
+    }
+}
+
+impl Node {
+    fn new(index: usize, policy: Policy, scenario: Scenario, seed: u64) -> Self {
+        let seed = Seed(seed).derive(index as u64 + 1);
+        let mut router = Router::new(seed).with_zone(&zone(index));
+        let settings = endpoint::Settings::new(TARGET)
+            .with_affinity(policy == Policy::Router)
+            .with_retry_percent(10);
+        let endpoint = router.add_endpoint(settings);
+        let settings = workspace::Settings::new(u32::MAX);
+        let workspaces = if scenario.shared_flow {
+            let workspace = router.add_workspace(settings);
+            scenario.streams.iter().map(|_| workspace).collect()
+        } else {
+            scenario
+                .streams
+                .iter()
+                .map(|_| router.add_workspace(settings))
+                .collect()
+        };
+        Self {
+            router,
+            endpoint,
+            workspaces,
+            replicas: Vec::new(),
+            baseline: Baseline::default(),
+        }
+    }
+
+    fn add(&mut self, now: Millis, index: usize) -> Vec<Action> {
+        let spec = Spec {
+            endpoint: self.endpoint,
+            zone: self.router.zone(&zone(index)),
+            version: self.router.version(&Name::from("v1")),
+            capacity: MAX_BATCH as u32,
+            identity: self.replicas.len() as u64 + 1,
+        };
+        let mut actions = Vec::new();
+        self.replicas
+            .extend(self.router.add_replica(now, spec, &mut actions));
+        actions
+    }
+}
+
+fn zone(index: usize) -> Name {
+    Name::from(format!("zone-{}", index % ZONES))
+}
--- /dev/null
+++ b/crates/route/benches/policy/scenario.rs
@@ -0,0 +1,111 @@
+//! What happens in a run.
+
+use base::Millis;
+
+/// Arrivals of one workspace.
+#[derive(Clone, Copy, Debug)]
+pub struct Stream {
+    /// Requests a second.
+    pub base: f64,
+    /// Requests a second between the two times.
+    pub flood: f64,
+    pub from: Millis,
+    pub until: Millis,
+}
+
+impl Stream {
+    pub const fn steady(base: f64) -> Self {
+        Self {
+            base,
+            flood: base,
+            from: Millis(0),
+            until: Millis(0),
+        }
+    }
+
+    pub fn rate(&self, now: Millis) -> f64 {
+        if self.from <= now && now < self.until {
+            self.flood
+        } else {
+            self.base
+        }
+    }
+}
+
+/// A zone that is reclaimed without notice, and its replacement.
+#[derive(Clone, Copy, Debug)]
+pub struct Reclaim {
+    pub gone_at: Millis,
+    pub back_at: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Scenario {
+    pub name: &'static str,
+    pub length: Millis,
+    pub engines: usize,
+    /// Engines that take three times as long for everything.
+    pub slow_engines: usize,
+    pub streams: [Stream; 2],
+    pub reclaim: Option<Reclaim>,
+    /// Whether both workspaces share one flow, as without fair queues.
+    pub shared_flow: bool,
+}
+
+const STEADY: Scenario = Scenario {
+    name: "steady",
+    length: Millis::from_secs(40),
+    engines: 18,
+    slow_engines: 0,
+    streams: [Stream::steady(80.0), Stream::steady(20.0)],
+    reclaim: None,
+    shared_flow: false,
+};
+
+const FLOOD: Scenario = Scenario {
+    name: "flood",
+    streams: [
+        Stream {
+            base: 60.0,
+            flood: 400.0,
+            from: Millis::from_secs(15),
+            until: Millis::from_secs(30),
+        },
+        Stream::steady(10.0),
+    ],
+    ..STEADY
+};
+
+pub const SCENARIOS: [Scenario; 7] = [
+    Scenario {
+        name: "light",
+        streams: [Stream::steady(30.0), Stream::steady(10.0)],
+        ..STEADY
+    },
+    STEADY,
+    Scenario {
+        name: "busy",
+        streams: [Stream::steady(110.0), Stream::steady(30.0)],
+        ..STEADY
+    },
+    Scenario {
+        name: "two slow engines",
+        slow_engines: 2,
+        ..STEADY
+    },
+    Scenario {
+        name: "zone gone",
+        streams: [Stream::steady(100.0), Stream::steady(20.0)],
+        reclaim: Some(Reclaim {
+            gone_at: Millis::from_secs(15),
+            back_at: Millis::from_secs(30),
+        }),
+        ..STEADY
+    },
+    FLOOD,
+    Scenario {
+        name: "flood, one flow",
+        shared_flow: true,
+        ..FLOOD
+    },
+];
--- /dev/null
+++ b/crates/route/benches/policy/summary.rs
@@ -0,0 +1,101 @@
+//! Figures of a run and their spread over seeds.
+
+use std::fmt;
+
+use base::Millis;
+
+use crate::run::{Record, Run, TARGET};
+
+/// Requests that arrived too shortly before the end of a run are not counted.
+const TAIL: Millis = Millis::from_secs(5);
+const COLUMNS: usize = 7;
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug)]
+pub struct Summary {
+    values: [f64; COLUMNS],
+}
+
+impl Summary {
+    pub fn new(run: &Run) -> Self {
+        let last = run.records.last().map_or(Millis(0), |record| record.arrived_at);
+        let counted: Vec<&Record> = run
+            .records
+            .iter()
+            .filter(|record| record.arrived_at + TAIL < last)
+            .collect();
+        let small: Vec<&Record> = counted
+            .iter()
+            .copied()
+            .filter(|record| record.workspace == 1)
+            .collect();
+        let count = counted.len() as f64;
+        let refused = counted.iter().filter(|record| record.refused).count() as f64;
+        let attempts: u32 = counted.iter().map(|record| record.attempts).sum();
+        let sent = counted.iter().filter(|record| record.attempts > 0).count() as f64;
+        let computed: u64 = run.engines.iter().map(|engine| engine.prefixes_computed).sum();
+        Self {
+            values: [
+                met(&counted),
+                percentile(&counted, 50),
+                percentile(&counted, 95),
+                100.0 * refused / count,
+                1_000.0 * computed as f64 / run.records.len() as f64,
+                f64::from(attempts) / sent,
+                met(&small),
+            ],
+        }
+    }
+}
+
+/// Part of all requests whose answer began within the target, in percent; refused ones did not.
+fn met(records: &[&Record]) -> f64 {
+    let met = records
+        .iter()
+        .filter(|record| wait(record).is_some_and(|wait| wait <= TARGET));
+    100.0 * met.count() as f64 / records.len().max(1) as f64
+}
+
+fn wait(record: &Record) -> Option<Millis> {
+    Some(record.first_at?.since(record.arrived_at))
+}
+
+/// A percentile of the time to the answer's beginning, of those that began, in milliseconds.
+fn percentile(records: &[&Record], percent: usize) -> f64 {
+    let mut waits: Vec<Millis> = records.iter().filter_map(|record| wait(record)).collect();
+    waits.sort_unstable();
+    let index = (waits.len() * percent / 100).min(waits.len().saturating_sub(1));
+    waits.get(index).map_or(0.0, |wait| wait.0 as f64)
+}
+
+/// Means over seeds, with the least and the greatest value.
+pub struct Spread<'a> {
+    summaries: &'a [Summary],
+}
+
+impl<'a> Spread<'a> {
+    pub const HEADER: &'static str = "policy            met target %        p50 ms              p95 ms              refused %           prefixes/1000 req   attempts/request    small ws. met %";
+
+    pub const fn new(summaries: &'a [Summary]) -> Self {
+        Self { summaries }
+    }
+}
+
+impl fmt::Display for Spread<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for column in 0..COLUMNS {
+            let values: Vec<f64> = self
+                .summaries
+                .iter()
+                .map(|summary| summary.values[column])
+                .collect();
+            let mean = values.iter().sum::<f64>() / values.len() as f64;
+            let least = values.iter().copied().fold(f64::MAX, f64::min);
+            let most = values.iter().copied().fold(f64::MIN, f64::max);
+            let digits = if mean < 10.0 { 2 } else { 0 };
+            let cell = format!("{mean:.digits$} ({least:.digits$}..{most:.digits$})");
+            write!(f, "  {cell:18}")?;
+        }
+        Ok(())
+    }
+}
