--- a/crates/rollout/src/action.rs
+++ b/crates/rollout/src/action.rs
@@ -18,6 +18,10 @@
     Unknown,
     /// The rollout has ended already.
     Ended(Box<Verdict>),
+    /// The role is held elsewhere. The request may have taken effect: the record says so.
+    Moved,
+    /// Too many requests wait.
+    Busy,
     /// The plan can't be carried out: its versions are equal, or its time has passed.
     Invalid,
 }
--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -17,13 +17,14 @@
 use base::Millis;
 use indexmap::IndexMap;
 
+use crate::action::Refusal;
 use crate::controller::pool::Pool;
-use crate::controller::request::Request;
+use crate::controller::request::{Answer, Request};
 use crate::controller::role::Role;
 use crate::controller::settle::Pending;
 use crate::event::StoreResult;
 use crate::guard::Limits;
-use crate::{Action, Event, Id, Record, Stored, Summary, Veto};
+use crate::{Action, Event, Id, Record, Stored, Summary, Veto, Wall};
 
 /// Operators' requests waiting at most.
 const REQUESTS: usize = 16;
@@ -73,17 +74,17 @@
     fn take(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Acquired { fence, stored, wall } => {
-                self.release();
+                self.release(now, None, actions);
                 self.role = Some(Role::new(fence, wall, now));
-                self.adopt(stored, actions);
+                self.adopt(now, stored, actions);
             }
-            Event::Released => self.release(),
-            Event::Declared(plan) => self.ask(Request::Declare(plan)),
-            Event::Undo { rollout, operator } => self.ask(Request::Undo { rollout, operator }),
+            Event::Released => self.release(now, None, actions),
+            Event::Declared(plan) => self.ask(Request::Declare(plan), actions),
+            Event::Undo { rollout, operator } => self.ask(Request::Undo { rollout, operator }, actions),
             Event::Reported(summary) => self.report(now, *summary, actions),
             Event::Vetoed(veto) => self.remember(*veto),
             Event::Stored(result) => self.settle(now, result, actions),
-            Event::Loaded(stored) => self.settled(stored, actions),
+            Event::Loaded(stored) => self.settled(now, stored, actions),
             Event::Unloaded => {
                 self.pending.retry(now);
                 self.veto_early(actions);
@@ -92,8 +93,13 @@
         }
     }
 
-    /// Forgets the role and everything but vetoes, which hold for ever.
-    fn release(&mut self) {
+    /// Answers waiting requests as far as `record` decides them, and forgets all but vetoes, which hold for ever.
+    fn release(&mut self, now: Millis, record: Option<&Record>, actions: &mut Vec<Action>) {
+        let wall = self.role.map_or(Wall::default(), |role| role.wall(now));
+        for request in std::mem::take(&mut self.requests) {
+            let answer = record.map_or(Answer::Wanted, |record| request.answer(Some(record), wall));
+            actions.push(answer.action(request.rollout(), Refusal::Moved));
+        }
         let vetoes = std::mem::take(&mut self.vetoes);
         *self = Self {
             limits: self.limits,
@@ -102,8 +108,19 @@
         };
     }
 
-    fn ask(&mut self, request: Request) {
-        if self.role.is_some() && self.requests.len() < REQUESTS {
+    fn ask(&mut self, request: Request, actions: &mut Vec<Action>) {
+        let rollout = request.rollout();
+        if self.role.is_none() {
+            actions.push(Action::Refuse {
+                rollout,
+                refusal: Refusal::Moved,
+            });
+        } else if self.requests.len() >= REQUESTS {
+            actions.push(Action::Refuse {
+                rollout,
+                refusal: Refusal::Busy,
+            });
+        } else {
             self.requests.push_back(request);
         }
     }
@@ -154,9 +171,11 @@
                     record: record.clone(),
                     generation,
                 };
-                self.settled(Some(Box::new(stored)), actions);
+                self.settled(now, Some(Box::new(stored)), actions);
+            }
+            StoreResult::Conflict(stored) if self.is_news(stored.as_deref()) => {
+                self.settled(now, stored, actions);
             }
-            StoreResult::Conflict(stored) if self.is_news(stored.as_deref()) => self.settled(stored, actions),
             StoreResult::Conflict(_) | StoreResult::Lost | StoreResult::Unavailable => {
                 self.pending.retry(now);
                 self.veto_early(actions);
@@ -164,10 +183,10 @@
         }
     }
 
-    fn settled(&mut self, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
+    fn settled(&mut self, now: Millis, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
         self.pending.clear();
         self.maybe_done = false;
-        self.adopt(stored, actions);
+        self.adopt(now, stored, actions);
     }
 
     fn is_news(&self, stored: Option<&Stored>) -> bool {
@@ -176,7 +195,7 @@
     }
 
     /// Takes what stands in the store as the truth, and does what follows from a change of it.
-    fn adopt(&mut self, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
+    fn adopt(&mut self, now: Millis, stored: Option<Box<Stored>>, actions: &mut Vec<Action>) {
         let (Some(role), Some(stored)) = (self.role, stored) else {
             return;
         };
@@ -184,7 +203,7 @@
             return;
         }
         if stored.record.write.fence > role.fence {
-            self.release();
+            self.release(now, Some(&stored.record), actions);
             return;
         }
         let mine = stored.record.write.fence == role.fence;
--- a/crates/rollout/src/controller/decide.rs
+++ b/crates/rollout/src/controller/decide.rs
@@ -2,6 +2,7 @@
 
 use base::{Millis, Name};
 
+use crate::action::Refusal;
 use crate::controller::Controller;
 use crate::controller::gate::Gate;
 use crate::controller::pace;
@@ -81,11 +82,11 @@
     fn answer(&mut self, now: Wall, actions: &mut Vec<Action>) {
         while let Some(request) = self.requests.front() {
             let rollout = request.rollout();
-            match request.answer(self.record(), now) {
-                Answer::Wanted => return,
-                Answer::Accepted => actions.push(Action::Accept(rollout)),
-                Answer::Refused(refusal) => actions.push(Action::Refuse { rollout, refusal }),
+            let answer = request.answer(self.record(), now);
+            if answer == Answer::Wanted {
+                return;
             }
+            actions.push(answer.action(rollout, Refusal::Moved));
             self.requests.pop_front();
         }
     }
--- a/crates/rollout/src/controller/request.rs
+++ b/crates/rollout/src/controller/request.rs
@@ -3,7 +3,7 @@
 use base::Name;
 
 use crate::action::Refusal;
-use crate::{Id, Plan, Record, Wall};
+use crate::{Action, Id, Plan, Reason, Record, Verdict, Wall};
 
 /// A request of an operator that has not been answered.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +30,20 @@
     Wanted,
 }
 
+impl Answer {
+    /// What to tell the operator; `otherwise` if a write would have been needed.
+    pub fn action(self, rollout: Id, otherwise: Refusal) -> Action {
+        match self {
+            Self::Accepted => Action::Accept(rollout),
+            Self::Refused(refusal) => Action::Refuse { rollout, refusal },
+            Self::Wanted => Action::Refuse {
+                rollout,
+                refusal: otherwise,
+            },
+        }
+    }
+}
+
 impl Request {
     /// The rollout it is about.
     pub const fn rollout(&self) -> Id {
@@ -66,7 +80,7 @@
     };
     match &record.verdict {
         None => Answer::Wanted,
-        Some(crate::Verdict::Undone(crate::Reason::Operator(by))) if by == operator => Answer::Accepted,
+        Some(Verdict::Undone(Reason::Operator(by))) if by == operator => Answer::Accepted,
         Some(verdict) => Answer::Refused(Refusal::Ended(Box::new(verdict.clone()))),
     }
 }
--- /dev/null
+++ b/crates/rollout/tests/parts.rs
@@ -0,0 +1,321 @@
+//! The split, the veto set, the sketch, summaries and the sequential test, each against a simple oracle.
+
+#![expect(
+    clippy::needless_pass_by_value,
+    reason = "quickcheck hands inputs over by value"
+)]
+
+use base::{Incarnation, Millis, Name, Seed};
+use indexmap::IndexMap;
+use rand::RngExt;
+use rollout::controller::pool::Pool;
+use rollout::guard::sketch::Sketch;
+use rollout::summary::Entry;
+use rollout::{
+    Arm, Counts, Evidence, Id, Ratio, Share, Shares, Signal, Split, Stage, Summary, Test, Veto, Vetoes,
+};
+
+/// Rollout and count of each veto.
+type Found = Vec<(u8, u8)>;
+
+fn veto(rollout: u64, slow: u64) -> Veto {
+    Veto {
+        rollout: Id(rollout),
+        endpoint: Name::from("e"),
+        version: Name::from("v2"),
+        route: None,
+        evidence: Evidence::Compared {
+            signal: Signal::Slow,
+            old: Counts::default(),
+            new: Counts {
+                slow,
+                ..Counts::default()
+            },
+        },
+    }
+}
+
+fn set(found: &[(u8, u8)]) -> Vetoes {
+    let mut all = Vetoes::new();
+    for (rollout, slow) in found {
+        all.insert(veto(u64::from(*rollout), u64::from(*slow)));
+    }
+    all
+}
+
+fn merged(left: &Vetoes, right: &Vetoes) -> Vetoes {
+    let mut sum = left.clone();
+    sum.merge(right);
+    sum
+}
+
+#[test]
+fn vetoes_merge_in_any_order() {
+    fn holds(a: Found, b: Found, c: Found) -> bool {
+        let (a, b, c) = (set(&a), set(&b), set(&c));
+        let associative = merged(&merged(&a, &b), &c) == merged(&a, &merged(&b, &c));
+        let kept = a
+            .iter()
+            .all(|veto| merged(&a, &b).get(veto.rollout, &veto.version).is_some());
+        merged(&a, &b) == merged(&b, &a) && merged(&a, &a) == a && associative && kept
+    }
+    check::property(200, 12, holds as fn(Found, Found, Found) -> bool);
+}
+
+#[test]
+fn vetoes_are_bounded_and_keep_the_latest() {
+    let mut all = Vetoes::new();
+    for rollout in 0..1_000 {
+        all.insert(veto(rollout, 0));
+    }
+    assert_eq!(all.iter().count(), rollout::vetoes::LIMIT);
+    assert!(all.get(Id(999), &Name::from("v2")).is_some());
+}
+
+fn shares(rollout: u64, generation: u64, stage: Stage, rest: Share) -> Shares {
+    Shares {
+        rollout: Id(rollout),
+        endpoint: Name::from("e"),
+        from: Name::from("v1"),
+        to: Name::from("v2"),
+        generation,
+        stage,
+        routes: IndexMap::new(),
+        rest,
+    }
+}
+
+#[test]
+fn split_draws_the_share() {
+    struct Case {
+        name: &'static str,
+        stage: Stage,
+        share: Share,
+        cap: Option<Share>,
+        vetoed: bool,
+        percent: u64,
+    }
+    let (half, tenth) = (Share::from_percent(50), Share::from_percent(10));
+    let moving = Case {
+        name: "half",
+        stage: Stage::Moving,
+        share: half,
+        cap: None,
+        vetoed: false,
+        percent: 50,
+    };
+    let cases = [
+        Case {
+            name: "capped",
+            cap: Some(tenth),
+            percent: 10,
+            ..moving
+        },
+        Case {
+            name: "cap above",
+            share: tenth,
+            cap: Some(half),
+            percent: 10,
+            ..moving
+        },
+        Case {
+            name: "vetoed",
+            vetoed: true,
+            percent: 0,
+            ..moving
+        },
+        Case {
+            name: "full",
+            share: Share::FULL,
+            percent: 100,
+            ..moving
+        },
+        Case {
+            name: "done",
+            stage: Stage::Done,
+            cap: Some(tenth),
+            percent: 100,
+            ..moving
+        },
+        Case {
+            name: "undone",
+            stage: Stage::Undone,
+            percent: 0,
+            ..moving
+        },
+        Case {
+            name: "vetoed, then done",
+            stage: Stage::Done,
+            vetoed: true,
+            percent: 0,
+            ..moving
+        },
+        moving,
+    ];
+    let (endpoint, route) = (Name::from("e"), Name::from("r"));
+    for case in cases {
+        let mut split = Split::new();
+        assert!(split.choose(&endpoint, &route, 0).is_none());
+        split.apply(shares(1, 1, case.stage, case.share));
+        split.cap(Id(1), &route, case.cap);
+        if case.vetoed {
+            split.veto(Id(1));
+        }
+        let draws = (0..100).map(|percent| u64::MAX / 200 * (2 * percent + 1));
+        let choices = draws.filter_map(|draw| split.choose(&endpoint, &route, draw));
+        let new = choices.filter(|choice| choice.assignment.arm == Arm::New).count() as u64;
+        assert_eq!(new, case.percent, "{}", case.name);
+        assert!(
+            !split.apply(shares(1, 1, Stage::Moving, Share::FULL)),
+            "{}: applied twice",
+            case.name
+        );
+        assert!(
+            split.apply(shares(2, 2, Stage::Moving, half)),
+            "{}: declared anew",
+            case.name
+        );
+        let anew = split
+            .choose(&endpoint, &route, 0)
+            .map(|choice| choice.assignment.arm);
+        assert_eq!(anew, Some(Arm::New), "{}: an old veto held", case.name);
+    }
+}
+
+#[test]
+fn sketch_quantiles_are_close() {
+    fn holds(latencies: Vec<u16>, per_mille: u16) -> bool {
+        let per_mille = u32::from(per_mille % 1_000) + 1;
+        let mut sketch = Sketch::default();
+        let mut sorted: Vec<u64> = latencies
+            .iter()
+            .map(|latency| u64::from(*latency).max(1))
+            .collect();
+        sorted.sort_unstable();
+        for latency in &sorted {
+            sketch.record(Millis(*latency));
+        }
+        let Some(rank) = (sorted.len() as u64 * u64::from(per_mille))
+            .div_ceil(1_000)
+            .checked_sub(1)
+        else {
+            return sketch.quantile(per_mille) == Millis::ZERO;
+        };
+        let exact = sorted[rank as usize];
+        let quantile = sketch.quantile(per_mille).0;
+        quantile >= exact && quantile <= exact + exact / 4
+    }
+    check::property(300, 60, holds as fn(Vec<u16>, u16) -> bool);
+}
+
+fn summary(node: u64, sequence: u64) -> Summary {
+    let new = Counts {
+        started: sequence,
+        ended: sequence,
+        ..Counts::default()
+    };
+    let routes = [(
+        Name::from("r"),
+        Entry {
+            new,
+            ..Entry::default()
+        },
+    )]
+    .into_iter()
+    .collect();
+    Summary {
+        rollout: Id(1),
+        node: Incarnation(node),
+        sequence,
+        routes,
+    }
+}
+
+/// However often and in whatever order summaries arrive, the sum is that of each node's latest.
+#[test]
+fn pool_counts_each_request_once() {
+    fn holds(arrivals: Vec<(u8, u8)>) -> bool {
+        let mut pool = Pool::default();
+        let mut latest: IndexMap<u64, u64> = IndexMap::new();
+        for (node, sequence) in arrivals {
+            let (node, sequence) = (u64::from(node % 4), u64::from(sequence) + 1);
+            pool.take(Millis::ZERO, summary(node, sequence));
+            let last = latest.entry(node).or_default();
+            *last = sequence.max(*last);
+        }
+        let sum = pool
+            .routes
+            .get(&Name::from("r"))
+            .map_or(0, |pooled| pooled.sum.new.ended);
+        sum == latest.values().sum::<u64>()
+    }
+    check::property(200, 30, holds as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// Looks after every request at a version as good as the old one, with shares and rates that change.
+fn rejects(times: f64, requests: u64, rate: f64, sufficient: f64, seed: u64) -> bool {
+    let mut rng = Seed(seed).generator();
+    let (mut ratio, mut test) = (Ratio::default(), Test::default());
+    for request in 0..requests {
+        let share = Share::from_percent([5, 20, 50, 80][(request / 100 % 4) as usize]);
+        let arm = if share.takes(rng.random()) {
+            Arm::New
+        } else {
+            Arm::Old
+        };
+        let trouble = if request / 250 % 2 == 0 { 1.0 } else { 4.0 };
+        let rate = rate * trouble * if arm == Arm::New { times } else { 1.0 };
+        if rng.random::<f64>() >= rate {
+            continue;
+        }
+        ratio.observe(arm, share);
+        if test.evidence(&ratio) >= sufficient {
+            return true;
+        }
+        test.restart(&ratio);
+    }
+    false
+}
+
+/// The stated error rate holds over continuous looks, and a bad version is found.
+#[test]
+fn sequential_test_keeps_its_error_rate() {
+    struct Case {
+        times: f64,
+        rate: f64,
+        least: u64,
+        most: u64,
+    }
+    const RUNS: u64 = 1_000;
+    let sufficient = f64::ln(1.0 / 0.05);
+    let cases = [
+        Case {
+            times: 1.0,
+            rate: 0.05,
+            least: 0,
+            most: 50,
+        },
+        Case {
+            times: 1.5,
+            rate: 0.05,
+            least: 0,
+            most: 50,
+        },
+        Case {
+            times: 8.0,
+            rate: 0.02,
+            least: 950,
+            most: RUNS,
+        },
+    ];
+    for case in cases {
+        let found = (0..RUNS)
+            .filter(|seed| rejects(case.times, 2_000, case.rate, sufficient, *seed))
+            .count() as u64;
+        assert!(
+            found >= case.least && found <= case.most,
+            "{found} of {RUNS} at {} times",
+            case.times
+        );
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/support/ramp.rs
@@ -0,0 +1,105 @@
+//! The baselines: a share that follows the clock, with an alarm as commonly set.
+
+use base::Millis;
+use rollout::{Arm, Share};
+
+/// What takes the version back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Alarm {
+    /// Nothing.
+    None,
+    /// The last seconds' failures or mean latency, against those from before the rollout.
+    Before,
+    /// A two-proportion test at p = 0.001 each second, of all failures and slow requests so far.
+    Repeated,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    requests: f64,
+    failed: f64,
+    slow: f64,
+    latency: f64,
+}
+
+/// A ramp by the clock.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    alarm: Alarm,
+    before: Sum,
+    old: Sum,
+    new: Sum,
+    recent: Sum,
+    pub undone: bool,
+}
+
+impl Ramp {
+    pub fn new(alarm: Alarm) -> Self {
+        let empty = Sum::default();
+        Self {
+            alarm,
+            before: empty,
+            old: empty,
+            new: empty,
+            recent: empty,
+            undone: false,
+        }
+    }
+
+    /// The share when `passed` of `allowed` is over: six steps of doubling.
+    pub fn share(&self, passed: Millis, allowed: Millis) -> Share {
+        let step = passed.0 * 6 / allowed.0.max(1);
+        match step {
+            _ if self.undone => Share::ZERO,
+            5.. => Share::FULL,
+            _ => Share::from_percent(5 << step),
+        }
+    }
+
+    pub fn end(&mut self, drawn: Option<Arm>, latency: Millis, failed: bool, usual: f64) {
+        let more = |sum: &mut Sum| {
+            sum.requests += 1.0;
+            sum.failed += f64::from(u8::from(failed));
+            sum.slow += f64::from(u8::from(latency.0 as f64 > usual * 1.6));
+            sum.latency += latency.0 as f64 / usual;
+        };
+        match drawn {
+            None => more(&mut self.before),
+            Some(Arm::Old) => more(&mut self.old),
+            Some(Arm::New) => {
+                more(&mut self.new);
+                more(&mut self.recent);
+            }
+        }
+    }
+
+    /// A second has passed.
+    pub fn second(&mut self) {
+        self.undone |= match self.alarm {
+            Alarm::None => false,
+            Alarm::Before => self.recent.requests >= 20.0 && worse_than_before(&self.recent, &self.before),
+            Alarm::Repeated => {
+                differs(self.new.failed, self.old.failed, &self.new, &self.old)
+                    || differs(self.new.slow, self.old.slow, &self.new, &self.old)
+            }
+        };
+        if self.recent.requests >= 20.0 {
+            self.recent = Sum::default();
+        }
+    }
+}
+
+fn worse_than_before(now: &Sum, before: &Sum) -> bool {
+    let failed = now.failed / now.requests > before.failed / before.requests + 0.1;
+    let slower = now.latency / now.requests > 1.5 * before.latency / before.requests;
+    failed || slower
+}
+
+fn differs(new_shown: f64, old_shown: f64, new: &Sum, old: &Sum) -> bool {
+    if new.requests < 20.0 || old.requests < 20.0 {
+        return false;
+    }
+    let rate = (new_shown + old_shown) / (new.requests + old.requests);
+    let spread = (rate * (1.0 - rate) * (1.0 / new.requests + 1.0 / old.requests)).sqrt();
+    new_shown / new.requests - old_shown / old.requests > 3.09 * spread
+}
