Retry away from a drawn version that failed

Cause: with a bad version under rollout, 4 of the balance checks of the system test were refused: a request drawn to the new version was retried at that version's other replica and used up its attempts there. Ruled out: a larger attempt bound (hides the same retries). Change: after an end that may be the version's fault, version and fallback change places for the next attempt.

--- a/crates/node/src/edge/admin/rollouts.rs
+++ b/crates/node/src/edge/admin/rollouts.rs
@@ -168,21 +168,26 @@
     let Ok(reply) = shared.rollouts.ask(command).await else {
         return Problem::stopping().into_response();
     };
-    match timeout(EFFECT_TIMEOUT, reply).await {
-        Ok(Ok(reply)) => answer(shared, reply).await,
-        Ok(Err(_)) | Err(_) => {
-            let detail = "the command may have taken effect; repeat it with the same id";
-            Problem::new(StatusCode::GATEWAY_TIMEOUT, "command-unsettled", detail)
-                .with_outcome(base::Outcome::Unknown)
-                .with_retry_after(RETRY_AFTER)
-                .into_response()
-        }
+    if let Ok(Ok(reply)) = timeout(EFFECT_TIMEOUT, reply).await {
+        return answer(shared, reply).await;
     }
+    let detail = "the command may have taken effect; repeat it with the same id";
+    Problem::new(StatusCode::GATEWAY_TIMEOUT, "command-unsettled", detail)
+        .with_outcome(base::Outcome::Unknown)
+        .with_retry_after(RETRY_AFTER)
+        .into_response()
 }
 
 async fn answer(shared: &Shared, reply: Reply) -> Response {
     match reply {
         Reply::Accepted(id) => Json(Accepted { id: id.to_string() }).into_response(),
+        Reply::Refused(Refusal::Moved | Refusal::Busy) | Reply::Nobody => {
+            let detail =
+                "no node controls this endpoint's rollouts at the moment; ask again with the same id";
+            Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-controller", detail)
+                .with_retry_after(RETRY_AFTER)
+                .into_response()
+        }
         Reply::Refused(refusal) => {
             let elsewhere = Elsewhere {
                 detail: explain(&refusal),
@@ -198,12 +203,6 @@
             let detail = "another node controls this endpoint's rollouts".to_owned();
             (StatusCode::MISDIRECTED_REQUEST, Json(Elsewhere { detail, node })).into_response()
         }
-        Reply::Nobody => {
-            let detail = "no node controls this endpoint's rollouts yet; ask again";
-            Problem::new(StatusCode::SERVICE_UNAVAILABLE, "no-controller", detail)
-                .with_retry_after(RETRY_AFTER)
-                .into_response()
-        }
     }
 }
 
@@ -214,6 +213,7 @@
         }
         Refusal::Unknown => "no such rollout is under way".to_owned(),
         Refusal::Ended(verdict) => format!("the rollout has ended already: {verdict:?}"),
+        Refusal::Moved | Refusal::Busy => "ask again".to_owned(),
         Refusal::Invalid => "the versions are equal, or the time has passed".to_owned(),
     }
 }
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -296,6 +296,10 @@
 fn note(call: &mut Call, flight: &Flight, finish: Finish, lost: bool) {
     call.avoid = Some(flight.replica);
     call.losses += u8::from(lost);
+    if speaks_against_version(finish) && call.arrival.fallback.is_some() {
+        // The next attempt meets the same version again only if no replica of the other one is free.
+        std::mem::swap(&mut call.arrival.version, &mut call.arrival.fallback);
+    }
     match finish {
         Finish::Whole => {}
         Finish::Failed(failure) => call.may_have_run |= may_have_run(flight, failure),
@@ -306,6 +310,18 @@
     }
 }
 
+/// Whether the end may be the version's fault, and not that of the VM or its load.
+const fn speaks_against_version(finish: Finish) -> bool {
+    match finish {
+        Finish::Whole => false,
+        Finish::Cut { .. } => true,
+        Finish::Failed(failure) => match failure.kind {
+            Kind::Reset | Kind::Timeout | Kind::Status | Kind::Mismatch => true,
+            Kind::Refused | Kind::Connect | Kind::Rejected | Kind::Cancelled => false,
+        },
+    }
+}
+
 /// Once a byte may have left, only the replica's own word says that the request did not run.
 fn may_have_run(flight: &Flight, failure: Failure) -> bool {
     failure.may_have_run || (flight.sent && failure.kind != Kind::Rejected)
--- a/tests/system/deployment.rs
+++ b/tests/system/deployment.rs
@@ -65,8 +65,8 @@
             nodes: Vec::new(),
             client,
         };
-        deployment.register("assistant", "demo-engine", 0).await;
-        deployment.register("ledger", "demo-service", 0).await;
+        deployment.register("assistant", "demo-engine").await;
+        deployment.register("ledger", "demo-service").await;
         for index in 0..nodes {
             let node = deployment.start_node(index);
             deployment.nodes.push(node);
@@ -112,32 +112,43 @@
         Process::start(&mut command)
     }
 
-    /// Registers the replicas of an endpoint at the cloud; `run` tells their incarnations apart.
-    pub async fn register(&self, endpoint: &str, class: &str, run: usize) {
+    /// Registers the replicas of an endpoint at the cloud.
+    pub async fn register(&self, endpoint: &str, class: &str) {
         let replicas = if endpoint == "assistant" {
             &self.engines
         } else {
             &self.services
         };
         for (index, replica) in replicas.iter().enumerate() {
-            let vm = json!({
-                "id": format!("{endpoint}-{index}"), "kind": "replica", "endpoint": endpoint,
-                "zone": ZONES[index % ZONES.len()], "class": class, "reclaimable": true,
-                "addr": replica.address.to_string(), "version": "v1", "model": "", "state": "live",
-                "incarnation": format!("{:016x}", run * 100 + index + 1),
-            });
-            let url = format!("{}/admin/vms/{endpoint}-{index}", self.cloud.url());
-            self.client
-                .put(url)
-                .json(&vm)
-                .send()
-                .await
-                .unwrap()
-                .error_for_status()
-                .unwrap();
+            self.register_one(endpoint, class, index, replica, "v1").await;
         }
     }
 
+    async fn register_one(
+        &self,
+        endpoint: &str,
+        class: &str,
+        index: usize,
+        replica: &Process,
+        version: &str,
+    ) {
+        let vm = json!({
+            "id": format!("{endpoint}-{index}"), "kind": "replica", "endpoint": endpoint,
+            "zone": ZONES[index % ZONES.len()], "class": class, "reclaimable": true,
+            "addr": replica.address.to_string(), "version": version, "model": "", "state": "live",
+            "incarnation": format!("{:016x}", index + 1),
+        });
+        let url = format!("{}/admin/vms/{endpoint}-{index}", self.cloud.url());
+        self.client
+            .put(url)
+            .json(&vm)
+            .send()
+            .await
+            .unwrap()
+            .error_for_status()
+            .unwrap();
+    }
+
     /// Runs the command-line tool against the nodes.
     pub fn tool(&self, arguments: &[&str]) -> Output {
         let urls: Vec<String> = self.nodes.iter().map(Process::url).collect();
@@ -149,6 +160,29 @@
             .expect("the tool runs")
     }
 
+    /// Runs the command-line tool without holding the test's thread up.
+    pub async fn tool_async(&self, arguments: &[&str]) -> Output {
+        let urls: Vec<String> = self.nodes.iter().map(Process::url).collect();
+        let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_bilberrylatch"));
+        command
+            .env("BILBERRYLATCH_OPERATOR_TOKEN", OPERATOR)
+            .env("BILBERRYLATCH_NODE", urls.join(","))
+            .args(arguments);
+        command.output().await.expect("the tool runs")
+    }
+
+    /// Adds replicas of the ledger at another version.
+    pub async fn with_services(mut self, version: &str, count: usize) -> Self {
+        for _replica in 0..count {
+            let index = self.services.len();
+            let service = fake(&["service", "--version", version]);
+            self.register_one("ledger", "demo-service", index, &service, version)
+                .await;
+            self.services.push(service);
+        }
+        self
+    }
+
     /// The catalogue that the demo and these tests share.
     pub fn catalogue_file() -> PathBuf {
         PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("crates/ctl/src/demo/demo.toml")
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod keys;
 mod leaving;
 mod process;
+mod rollouts;
 mod smoke;
 mod sse;
 mod streams;
--- /dev/null
+++ b/tests/system/rollouts.rs
@@ -0,0 +1,144 @@
+//! Rollouts by real processes: a good version gets all traffic, a bad one is taken back.
+
+use std::cell::Cell;
+use std::process::Output;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::deployment::{Deployment, TOKEN};
+
+/// Requests under way at once.
+const CONCURRENCY: usize = 24;
+
+/// A deployment whose ledger also runs at a second version.
+async fn with_second_version(faults: Value) -> Deployment {
+    let deployment = Deployment::start(3).await;
+    let text = std::fs::read_to_string(Deployment::catalogue_file()).unwrap();
+    let text = text.replace("versions = [\"v1\"]", "versions = [\"v1\", \"v2\"]");
+    let path = std::env::temp_dir().join(format!("bilberrylatch-{}-versions.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let applied = deployment.tool(&["catalogue", "apply", path.to_str().unwrap(), "--wait"]);
+    assert!(
+        applied.status.success(),
+        "{}",
+        String::from_utf8_lossy(&applied.stderr)
+    );
+    let deployment = deployment.with_services("v2", 2).await;
+    for service in &deployment.services[2..] {
+        deployment.faults(service, faults.clone()).await;
+    }
+    deployment.wait_ready().await;
+    deployment
+}
+
+/// What a load met: the output of what it waited for, and the version of each answer, none where a request failed.
+struct Seen {
+    output: Output,
+    versions: Vec<Option<String>>,
+}
+
+/// Checks balances over all nodes until `stop` is done.
+async fn load<S>(deployment: &Deployment, stop: S) -> Seen
+where
+    S: Future<Output = Output>,
+{
+    let enough = Cell::new(false);
+    let enough = &enough;
+    let worker = |index: usize| async move {
+        let mut seen = Vec::new();
+        loop {
+            let node = &deployment.nodes[(index + seen.len()) % deployment.nodes.len()];
+            let url = format!("{}/v1/endpoints/ledger/balance/pupil-{index}", node.url());
+            let response = deployment
+                .client
+                .get(url)
+                .bearer_auth(TOKEN)
+                .send()
+                .await
+                .unwrap();
+            let version = response
+                .headers()
+                .get("bilberrylatch-version")
+                .map(|v| v.to_str().unwrap().to_owned());
+            seen.push(version.filter(|_| response.status().is_success()));
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            if enough.get() {
+                return seen;
+            }
+        }
+    };
+    let workers = futures::future::join_all((0..CONCURRENCY).map(worker));
+    let stopping = async {
+        let output = stop.await;
+        enough.set(true);
+        output
+    };
+    let (output, seen) = tokio::join!(stopping, workers);
+    Seen {
+        output,
+        versions: seen.into_iter().flatten().collect(),
+    }
+}
+
+/// Starts a rollout of the ledger and waits for its end without holding the test's thread up.
+async fn roll_out(deployment: &Deployment) -> Output {
+    let within = ["--within-seconds", "20", "--watch-seconds", "2"];
+    let mut start = vec!["rollout", "start", "ledger", "v2"];
+    start.extend(within);
+    let started = deployment.tool_async(&start).await;
+    assert!(
+        started.status.success(),
+        "{}",
+        String::from_utf8_lossy(&started.stderr)
+    );
+    deployment
+        .tool_async(&["rollout", "wait", "ledger", "--timeout-seconds", "60"])
+        .await
+}
+
+#[tokio::test]
+async fn good_version_gets_all_traffic_by_its_time() {
+    let deployment = with_second_version(json!({})).await;
+    let Seen { output, versions } = load(&deployment, roll_out(&deployment)).await;
+    assert_eq!(
+        output.status.code(),
+        Some(0),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    assert!(versions.iter().all(Option::is_some), "a request failed");
+    let url = format!("{}/v1/endpoints/ledger/balance/after", deployment.nodes[0].url());
+    let response = deployment
+        .client
+        .get(url)
+        .bearer_auth(TOKEN)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(response.headers()["bilberrylatch-version"], "v2");
+}
+
+#[tokio::test]
+async fn bad_version_is_taken_back() {
+    let deployment = with_second_version(json!({"bad": {"badness": {"fail": 500}}})).await;
+    let Seen { output, versions } = load(&deployment, roll_out(&deployment)).await;
+    assert_eq!(
+        output.status.code(),
+        Some(1),
+        "{}",
+        String::from_utf8_lossy(&output.stdout)
+    );
+    assert!(String::from_utf8_lossy(&output.stderr).contains("undone"));
+    let failed = versions.iter().filter(|version| version.is_none()).count();
+    assert_eq!(
+        failed, 0,
+        "balance checks are idempotent: another replica answers"
+    );
+    let bad = versions
+        .iter()
+        .flatten()
+        .filter(|version| *version == "v2")
+        .count();
+    assert_eq!(bad, 0);
+}
