Claim keys that callers chose, by group commit in the key-value service

Cause: callers that bring their own Idempotency-Key were turned away; a key sent by two parents' clients to two nodes has no home node, so only the platform can say who runs it. Weighed: claiming at whichever node is asked (more conflicts in a shard's log), forwarding to the shard's preferred node first and claiming here if it can't be reached (taken; correctness rests on the log alone). A text that looks like an issued key is never taken for a chosen one. Change: the claims actor carries the ledger; each platform call is a task that reports back.

--- a/crates/claim/src/key.rs
+++ b/crates/claim/src/key.rs
@@ -30,6 +30,11 @@
     pub tag: Tag,
 }
 
+impl Key {
+    /// How the text of every issued key starts.
+    pub const PREFIX: &str = PREFIX;
+}
+
 impl fmt::Display for Key {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{PREFIX}-{}-{:x}-{}", self.home, self.number, self.tag)
--- a/crates/ctl/src/command/rollout.rs
+++ b/crates/ctl/src/command/rollout.rs
@@ -180,7 +180,9 @@
             format!("version {} is bad on {route}: {:?}", veto.version, veto.evidence)
         }
         Reason::Operator(operator) => format!("taken back by '{operator}'"),
-        other => format!("{other:?}"),
+        Reason::Doubtful(route) => {
+            format!("the evidence on {route} still spoke against the version at its time")
+        }
     }
 }
 
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -1,17 +1,25 @@
 //! Idempotency keys at this node.
 
+pub mod chosen;
+
 use std::convert::Infallible;
+use std::time::Duration;
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Seed};
 use claim::table::{Action, Event, Finish, Home};
-use claim::{Answer, Binding, Call, Fingerprint, Handover, Key, Secret, Table};
+use claim::{Answer, Binding, Call, Fingerprint, Handover, Key, Ledger, Secret, Table, ledger};
 use kameo::Actor;
-use kameo::actor::ActorRef;
+use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
 use slotmap::SlotMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::clock::Clock;
+use crate::shared::Shared;
+
+/// Span between two ticks; claims are batched to about this precision.
+const TICK: Duration = Duration::from_millis(10);
 
 /// Messages that wait for one call: what to do, then its answer.
 const VERDICTS: usize = 4;
@@ -25,6 +33,19 @@
     pub secret: Secret,
     /// The process's clock.
     pub clock: Clock,
+    /// Seed of random choices.
+    pub seed: Seed,
+    /// What the node's parts share, once it is complete.
+    pub shared: watch::Receiver<Option<Shared>>,
+}
+
+/// A key under which a request runs at most once.
+#[derive(Clone, Copy, Debug)]
+pub enum Keyed {
+    /// A key that this deployment issued.
+    Issued(Key),
+    /// A key that the caller chose.
+    Chosen(ledger::Key),
 }
 
 /// What a call is told; `Run` and `Join` are followed by an `Answer`.
@@ -42,11 +63,14 @@
     Answer(Answer),
 }
 
-/// Carries events of keys into the table.
+/// Carries events of issued keys into the table, and of chosen keys into the ledger.
 #[derive(Debug)]
 pub struct Claims {
     clock: Clock,
     table: Table,
+    ledger: Ledger,
+    shared: watch::Receiver<Option<Shared>>,
+    this: WeakActorRef<Self>,
     calls: SlotMap<Call, mpsc::Sender<Verdict>>,
     granted: bool,
 }
@@ -55,10 +79,14 @@
     type Args = Arguments;
     type Error = Infallible;
 
-    async fn on_start(arguments: Self::Args, _actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+    async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
+        start_ticks(&actor);
         Ok(Self {
             clock: arguments.clock,
             table: Table::new(arguments.incarnation, arguments.secret),
+            ledger: Ledger::new(arguments.incarnation, arguments.seed),
+            shared: arguments.shared,
+            this: actor.downgrade(),
             calls: SlotMap::with_key(),
             granted: false,
         })
@@ -123,6 +151,23 @@
     pub verdicts: mpsc::Receiver<Verdict>,
 }
 
+/// Time passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Tick;
+
+impl Message<Tick> for Claims {
+    type Reply = ();
+
+    async fn handle(&mut self, _tick: Tick, _context: &mut Context<Self, Self::Reply>) {
+        self.step(Event::Tick);
+        self.ledger_step(ledger::Event::Tick);
+        let usage = self.table.usage();
+        metrics::gauge!("bilberrylatch_keys_running").set(usage.running as f64);
+        metrics::gauge!("bilberrylatch_keys_ended").set(usage.ended as f64);
+        metrics::gauge!("bilberrylatch_keys_bytes").set(usage.bytes as f64);
+    }
+}
+
 /// Asks for a key.
 #[derive(Clone, Debug)]
 pub struct Issue(pub Binding);
@@ -181,7 +226,7 @@
     /// The call that was told to run.
     pub call: Call,
     /// Its key.
-    pub key: Key,
+    pub key: Keyed,
 }
 
 impl Message<Dispatch> for Claims {
@@ -189,10 +234,11 @@
 
     async fn handle(&mut self, dispatch: Dispatch, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
         self.granted = false;
-        self.step(Event::Dispatch {
-            call: dispatch.call,
-            key: dispatch.key,
-        });
+        let call = dispatch.call;
+        match dispatch.key {
+            Keyed::Issued(key) => self.step(Event::Dispatch { call, key }),
+            Keyed::Chosen(key) => self.ledger_step(ledger::Event::Dispatch { call, key }),
+        }
         self.granted
     }
 }
@@ -203,7 +249,7 @@
     /// The call that was told to run.
     pub call: Call,
     /// Its key.
-    pub key: Key,
+    pub key: Keyed,
     /// How it ended.
     pub result: Finish,
 }
@@ -213,7 +259,10 @@
 
     async fn handle(&mut self, finished: Finished, _context: &mut Context<Self, Self::Reply>) {
         let Finished { call, key, result } = finished;
-        self.step(Event::Finish { call, key, result });
+        match key {
+            Keyed::Issued(key) => self.step(Event::Finish { call, key, result }),
+            Keyed::Chosen(key) => self.ledger_step(ledger::Event::Finish { call, key, result }),
+        }
     }
 }
 
@@ -226,6 +275,7 @@
 
     async fn handle(&mut self, _seal: Seal, _context: &mut Context<Self, Self::Reply>) {
         self.step(Event::Seal);
+        self.ledger_step(ledger::Event::Seal);
     }
 }
 
@@ -252,3 +302,18 @@
         self.step(Event::Import(import.0));
     }
 }
+
+fn start_ticks(actor: &ActorRef<Claims>) {
+    let weak = actor.downgrade();
+    tokio::spawn(async move {
+        let mut interval = interval(TICK);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let Some(actor) = weak.upgrade() else { return };
+            if actor.tell(Tick).await.is_err() {
+                return;
+            }
+        }
+    });
+}
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -1,6 +1,5 @@
 //! Drives one request: carries out the router's orders until the request has ended.
 
-use claim::Key;
 use route::event::Finish;
 use route::failure::{Failure, Kind};
 use route::{CallKey, DispatchId, Refusal};
@@ -8,7 +7,7 @@
 
 use super::stream::{Relay, Relayed};
 use super::{Outgoing, Part, Whole, attempt};
-use crate::actor::claims;
+use crate::actor::claims::{self, Keyed};
 use crate::actor::traffic::arrive::{Arrive, Began, Cancelled, Finished};
 use crate::actor::traffic::{Order, Target};
 use crate::shared::Shared;
@@ -37,7 +36,7 @@
     /// The call that was told to run.
     pub call: claim::Call,
     /// Its key.
-    pub key: Key,
+    pub key: Keyed,
 }
 
 /// How one dispatch ended.
--- a/crates/node/src/dispatch/outgoing.rs
+++ b/crates/node/src/dispatch/outgoing.rs
@@ -36,6 +36,8 @@
     pub stream: bool,
     /// Idempotency key as sent, if any.
     pub key: Option<String>,
+    /// Whether another node sent it on to this one.
+    pub forwarded: bool,
     /// Tokens that the caller already holds.
     pub delivered: u32,
     /// Order among the workspace's own requests.
--- a/crates/node/src/edge/claimed.rs
+++ b/crates/node/src/edge/claimed.rs
@@ -1,20 +1,28 @@
 //! Non-idempotent requests: each runs at most once under its key.
 
+use std::net::SocketAddr;
+
 use axum::response::{IntoResponse, Response};
 use base::{Incarnation, Name};
+use claim::ledger;
 use claim::table::{Finish, Home};
 use claim::{Answer, Binding, Fingerprint, Key};
 use http::StatusCode;
+use member::node::State;
 use tokio::sync::mpsc;
 
 use super::peer::forward;
 use super::{Problem, call};
-use crate::actor::claims::{Arrive, Finished, Verdict};
-use crate::actor::members::Whereabouts;
+use crate::actor::claims::chosen::{ShardOf, Want};
+use crate::actor::claims::{Arrive, Finished, Keyed, Verdict};
+use crate::actor::members::{Nodes, Whereabouts};
 use crate::dispatch::driver::Permit;
 use crate::dispatch::{Driver, End, Outgoing, Whole};
 use crate::shared::Shared;
 
+/// Longest key that a caller may choose, in bytes.
+const CHOSEN_MAX_BYTES: usize = 255;
+
 /// The end of a request with a key.
 #[derive(Clone, Debug)]
 pub enum Closed {
@@ -38,19 +46,80 @@
     settle(shared, outgoing).await.into_response()
 }
 
-/// Runs the request, replays its answer, or forwards it to the node that its key names.
+/// Runs the request, replays its answer, or forwards it to the node that knows its key.
 pub async fn settle(shared: &Shared, outgoing: Outgoing) -> Closed {
     let Some(text) = outgoing.key.clone() else {
         return Closed::Refused(key_missing(&outgoing.endpoint));
     };
-    let Ok(key) = text.parse::<Key>() else {
-        return Closed::Refused(key_foreign(&outgoing.endpoint));
-    };
+    match text.parse::<Key>() {
+        Ok(key) => issued(shared, outgoing, key).await,
+        // NB: what looks like an issued key is never taken for a chosen one, or it could run elsewhere again.
+        Err(_malformed) if text.starts_with(Key::PREFIX) => {
+            Closed::Refused(key_malformed(&outgoing.endpoint))
+        }
+        Err(_chosen) => chosen(shared, outgoing, &text).await,
+    }
+}
+
+/// A key that this deployment issued: its home runs it.
+async fn issued(shared: &Shared, outgoing: Outgoing, key: Key) -> Closed {
     let (home, place) = whereabouts(shared, key.home).await;
-    let verdicts = shared.claims.ask(arrive(&outgoing, key, home)).await;
-    let Ok(mut verdicts) = verdicts else {
-        return Closed::Refused(Problem::stopping().counted());
+    let arrive = Arrive {
+        key,
+        binding: binding(&outgoing),
+        fingerprint: fingerprint(&outgoing),
+        home,
+    };
+    match shared.claims.ask(arrive).await {
+        Ok(verdicts) => follow(shared, outgoing, Keyed::Issued(key), verdicts, place).await,
+        Err(_stopped) => Closed::Refused(Problem::stopping().counted()),
+    }
+}
+
+/// A key that the caller chose: claimed in the key-value service, by the shard's preferred node if it can be reached.
+async fn chosen(shared: &Shared, outgoing: Outgoing, text: &str) -> Closed {
+    if text.len() > CHOSEN_MAX_BYTES {
+        return Closed::Refused(key_malformed(&outgoing.endpoint));
+    }
+    let key = ledger::Key::new(&binding(&outgoing), text.as_bytes());
+    if !outgoing.forwarded
+        && let Some(peer) = preferred(shared, key).await
+        && let Ok(closed) = forward(shared, &outgoing, peer).await
+    {
+        return closed;
+    }
+    let want = Want {
+        key,
+        fingerprint: fingerprint(&outgoing),
     };
+    match shared.claims.ask(want).await {
+        Ok(verdicts) => follow(shared, outgoing, Keyed::Chosen(key), verdicts, None).await,
+        Err(_stopped) => Closed::Refused(Problem::stopping().counted()),
+    }
+}
+
+/// Where the preferred writer of the key's shard listens, if that is another node.
+async fn preferred(shared: &Shared, key: ledger::Key) -> Option<SocketAddr> {
+    let shard = shared.claims.ask(ShardOf(key)).await.ok()?;
+    let nodes = shared.members.ask(Nodes).await.ok()?;
+    let alive: Vec<Incarnation> = nodes
+        .iter()
+        .filter(|node| node.state == State::Alive)
+        .map(|node| node.incarnation)
+        .collect();
+    let writer = shard.writer(&alive)?;
+    let node = nodes.iter().find(|node| node.incarnation == writer)?;
+    (writer != shared.incarnation).then_some(node.peer)
+}
+
+/// Does what the call is told, until it is answered.
+async fn follow(
+    shared: &Shared,
+    outgoing: Outgoing,
+    key: Keyed,
+    mut verdicts: mpsc::Receiver<Verdict>,
+    place: Option<SocketAddr>,
+) -> Closed {
     loop {
         match verdicts.recv().await {
             Some(Verdict::Run(call)) => {
@@ -58,26 +127,23 @@
                 tokio::spawn(run(shared.clone(), outgoing.clone(), permit));
             }
             Some(Verdict::Join | Verdict::Issued(_)) => {}
-            Some(Verdict::Forward(to)) => return away(shared, outgoing, to, place).await,
+            Some(Verdict::Forward(to)) => return away(shared, outgoing, to, key, place).await,
             Some(Verdict::Answer(answer)) => return closed(answer),
             None => return Closed::Refused(call::broken(base::Outcome::Unknown)),
         }
     }
 }
 
-fn arrive(outgoing: &Outgoing, key: Key, home: Home) -> Arrive {
-    let binding = Binding::new(outgoing.endpoint.clone(), outgoing.workspace.clone());
-    let fingerprint = Fingerprint::new(
+fn binding(outgoing: &Outgoing) -> Binding {
+    Binding::new(outgoing.endpoint.clone(), outgoing.workspace.clone())
+}
+
+fn fingerprint(outgoing: &Outgoing) -> Fingerprint {
+    Fingerprint::new(
         outgoing.method.as_str().as_bytes(),
         outgoing.path.as_bytes(),
         &outgoing.body,
-    );
-    Arrive {
-        key,
-        binding,
-        fingerprint,
-        home,
-    }
+    )
 }
 
 fn closed(answer: Answer) -> Closed {
@@ -110,7 +176,7 @@
 }
 
 /// What this node knows about a key's home, and where it listens.
-async fn whereabouts(shared: &Shared, home: Incarnation) -> (Home, Option<std::net::SocketAddr>) {
+async fn whereabouts(shared: &Shared, home: Incarnation) -> (Home, Option<SocketAddr>) {
     if home == shared.incarnation {
         return (Home::Alive, None);
     }
@@ -124,19 +190,28 @@
     shared: &Shared,
     outgoing: Outgoing,
     to: Incarnation,
-    known: Option<std::net::SocketAddr>,
+    key: Keyed,
+    known: Option<SocketAddr>,
 ) -> Closed {
-    let peer = match known {
-        Some(peer) => Some(peer),
-        None => whereabouts(shared, to).await.1,
+    let (home, place) = match known {
+        Some(peer) => (Home::Alive, Some(peer)),
+        None => whereabouts(shared, to).await,
+    };
+    let reason = match (key, home) {
+        (Keyed::Issued(_), _) => claim::Reason::HomeUnreachable,
+        (Keyed::Chosen(_), Home::Gone | Home::Heir(_)) => claim::Reason::Interrupted,
+        (Keyed::Chosen(_), Home::Alive | Home::Unreachable) => claim::Reason::Held,
+    };
+    let refused = || Closed::Refused(Problem::from_claim(reason).counted());
+    // NB: no circle can arise, as all nodes read the same claimant from the log.
+    let Some(peer) = place.filter(|_| reason != claim::Reason::Interrupted) else {
+        return refused();
     };
-    let unreachable = || Closed::Refused(Problem::from_claim(claim::Reason::HomeUnreachable).counted());
-    let Some(peer) = peer else { return unreachable() };
     match forward(shared, &outgoing, peer).await {
         Ok(closed) => closed,
         Err(error) => {
             log::warn!("request not forwarded to {to}: {error}");
-            unreachable()
+            refused()
         }
     }
 }
@@ -161,7 +236,7 @@
     Problem::new(StatusCode::BAD_REQUEST, "key-missing", detail).counted()
 }
 
-fn key_foreign(endpoint: &Name) -> Problem {
+fn key_malformed(endpoint: &Name) -> Problem {
     let detail = format!(
         "this is no key of this system: get one by POST /v1/endpoints/{endpoint}/keys and use it as given"
     );
--- a/crates/node/src/edge/intake.rs
+++ b/crates/node/src/edge/intake.rs
@@ -149,6 +149,7 @@
         idempotent: route.idempotent,
         stream: route.stream,
         key: header::text(fields, &header::IDEMPOTENCY_KEY),
+        forwarded: false,
         delivered: delivered(fields)?,
         priority: priority(fields)?,
         deadline: shared.clock.now() + Millis(timeout.as_millis() as u64),
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -109,6 +109,7 @@
         idempotent: false,
         stream: false,
         key: Some(call.key),
+        forwarded: true,
         delivered: 0,
         priority: Priority::Normal,
         deadline: shared.clock.now() + left,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -168,8 +168,14 @@
             },
             mailbox::bounded(MAILBOX),
         );
-        let claims = spawn_claims(&settings, incarnation, clock);
         let (shared_sender, shared_receiver) = watch::channel(None);
+        let claims = spawn_claims(
+            &settings,
+            incarnation,
+            clock,
+            seed.derive(4),
+            shared_receiver.clone(),
+        );
         let rollouts = Rollouts::spawn_with_mailbox(
             rollouts::Arguments {
                 incarnation,
@@ -266,13 +272,21 @@
     }
 }
 
-fn spawn_claims(settings: &Settings, incarnation: Incarnation, clock: Clock) -> ActorRef<Claims> {
+fn spawn_claims(
+    settings: &Settings,
+    incarnation: Incarnation,
+    clock: Clock,
+    seed: Seed,
+    shared: watch::Receiver<Option<Shared>>,
+) -> ActorRef<Claims> {
     let secret = claim::Secret::new(settings.peer_secret.as_bytes());
     Claims::spawn_with_mailbox(
         claims::Arguments {
             incarnation,
             secret,
             clock,
+            seed,
+            shared,
         },
         mailbox::bounded(MAILBOX),
     )
--- /dev/null
+++ b/tests/system/chosen_keys.rs
@@ -0,0 +1,131 @@
+//! Keys that callers chose: claimed in the key-value service, run at most once.
+
+use std::time::{Duration, Instant};
+
+use reqwest::{Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+use crate::process::Process;
+
+/// Bound on a refusal during an outage: at once, but for the time to find out.
+const AT_ONCE: Duration = Duration::from_secs(3);
+
+async fn top_up(deployment: &Deployment, node: &Process, key: &str) -> Response {
+    let body = json!({"account": "pupil", "amount": 250});
+    let call = deployment
+        .call(node, "ledger", "topup")
+        .header("idempotency-key", key)
+        .json(&body);
+    call.send().await.expect("an answer")
+}
+
+fn outcome(response: &Response) -> String {
+    response.headers()["bilberrylatch-outcome"]
+        .to_str()
+        .unwrap()
+        .to_owned()
+}
+
+#[tokio::test]
+async fn two_parents_with_one_key_are_charged_once() {
+    let deployment = Deployment::start(3).await;
+    for round in 0..10 {
+        let key = format!("top-up-{round}");
+        let before = deployment.runs().await.len();
+        let (one, other, third) = tokio::join!(
+            top_up(&deployment, &deployment.nodes[0], &key),
+            top_up(&deployment, &deployment.nodes[1], &key),
+            top_up(&deployment, &deployment.nodes[2], &key)
+        );
+        let mut answers = Vec::new();
+        for response in [one, other, third] {
+            assert_eq!(response.status(), StatusCode::OK);
+            answers.push(response.json::<Value>().await.unwrap());
+        }
+        assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
+        assert_eq!(deployment.runs().await.len(), before + 1);
+    }
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_platform_change_nothing() {
+    let deployment = Deployment::start(3).await;
+    deployment
+        .faults(&deployment.kv, json!({"lose_answer": {"ppm": 300_000}}))
+        .await;
+    for round in 0..15 {
+        let key = format!("lost-{round}");
+        let mut last = String::new();
+        for attempt in 0..10 {
+            let response = top_up(&deployment, &deployment.nodes[(round + attempt) % 3], &key).await;
+            last = outcome(&response);
+            if last == "answered" {
+                break;
+            }
+            // As docs/CALLING.md tells callers.
+            let seconds: u64 = response.headers()["retry-after"]
+                .to_str()
+                .unwrap()
+                .parse()
+                .unwrap();
+            tokio::time::sleep(Duration::from_secs(seconds)).await;
+        }
+        assert_eq!(last, "answered", "round {round}");
+    }
+    assert_eq!(deployment.runs().await.len(), 15);
+}
+
+#[tokio::test]
+async fn outage_refuses_chosen_keys_at_once_and_says_what_to_do() {
+    let deployment = Deployment::start(2).await;
+    assert_eq!(
+        outcome(&top_up(&deployment, &deployment.nodes[0], "before").await),
+        "answered"
+    );
+    deployment
+        .faults(&deployment.kv, json!({"outage": "unavailable"}))
+        .await;
+    let started = Instant::now();
+    let response = top_up(&deployment, &deployment.nodes[0], "during").await;
+    assert!(started.elapsed() < AT_ONCE, "the refusal was held back");
+    assert_eq!(outcome(&response), "not-run");
+    assert!(response.headers().contains_key("retry-after"));
+    assert!(response.text().await.unwrap().contains("issued key"));
+    assert_eq!(deployment.runs().await.len(), 1);
+    deployment.faults(&deployment.kv, json!({})).await;
+    let mut told = String::new();
+    for _attempt in 0..50 {
+        told = outcome(&top_up(&deployment, &deployment.nodes[1], "during").await);
+        if told == "answered" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(told, "answered");
+    assert_eq!(deployment.runs().await.len(), 2);
+}
+
+#[tokio::test]
+async fn claimant_killed_leaves_repeats_without_a_second_run() {
+    let mut deployment = Deployment::start(3).await;
+    let mut keys = Vec::new();
+    for round in 0..6 {
+        let key = format!("killed-{round}");
+        assert_eq!(
+            outcome(&top_up(&deployment, &deployment.nodes[round % 3], &key).await),
+            "answered"
+        );
+        keys.push(key);
+    }
+    // Time for the results to be written to the log.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.nodes[0].kill();
+    for key in &keys {
+        for node in &deployment.nodes[1..] {
+            let told = outcome(&top_up(&deployment, node, key).await);
+            assert_eq!(told, "answered", "the result was recorded");
+        }
+    }
+    assert_eq!(deployment.runs().await.len(), keys.len());
+}
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the real programs: processes on loopback, killed, frozen and cut off.
 
 mod catalogue;
+mod chosen_keys;
 mod deployment;
 mod keys;
 mod leaving;
