Let expired claims go before they hold the log's base down

Change: they are dropped when a batch is composed. Also: several failed reads of one window count as one failure, since a window of eight made the first wait 2 s instead of 50 ms (found by the case of a claim that lands late). Weighed: not looking at the wants for the later ones of the failed reads; the fuzzing found a call held back by that.

--- a/crates/claim/src/ledger/log/compose.rs
+++ b/crates/claim/src/ledger/log/compose.rs
@@ -16,6 +16,7 @@
         };
         let mut batch = Batch::new(id, self.clock.span(context.now));
         let mut room = context.limits.batch_bytes;
+        self.drop_expired(context);
         self.add_claims(context, &mut batch, &mut room);
         self.add_notes(&mut batch, &mut room);
         if batch.entries.is_empty() {
--- a/crates/claim/src/ledger/log/io.rs
+++ b/crates/claim/src/ledger/log/io.rs
@@ -69,6 +69,7 @@
         let place = sequence
             .checked_sub(self.next)
             .and_then(|place| usize::try_from(place).ok());
+        let failed_before = found.contains(&Some(ReadDone::Unavailable));
         let Some(slot) = place.and_then(|place| found.get_mut(place)) else {
             return;
         };
@@ -76,8 +77,11 @@
         *slot = Some(result);
         let whole = found.iter().all(Option::is_some);
         if failed {
-            // Calls are not held back until the other reads have ended, too.
-            self.fail(context);
+            // Calls are not held back until the other reads have ended, but several failed reads are one failure.
+            self.refuse_wants(context, Reason::Outage);
+            if !failed_before {
+                self.fail(context);
+            }
         }
         if !whole {
             return;
--- a/crates/claim/src/ledger/log/tail.rs
+++ b/crates/claim/src/ledger/log/tail.rs
@@ -28,15 +28,15 @@
         self.0.iter()
     }
 
-    /// Drops statements from the front while `stale`, and says where the first one left stands.
-    pub fn first<S>(&mut self, stale: S) -> Option<u64>
+    /// Drops statements from the front while `stale`, and gives the first one left.
+    pub fn first<S>(&mut self, stale: S) -> Option<Stated>
     where
         S: Fn(&Stated) -> bool,
     {
         while self.0.front().is_some_and(&stale) {
             self.0.pop_front();
         }
-        self.0.front().map(|stated| stated.sequence)
+        self.0.front().copied()
     }
 
     /// Drops every statement that is `stale`.
--- a/crates/claim/src/ledger/log/trim.rs
+++ b/crates/claim/src/ledger/log/trim.rs
@@ -5,10 +5,10 @@
 use super::Log;
 use super::op::Op;
 use super::tail::Stated;
-use crate::ledger::Action;
 use crate::ledger::base::Base;
 use crate::ledger::claim::Claim;
 use crate::ledger::context::Context;
+use crate::ledger::{Action, Key};
 
 /// Moves of the base that wait for their deletes; later moves cover those left out.
 const TRIMS_MAX: usize = 64;
@@ -86,6 +86,27 @@
         self.delete_at = context.now + context.limits.write_interval;
     }
 
+    /// Forgets the claims at the front of the log that have expired, so that it need not reach back to them.
+    pub fn drop_expired(&mut self, context: &Context<'_>) {
+        while let Some(key) = self.front() {
+            let Some(claim) = self.claims.get(&key) else {
+                return;
+            };
+            if !self.expired(context, claim) {
+                return;
+            }
+            self.drop_claim(key);
+        }
+    }
+
+    /// The claim in force that was stated first.
+    fn front(&mut self) -> Option<Key> {
+        let claims = &self.claims;
+        self.tail
+            .first(|stated| is_stale(claims, stated))
+            .map(|stated| stated.key)
+    }
+
     /// Forgets expired claims. What the log says of them is no longer of use to anyone.
     pub fn sweep(&mut self, context: &Context<'_>) {
         if context.now < self.sweep_at {
@@ -132,7 +153,7 @@
     fn first(&mut self) -> u64 {
         let claims = &self.claims;
         let first = self.tail.first(|stated| is_stale(claims, stated));
-        first.unwrap_or(self.next)
+        first.map_or(self.next, |stated| stated.sequence)
     }
 }
 
