--- a/crates/rollout/tests/faults.rs
+++ b/crates/rollout/tests/faults.rs
@@ -213,6 +213,30 @@
     }
 }
 
+/// A new holder of the role shuts a superseded one out with its first write, before anything else happens.
+#[test]
+fn superseded_controllers_change_nothing() {
+    let mut world = World::new(
+        setting(),
+        Truth {
+            way: Way::Good,
+            trouble: None,
+        },
+        Seed(1),
+    );
+    world.run(world.setting.start);
+    declare(&mut world, 1);
+    world.run(world.now + Millis(3_000));
+    world.seats[0].frozen = true;
+    world.seat();
+    let written = |world: &World| world.kv.stored.as_ref().map(|stored| stored.record.write.fence);
+    assert_eq!(written(&world), Some(2));
+    world.seats[1].frozen = true;
+    world.seats[0].frozen = false;
+    world.run(world.now + Millis::from_secs(30));
+    assert_eq!(written(&world), Some(2));
+}
+
 /// A good version is moved in time through an outage, lost answers and a change of controller.
 #[test]
 fn good_versions_move_in_time() {
