--- a/crates/rollout/benches/policy.rs
+++ b/crates/rollout/benches/policy.rs
@@ -170,7 +170,11 @@
     println!("\n{title}");
     println!("| version | in time | done | undone | requests on bad | veto after, ms |");
     println!("|---|---|---|---|---|---|");
-    for case in CASES {
+    let wanted = std::env::args()
+        .skip(1)
+        .find(|argument| !argument.starts_with("--"))
+        .unwrap_or_default();
+    for case in CASES.iter().filter(|case| case.name.contains(&wanted)) {
         let Row {
             in_time,
             done,
--- a/crates/rollout/src/guard/probe.rs
+++ b/crates/rollout/src/guard/probe.rs
@@ -6,9 +6,9 @@
 use crate::{Share, Signal};
 
 /// Wait after a comparison that found nothing, before the next; doubles each time.
-const FIRST_WAIT: Millis = Millis(10_000);
+const FIRST_WAIT: Millis = Millis(1_000);
 /// The longest such wait.
-const LONGEST_WAIT: Millis = Millis(600_000);
+const LONGEST_WAIT: Millis = Millis(30_000);
 
 /// What a comparison on suspicion changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rollout/src/guard/shift.rs
+++ b/crates/rollout/src/guard/shift.rs
@@ -3,7 +3,7 @@
 use crate::Signal;
 
 /// Suspicion in nats at which the old version is given traffic again, to compare with.
-const SUSPECT_AT: f64 = 5.0;
+const SUSPECT_AT: f64 = 4.0;
 
 /// A cumulative-sum detector of a signal that has become frequent.
 ///
