--- a/crates/rollout/src/guard/track.rs
+++ b/crates/rollout/src/guard/track.rs
@@ -154,11 +154,20 @@
         })
     }
 
+    /// The signal that has become frequent on the new version.
+    pub fn suspect(&self) -> Option<Signal> {
+        let mut signals = Signal::ALL.into_iter();
+        signals.find(|signal| self.shifts[*signal as usize].suspects())
+    }
+
     /// Starts or ends a comparison on suspicion, if there is cause.
-    pub fn weigh_probe(&mut self, now: Millis, share: Share, limits: &Limits) -> Option<Change> {
-        let suspect = Signal::ALL
-            .into_iter()
-            .find(|signal| self.shifts[*signal as usize].suspects());
+    pub fn weigh_probe(
+        &mut self,
+        now: Millis,
+        suspect: Option<Signal>,
+        share: Share,
+        limits: &Limits,
+    ) -> Option<Change> {
         let change = self.probe.step(now, suspect, share, limits)?;
         self.shifts = [Shift::default(); 3];
         self.entry.probing = u32::from(matches!(change, Change::Hold(_)));
--- a/crates/rollout/src/guard/watch.rs
+++ b/crates/rollout/src/guard/watch.rs
@@ -107,6 +107,8 @@
         };
         let sufficient = self.sufficient(limits);
         let mut found = None;
+        // What is suspected on one route is compared on all: the same version serves them.
+        let suspect = self.routes.values().find_map(Track::suspect);
         for (route, track) in &mut self.routes {
             track.hang(now);
             if let Some(evidence) = track.finding(sufficient) {
@@ -117,7 +119,7 @@
                 .shares
                 .as_ref()
                 .map_or(Share::ZERO, |shares| shares.of(route));
-            if let Some(change) = track.weigh_probe(now, share, limits) {
+            if let Some(change) = track.weigh_probe(now, suspect, share, limits) {
                 let cap = match change {
                     Change::Hold(share) => Some(share),
                     Change::Release => None,
