--- a/crates/rollout/src/controller.rs
+++ b/crates/rollout/src/controller.rs
@@ -147,7 +147,7 @@
             rollout,
             endpoint: record.plan.endpoint.clone(),
             version: record.plan.to.clone(),
-            route: Some(found.route),
+            route: found.route,
             evidence: found.evidence,
         };
         actions.push(Action::Veto(Box::new(veto.clone())));
--- a/crates/rollout/src/controller/pool.rs
+++ b/crates/rollout/src/controller/pool.rs
@@ -27,6 +27,17 @@
         each.fold(f64::NEG_INFINITY, f64::max)
     }
 
+    /// The finding that the evidence suffices for.
+    fn finding(&self, sufficient: f64) -> Option<Evidence> {
+        let mut signals = Signal::ALL.into_iter();
+        let signal = signals.find(|signal| self.of(*signal) >= sufficient)?;
+        Some(Evidence::Compared {
+            signal,
+            old: self.sum.old,
+            new: self.sum.new,
+        })
+    }
+
     fn of(&self, signal: Signal) -> f64 {
         self.tests[signal as usize].evidence(&self.sum.ratios[signal as usize])
     }
@@ -44,6 +55,7 @@
     nodes: IndexMap<Incarnation, Summary>,
     /// Sums a route.
     pub routes: IndexMap<Name, Pooled>,
+    all: Pooled,
     heard: Option<Millis>,
 }
 
@@ -62,10 +74,13 @@
             let pooled = self.routes.entry(route.clone()).or_default();
             if let Some(before) = last.and_then(|last| last.routes.get(route)) {
                 pooled.sum.subtract(before);
+                self.all.sum.subtract(before);
             }
             pooled.sum.add(entry);
             pooled.restart();
+            self.all.sum.add(entry);
         }
+        self.all.restart();
         self.nodes.insert(summary.node, summary);
     }
 
@@ -86,34 +101,31 @@
         self.routes.values().any(|pooled| pooled.sum.probing > 0)
     }
 
-    /// The finding that all nodes' evidence together suffices for, with its route.
+    /// The finding that all nodes' evidence together suffices for, on one route or on all of them.
     pub fn finding(&self, limits: &Limits) -> Option<Found> {
-        let sufficient = limits.sufficient_pooled(self.routes.len() * Signal::ALL.len());
-        for (route, pooled) in &self.routes {
-            let bad = Signal::ALL
-                .into_iter()
-                .find(|signal| pooled.of(*signal) >= sufficient);
-            if let Some(signal) = bad {
-                let evidence = Evidence::Compared {
-                    signal,
-                    old: pooled.sum.old,
-                    new: pooled.sum.new,
-                };
-                return Some(Found {
-                    route: route.clone(),
-                    evidence,
-                });
-            }
-        }
-        None
+        let sufficient = limits.sufficient_pooled((self.routes.len() + 1) * Signal::ALL.len());
+        let each = self.routes.iter().find_map(|(route, pooled)| {
+            let evidence = pooled.finding(sufficient)?;
+            Some(Found {
+                route: Some(route.clone()),
+                evidence,
+            })
+        });
+        each.or_else(|| {
+            let evidence = self.all.finding(sufficient)?;
+            Some(Found {
+                route: None,
+                evidence,
+            })
+        })
     }
 }
 
 /// A finding of the pooled tests.
 #[derive(Clone, Debug)]
 pub struct Found {
-    /// The route.
-    pub route: Name,
+    /// The route; none if it took the evidence of all routes together.
+    pub route: Option<Name>,
     /// What it rests on.
     pub evidence: Evidence,
 }
