--- /dev/null
+++ b/crates/ctl/src/command.rs
@@ -0,0 +1,6 @@
+//! The commands.
+
+pub mod catalogue;
+pub mod nodes;
+pub mod replicas;
+pub mod rollout;
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -21,18 +21,25 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::actor::Traffic;
-use crate::actor::traffic;
+use crate::actor::{Rollouts, Traffic, rollouts, traffic};
 use crate::clock::Clock;
+use crate::heritage::Heritage;
 use crate::serving::Serving;
 use crate::snapshot::Snapshot;
-pub use message::{Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Tick, Whereabouts};
-pub use status::{Addresses, Force, Nodes};
+use crate::stop::{Phase, Stop};
+pub use message::{
+    Bequeath, Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Renewed, Spread, Tick, Veto,
+    Whereabouts,
+};
+pub use status::{Addresses, Force, Line, Nodes};
 pub use text::{Text, Want};
 
 /// Span between two ticks; that of the gossip.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Stopped nodes whose heir is remembered.
+const HEIRS: usize = 16_384;
+
 /// Time for which a verdict on serving holds.
 const VERDICT_HOLDS: Millis = Millis::from_secs(3);
 
@@ -51,10 +58,16 @@
     pub peers: wire::Endpoint,
     /// Routing, which applies catalogues and marks.
     pub traffic: ActorRef<Traffic>,
+    /// Rollouts, which hear vetoes and announcements.
+    pub rollouts: ActorRef<Rollouts>,
     /// Where the catalogue in force is published.
     pub snapshot: watch::Sender<Arc<Snapshot>>,
     /// Where the verdict on serving is published.
     pub serving: watch::Sender<Serving>,
+    /// The node's life, which ends when it is fenced.
+    pub stop: Stop,
+    /// What an earlier incarnation of this process knew.
+    pub heritage: Option<Heritage>,
     /// What the platform is to be asked for.
     pub wanted: mpsc::Sender<Want>,
 }
@@ -67,14 +80,18 @@
     config: Config,
     peers: wire::Endpoint,
     traffic: ActorRef<Traffic>,
+    rollouts: ActorRef<Rollouts>,
     snapshot: watch::Sender<Arc<Snapshot>>,
     serving: watch::Sender<Serving>,
     wanted: mpsc::Sender<Want>,
+    stop: Stop,
     /// Checked catalogues that are not applied yet, by generation.
     checked: IndexMap<Generation, Snapshot>,
     /// Digests of the generations known.
     digests: IndexMap<Generation, Digest>,
     node: Node,
+    /// Who took the keys of stopped nodes over, oldest first.
+    heirs: IndexMap<Incarnation, Incarnation>,
 }
 
 impl Actor for Members {
@@ -82,20 +99,56 @@
     type Error = Infallible;
 
     async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        let Arguments { node, seeds, seed, clock, peers, traffic, snapshot, serving, wanted } = arguments;
+        let Arguments {
+            node,
+            seeds,
+            seed,
+            clock,
+            peers,
+            traffic,
+            rollouts,
+            snapshot,
+            serving,
+            wanted,
+            stop,
+            heritage,
+        } = arguments;
         start_ticks(&actor);
+        let (gossip, config) = match heritage {
+            Some(heritage) => (
+                heritage
+                    .gossip
+                    .with_incarnation(clock.now(), node.incarnation, node.epoch),
+                heritage.config,
+            ),
+            None => (
+                Gossip::new(node.clone(), seeds, seed),
+                Config::new(config::Settings::new()),
+            ),
+        };
+        if let Some(catalogue) = &snapshot.borrow().catalogue {
+            let nodes = gossip.view().present().count() as u32;
+            let apply = traffic::Apply {
+                catalogue: Arc::clone(catalogue),
+                nodes,
+            };
+            let _gone = traffic.tell(apply).try_send();
+        }
         Ok(Self {
             clock,
-            gossip: Gossip::new(node.clone(), seeds, seed),
-            config: Config::new(config::Settings::new()),
+            gossip,
+            config,
             peers,
             traffic,
+            rollouts,
             snapshot,
             serving,
             wanted,
+            stop,
             checked: IndexMap::new(),
             digests: IndexMap::new(),
             node,
+            heirs: IndexMap::new(),
         })
     }
 }
@@ -142,8 +195,22 @@
         Vec::new()
     }
 
+    fn note_heir(&mut self, report: &Bytes) {
+        let Ok(rollouts::Announcement::Heir { home, heir }) = wire::decode(report) else {
+            return;
+        };
+        self.heirs.insert(home, heir);
+        if self.heirs.len() > HEIRS {
+            self.heirs.shift_remove_index(0);
+        }
+    }
+
     fn log(&self, node: Incarnation, state: &str) {
-        let name = self.gossip.view().member(node).map(|member| member.node().name.to_string());
+        let name = self
+            .gossip
+            .view()
+            .member(node)
+            .map(|member| member.node().name.to_string());
         log::info!(state = state, incarnation = node.to_string(); "node {} {state}", name.unwrap_or_default());
     }
 
@@ -166,13 +233,23 @@
                 return self.config_step(now, config::Event::Known(head.generation)).await;
             }
             Body::Mark { vm, ended: false } => {
-                let identity = traffic::replica::Identity { vm: vm.name, incarnation: vm.incarnation };
+                let identity = traffic::replica::Identity {
+                    vm: vm.name,
+                    incarnation: vm.incarnation,
+                };
                 let _gone = self.traffic.tell(traffic::replica::Leave { identity }).await;
             }
             Body::Veto { evidence, .. } => {
+                if let Ok(veto) = wire::decode(&evidence) {
+                    let _gone = self.rollouts.tell(rollouts::Vetoed(Box::new(veto))).await;
+                }
                 let _gone = self.traffic.tell(traffic::rollout::Learned(evidence)).await;
             }
-            Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } | Body::Demand { .. } => {}
+            Body::Demand { report, .. } => {
+                self.note_heir(&report);
+                let _gone = self.rollouts.tell(rollouts::Announced(report)).await;
+            }
+            Body::Mark { ended: true, .. } | Body::Status(_) | Body::Applied { .. } => {}
         }
         Vec::new()
     }
@@ -187,6 +264,12 @@
                 }
                 config::Action::Fetch(generation) => actions.extend(self.fetch(now, generation)),
                 config::Action::Apply(generation) => actions.extend(self.apply(now, generation).await),
+                // A node that says goodbye is declared gone, too.
+                config::Action::Fence if self.stop.phase() > Phase::Serving => {}
+                config::Action::Fence => {
+                    log::error!("this incarnation may have been declared gone; starting a new one");
+                    self.stop.fence();
+                }
             }
         }
         self.publish(now);
@@ -194,7 +277,10 @@
     }
 
     fn publish(&self, now: Millis) {
-        let serving = Serving { verdict: self.config.serving(now), until: now + VERDICT_HOLDS };
+        let serving = Serving {
+            verdict: self.config.serving(now),
+            until: now + VERDICT_HOLDS,
+        };
         self.serving.send_replace(serving);
     }
 
