Ask for a catalogue's text whenever it is missing; name every fault of a catalogue

A platform answer passed on by a peer can tell the generation before its digest is learned; the text was asked for only at the first telling, when there was no digest to ask with. Ruled out: the outage itself (one of the two failures had none), starvation under load (the node went on ticking). Change: the text of a known generation is asked for again when its digest comes and once a second until it is applied. Also here: the reader of catalogues goes on after a finding, reports all with line and column, checks names against their declarations, and a diff shows what an edit changes.

--- a/crates/catalogue/src/class.rs
+++ b/crates/catalogue/src/class.rs
@@ -7,13 +7,12 @@
 
 /// A class of VM that the cloud offers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Class {
     /// Its name at the cloud.
     pub name: Name,
     /// Requests that one VM of the class serves at once.
     pub capacity: u32,
     /// Its prices, a zone each.
-    #[serde(default, rename = "price")]
+    #[serde(rename = "price")]
     pub prices: Vec<Price>,
 }
--- a/crates/catalogue/src/document.rs
+++ b/crates/catalogue/src/document.rs
@@ -3,11 +3,10 @@
 use base::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::{Class, Endpoint, Finding, Findings, Severity, Workspace};
+use crate::{Class, Endpoint, Findings, Workspace, read};
 
 /// All that operators declare: the deployment, its workspaces, VM classes and endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Catalogue {
     /// Name of the deployment.
     pub deployment: Name,
@@ -16,30 +15,21 @@
     /// Its availability zones.
     pub zones: Vec<Name>,
     /// The workspaces.
-    #[serde(default, rename = "workspace")]
+    #[serde(rename = "workspace")]
     pub workspaces: Vec<Workspace>,
     /// VM classes with their prices.
-    #[serde(default, rename = "class")]
+    #[serde(rename = "class")]
     pub classes: Vec<Class>,
     /// The endpoints.
-    #[serde(default, rename = "endpoint")]
+    #[serde(rename = "endpoint")]
     pub endpoints: Vec<Endpoint>,
 }
 
 impl Catalogue {
-    /// Reads a catalogue from its TOML text.
+    /// Reads a catalogue from its TOML text; the findings are all errors and warnings, if any is an error.
     pub fn parse(text: &str) -> Result<Self, Findings> {
-        toml::from_str(text).map_err(|error| {
-            let offset = error.span().map_or(0, |span| span.start);
-            let mut findings = Findings::new();
-            findings.push(Finding::new(
-                Severity::Error,
-                text,
-                offset,
-                error.message().to_owned(),
-            ));
-            findings
-        })
+        let checked = read::check(text);
+        checked.catalogue.ok_or(checked.findings)
     }
 
     /// The endpoint called `name`.
--- a/crates/catalogue/src/endpoint.rs
+++ b/crates/catalogue/src/endpoint.rs
@@ -27,7 +27,6 @@
 
 /// An entry of the catalogue.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Endpoint {
     /// Its name, as in `/v1/endpoints/{name}/`.
     pub name: Name,
@@ -48,10 +47,10 @@
     /// The version that serves when no rollout is under way.
     pub stable: Name,
     /// Its routes.
-    #[serde(default, rename = "route")]
+    #[serde(rename = "route")]
     pub routes: Vec<Route>,
     /// Workspaces that may use it.
-    #[serde(default, rename = "share")]
+    #[serde(rename = "share")]
     pub shares: Vec<Share>,
 }
 
--- a/crates/catalogue/src/finding.rs
+++ b/crates/catalogue/src/finding.rs
@@ -67,6 +67,11 @@
         self.0.insert(index, finding);
     }
 
+    /// Adds a finding at the byte `offset` of `text`.
+    pub fn add(&mut self, severity: Severity, text: &str, offset: usize, message: &str) {
+        self.push(Finding::new(severity, text, offset, message.to_owned()));
+    }
+
     /// Whether the catalogue can't be applied.
     pub fn has_errors(&self) -> bool {
         self.0.iter().any(|finding| finding.severity == Severity::Error)
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -4,18 +4,21 @@
 //! nodes read it with [`Catalogue::parse`], which reports every finding with its place.
 
 pub mod class;
+pub mod diff;
 pub mod document;
 pub mod endpoint;
 pub mod finding;
 pub mod head;
 pub mod limits;
 pub mod price;
+pub mod read;
 pub mod route;
 pub mod share;
 pub mod token;
 pub mod workspace;
 
 pub use class::Class;
+pub use diff::Change;
 pub use document::Catalogue;
 pub use endpoint::{Endpoint, Fencing, Kind};
 pub use finding::{Finding, Findings, Severity};
--- a/crates/catalogue/src/price.rs
+++ b/crates/catalogue/src/price.rs
@@ -5,7 +5,6 @@
 
 /// Price of a class in one availability zone, in the deployment's currency an hour.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Price {
     /// The zone.
     pub zone: Name,
--- /dev/null
+++ b/crates/catalogue/src/read.rs
@@ -0,0 +1,68 @@
+//! Reading a catalogue with every finding at its place.
+//!
+//! The text is parsed into a tree that knows places; each part of the tree is read by a module of its own, which
+//! goes on after a finding, so that one run reports all of them.
+
+mod class;
+mod cursor;
+mod endpoint;
+mod limits;
+mod names;
+mod price;
+mod route;
+mod rule;
+mod share;
+mod workspace;
+
+use base::Name;
+use toml::de::DeTable;
+
+use crate::{Catalogue, Findings, Severity};
+use cursor::Cursor;
+use names::{Kind, Names};
+
+/// What a check found, and the catalogue if it could be read.
+#[derive(Clone, Debug)]
+pub struct Checked {
+    /// The catalogue; none if there are errors.
+    pub catalogue: Option<Catalogue>,
+    /// Errors and warnings.
+    pub findings: Findings,
+}
+
+/// Reads and checks a text.
+pub fn check(text: &str) -> Checked {
+    let mut findings = Findings::new();
+    let (root, errors) = DeTable::parse_recoverable(text);
+    for error in errors {
+        let offset = error.span().map_or(0, |span| span.start);
+        findings.add(Severity::Error, text, offset, error.message());
+    }
+    let mut names = Names::new();
+    let mut cursor = Cursor::new(text, root.get_ref(), root.span().start, &mut findings);
+    let catalogue = document(&mut cursor, &mut names);
+    cursor.finish();
+    names.check(text, &mut findings);
+    let catalogue = catalogue.filter(|_| !findings.has_errors());
+    Checked { catalogue, findings }
+}
+
+fn document(cursor: &mut Cursor<'_>, names: &mut Names) -> Option<Catalogue> {
+    let deployment = cursor.name("deployment");
+    let region = cursor.name("region");
+    let zones = cursor.placed_names("zones");
+    for zone in &zones {
+        names.declare(Kind::Zone, zone);
+    }
+    let workspaces = cursor.tables("workspace", |table| workspace::read(table, names));
+    let classes = cursor.tables("class", |table| class::read(table, names));
+    let endpoints = cursor.tables("endpoint", |table| endpoint::read(table, names));
+    Some(Catalogue {
+        deployment: deployment?,
+        region: region?,
+        zones: zones.into_iter().map(|zone| zone.value).collect::<Vec<Name>>(),
+        workspaces,
+        classes,
+        endpoints,
+    })
+}
--- a/crates/catalogue/src/route.rs
+++ b/crates/catalogue/src/route.rs
@@ -4,7 +4,6 @@
 
 /// A method and path prefix, and whether its requests may be repeated.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Route {
     /// HTTP method, in capitals.
     pub method: String,
@@ -13,7 +12,6 @@
     /// Whether a request that may have run can be run again without harm.
     pub idempotent: bool,
     /// Whether the answer is a stream of events that can be resumed.
-    #[serde(default)]
     pub stream: bool,
 }
 
--- a/crates/catalogue/src/share.rs
+++ b/crates/catalogue/src/share.rs
@@ -5,7 +5,6 @@
 
 /// Which workspace may use an endpoint, and how much of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct Share {
     /// The workspace.
     pub workspace: Name,
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -37,6 +37,9 @@
 /// Span between two ticks; that of the gossip.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Ticks between two askings for a text that is missing.
+const FETCH_TICKS: u32 = 10;
+
 /// Stopped nodes whose heir is remembered.
 const HEIRS: usize = 16_384;
 
@@ -90,6 +93,7 @@
     /// Digests of the generations known.
     digests: IndexMap<Generation, Digest>,
     node: Node,
+    ticks: u32,
     /// Who took the keys of stopped nodes over, oldest first.
     heirs: IndexMap<Incarnation, Incarnation>,
 }
@@ -148,6 +152,7 @@
             checked: IndexMap::new(),
             digests: IndexMap::new(),
             node,
+            ticks: 0,
             heirs: IndexMap::new(),
         })
     }
@@ -230,7 +235,10 @@
         match body {
             Body::Head(head) => {
                 self.digests.insert(head.generation, head.digest);
-                return self.config_step(now, config::Event::Known(head.generation)).await;
+                let mut actions = self.config_step(now, config::Event::Known(head.generation)).await;
+                // NB: the generation may have been known before its digest was: then nobody asked for its text.
+                actions.extend(self.fetch_missing(now));
+                return actions;
             }
             Body::Mark { vm, ended: false } => {
                 let identity = traffic::replica::Identity {
@@ -298,6 +306,11 @@
             self.configure(config::Event::Confirmed(confirmed)).await;
         }
         self.configure(config::Event::Tick).await;
+        self.ticks = self.ticks.wrapping_add(1);
+        if self.ticks.is_multiple_of(FETCH_TICKS) {
+            let actions = self.fetch_missing(now);
+            self.carry_all(now, actions).await;
+        }
         if let Some(generation) = self.config.applied() {
             let serving = self.config.serving(now).is_ok();
             self.step(Event::Applied { generation, serving }).await;
--- a/crates/node/src/actor/members/text.rs
+++ b/crates/node/src/actor/members/text.rs
@@ -51,6 +51,14 @@
         self.gossip.step(now, Event::Fetch(digest))
     }
 
+    /// Asks for the text of the newest generation, if it is known and not applied.
+    pub(super) fn fetch_missing(&mut self, now: Millis) -> Vec<Action> {
+        match self.config.known() {
+            Some(known) if self.config.applied() < Some(known) => self.fetch(now, known),
+            _applied => Vec::new(),
+        }
+    }
+
     /// Takes a text in if a known generation has it.
     pub(super) async fn take_text(&mut self, now: Millis, digest: Digest, bytes: &Bytes) -> Vec<Action> {
         let named = self
--- /dev/null
+++ b/crates/node/tests/members.rs
@@ -0,0 +1,134 @@
+//! The members actor between gossip and the catalogue's text.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Incarnation, Name, Seed};
+use bytes::Bytes;
+use kameo::actor::{ActorRef, Spawn};
+use member::frame::{Confirmed, Message};
+use member::generation::{Digest, Head};
+use member::item::{Body, Item};
+use member::{Frame, Generation, Node};
+use node::actor::members::{Arguments, Gossiped};
+use node::actor::{Members, Rollouts, Traffic, rollouts, traffic};
+use node::clock::Clock;
+use node::serving::Serving;
+use node::snapshot::Snapshot;
+use node::stop::Stop;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+use wire::{Endpoint, Identity, Incoming};
+
+/// Longest wait for a frame that must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn node(incarnation: u64, peer: SocketAddr) -> Node {
+    let name = Name::new(format!("node-{incarnation}"));
+    let [zone, region] = ["zone", "region"].map(Name::from);
+    Node {
+        name,
+        incarnation: Incarnation(incarnation),
+        epoch: 1,
+        peer,
+        caller: peer,
+        zone,
+        region,
+    }
+}
+
+fn members(me: Node, peers: Endpoint) -> ActorRef<Members> {
+    let clock = Clock::new();
+    let (vetoes, _found) = mpsc::channel(1);
+    let (zone, incarnation) = (me.zone.clone(), me.incarnation);
+    let traffic = Traffic::spawn(traffic::Arguments {
+        seed: Seed(1),
+        zone,
+        clock,
+        incarnation,
+        vetoes,
+    });
+    let (_shared, shared) = watch::channel(None);
+    let rollouts = Rollouts::spawn(rollouts::Arguments {
+        incarnation,
+        seed: Seed(2),
+        clock,
+        traffic: traffic.clone(),
+        shared,
+    });
+    Members::spawn(Arguments {
+        node: me,
+        seeds: Vec::new(),
+        seed: Seed(3),
+        clock,
+        peers,
+        traffic,
+        rollouts,
+        snapshot: watch::channel(Arc::new(Snapshot::empty())).0,
+        serving: watch::channel(Serving::asking()).0,
+        stop: Stop::new(),
+        heritage: None,
+        wanted: mpsc::channel(16).0,
+    })
+}
+
+async fn tell(members: &ActorRef<Members>, confirmed: Option<Confirmed>, message: Message) {
+    let frame = Frame {
+        from: Incarnation(2),
+        confirmed,
+        message,
+    };
+    members
+        .tell(Gossiped(Bytes::from(wire::encode(&frame).unwrap())))
+        .await
+        .unwrap();
+}
+
+/// A generation was heard of by a platform answer that a peer passed on, and its digest only later: the text must
+/// be asked for all the same, while the platform is down.
+#[tokio::test]
+async fn text_is_asked_for_when_its_digest_comes_after_its_generation() {
+    let bind = || Endpoint::bind(loopback(), &Identity::new("a secret of the test").unwrap()).unwrap();
+    let (own, _own_incoming) = bind();
+    let (peer, mut incoming) = bind();
+    let members = members(node(1, own.address().unwrap()), own);
+    let other = node(2, peer.address().unwrap());
+    let generation = Generation(1);
+    let confirmed = Some(Confirmed { generation, age: 0 });
+    tell(&members, confirmed, Message::Join(other)).await;
+    // A few ticks, so that the generation is known before its digest is.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let digest = Digest::of(b"text");
+    let body = Body::Head(Head { generation, digest });
+    tell(
+        &members,
+        None,
+        Message::Push(vec![Item {
+            body,
+            age: 0,
+            hops: 0,
+        }]),
+    )
+    .await;
+    let asked = async {
+        loop {
+            let Some(Incoming::Frame {
+                frame: wire::Frame::Gossip(bytes),
+                ..
+            }) = incoming.recv().await
+            else {
+                continue;
+            };
+            let frame: Frame = wire::decode(&bytes).unwrap();
+            if frame.message == Message::Want(digest) {
+                return;
+            }
+        }
+    };
+    timeout(PATIENCE, asked).await.expect("the text is asked for");
+}
