--- /dev/null
+++ b/crates/member/benches/model/net.rs
@@ -0,0 +1,267 @@
+//! A network of many nodes in virtual time, with latency by distance and with loss; counts the bytes on the wire.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Name, Seed};
+use bytes::Bytes;
+use member::frame::Message;
+use member::generation::{Digest, Head};
+use member::gossip::{Action, Event};
+use member::item::Body;
+use member::node::Registration;
+use member::{Frame, Generation, Gossip, Node};
+use rand::RngExt;
+
+/// Time between two ticks of a node, in milliseconds.
+const TICK: u64 = 100;
+/// Bytes reckoned for each frame's UDP, IP and QUIC headers.
+const HEADERS: u64 = 60;
+/// Chance in thousand that a frame is lost.
+const LOSS: u32 = 10;
+/// Bytes of the chunk that each change of the catalogue brings.
+const CHUNK: usize = 2_048;
+/// Time between two reads of the head record by each watcher, in milliseconds.
+const POLL: u64 = 2_000;
+
+/// Bytes by kind of message.
+pub type Bill = indexmap::IndexMap<&'static str, u64>;
+
+pub struct Vm {
+    pub gossip: Gossip,
+    pub node: Node,
+    pub region: usize,
+    pub applied: Generation,
+    pub applied_at: u64,
+    pub bytes: u64,
+    is_watcher: bool,
+    wanted: Generation,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Tick(usize),
+    Arrive { to: usize, slot: usize },
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    at: u64,
+    number: u64,
+    what: What,
+}
+
+pub struct Net {
+    pub now: u64,
+    pub vms: Vec<Vm>,
+    pub head: Generation,
+    pub cut: Option<usize>,
+    pub bill: Bill,
+    pub frames: u64,
+    generator: Generator,
+    due: BinaryHeap<Reverse<Due>>,
+    slots: Vec<Option<Frame>>,
+    free: Vec<usize>,
+    number: u64,
+}
+
+fn chunk(generation: Generation) -> Bytes {
+    let mut bytes = vec![7; CHUNK];
+    bytes[..8].copy_from_slice(&generation.0.to_le_bytes());
+    Bytes::from(bytes)
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::new(
+        IpAddr::V4(Ipv4Addr::new(10, 0, (index >> 8) as u8, index as u8)),
+        7_000,
+    )
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else { return 0 };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) << 8 | usize::from(low)
+}
+
+/// The registration of the node at `index` of a fleet in `zones` zones and `regions` regions.
+pub fn node(index: usize, zones: usize, regions: usize) -> Node {
+    let zone = index % zones;
+    let region = zone % regions;
+    Node {
+        name: Name::new(format!("entry-{index:04}")),
+        incarnation: Incarnation((index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+        epoch: 1,
+        peer: address(index),
+        caller: address(index),
+        zone: Name::new(format!("region-{region}-zone-{zone:02}")),
+        region: Name::new(format!("region-{region}")),
+    }
+}
+
+impl Net {
+    pub fn new(count: usize, zones: usize, regions: usize, seed: u64) -> Self {
+        let nodes: Vec<Node> = (0..count).map(|index| node(index, zones, regions)).collect();
+        let listed: Vec<Registration> = nodes
+            .iter()
+            .map(|node| Registration {
+                node: node.clone(),
+                lapsed: false,
+            })
+            .collect();
+        let mut net = Self {
+            now: 1_000,
+            vms: Vec::new(),
+            head: Generation(1),
+            cut: None,
+            bill: Bill::new(),
+            frames: 0,
+            generator: Seed(seed).generator(),
+            due: BinaryHeap::new(),
+            slots: Vec::new(),
+            free: Vec::new(),
+            number: 0,
+        };
+        for (index, node) in nodes.into_iter().enumerate() {
+            let mut gossip = Gossip::new(node.clone(), Vec::new(), Seed(seed).derive(index as u64));
+            gossip.step(Millis(net.now), Event::Registered(listed.clone()));
+            net.vms.push(Vm {
+                gossip,
+                node,
+                region: index % zones % regions,
+                applied: Generation(0),
+                applied_at: 0,
+                bytes: 0,
+                is_watcher: index < 2 * zones,
+                wanted: Generation(0),
+            });
+            let at = net.now + net.generator.random_range(0..TICK);
+            net.push(at, What::Tick(index));
+        }
+        net
+    }
+
+    fn push(&mut self, at: u64, what: What) {
+        self.number += 1;
+        let number = self.number;
+        self.due.push(Reverse(Due { at, number, what }));
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while let Some(Reverse(due)) = self.due.peek()
+            && due.at < end
+        {
+            let Some(Reverse(due)) = self.due.pop() else {
+                return;
+            };
+            self.now = due.at;
+            match due.what {
+                What::Tick(index) => self.tick(index),
+                What::Arrive { to, slot } => self.arrive(to, slot),
+            }
+        }
+        self.now = end;
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.push(self.now + TICK, What::Tick(index));
+        if self.vms[index].is_watcher && (self.now / TICK + 3 * index as u64).is_multiple_of(POLL / TICK) {
+            self.poll(index);
+        }
+        self.step(index, Event::Tick);
+    }
+
+    fn poll(&mut self, index: usize) {
+        if self.cut == Some(self.vms[index].region) {
+            return;
+        }
+        let generation = self.head;
+        let bytes = chunk(generation);
+        let digest = Digest::of(&bytes);
+        self.step(index, Event::Confirmed(generation));
+        self.step(index, Event::Hold(bytes));
+        self.step(index, Event::Put(Body::Head(Head { generation, digest })));
+    }
+
+    fn arrive(&mut self, to: usize, slot: usize) {
+        let frame = self.slots[slot].take();
+        self.free.push(slot);
+        if let Some(frame) = frame {
+            self.step(to, Event::Receive(frame));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        let bytes = postcard::experimental::serialized_size(&frame).unwrap_or(0) as u64 + HEADERS;
+        *self.bill.entry(kind(&frame.message)).or_default() += bytes;
+        self.frames += 1;
+        self.vms[from].bytes += bytes;
+        self.vms[to].bytes += bytes;
+        let is_cut = |it: usize| self.cut == Some(self.vms[it].region);
+        if is_cut(from) != is_cut(to) || self.generator.random_range(0..1_000) < LOSS {
+            return;
+        }
+        let latency = self.latency(from, to);
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        self.slots[slot] = Some(frame);
+        self.push(self.now + latency, What::Arrive { to, slot });
+    }
+
+    fn latency(&mut self, from: usize, to: usize) -> u64 {
+        let (from, to) = (&self.vms[from].node, &self.vms[to].node);
+        let base = match () {
+            () if from.region != to.region => 60,
+            () if from.zone != to.zone => 2,
+            () => 1,
+        };
+        base + self.generator.random_range(0..=base)
+    }
+
+    fn step(&mut self, index: usize, event: Event) {
+        let actions = self.vms[index].gossip.step(Millis(self.now), event);
+        for action in actions {
+            match action {
+                Action::Send { to, frame } => self.send(index, index_of(to), frame),
+                Action::Learned(Body::Head(head)) => {
+                    self.vms[index].wanted = head.generation;
+                    self.step(index, Event::Fetch(head.digest));
+                }
+                Action::Fetched { bytes, .. } => self.apply(index, &bytes),
+                _ => {}
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, bytes: &[u8]) {
+        let Some(number) = bytes.first_chunk() else { return };
+        let generation = Generation(u64::from_le_bytes(*number));
+        let vm = &mut self.vms[index];
+        if generation <= vm.applied {
+            return;
+        }
+        vm.applied = generation;
+        vm.applied_at = self.now;
+        let serving = true;
+        self.step(index, Event::Applied { generation, serving });
+    }
+}
+
+fn kind(message: &Message) -> &'static str {
+    match message {
+        Message::Join(_) => "join",
+        Message::Heartbeat { .. } => "heartbeat",
+        Message::Push(_) => "push",
+        Message::Sums { .. } => "sums",
+        Message::Differ { .. } => "differ",
+        Message::Delta { .. } => "delta",
+        Message::Want(_) => "want",
+        Message::Chunk(_) => "chunk",
+        Message::Missing(_) => "missing",
+    }
+}
--- /dev/null
+++ b/crates/member/benches/spread.rs
@@ -0,0 +1,176 @@
+//! Time until a change is everywhere, and bytes a node a second, in virtual time; prints a table.
+//!
+//! `cargo bench -p member --bench spread [-- NODES…]`
+
+#[path = "model/net.rs"]
+mod net;
+
+use base::Millis;
+use member::Acks;
+use member::node::State;
+use net::Net;
+
+/// Time between two changes: 12,000 a day.
+const CHANGE: u64 = 7_200;
+const CHANGES: u64 = 10;
+const SEEDS: [u64; 1] = [1];
+
+struct Size {
+    nodes: usize,
+    zones: usize,
+    regions: usize,
+}
+
+const SIZES: [Size; 4] = [
+    Size {
+        nodes: 8,
+        zones: 4,
+        regions: 1,
+    },
+    Size {
+        nodes: 100,
+        zones: 8,
+        regions: 2,
+    },
+    Size {
+        nodes: 500,
+        zones: 23,
+        regions: 6,
+    },
+    Size {
+        nodes: 2_000,
+        zones: 23,
+        regions: 6,
+    },
+];
+
+#[derive(Default)]
+struct Spread {
+    applied: Vec<u64>,
+    in_force: Vec<u64>,
+}
+
+fn main() {
+    let wanted: Vec<usize> = std::env::args().filter_map(|it| it.parse().ok()).collect();
+    println!(
+        "nodes seed | applied everywhere ms p50 max | said in force ms p50 max | B/s a node mean max | frames/s a node"
+    );
+    for size in SIZES
+        .iter()
+        .filter(|it| wanted.is_empty() || wanted.contains(&it.nodes))
+    {
+        for seed in SEEDS {
+            measure(size, seed);
+        }
+    }
+}
+
+fn measure(size: &Size, seed: u64) {
+    let mut net = Net::new(size.nodes, size.zones, size.regions, seed);
+    net.run(20_000);
+    reset(&mut net);
+    let mut spread = Spread::default();
+    for _ in 0..CHANGES {
+        change(&mut net, &mut spread);
+    }
+    let seconds = CHANGES * CHANGE / 1_000;
+    let nodes = net.vms.len() as u64;
+    let total: u64 = net.vms.iter().map(|vm| vm.bytes).sum();
+    let most = net.vms.iter().map(|vm| vm.bytes).max().unwrap_or(0);
+    println!(
+        "{nodes:5} {seed:4} | {:6} {:6} | {:6} {:6} | {:6} {:6} | {:5.1} |",
+        median(&mut spread.applied),
+        spread.applied.iter().max().unwrap_or(&0),
+        median(&mut spread.in_force),
+        spread.in_force.iter().max().unwrap_or(&0),
+        total / nodes / seconds,
+        most / seconds,
+        net.frames as f64 / (nodes * seconds) as f64,
+    );
+    net.bill.sort_by(|_, a, _, b| b.cmp(a));
+    for (kind, bytes) in &net.bill {
+        println!("      {kind:10} {:6} B/s out a node", bytes / nodes / seconds);
+    }
+    if size.regions > 1 {
+        cut(&mut net);
+    }
+}
+
+fn reset(net: &mut Net) {
+    net.bill.clear();
+    net.frames = 0;
+    for vm in &mut net.vms {
+        vm.bytes = 0;
+    }
+}
+
+/// One change, followed until the next is due.
+fn change(net: &mut Net, spread: &mut Spread) {
+    const STEP: u64 = 100;
+    net.head.0 += 1;
+    let start = net.now;
+    let mut in_force = None;
+    while net.now < start + CHANGE {
+        net.run(STEP);
+        let watcher = &net.vms[0].gossip;
+        if in_force.is_none() && Acks::new(watcher.view(), watcher.bodies()).in_force() >= Some(net.head) {
+            in_force = Some(net.now - start);
+        }
+    }
+    let is_applied = net.vms.iter().all(|vm| vm.applied >= net.head);
+    let last = net.vms.iter().map(|vm| vm.applied_at).max().unwrap_or(0);
+    spread
+        .applied
+        .push(if is_applied { last - start } else { u64::MAX });
+    spread.in_force.push(in_force.unwrap_or(u64::MAX));
+}
+
+fn median(values: &mut [u64]) -> u64 {
+    values.sort_unstable();
+    values[values.len() / 2]
+}
+
+/// Cuts one region off, changes the catalogue meanwhile, heals, and follows until all is equal again.
+fn cut(net: &mut Net) {
+    const CUT: u64 = 25_000;
+    const STEP: u64 = 250;
+    const LIMIT: u64 = 60_000;
+    reset(net);
+    net.cut = Some(1);
+    net.head.0 += 1;
+    net.run(CUT);
+    let suspects = states(net, State::Suspect);
+    let bytes: u64 = net.vms.iter().map(|vm| vm.bytes).sum();
+    let nodes = net.vms.len() as u64;
+    println!(
+        "      cut of a region for 25 s: {suspects} suspect at node 0, {} B/s a node",
+        bytes / nodes / (CUT / 1_000)
+    );
+    reset(net);
+    net.cut = None;
+    let start = net.now;
+    let mut applied = None;
+    while net.now < start + LIMIT {
+        net.run(STEP);
+        if applied.is_none() && net.vms.iter().all(|vm| vm.applied >= net.head) {
+            applied = Some(net.now - start);
+        }
+        let are_alive = |vm: &net::Vm| vm.gossip.view().present().all(|it| it.state() == State::Alive);
+        if applied.is_some() && net.vms.iter().all(are_alive) {
+            break;
+        }
+    }
+    let spent = net.now - start;
+    let bytes: u64 = net.vms.iter().map(|vm| vm.bytes).sum();
+    let most = net.vms.iter().map(|vm| vm.bytes).max().unwrap_or(0);
+    println!(
+        "      healed: applied everywhere after {applied:?} ms, all alive everywhere after {spent} ms, {} B a node, most {most} B, majority {}",
+        bytes / nodes,
+        net.vms[0].gossip.reach(Millis(net.now)).is_majority(),
+    );
+}
+
+fn states(net: &Net, state: State) -> usize {
+    let view = net.vms[0].gossip.view();
+    view.present().filter(|it| it.state() == state).count()
+}
--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -6,122 +6,24 @@
 //! the known nodes either. A node that was out of contact for so long that it may have been declared gone takes itself
 //! for gone: it is never in doubt whether a gone node serves.
 
-use std::fmt;
+mod event;
+mod refusal;
+mod settings;
 
 use base::Millis;
 
+pub use event::{Action, Event};
+pub use refusal::Refusal;
+pub use settings::Settings;
+
 use crate::Generation;
 use crate::frame::Confirmed;
 use crate::gossip::Reach;
 use crate::moment::Moment;
 
-/// Periods and bounds of [`Config`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// Lifetime of the node's registration; a gap between steps of this length is a pause.
-    pub registration: Millis,
-    /// A node that could be behind for longer than this refuses new work.
-    pub bound: Millis,
-    /// Wait at the start after a peer's answer, so that the peers know this node before it serves.
-    pub settle: Millis,
-    /// A node out of contact for this long takes itself for gone.
-    ///
-    /// NB: together with the span within which a zone counts as heard of, this stays below the span after which a
-    /// silent node is suspect and then gone.
-    pub fence_after: Millis,
-    /// Time between two askings.
-    pub ask: Millis,
-}
-
-impl Settings {
-    /// The standard settings.
-    pub const fn new() -> Self {
-        Self {
-            registration: Millis::from_secs(10),
-            bound: Millis::from_secs(15),
-            settle: Millis::from_secs(2),
-            fence_after: Millis::from_secs(15),
-            ask: Millis(500),
-        }
-    }
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-/// Something that happened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// Time passes; expected several times a second.
-    Tick,
-    /// Somebody told of this generation.
-    Known(Generation),
-    /// The body of this generation is here and has passed its checks.
-    Fetched(Generation),
-    /// The platform answered this node with the generation of the head record.
-    Platform(Generation),
-    /// The platform renewed this node's registration.
-    Renewed,
-    /// A peer told all it holds; it serves with this generation, or serves no new work.
-    Peer(Option<Generation>),
-    /// The platform's newest answer to anyone, as far as it is known here.
-    Confirmed(Confirmed),
-    /// How much of the fleet is in reach.
-    Reach(Reach),
-    /// This incarnation was declared gone.
-    Fenced,
-}
-
-/// Something to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Ask the platform for the head record, and peers for what they hold.
-    Ask,
-    /// Fetch the body of this generation, from a peer or from the platform.
-    Fetch(Generation),
-    /// Put this generation in force.
-    Apply(Generation),
-    /// This incarnation may have been declared gone: end it and start a new one.
-    Fence,
-}
-
 /// The actions of one step.
 pub type Actions = Vec<Action>;
 
-/// Why a node serves no new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// No generation has been applied yet.
-    Empty,
-    /// The node has started, or woken from a pause, and has no answer yet.
-    Asking,
-    /// A newer generation is known and is not applied yet.
-    Behind,
-    /// Neither an answer of the platform nor more than half of the nodes are in reach.
-    CutOff,
-    /// This incarnation was declared gone.
-    Fenced,
-}
-
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Empty => "no catalogue has been applied on this node yet; ask another node",
-            Self::Asking => "this node is asking whether its catalogue is the newest; ask another node",
-            Self::Behind => {
-                "this node knows of a newer catalogue and has not applied it yet; ask another node"
-            }
-            Self::CutOff => "this node reaches neither the platform nor most nodes; ask another node",
-            Self::Fenced => "this node was declared gone and must be restarted; ask another node",
-        })
-    }
-}
-
-impl std::error::Error for Refusal {}
-
 /// How far the asking at the start or after a pause has got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Asked {
--- /dev/null
+++ b/crates/member/src/config/settings.rs
@@ -0,0 +1,40 @@
+//! Periods and bounds of the configuration.
+
+use base::Millis;
+
+/// Periods and bounds of [`Config`](crate::Config).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Lifetime of the node's registration; a gap between steps of this length is a pause.
+    pub registration: Millis,
+    /// A node that could be behind for longer than this refuses new work.
+    pub bound: Millis,
+    /// Wait at the start after a peer's answer, so that the peers know this node before it serves.
+    pub settle: Millis,
+    /// A node out of contact for this long takes itself for gone.
+    ///
+    /// NB: together with the span within which a zone counts as heard of, this stays below the span after which a
+    /// silent node is suspect and then gone.
+    pub fence_after: Millis,
+    /// Time between two askings.
+    pub ask: Millis,
+}
+
+impl Settings {
+    /// The standard settings.
+    pub const fn new() -> Self {
+        Self {
+            registration: Millis::from_secs(10),
+            bound: Millis::from_secs(15),
+            settle: Millis::from_secs(2),
+            fence_after: Millis::from_secs(15),
+            ask: Millis(500),
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -15,7 +15,9 @@
 
 mod health;
 mod peers;
+mod reach;
 mod settings;
+mod spread;
 mod store;
 mod watch;
 
@@ -25,6 +27,7 @@
 
 pub use action::Action;
 pub use event::Event;
+pub use reach::Reach;
 pub use settings::Settings;
 
 use self::chunks::Chunks;
@@ -36,31 +39,12 @@
 use crate::frame::{Confirmed, Frame, Message};
 use crate::generation::Head;
 use crate::item::{Body, Item, Key, Status, Vm};
-use crate::moment::Moment;
 use crate::node::Node;
 use crate::view::View;
 
 /// The actions of one step.
 pub type Actions = Vec<Action>;
 
-/// How much of the fleet is in reach.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Reach {
-    /// Nodes that are neither gone nor suspect, in zones that were heard of lately; the own node among them.
-    pub reachable: usize,
-    /// Nodes that are not gone.
-    pub known: usize,
-}
-
-impl Reach {
-    /// Whether more than half of the known nodes are in reach.
-    ///
-    /// Two parts of a fleet that can't reach each other are never both a majority.
-    pub const fn is_majority(self) -> bool {
-        self.reachable * 2 > self.known
-    }
-}
-
 /// One node's part in spreading items and in keeping the view.
 #[derive(Clone, Debug)]
 pub struct Gossip {
@@ -87,6 +71,8 @@
     applied: IndexMap<Incarnation, Generation>,
     own_applied: Option<Generation>,
     serving: bool,
+    /// Number of times that the applied generation will be reported again soon.
+    repeats: u8,
     /// Items to push with the next tick.
     outbox: Vec<Item>,
     /// Whether the view has changed since peers and watches were computed.
@@ -102,6 +88,7 @@
     exchange: Millis,
     report: Millis,
     expiry: Millis,
+    majority: Millis,
     collect: Millis,
 }
 
@@ -132,6 +119,7 @@
             applied: IndexMap::new(),
             own_applied: None,
             serving: false,
+            repeats: 0,
             outbox: Vec::new(),
             stale: true,
             fenced: false,
@@ -281,7 +269,7 @@
             return;
         }
         if let Message::Join(node) = &message {
-            self.learn_node(now, node, actions);
+            self.learn_node(now, node, self.settings.hops, actions);
         }
         if let Some(confirmed) = confirmed {
             self.fresh
@@ -317,55 +305,6 @@
         }
     }
 
-    fn put(&mut self, now: Millis, body: Body, actions: &mut Actions) {
-        self.take(now, Moment::at(now), self.settings.hops, body, actions);
-    }
-
-    fn take_all(&mut self, now: Millis, items: Vec<Item>, actions: &mut Actions) {
-        for item in items {
-            let put = Moment::ago(now, u64::from(item.age));
-            self.take(now, put, item.hops, item.body, actions);
-        }
-    }
-
-    /// Takes one body if it is news, and lines it up to be pushed on.
-    fn take(&mut self, now: Millis, put: Moment, hops: u8, body: Body, actions: &mut Actions) {
-        if !self.store.is_news(&body) || expiry::is_stale(now, put, &body) || !self.has_room(&body) {
-            return;
-        }
-        if let Body::Status(status) = &body
-            && !self.take_status(now, status, actions)
-        {
-            return;
-        }
-        // NB: taking a state may have ended the same node.
-        if !self.store.is_news(&body) {
-            return;
-        }
-        self.store.insert(put, body.clone());
-        if hops > 0 {
-            let age = put.short_age(now);
-            let hops = hops - 1;
-            let body = body.clone();
-            self.outbox.push(Item { body, age, hops });
-        }
-        actions.push(Action::Learned(body));
-    }
-
-    /// Pushes what is new to a few peers.
-    fn flush(&mut self, now: Millis, actions: &mut Actions) {
-        if self.outbox.is_empty() {
-            return;
-        }
-        let items = std::mem::take(&mut self.outbox);
-        let targets = self.peers.pick_many(self.settings.fan_out, &mut self.generator);
-        for chunk in items.chunks(exchange::items_a_frame(self.settings.frame_bytes)) {
-            for peer in &targets {
-                self.send(now, *peer, Message::Push(chunk.to_vec()), actions);
-            }
-        }
-    }
-
     /// Computes peers and watches anew after the view has changed.
     fn refresh(&mut self, now: Millis) {
         if !self.stale {
--- a/crates/member/src/gossip/ending.rs
+++ b/crates/member/src/gossip/ending.rs
@@ -11,10 +11,13 @@
 use super::{Actions, Gossip};
 use crate::frame::Message;
 use crate::item::{Body, Key, Status, Vm};
+use crate::moment::Moment;
 use crate::node::{Node, Registration, State};
 
 /// Most incarnations remembered as gone; the oldest are dropped beyond.
 const ENDED: usize = 65_536;
+/// Time between two counts of the nodes in reach.
+const MAJORITY: Millis = Millis(500);
 /// Most goodbyes sent directly.
 const GOODBYES: usize = 8;
 
@@ -58,7 +61,8 @@
     }
 
     /// Takes a node from its introduction or from the platform's list, unless it is known.
-    pub(super) fn learn_node(&mut self, now: Millis, node: &Node, actions: &mut Actions) {
+    /// It is pushed on `hops` times; what all watchers read need not be.
+    pub(super) fn learn_node(&mut self, now: Millis, node: &Node, hops: u8, actions: &mut Actions) {
         if self.view.find(node.incarnation).is_some() || self.ended.contains(&node.incarnation) {
             return;
         }
@@ -69,13 +73,13 @@
             suspect: false,
             gone: false,
         };
-        self.put(now, Body::Status(status), actions);
+        self.take(now, Moment::at(now), hops, Body::Status(status), actions);
     }
 
     /// Takes the platform's list of registrations.
     pub(super) fn registered(&mut self, now: Millis, listed: &[Registration], actions: &mut Actions) {
         for it in listed {
-            self.learn_node(now, &it.node, actions);
+            self.learn_node(now, &it.node, 0, actions);
         }
         let listed = listed.iter().filter(|it| !it.lapsed);
         let listed: IndexSet<Incarnation> = listed.map(|it| it.node.incarnation).collect();
@@ -92,6 +96,10 @@
     pub(super) fn check_majority(&mut self, now: Millis) {
         let has_paused = now.since(self.last_tick) > self.settings.suspect_after;
         self.last_tick = now;
+        if !has_paused && now < self.timers.majority {
+            return;
+        }
+        self.timers.majority = now + MAJORITY;
         if has_paused || !self.reach(now).is_majority() {
             self.majority = None;
             return;
--- a/crates/member/src/gossip/health.rs
+++ b/crates/member/src/gossip/health.rs
@@ -11,6 +11,10 @@
 
 /// Least time between two counts of the own zone.
 const COLLECT: Millis = Millis(500);
+/// Number of times that a newly applied generation is reported again, in case a report is lost.
+const REPEATS: u8 = 2;
+/// Time between these.
+const REPEAT: Millis = Millis(1_000);
 /// Age at which an unchanged count is told again, before it expires.
 const RETELL: Millis = Millis::from_secs(25);
 
@@ -60,7 +64,9 @@
         if now < self.timers.report {
             return;
         }
-        self.timers.report = now + self.settings.report;
+        let is_repeat = self.repeats > 0;
+        self.repeats = self.repeats.saturating_sub(1);
+        self.timers.report = now + if is_repeat { REPEAT } else { self.settings.report };
         self.send_heartbeats(now, &self.watch.collectors, actions);
     }
 
@@ -77,6 +83,7 @@
         if self.own_applied < Some(generation) {
             self.own_applied = Some(generation);
             self.timers.report = now;
+            self.repeats = REPEATS;
         }
         self.serving = serving;
     }
--- /dev/null
+++ b/crates/member/src/gossip/spread.rs
@@ -0,0 +1,59 @@
+//! New items: taken once, and pushed on with the next tick.
+
+use base::Millis;
+
+use super::{Action, Actions, Gossip, exchange, expiry};
+use crate::frame::Message;
+use crate::item::{Body, Item};
+use crate::moment::Moment;
+
+impl Gossip {
+    pub(super) fn put(&mut self, now: Millis, body: Body, actions: &mut Actions) {
+        self.take(now, Moment::at(now), self.settings.hops, body, actions);
+    }
+
+    pub(super) fn take_all(&mut self, now: Millis, items: Vec<Item>, actions: &mut Actions) {
+        for item in items {
+            let put = Moment::ago(now, u64::from(item.age));
+            self.take(now, put, item.hops, item.body, actions);
+        }
+    }
+
+    /// Takes one body if it is news, and lines it up to be pushed on.
+    pub(super) fn take(&mut self, now: Millis, put: Moment, hops: u8, body: Body, actions: &mut Actions) {
+        if !self.store.is_news(&body) || expiry::is_stale(now, put, &body) || !self.has_room(&body) {
+            return;
+        }
+        if let Body::Status(status) = &body
+            && !self.take_status(now, status, actions)
+        {
+            return;
+        }
+        // NB: taking a state may have ended the same node.
+        if !self.store.is_news(&body) {
+            return;
+        }
+        self.store.insert(put, body.clone());
+        if hops > 0 {
+            let age = put.short_age(now);
+            let hops = hops - 1;
+            let body = body.clone();
+            self.outbox.push(Item { body, age, hops });
+        }
+        actions.push(Action::Learned(body));
+    }
+
+    /// Pushes what is new to a few peers.
+    pub(super) fn flush(&mut self, now: Millis, actions: &mut Actions) {
+        if self.outbox.is_empty() {
+            return;
+        }
+        let items = std::mem::take(&mut self.outbox);
+        let targets = self.peers.pick_many(self.settings.fan_out, &mut self.generator);
+        for chunk in items.chunks(exchange::items_a_frame(self.settings.frame_bytes)) {
+            for peer in &targets {
+                self.send(now, *peer, Message::Push(chunk.to_vec()), actions);
+            }
+        }
+    }
+}
--- a/crates/member/src/role.rs
+++ b/crates/member/src/role.rs
@@ -8,6 +8,7 @@
 mod rank;
 mod record;
 mod settings;
+mod state;
 
 use base::seed::Generator;
 use base::{Incarnation, Millis, Seed};
@@ -18,34 +19,11 @@
 pub use record::{Fence, Lease, Observed, Record, Revision, Write};
 pub use settings::Settings;
 
+use self::state::{Holding, Own, Pending, Vacant};
+
 /// The actions of one step.
 pub type Actions = Vec<Action>;
 
-/// A role that is held.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Holding {
-    fence: Fence,
-    lease: Lease,
-    from: Millis,
-}
-
-/// A swap that is not settled yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Pending {
-    record: Record,
-    /// Whether the wait of a new holder is due if it took effect.
-    wait_out: Millis,
-    sent: Millis,
-    lost: bool,
-}
-
-/// The own lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Own {
-    lease: Lease,
-    until: Millis,
-}
-
 /// One role as one node sees it.
 #[derive(Clone, Debug)]
 pub struct Role {
@@ -68,12 +46,6 @@
     freeing: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Vacant {
-    observed: Option<Observed>,
-    since: Millis,
-}
-
 impl Role {
     /// A role that `me` may take up.
     pub fn new(me: Incarnation, seed: Seed, settings: Settings) -> Self {
--- /dev/null
+++ b/crates/member/tests/cases.rs
@@ -0,0 +1,218 @@
+//! Tables of cases: counts of zones, the end of nodes, ranks and address lists.
+
+use std::net::SocketAddr;
+
+use base::{Incarnation, Millis, Name, Seed};
+use member::address::{Caller, List, Settings};
+use member::frame::Message;
+use member::gossip::Event;
+use member::item::{Applied, Body, Item, Status};
+use member::node::{Registration, State};
+use member::{Acks, Frame, Generation, Gossip, Node, role};
+
+fn node(number: u64, zone: &str) -> Node {
+    let address = SocketAddr::from(([127, 0, 0, 1], number as u16));
+    Node {
+        name: Name::new(format!("node-{number}")),
+        incarnation: Incarnation(number),
+        epoch: 1,
+        peer: address,
+        caller: address,
+        zone: Name::new(zone),
+        region: Name::new("region"),
+    }
+}
+
+/// A node in zone `a` that knows of `others`.
+fn gossip(others: &[Node]) -> Gossip {
+    let mut gossip = Gossip::new(node(1, "a"), Vec::new(), Seed(1));
+    let listed = others.iter().map(|it| Registration {
+        node: it.clone(),
+        lapsed: false,
+    });
+    gossip.step(Millis(1), Event::Registered(listed.collect()));
+    gossip
+}
+
+fn status(node: Node, leaving: bool, suspect: bool, gone: bool) -> Body {
+    Body::Status(Status {
+        node,
+        beat: 1,
+        leaving,
+        suspect,
+        gone,
+    })
+}
+
+struct Count {
+    nodes: u32,
+    sum: u64,
+    generation: u64,
+    in_force: u64,
+}
+
+const COUNTS: [Count; 4] = [
+    Count {
+        nodes: 2,
+        sum: 3,
+        generation: 9,
+        in_force: 9,
+    },
+    Count {
+        nodes: 1,
+        sum: 1,
+        generation: 9,
+        in_force: 0,
+    },
+    Count {
+        nodes: 2,
+        sum: 4,
+        generation: 9,
+        in_force: 0,
+    },
+    Count {
+        nodes: 3,
+        sum: 3,
+        generation: 9,
+        in_force: 0,
+    },
+];
+
+#[test]
+fn a_count_speaks_only_for_the_nodes_it_covers() {
+    for case in COUNTS {
+        let mut gossip = gossip(&[node(2, "a")]);
+        let applied = Applied {
+            region: Name::new("region"),
+            zone: Name::new("a"),
+            generation: Generation(case.generation),
+            nodes: case.nodes,
+            sum: case.sum,
+            version: 1,
+        };
+        let collector = Incarnation(2);
+        gossip.step(Millis(2), Event::Put(Body::Applied { collector, applied }));
+        let acks = Acks::new(gossip.view(), gossip.bodies());
+        assert_eq!(acks.in_force(), Some(Generation(case.in_force)));
+        let is_missing = case.in_force < case.generation;
+        assert_eq!(!acks.missing(Generation(case.generation)).is_empty(), is_missing);
+    }
+}
+
+#[test]
+fn a_gone_incarnation_stays_gone_after_its_items_have_expired() {
+    let mut gossip = gossip(&[node(2, "a")]);
+    gossip.step(Millis(10), Event::Ended(Incarnation(2)));
+    assert_eq!(
+        gossip
+            .view()
+            .member(Incarnation(2))
+            .map(member::view::Member::state),
+        Some(State::Gone)
+    );
+    let late = Millis::from_secs(1_200);
+    gossip.step(late, Event::Tick);
+    assert!(gossip.view().member(Incarnation(2)).is_none(), "forgotten");
+    let item = Item {
+        body: status(node(2, "a"), false, false, false),
+        age: 0,
+        hops: 1,
+    };
+    let frame = Frame {
+        from: Incarnation(3),
+        confirmed: None,
+        message: Message::Push(vec![item]),
+    };
+    let actions = gossip.step(late, Event::Receive(frame));
+    assert_eq!(actions, Vec::new());
+    assert!(gossip.view().member(Incarnation(2)).is_none());
+}
+
+#[test]
+fn a_later_incarnation_of_a_name_ends_the_earlier() {
+    let mut gossip = gossip(&[node(2, "a")]);
+    let mut later = node(2, "a");
+    later.incarnation = Incarnation(20);
+    later.epoch = 2;
+    gossip.step(Millis(5), Event::Put(status(later, false, false, false)));
+    let state = |it: u64| {
+        gossip
+            .view()
+            .member(Incarnation(it))
+            .map(member::view::Member::state)
+    };
+    assert_eq!(state(2), Some(State::Gone));
+    assert_eq!(state(20), Some(State::Alive));
+}
+
+#[test]
+fn ranks_are_a_permutation_and_differ_by_role() {
+    let candidates: Vec<Incarnation> = (1..=6).map(Incarnation).collect();
+    let ranks = |name: &str| -> Vec<Option<usize>> {
+        let rank = |me: &Incarnation| role::rank(&Name::new(name), *me, candidates.clone());
+        candidates.iter().map(rank).collect()
+    };
+    let mut sorted = ranks("rollout/a");
+    sorted.sort_unstable();
+    assert_eq!(sorted, (0..6).map(Some).collect::<Vec<_>>());
+    assert_ne!(ranks("rollout/a"), ranks("rollout/b"));
+    assert_eq!(role::rank(&Name::new("x"), Incarnation(9), candidates), None);
+}
+
+struct Listing {
+    /// Zone, leaving and suspect of the nodes from number 2.
+    others: &'static [(&'static str, bool, bool)],
+    /// The zones expected, best first.
+    zones: &'static [&'static str],
+    short: bool,
+}
+
+const LISTINGS: [Listing; 4] = [
+    Listing {
+        others: &[("a", false, false), ("b", false, false)],
+        zones: &["a", "a", "b"],
+        short: false,
+    },
+    Listing {
+        others: &[("a", true, false), ("b", false, true), ("c", false, false)],
+        zones: &["a", "c"],
+        short: true,
+    },
+    Listing {
+        others: &[("a", true, false), ("a", true, false), ("b", false, false)],
+        zones: &["b", "a"],
+        short: true,
+    },
+    Listing {
+        others: &[
+            ("a", false, false),
+            ("a", false, false),
+            ("a", false, false),
+            ("b", false, false),
+        ],
+        zones: &["a", "a", "b"],
+        short: false,
+    },
+];
+
+#[test]
+fn address_lists() {
+    for case in LISTINGS {
+        let mut gossip = gossip(&[]);
+        for (number, (zone, leaving, suspect)) in (2..).zip(case.others) {
+            let body = status(node(number, zone), *leaving, *suspect, false);
+            gossip.step(Millis(2), Event::Put(body));
+        }
+        let caller = Caller {
+            region: Name::new("region"),
+            zone: Name::new("a"),
+            seed: Seed(3),
+        };
+        let mut settings = Settings::new();
+        settings.most = 3;
+        let list = List::new(gossip.view(), &indexmap::IndexMap::new(), &caller, &settings);
+        let zones: Vec<&str> = list.addresses.iter().map(|it| it.zone.as_str()).collect();
+        assert_eq!(zones, case.zones);
+        assert_eq!(list.lifetime <= settings.short_lifetime, case.short);
+    }
+}
--- a/crates/member/tests/model/fleet.rs
+++ b/crates/member/tests/model/fleet.rs
@@ -263,7 +263,11 @@
                     self.watch(index);
                 }
             }
-            config::Action::Fetch(generation) => self.configure(index, config::Event::Fetched(generation)),
+            config::Action::Fetch(generation) => {
+                self.configure(index, config::Event::Fetched(generation));
+                // An earlier generation whose fetch comes late.
+                self.configure(index, config::Event::Fetched(Generation(generation.0 / 2)));
+            }
             config::Action::Apply(generation) => {
                 self.vms[index].applied.push(generation);
                 self.tell_applied(index);
--- a/crates/member/tests/role.rs
+++ b/crates/member/tests/role.rs
@@ -11,7 +11,7 @@
 /// Lifetime of a lease at the platform, in true time.
 const LEASE: u64 = 10_000;
 const RENEWAL: u64 = 3_000;
-const LONGEST_ORDER: u64 = 1_500;
+const LONGEST_ORDER: u64 = 6_000;
 
 /// Kind, candidate and amount of one step of a schedule.
 type Step = (u8, u8, u8);
@@ -111,6 +111,8 @@
     }
 
     fn work(&mut self, index: usize) {
+        // A process that wakes may send an order before it is stepped.
+        self.act(index);
         for event in std::mem::take(&mut self.candidates[index].inbox) {
             self.step(index, event);
         }
@@ -120,6 +122,10 @@
         }
         self.step(index, Event::Rank(Some(index)));
         self.step(index, Event::Tick);
+        self.act(index);
+    }
+
+    fn act(&mut self, index: usize) {
         let candidate = &self.candidates[index];
         if let Some(fence) = candidate.role.may_act(candidate.clock(self.now)) {
             self.order(fence);
