Take a stream's KV cache along when its replica leaves with notice

Cause: a noticed replica's streams ran until the VM died, and were then computed again from the first token of the lease file. Ruled out: waiting for streams to end within the notice (notices are seconds, streams are longer). Change: on the mark each stream's driver exports the cache, again every 100 ms while it is refused, and goes on elsewhere with the import; a cut by a leaving VM is no evidence against a version.

--- a/crates/node/src/actor/traffic.rs
+++ b/crates/node/src/actor/traffic.rs
@@ -77,6 +77,7 @@
 #[derive(Clone, Debug)]
 struct Flight {
     call: CallKey,
+    replica: ReplicaKey,
     started: Millis,
     evidence: Option<Version>,
 }
@@ -182,6 +183,7 @@
             dispatch.id,
             Flight {
                 call: dispatch.call,
+                replica: dispatch.replica,
                 started,
                 evidence,
             },
--- a/crates/node/src/actor/traffic/arrive.rs
+++ b/crates/node/src/actor/traffic/arrive.rs
@@ -115,7 +115,12 @@
         self.step(Event::Finished { dispatch, finish });
         let Some(flight) = flight else { return };
         let Some(version) = flight.evidence else { return };
-        let failed = server_error || speaks_against(finish);
+        let identity = self.keys.get(&flight.replica);
+        let leaves = identity
+            .and_then(|it| self.replicas.get(it))
+            .is_none_or(|replica| replica.leaving);
+        // NB: what a leaving VM cuts says nothing about its version.
+        let failed = server_error || (speaks_against(finish) && !leaves);
         self.evidence_ended(version, flight.started, failed);
     }
 }
--- a/crates/node/src/actor/traffic/order.rs
+++ b/crates/node/src/actor/traffic/order.rs
@@ -46,6 +46,8 @@
     Dispatch(Target),
     /// Give the dispatch up.
     Cancel(DispatchId),
+    /// The replica of this dispatch leaves: take along what it can give.
+    Leaving(DispatchId),
     /// The answer of this dispatch stands; the request has ended.
     Answered(DispatchId),
     /// The request has ended without an answer.
--- a/crates/node/src/actor/traffic/replica.rs
+++ b/crates/node/src/actor/traffic/replica.rs
@@ -7,7 +7,7 @@
 use kameo::message::{Context, Message};
 use route::{Event, ReplicaKey, replica};
 
-use super::Traffic;
+use super::{Order, Traffic};
 use crate::hash;
 
 /// One run of one VM.
@@ -105,8 +105,15 @@
 
 impl Traffic {
     fn leave(&mut self, key: Option<ReplicaKey>) {
-        if let Some(replica) = key {
-            self.step(Event::ReplicaLeaving { replica });
+        let Some(replica) = key else { return };
+        self.step(Event::ReplicaLeaving { replica });
+        let flights = self
+            .flights
+            .iter()
+            .filter(|(_id, flight)| flight.replica == replica);
+        let orders: Vec<_> = flights.map(|(id, flight)| (flight.call, *id)).collect();
+        for (call, dispatch) in orders {
+            self.order(Some(call), Order::Leaving(dispatch));
         }
     }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod driver;
+pub mod export;
 pub mod header;
 pub mod outgoing;
 pub mod part;
@@ -9,6 +10,7 @@
 pub mod whole;
 
 pub use driver::{Driver, End};
+pub use export::Export;
 pub use outgoing::Outgoing;
 pub use part::{Part, Token};
 pub use whole::Whole;
--- a/crates/node/src/dispatch/attempt.rs
+++ b/crates/node/src/dispatch/attempt.rs
@@ -7,7 +7,7 @@
 use reqwest::Response;
 use route::failure::{Failure, Kind};
 
-use super::{Outgoing, Whole, header};
+use super::{Export, Outgoing, Whole, header};
 use crate::actor::traffic::Target;
 use crate::shared::Shared;
 
@@ -18,8 +18,15 @@
 const NOT_RUN: &str = "not-run";
 
 /// Sends the request; answers once the head of a matching answer is there.
-pub async fn send(shared: &Shared, outgoing: &Outgoing, target: &Target) -> Result<Response, Failure> {
-    let dispatch = format!("{}-{}", shared.incarnation, target.dispatch.0);
+///
+/// `import` is the KV cache that the replica before exported, for a stream that goes on here.
+pub async fn send(
+    shared: &Shared,
+    outgoing: &Outgoing,
+    target: &Target,
+    import: Option<&Export>,
+) -> Result<Response, Failure> {
+    let dispatch = header::dispatch(shared.incarnation, target.dispatch);
     let url = format!("{}{}", target.url, outgoing.path);
     let mut request = shared
         .http
@@ -28,7 +35,7 @@
         .header(header::DISPATCH, &dispatch)
         .header(header::REQUEST_ID, &outgoing.request_id)
         .header(header::WORKSPACE, outgoing.workspace.as_str())
-        .body(outgoing.body_after(target.delivered));
+        .body(outgoing.body_after(target.delivered, import));
     if let Some(key) = &outgoing.key {
         request = request.header(header::KEY, key);
     }
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -1,17 +1,22 @@
 //! Drives one request: carries out the router's orders until the request has ended.
 
+use std::time::Duration;
+
 use route::event::Finish;
 use route::failure::{Failure, Kind};
 use route::{CallKey, DispatchId, Refusal};
 use tokio::sync::mpsc;
 
 use super::stream::{Relay, Relayed};
-use super::{Outgoing, Part, Whole, attempt};
+use super::{Export, Outgoing, Part, Whole, attempt, export};
 use crate::actor::claims::{self, Keyed};
 use crate::actor::traffic::arrive::{Arrive, Began, Cancelled, Finished};
 use crate::actor::traffic::{Order, Target};
 use crate::shared::Shared;
 
+/// Pause before a leaving replica is asked again for a stream's KV cache.
+const EXPORT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Orders that wait for one driver.
 const ORDERS: usize = 16;
 
@@ -57,6 +62,8 @@
     delivered: u32,
     granted: bool,
     began: bool,
+    /// KV cache that a leaving replica gave along.
+    import: Option<Export>,
 }
 
 impl Driver {
@@ -86,6 +93,7 @@
             delivered,
             granted: false,
             began: false,
+            import: None,
         })
     }
 
@@ -126,7 +134,7 @@
                     }
                 },
                 // The dispatch has ended already.
-                Order::Cancel(_dispatch) => {}
+                Order::Cancel(_dispatch) | Order::Leaving(_dispatch) => {}
                 Order::Answered(_dispatch) => return whole.map_or(End::Streamed, End::Whole),
                 Order::Refuse(refusal) => return self.refused(refusal).await,
             }
@@ -172,7 +180,7 @@
         let outgoing = self.outgoing.clone();
         let idle = outgoing.idle;
         let exchange = async {
-            let response = attempt::send(&shared, &outgoing, target).await?;
+            let response = attempt::send(&shared, &outgoing, target, None).await?;
             let _gone = shared.traffic.tell(Began(target.dispatch)).await;
             attempt::read(response, target, idle).await
         };
@@ -186,10 +194,17 @@
     }
 
     async fn stream(&mut self, target: &Target, parts: &mpsc::Sender<Part>) -> Tried {
+        let import = self.import.take();
         let response = tokio::select! {
-            sent = attempt::send(&self.shared, &self.outgoing, target) => sent,
+            sent = attempt::send(&self.shared, &self.outgoing, target, import.as_ref()) => sent,
             () = parts.closed() => return Tried::CallerGone,
-            () = cancelled(&mut self.orders, target.dispatch) => return failed(Kind::Cancelled, true),
+            export = left(&self.shared, &mut self.orders, target) => {
+                if export.is_none() {
+                    return failed(Kind::Cancelled, true);
+                }
+                self.import = export;
+                return Tried::Ended(Finish::Cut { tokens: 0 }, None);
+            }
         };
         let response = match response {
             Ok(response) => response,
@@ -230,7 +245,10 @@
         let relayed = tokio::select! {
             relayed = relay.run(response) => relayed,
             () = parts.closed() => Relayed::CallerGone,
-            () = cancelled(&mut self.orders, target.dispatch) => Relayed::Cut,
+            export = left(&self.shared, &mut self.orders, target) => {
+                self.import = export;
+                Relayed::Cut
+            }
         };
         self.delivered = relay.expected;
         match relayed {
@@ -268,6 +286,30 @@
     }
 }
 
+/// Waits until the router gives this stream up, or its replica leaves and has given its KV cache along.
+///
+/// A stream that the engine has not begun can't be exported yet, so a leaving replica is asked again and again; the
+/// stream goes on there meanwhile.
+async fn left(shared: &Shared, orders: &mut mpsc::Receiver<Order>, target: &Target) -> Option<Export> {
+    let mut leaving = false;
+    loop {
+        let order = tokio::select! {
+            order = orders.recv() => order?,
+            () = tokio::time::sleep(EXPORT_PAUSE), if leaving => Order::Leaving(target.dispatch),
+        };
+        match order {
+            Order::Cancel(id) if id == target.dispatch => return None,
+            Order::Leaving(id) if id == target.dispatch => {
+                leaving = true;
+                if let Some(export) = export::fetch(shared, target).await {
+                    return Some(export);
+                }
+            }
+            _other => {}
+        }
+    }
+}
+
 /// Waits until the router gives this dispatch up. Other orders can't come while it runs.
 async fn cancelled(orders: &mut mpsc::Receiver<Order>, dispatch: DispatchId) {
     loop {
--- a/crates/node/src/dispatch/header.rs
+++ b/crates/node/src/dispatch/header.rs
@@ -1,6 +1,8 @@
 //! Names of header fields, and which fields cross the system.
 
+use base::Incarnation;
 use http::{HeaderMap, HeaderName, HeaderValue};
+use route::DispatchId;
 
 /// Id of one sending; replicas echo it.
 pub const DISPATCH: HeaderName = HeaderName::from_static("bilberrylatch-dispatch");
@@ -70,6 +72,11 @@
         .collect()
 }
 
+/// Value of the dispatch field: unique among all nodes and their runs.
+pub fn dispatch(incarnation: Incarnation, dispatch: DispatchId) -> String {
+    format!("{incarnation}-{}", dispatch.0)
+}
+
 /// A field as text.
 pub fn text(fields: &HeaderMap, name: &HeaderName) -> Option<String> {
     fields
--- a/crates/node/src/dispatch/outgoing.rs
+++ b/crates/node/src/dispatch/outgoing.rs
@@ -8,6 +8,8 @@
 use route::Prefix;
 use route::arrival::Priority;
 
+use super::Export;
+
 /// Bytes of a prompt whose hash stands for its shared beginning.
 const PREFIX_BYTES: usize = 512;
 
@@ -63,7 +65,7 @@
     }
 
     /// The body of a dispatch that goes on after `delivered` tokens.
-    pub fn body_after(&self, delivered: u32) -> Bytes {
+    pub fn body_after(&self, delivered: u32, import: Option<&Export>) -> Bytes {
         if !self.stream {
             return self.body.clone();
         }
@@ -73,6 +75,9 @@
         };
         body.insert("stream".to_owned(), true.into());
         body.insert("resume_from".to_owned(), delivered.into());
+        if let Some(Export(export)) = import {
+            body.insert("import".to_owned(), export.clone());
+        }
         serde_json::to_vec(&body).map_or_else(|_error| self.body.clone(), Bytes::from)
     }
 }
--- a/tests/system/streams.rs
+++ b/tests/system/streams.rs
@@ -12,11 +12,17 @@
 /// Tokens of a stream that is long enough to be interrupted.
 const TOKENS: u32 = 60;
 
+/// Tokens that a stream may have computed again when its replica leaves with notice: those made during the export.
+const RECOMPUTED_A_STREAM: u64 = 16;
+
+/// Tokens of a stream that outlasts a notice.
+const LONG_TOKENS: u32 = 250;
+
 /// Streams under way at once.
 const STREAMS: usize = 12;
 
-async fn stream(deployment: &Deployment, node: &Process, prompt: &str) -> Stream {
-    let body = json!({"prompt": prompt, "max_tokens": TOKENS});
+async fn stream(deployment: &Deployment, node: &Process, prompt: &str, tokens: u32) -> Stream {
+    let body = json!({"prompt": prompt, "max_tokens": tokens});
     let response = deployment
         .call(node, "assistant", "v1/completions")
         .json(&body)
@@ -35,7 +41,7 @@
     let prompts: Vec<String> = (0..STREAMS).map(|index| format!("lease file {index}")).collect();
     let streams = prompts.iter().enumerate().map(|(index, prompt)| {
         let node = &deployment.nodes[nodes[index % nodes.len()]];
-        stream(deployment, node, prompt)
+        stream(deployment, node, prompt, TOKENS)
     });
     let interruption = async {
         tokio::time::sleep(Duration::from_millis(150)).await;
@@ -119,3 +125,59 @@
     let response = call.header("last-event-id", "3").send().await.unwrap();
     Stream::read(response).await.assert_whole("resume", 4, 10);
 }
+
+/// A count of the engines that are left.
+async fn count(deployment: &Deployment, name: &str) -> u64 {
+    let mut sum = 0;
+    for engine in &deployment.engines {
+        let url = format!("{}/admin/counts", engine.url());
+        let counts: Value = deployment
+            .client
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap();
+        sum += counts[name].as_u64().unwrap();
+    }
+    sum
+}
+
+/// A long lease file, shared by no other stream.
+fn lease_file(index: usize) -> String {
+    format!("lease file {index} ") + &"clause of the lease and its terms ".repeat(200)
+}
+
+#[tokio::test]
+async fn reclaim_with_notice_recomputes_few_tokens() {
+    let mut deployment = Deployment::start(2).await;
+    let mut engine = deployment.engines.remove(0);
+    let url = format!("{}/admin/vms/assistant-0/notice", deployment.cloud.url());
+    let client = deployment.client.clone();
+    let prompts: Vec<String> = (0..STREAMS).map(lease_file).collect();
+    let streams = prompts
+        .iter()
+        .enumerate()
+        .map(|(index, prompt)| stream(&deployment, &deployment.nodes[index % 2], prompt, LONG_TOKENS));
+    let reclaim = async {
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        client
+            .post(url)
+            .json(&json!({"notice_ms": 1000}))
+            .send()
+            .await
+            .unwrap();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        engine.kill();
+    };
+    let (streams, ()) = tokio::join!(futures::future::join_all(streams), reclaim);
+    for (stream, prompt) in streams.iter().zip(&prompts) {
+        stream.assert_whole(prompt, 0, LONG_TOKENS);
+    }
+    assert!(count(&deployment, "imported").await > 0, "no stream was moved");
+    let recomputed = count(&deployment, "recomputed").await;
+    println!("tokens recomputed after the reclaim: {recomputed}");
+    assert!(recomputed <= STREAMS as u64 * RECOMPUTED_A_STREAM, "{recomputed}");
+}
