Route: wait for the replica that holds the prefix while others are as busy

Change: the prefix's replica is passed over once it is used by half and four times as much as one drawn at random; if it is full and not passed over, the request waits in a lane of its own, unless another replica is idle. What is late now waited in our own queue.

--- a/crates/route/src/queue/flow.rs
+++ b/crates/route/src/queue/flow.rs
@@ -4,7 +4,7 @@
 
 use crate::arrival::Priority;
 use crate::hash::Map;
-use crate::key::{CallKey, VersionKey};
+use crate::key::{CallKey, ReplicaKey, VersionKey};
 
 /// Place of a request in its flow: by priority, then by arrival.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,12 +15,14 @@
     pub call: CallKey,
 }
 
-/// The versions that a request accepts. Requests of one lane can go to the same replicas, so that
-/// those of a full version don't block the others.
+/// The versions that a request accepts and the replica that it waits for. Requests of one lane can go to
+/// the same replicas, so that those of a full version or replica don't block the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Lane {
     pub version: Option<VersionKey>,
     pub fallback: Option<VersionKey>,
+    /// The replica that holds its prefix, while it waits for that one.
+    pub home: Option<ReplicaKey>,
 }
 
 /// One workspace's requests, its weight and its next start tag.
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -76,6 +76,11 @@
         self.is_free() && self.estimate(now) + 1.0 <= self.limit.value()
     }
 
+    /// Estimated use of the replica, as a part of its limit.
+    pub fn used(&self, now: Millis) -> f32 {
+        self.estimate(now) / self.limit.value()
+    }
+
     /// Estimated use of the replica after one more request, as a part of its limit.
     pub fn score(&self, now: Millis) -> f32 {
         (self.estimate(now) + 1.0) / self.limit.value()
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -111,6 +111,8 @@
         let left = call.deadline - now;
         let answer = endpoint.speed.answer().min(Millis(left.0 / 2));
         let give_up = call.deadline - answer;
+        let prefix = arrival.prefix.filter(|_| endpoint.settings.affinity);
+        call.home = prefix.and_then(|prefix| endpoint.table.get(prefix));
         let weight = workspace.settings.weight;
         endpoint
             .queue
--- a/crates/route/src/router/call.rs
+++ b/crates/route/src/router/call.rs
@@ -35,6 +35,8 @@
     pub attempts: u8,
     /// Dispatches that ended because their replica was lost; they don't count against the endpoint's limit.
     pub losses: u8,
+    /// The replica that held its prefix when it began to wait.
+    pub home: Option<ReplicaKey>,
     /// Where it failed last.
     pub avoid: Option<ReplicaKey>,
     /// Whether any dispatch may have run.
@@ -55,6 +57,7 @@
             timer: None,
             attempts: 0,
             losses: 0,
+            home: None,
             avoid: None,
             may_have_run: arrival.delivered > 0,
             delivered: arrival.delivered,
@@ -76,6 +79,7 @@
         Lane {
             version: self.arrival.version,
             fallback: self.arrival.fallback,
+            home: self.home,
         }
     }
 
--- a/crates/route/src/router/choose.rs
+++ b/crates/route/src/router/choose.rs
@@ -10,13 +10,15 @@
 use crate::endpoint::Endpoint;
 use crate::endpoint::pool::{Group, Pool};
 use crate::key::{CallKey, ReplicaKey, VersionKey, ZoneKey};
-use crate::replica::Replica;
+use crate::replica::{Phase, Replica};
 
+/// Replicas with room that are compared.
+const CHOICES: usize = 2;
 /// Most draws from one list until a replica with room is taken for not to be found.
 const MOST_DRAWS: usize = 8;
-/// Greatest use of the prefix's own replica, as a multiple of that of a replica drawn at random.
-const AFFINITY_BOUND: f32 = 1.25;
-/// Use of a replica below which its prefixes are always sent to it.
+/// Use of the prefix's own replica from which on it is passed over, as a multiple of that of one drawn at random.
+const AFFINITY_BOUND: f32 = 4.0;
+/// Use of a replica up to which its prefixes are always sent to it.
 const AFFINITY_FREE: f32 = 0.5;
 
 /// What a choice looks at.
@@ -60,10 +62,27 @@
                 let fallback = self.call.arrival.fallback?;
                 self.draw_version(Some(fallback), generator)
             })?;
-        Some(self.home(drawn).unwrap_or(drawn))
+        let Some(home) = self.home(drawn) else {
+            return Some(drawn);
+        };
+        if self.passes_over(home, drawn) {
+            return Some(drawn);
+        }
+        if self.suits(home) {
+            return Some(home);
+        }
+        // While all are about as busy, waiting costs less than working the prefix out again elsewhere.
+        let group = self.endpoint.pools.group(self.call.arrival.version)?;
+        let other = self.draw(&group.all, MOST_DRAWS, generator)?;
+        (self.used(other) <= 0.0).then_some(other)
     }
 
-    /// The replica that holds the request's prefix, unless it is used much more than the one drawn.
+    /// Whether the request goes elsewhere than to the replica that holds its prefix.
+    fn passes_over(&self, home: ReplicaKey, other: ReplicaKey) -> bool {
+        self.used(home) >= (self.used(other) * AFFINITY_BOUND).max(AFFINITY_FREE)
+    }
+
+    /// The replica that holds the request's prefix, if the request may go there.
     fn home(&self, drawn: ReplicaKey) -> Option<ReplicaKey> {
         if !self.endpoint.settings.affinity {
             return None;
@@ -71,11 +90,8 @@
         let home = self.endpoint.table.get(self.call.arrival.prefix?)?;
         let replica = self.replicas.get(home)?;
         let other = self.replicas.get(drawn)?;
-        if replica.spec.version != other.spec.version || !self.suits(home) {
-            return None;
-        }
-        let bound = (other.score(self.now) * AFFINITY_BOUND).max(AFFINITY_FREE);
-        (replica.score(self.now) <= bound).then_some(home)
+        let may = replica.phase == Phase::Live && self.avoid != Some(home);
+        (may && replica.spec.version == other.spec.version).then_some(home)
     }
 
     fn draw_version(&self, version: Option<VersionKey>, generator: &mut Generator) -> Option<ReplicaKey> {
@@ -84,12 +100,14 @@
     }
 
     fn draw_group(&self, group: &Group, generator: &mut Generator) -> Option<ReplicaKey> {
-        let near = group.zone(self.zone).and_then(|pool| self.draw(pool, generator));
-        near.or_else(|| self.draw(&group.all, generator))
+        let near = group
+            .zone(self.zone)
+            .and_then(|pool| self.draw(pool, CHOICES, generator));
+        near.or_else(|| self.draw(&group.all, CHOICES, generator))
     }
 
-    /// The less used of two replicas with room, drawn at random.
-    fn draw(&self, pool: &Pool, generator: &mut Generator) -> Option<ReplicaKey> {
+    /// The least used of so many replicas with room, drawn at random.
+    fn draw(&self, pool: &Pool, choices: usize, generator: &mut Generator) -> Option<ReplicaKey> {
         let len = pool.len();
         if len == 0 {
             return None;
@@ -113,7 +131,7 @@
             }
             best = self.better(best, key);
             found += 1;
-            if found == 2 {
+            if found == choices {
                 break;
             }
         }
@@ -133,6 +151,12 @@
             .map_or(f32::MAX, |replica| replica.score(self.now))
     }
 
+    fn used(&self, key: ReplicaKey) -> f32 {
+        self.replicas
+            .get(key)
+            .map_or(f32::MAX, |replica| replica.used(self.now))
+    }
+
     /// Whether the replica has room and did not fail the request just now.
     fn suits(&self, key: ReplicaKey) -> bool {
         self.avoid != Some(key)
