--- a/crates/rollout/src/controller/decide.rs
+++ b/crates/rollout/src/controller/decide.rs
@@ -14,6 +14,9 @@
 /// Without a report from any node for this long nothing moves on.
 const FRESH: Millis = Millis::from_secs(10);
 
+/// A doubt that lasts for this many watches takes the version back.
+const DOUBT_WATCHES: u64 = 6;
+
 impl Controller {
     /// Answers requests, and writes the next record if one is wanted and no write is in flight.
     pub(super) fn advance(&mut self, now: Millis, actions: &mut Vec<Action>) {
@@ -208,15 +211,23 @@
 
 /// Ends the watch when it is due; whether anything changed.
 fn watch_on(record: &mut Record, pool: &Pool, now: Wall) -> bool {
-    let watched = now.since(record.since);
-    // A doubt that no suspicion has borne out by then is dropped.
-    let doubt_ends = record.plan.watch + record.plan.watch;
-    let doubtful = watched < doubt_ends
-        && pool
-            .routes
-            .values()
-            .any(|pooled| Gate::of(pooled) == Gate::Doubtful);
-    if watched < record.plan.watch || pool.is_probing() || doubtful {
+    let watches = now.since(record.since).0 / record.plan.watch.0.max(1);
+    if watches < 1 {
+        return false;
+    }
+    let doubtful = pool
+        .routes
+        .iter()
+        .find(|(_, pooled)| Gate::of(pooled) == Gate::Doubtful);
+    if let Some((route, _)) = doubtful {
+        let overdue = watches >= DOUBT_WATCHES;
+        if overdue {
+            record.end(Verdict::Undone(Reason::Doubtful(route.clone())), now);
+        }
+        return overdue;
+    }
+    // Suspicions may come and go for ever on a route with few requests.
+    if pool.is_probing() && (watches < 2 || watches < DOUBT_WATCHES && pool.evidence() > 0.0) {
         return false;
     }
     let thin = record.thin.clone();
--- a/crates/rollout/src/controller/gate.rs
+++ b/crates/rollout/src/controller/gate.rs
@@ -23,7 +23,9 @@
     Open,
     /// Too little is known.
     Thin,
-    /// The evidence speaks against the version, or its requests do not end.
+    /// Most requests of the new version have not ended, though those of the old one have.
+    Waiting,
+    /// The evidence speaks against the version, without being sufficient.
     Doubtful,
 }
 
@@ -32,9 +34,12 @@
     pub fn of(pooled: &Pooled) -> Self {
         let old = pooled.sum.old.since(&pooled.base.old);
         let new = pooled.sum.new.since(&pooled.base.new);
-        if pooled.evidence() >= DOUBT_AT || do_not_end(&new) {
+        if pooled.evidence() >= DOUBT_AT {
             return Self::Doubtful;
         }
+        if do_not_end(&new) && !do_not_end(&old) {
+            return Self::Waiting;
+        }
         let known = new.ended >= ENOUGH && old.ended >= ENOUGH;
         let known = known && pooled.evidence() < WAIT_AT;
         let no_worse = known
@@ -45,9 +50,10 @@
     }
 }
 
-/// Whether more than half of at least three requests have not ended.
-const fn do_not_end(new: &Counts) -> bool {
-    new.started >= 3 && new.ended * 2 < new.started
+/// Whether fewer than a quarter of at least three requests have ended; just after a share has doubled, half of
+/// those in flight are young.
+const fn do_not_end(counts: &Counts) -> bool {
+    counts.started >= 3 && counts.ended * 4 < counts.started
 }
 
 fn is_no_worse(old: &Counts, new: &Counts, signal: Signal, margin: f64) -> bool {
--- a/crates/rollout/src/controller/pace.rs
+++ b/crates/rollout/src/controller/pace.rs
@@ -31,8 +31,9 @@
     }
     let share = match gate {
         Gate::Doubtful => return None,
+        Gate::Waiting if now < plan.by => return None,
         Gate::Open if held >= dwell(plan) => step.share.doubled(),
-        Gate::Open | Gate::Thin => Share::ZERO,
+        Gate::Open | Gate::Thin | Gate::Waiting => Share::ZERO,
     };
     let by_time = by_time(plan, now).min(step.share.doubled().doubled());
     let next = Next {
--- a/crates/rollout/src/controller/pool.rs
+++ b/crates/rollout/src/controller/pool.rs
@@ -101,6 +101,12 @@
         self.routes.values().any(|pooled| pooled.sum.probing > 0)
     }
 
+    /// The strongest evidence against the new version on any route or on all together, in nats.
+    pub fn evidence(&self) -> f64 {
+        let each = self.routes.values().map(Pooled::evidence);
+        each.fold(self.all.evidence(), f64::max)
+    }
+
     /// The finding that all nodes' evidence together suffices for, on one route or on all of them.
     pub fn finding(&self, limits: &Limits) -> Option<Found> {
         let sufficient = limits.sufficient_pooled((self.routes.len() + 1) * Signal::ALL.len());
--- a/crates/rollout/src/guard/track.rs
+++ b/crates/rollout/src/guard/track.rs
@@ -12,6 +12,8 @@
 
 /// Latencies needed before a quantile means anything.
 const ENOUGH: u32 = 40;
+/// Latencies from which on old ones fade: fewer would leave the quantile to chance.
+const PLENTY: u32 = 400;
 /// Quantile beyond which a request is slow, per mille.
 const SLOW_QUANTILE: u32 = 900;
 /// Quantile that stands for the longest the old version takes, per mille.
@@ -132,10 +134,11 @@
         self.refresh_usual();
         if self.old.count() >= ENOUGH {
             self.slow_over = Some(self.old.quantile(SLOW_QUANTILE));
-            self.old.fade();
         }
-        if self.new.count() >= ENOUGH {
-            self.new.fade();
+        for sketch in [&mut self.old, &mut self.new] {
+            if sketch.count() >= PLENTY {
+                sketch.fade();
+            }
         }
         if self.flight.threshold() == HUNG_UNKNOWN && self.hung_after() != HUNG_UNKNOWN {
             self.flight = Flight::new(self.hung_after());
