Report in single precision, look for findings only when a request adds evidence

Cause: a report of 4 routes took 376 bytes, and every request computed the evidence of three tests. Change: ratios are serialized in single precision (kept in double); findings are looked for when a request of the new version showed a signal; summary::interval spaces reports so that the controller's traffic is bounded whatever the number of nodes. The model passes every report through the codec. The policy table is unchanged.

--- a/crates/rollout/src/guard.rs
+++ b/crates/rollout/src/guard.rs
@@ -146,9 +146,10 @@
     }
 
     fn watch(&mut self, endpoint: &Name) -> &mut Watch {
-        if !self.endpoints.contains_key(endpoint) {
-            self.endpoints.insert(endpoint.clone(), Watch::default());
-        }
-        &mut self.endpoints[endpoint]
+        let index = match self.endpoints.get_index_of(endpoint) {
+            Some(index) => index,
+            None => self.endpoints.insert_full(endpoint.clone(), Watch::default()).0,
+        };
+        &mut self.endpoints[index]
     }
 }
--- a/crates/rollout/src/guard/track.rs
+++ b/crates/rollout/src/guard/track.rs
@@ -103,11 +103,11 @@
         self.flight.start(now, assignment.arm, assignment.share);
     }
 
-    /// A request ends.
-    pub fn end(&mut self, end: End) {
+    /// A request ends; whether it added to the evidence.
+    pub fn end(&mut self, end: End) -> bool {
         let Assignment { arm, share, .. } = end.assignment;
         if self.flight.end(end.started, arm) {
-            return;
+            return false;
         }
         let latency = end.ended.since(end.started);
         self.counts(arm).ended += 1;
@@ -117,6 +117,7 @@
         self.signal(Signal::Failed, arm, share, end.failed);
         self.signal(Signal::Slow, arm, share, slow);
         self.signal(Signal::Hung, arm, share, hung);
+        end.failed || slow || hung
     }
 
     /// Counts requests that have been in flight for too long.
--- a/crates/rollout/src/guard/watch.rs
+++ b/crates/rollout/src/guard/watch.rs
@@ -73,10 +73,12 @@
         if self.active() != Some(end.assignment.rollout) {
             return None;
         }
+        let shown = self.track(route)?.end(end);
+        if !shown || end.assignment.arm == Arm::Old {
+            return None;
+        }
         let sufficient = self.sufficient(limits);
-        let track = self.track(route)?;
-        track.end(end);
-        let evidence = track.finding(sufficient)?;
+        let evidence = self.routes.get(route)?.finding(sufficient)?;
         self.find(route.clone(), evidence)
     }
 
--- a/crates/rollout/src/ratio.rs
+++ b/crates/rollout/src/ratio.rs
@@ -18,12 +18,33 @@
 pub const ALTERNATIVES: [f64; 3] = [4.0, 20.0, 200.0];
 
 /// Logarithms of the likelihood ratios of one signal, one for each alternative.
+///
+/// Serialized in single precision: sums are kept in double, and a report needs no more.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Compact", into = "Compact")]
 pub struct Ratio {
     /// Sums since the start of the rollout, in nats, in the order of [`ALTERNATIVES`].
     pub total: [f64; ALTERNATIVES.len()],
 }
 
+/// The serialized form of a [`Ratio`].
+#[derive(Serialize, Deserialize)]
+struct Compact([f32; ALTERNATIVES.len()]);
+
+impl From<Ratio> for Compact {
+    fn from(ratio: Ratio) -> Self {
+        Self(ratio.total.map(|log| log as f32))
+    }
+}
+
+impl From<Compact> for Ratio {
+    fn from(compact: Compact) -> Self {
+        Self {
+            total: compact.0.map(f64::from),
+        }
+    }
+}
+
 impl Ratio {
     /// Takes in a request that showed the signal, drawn for `arm` when the new version's share was `share`.
     pub fn observe(&mut self, arm: Arm, share: Share) {
--- a/crates/rollout/src/summary.rs
+++ b/crates/rollout/src/summary.rs
@@ -1,11 +1,21 @@
 //! What a node reports to the controller.
 
-use base::{Incarnation, Name};
+use base::{Incarnation, Millis, Name};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{Counts, Id, Ratio};
 
+/// Shortest time between two reports of a node.
+const SHORTEST: Millis = Millis(1_000);
+/// Time between two reports that reach the controller, over all nodes.
+const SPACING: Millis = Millis(50);
+
+/// Time between two reports of one node when `nodes` report, so that the controller's traffic stays bounded.
+pub fn interval(nodes: u32) -> Millis {
+    Millis(SPACING.0 * u64::from(nodes)).max(SHORTEST)
+}
+
 /// Cumulative evidence on one route, of one node or of several.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/rollout/tests/support/world.rs
+++ b/crates/rollout/tests/support/world.rs
@@ -240,7 +240,9 @@
         let id = self.kv.stored.as_ref().map(|stored| stored.record.plan.id);
         for node in self.nodes.iter_mut().filter(|node| !node.cut) {
             let Some(id) = id else { break };
-            let summary = node.guard.summary(id);
+            // Controllers get what has been through the codec.
+            let bytes = postcard::to_stdvec(&node.guard.summary(id)).expect("a summary encodes");
+            let summary: rollout::Summary = postcard::from_bytes(&bytes).expect("and decodes");
             for seat in &mut self.seats {
                 seat.inbox.push_back(Event::Reported(Box::new(summary.clone())));
             }
