--- a/crates/rollout/src/guard/track.rs
+++ b/crates/rollout/src/guard/track.rs
@@ -12,6 +12,8 @@
 
 /// Latencies needed before a quantile means anything.
 const ENOUGH: u32 = 40;
+/// Latencies from which on old ones fade: fewer would leave the quantile to chance.
+const PLENTY: u32 = 400;
 /// Quantile beyond which a request is slow, per mille.
 const SLOW_QUANTILE: u32 = 900;
 /// Quantile that stands for the longest the old version takes, per mille.
@@ -101,11 +103,11 @@
         self.flight.start(now, assignment.arm, assignment.share);
     }
 
-    /// A request ends.
-    pub fn end(&mut self, end: End) {
+    /// A request ends; whether it added to the evidence.
+    pub fn end(&mut self, end: End) -> bool {
         let Assignment { arm, share, .. } = end.assignment;
         if self.flight.end(end.started, arm) {
-            return;
+            return false;
         }
         let latency = end.ended.since(end.started);
         self.counts(arm).ended += 1;
@@ -115,6 +117,7 @@
         self.signal(Signal::Failed, arm, share, end.failed);
         self.signal(Signal::Slow, arm, share, slow);
         self.signal(Signal::Hung, arm, share, hung);
+        end.failed || slow || hung
     }
 
     /// Counts requests that have been in flight for too long.
@@ -132,10 +135,11 @@
         self.refresh_usual();
         if self.old.count() >= ENOUGH {
             self.slow_over = Some(self.old.quantile(SLOW_QUANTILE));
-            self.old.fade();
         }
-        if self.new.count() >= ENOUGH {
-            self.new.fade();
+        for sketch in [&mut self.old, &mut self.new] {
+            if sketch.count() >= PLENTY {
+                sketch.fade();
+            }
         }
         if self.flight.threshold() == HUNG_UNKNOWN && self.hung_after() != HUNG_UNKNOWN {
             self.flight = Flight::new(self.hung_after());
