Follow the membership's new push frame in the members test

Cause: pushes carry briefs of states beside items, to spend fewer bytes. Change: the test builds the frame as it is now; what it demands is unchanged. Measured: it passes.

--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -108,11 +108,14 @@
     tell(
         &members,
         None,
-        Message::Push(vec![Item {
-            body,
-            age: 0,
-            hops: 0,
-        }]),
+        Message::Push {
+            items: vec![Item {
+                body,
+                age: 0,
+                hops: 0,
+            }],
+            briefs: Vec::new(),
+        },
     )
     .await;
     let asked = async {
