--- a/crates/ctl/src/command/catalogue.rs
+++ b/crates/ctl/src/command/catalogue.rs
@@ -51,6 +51,15 @@
     pub text: String,
 }
 
+/// A file that was read and checked.
+#[derive(Debug)]
+pub struct Sheet {
+    /// Its text.
+    pub text: String,
+    /// The catalogue.
+    pub catalogue: Catalogue,
+}
+
 /// A token's digest.
 #[derive(Debug, Serialize)]
 struct Digest {
@@ -62,7 +71,7 @@
     let connect = || client(node.as_deref());
     match command.subcommand {
         args::CatalogueCmd::Check(check) => self::check(output, &check.file),
-        args::CatalogueCmd::Diff(diff) => self::diff(&connect()?, &diff.file).await,
+        args::CatalogueCmd::Diff(diff) => self::diff(&connect()?, output, &diff.file).await,
         args::CatalogueCmd::Apply(flags) => apply::run(&connect()?, output, flags).await,
         args::CatalogueCmd::Show(_) => show(&connect()?, output).await,
         args::CatalogueCmd::Status(_) => status(&connect()?, output).await,
@@ -79,17 +88,23 @@
     }
 }
 
-/// Reads a file and checks it.
-pub fn read(path: &Path) -> Result<String, Error> {
+/// Reads a file, prints its warnings and fails with its errors.
+pub fn read(path: &Path) -> Result<Sheet, Error> {
     let text = std::fs::read_to_string(path).map_err(|cause| Error::File {
         path: path.to_owned(),
         cause,
     })?;
-    Catalogue::parse(&text).map_err(|findings| Error::Catalogue {
-        path: path.to_owned(),
-        findings,
-    })?;
-    Ok(text)
+    let checked = catalogue::read::check(&text);
+    let Some(catalogue) = checked.catalogue else {
+        return Err(Error::Catalogue {
+            path: path.to_owned(),
+            findings: checked.findings,
+        });
+    };
+    for finding in checked.findings.as_slice() {
+        eprintln!("{}:{finding}", path.display());
+    }
+    Ok(Sheet { text, catalogue })
 }
 
 fn check(output: Output, path: &Path) -> Result<(), Error> {
@@ -98,18 +113,35 @@
     Ok(())
 }
 
-async fn diff(client: &Client, path: &Path) -> Result<(), Error> {
-    let text = read(path)?;
+async fn diff(client: &Client, output: Output, path: &Path) -> Result<(), Error> {
+    let sheet = read(path)?;
     let shown: Shown = client.get("/v1/admin/catalogue").await?;
-    let changed = shown.text != text;
-    println!(
-        "{} against generation {}",
-        if changed { "changed" } else { "the same" },
-        shown.generation
-    );
+    let before = Catalogue::parse(&shown.text).unwrap_or_else(|_none| empty(&sheet.catalogue));
+    let changes = catalogue::diff::changes(&before, &sheet.catalogue);
+    let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    let sentence = match (lines.is_empty(), sheet.text == shown.text) {
+        (true, true) => format!("the same as generation {}", shown.generation),
+        (true, false) => format!(
+            "only comments or layout differ from generation {}",
+            shown.generation
+        ),
+        (false, _) => lines.join("\n"),
+    };
+    output.line(&sentence, &changes);
     Ok(())
 }
 
+/// What a deployment has before its first catalogue.
+fn empty(after: &Catalogue) -> Catalogue {
+    Catalogue {
+        zones: Vec::new(),
+        workspaces: Vec::new(),
+        classes: Vec::new(),
+        endpoints: Vec::new(),
+        ..after.clone()
+    }
+}
+
 async fn show(client: &Client, output: Output) -> Result<(), Error> {
     let shown: Shown = client.get("/v1/admin/catalogue").await?;
     output.line(&shown.text, &shown);
--- a/crates/ctl/src/command/catalogue/apply.rs
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -29,7 +29,7 @@
 
 /// Applies a file.
 pub async fn run(client: &Client, output: Output, flags: args::Apply) -> Result<(), Error> {
-    let text = read(&flags.file)?;
+    let text = read(&flags.file)?.text;
     let expected = match flags.expected {
         Some(expected) => expected,
         None => client.get::<Shown>("/v1/admin/catalogue").await?.generation,
--- a/tests/system/deployment.rs
+++ b/tests/system/deployment.rs
@@ -1,7 +1,9 @@
 //! A small deployment of real processes: stand-ins and nodes.
 
+use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use reqwest::{Client, RequestBuilder};
@@ -28,6 +30,7 @@
 /// Processes of one deployment.
 #[derive(Debug)]
 pub struct Deployment {
+    host: Ipv4Addr,
     pub kv: Process,
     pub cloud: Process,
     pub engines: Vec<Process>,
@@ -52,12 +55,14 @@
     }
 
     async fn start_empty(nodes: usize) -> Self {
-        let kv = fake(&["kv"]);
-        let cloud = fake(&["cloud"]);
-        let engines = vec![fake(&["engine"]), fake(&["engine"])];
-        let services = vec![fake(&["service"]), fake(&["service"])];
+        let host = own_host();
+        let kv = fake(host, &["kv"]);
+        let cloud = fake(host, &["cloud"]);
+        let engines = vec![fake(host, &["engine"]), fake(host, &["engine"])];
+        let services = vec![fake(host, &["service"]), fake(host, &["service"])];
         let client = Client::builder().no_proxy().build().unwrap();
         let mut deployment = Self {
+            host,
             kv,
             cloud,
             engines,
@@ -82,6 +87,7 @@
             .filter_map(|node| node.peers)
             .map(|peers| peers.to_string())
             .collect();
+        let any_port = format!("{}:0", self.host);
         let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatchd"));
         command
             .env("BILBERRYLATCH_PEER_SECRET", SECRET)
@@ -89,9 +95,9 @@
             .env("BILBERRYLATCH_PEERS", peers.join(","))
             .args([
                 "--listen",
-                "127.0.0.1:0",
+                &any_port,
                 "--peer-listen",
-                "127.0.0.1:0",
+                &any_port,
                 "--region",
                 "demo",
             ])
@@ -175,7 +181,7 @@
     pub async fn with_services(mut self, version: &str, count: usize) -> Self {
         for _replica in 0..count {
             let index = self.services.len();
-            let service = fake(&["service", "--version", version]);
+            let service = fake(self.host, &["service", "--version", version]);
             self.register_one("ledger", "demo-service", index, &service, version)
                 .await;
             self.services.push(service);
@@ -200,6 +206,13 @@
                 status["applied"] != json!(0)
             })
             .await;
+            let is_alive = |node: &Value| node["state"] == json!("alive");
+            let alive = |list: &Value| {
+                list.as_array()
+                    .map_or(0, |list| list.iter().filter(|it| is_alive(it)).count())
+            };
+            self.wait_for(node, "/v1/admin/nodes", |list| alive(list) == self.nodes.len())
+                .await;
         }
     }
 
@@ -272,7 +285,19 @@
     }
 }
 
-fn fake(arguments: &[&str]) -> Process {
+fn fake(host: Ipv4Addr, arguments: &[&str]) -> Process {
     let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatch-fake"));
-    Process::start(command.args(arguments).args(["--listen", "127.0.0.1:0"]))
+    Process::start(command.args(arguments).args(["--listen", &format!("{host}:0")]))
+}
+
+/// A loopback address of this deployment's own.
+///
+/// NB: on a shared address, the port of a killed program goes to another test's program, which then gets requests
+/// that were meant for the dead one.
+fn own_host() -> Ipv4Addr {
+    static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
+    const HIGH_BITS: u32 = 8;
+    let pid = std::process::id();
+    let [high, low] = [(pid >> HIGH_BITS) as u8, pid as u8];
+    Ipv4Addr::new(127, high.max(1), low, DEPLOYMENTS.fetch_add(1, Ordering::Relaxed))
 }
