Route: pass the prefix's replica over at eight times the use of others

Cause: with the wait bounded, the bound of four cost work again: each request sent elsewhere works its prefix out anew. Weighed: 4 and 8, with the bounded wait. Change: the bound is 8.

--- a/crates/route/src/router/choose.rs
+++ b/crates/route/src/router/choose.rs
@@ -17,7 +17,7 @@
 /// Most draws from one list until a replica with room is taken for not to be found.
 const MOST_DRAWS: usize = 8;
 /// Use of the prefix's own replica from which on it is passed over, as a multiple of that of one drawn at random.
-const AFFINITY_BOUND: f32 = 4.0;
+const AFFINITY_BOUND: f32 = 8.0;
 /// Use of a replica up to which its prefixes are always sent to it.
 const AFFINITY_FREE: f32 = 0.5;
 
