--- /dev/null
+++ b/crates/rollout/tests/error_rate.rs
@@ -0,0 +1,82 @@
+//! The error rate of the sequential test, by simulation.
+
+use base::Seed;
+use rand::RngExt;
+use rollout::ratio::TOLERATED;
+use rollout::{Arm, Ratio, Share, Test};
+
+struct Case {
+    times: f64,
+    /// Requests during which the new version is as good as the old one.
+    good_for: u64,
+    rate: f64,
+    least: u64,
+    most: u64,
+}
+
+/// Looks after every request at a version as good as the old one, with shares and rates that change.
+fn rejects(case: &Case, sufficient: f64, seed: u64) -> bool {
+    let mut rng = Seed(seed).generator();
+    let (mut ratio, mut test) = (Ratio::default(), Test::default());
+    for request in 0..case.good_for + 2_000 {
+        let share = Share::from_percent([5, 20, 50, 80][(request / 100 % 4) as usize]);
+        let arm = if share.takes(rng.random()) {
+            Arm::New
+        } else {
+            Arm::Old
+        };
+        let trouble = if request / 250 % 2 == 0 { 1.0 } else { 4.0 };
+        let bad = arm == Arm::New && request >= case.good_for;
+        let rate = case.rate * trouble * if bad { case.times } else { 1.0 };
+        if rng.random::<f64>() >= rate {
+            continue;
+        }
+        ratio.observe(arm, share);
+        if test.evidence(&ratio) >= sufficient {
+            return true;
+        }
+        test.restart(&ratio);
+    }
+    false
+}
+
+/// The stated error rate holds over continuous looks, and a bad version is found.
+#[test]
+fn sequential_test_keeps_its_error_rate() {
+    const RUNS: u64 = 1_000;
+    let sufficient = f64::ln(1.0 / 0.05);
+    let good = Case {
+        times: 1.0,
+        good_for: 0,
+        rate: 0.05,
+        least: 0,
+        most: 50,
+    };
+    let bad = Case {
+        times: 8.0,
+        good_for: 0,
+        rate: 0.02,
+        least: 950,
+        most: RUNS,
+    };
+    let cases = [
+        Case {
+            times: TOLERATED,
+            ..good
+        },
+        Case {
+            good_for: 20_000,
+            ..bad
+        },
+        good,
+        bad,
+    ];
+    for case in cases {
+        let found = (0..RUNS).filter(|seed| rejects(&case, sufficient, *seed)).count() as u64;
+        assert!(
+            found >= case.least && found <= case.most,
+            "{found} of {RUNS} at {} times",
+            case.times
+        );
+    }
+}
--- a/crates/rollout/tests/parts.rs
+++ b/crates/rollout/tests/parts.rs
@@ -1,19 +1,18 @@
-//! The split, the veto set, the sketch, summaries and the sequential test, each against a simple oracle.
+//! The split, the veto set, the sketch, records and summaries, each against a simple oracle.
 
 #![expect(
     clippy::needless_pass_by_value,
     reason = "quickcheck hands inputs over by value"
 )]
 
-use base::{Incarnation, Millis, Name, Seed};
+use base::{Incarnation, Millis, Name};
 use indexmap::IndexMap;
-use rand::RngExt;
 use rollout::controller::pool::Pool;
 use rollout::guard::sketch::Sketch;
-use rollout::ratio::TOLERATED;
 use rollout::summary::Entry;
 use rollout::{
-    Arm, Counts, Evidence, Id, Ratio, Share, Shares, Signal, Split, Stage, Summary, Test, Veto, Vetoes,
+    Arm, Counts, Evidence, Id, Plan, Reason, Record, Share, Shares, Signal, Split, Stage, Summary, Verdict,
+    Veto, Vetoes, Wall, Write,
 };
 
 /// Rollout and count of each veto.
@@ -183,6 +182,27 @@
     }
 }
 
+#[test]
+fn a_verdict_stands() {
+    let verdicts = ["a", "b"].map(|operator| Verdict::Undone(Reason::Operator(Name::from(operator))));
+    let plan = Plan {
+        id: Id(1),
+        endpoint: Name::from("e"),
+        from: Name::from("v1"),
+        to: Name::from("v2"),
+        start: Wall(0),
+        by: Wall(1),
+        canary: rollout::plan::CANARY,
+        watch: Millis(1),
+        operator: Name::from("a"),
+    };
+    let mut record = Record::new(plan, Write { fence: 1, number: 1 }, Wall(0));
+    for verdict in &verdicts {
+        record.end(verdict.clone(), Wall(1));
+    }
+    assert_eq!(record.verdict.as_ref(), Some(&verdicts[0]));
+}
+
 #[test]
 fn sketch_quantiles_are_close() {
     fn holds(latencies: Vec<u16>, per_mille: u16) -> bool {
@@ -252,79 +272,3 @@
     }
     check::property(200, 30, holds as fn(Vec<(u8, u8)>) -> bool);
 }
-
-struct Case {
-    times: f64,
-    /// Requests during which the new version is as good as the old one.
-    good_for: u64,
-    rate: f64,
-    least: u64,
-    most: u64,
-}
-
-/// Looks after every request at a version as good as the old one, with shares and rates that change.
-fn rejects(case: &Case, sufficient: f64, seed: u64) -> bool {
-    let mut rng = Seed(seed).generator();
-    let (mut ratio, mut test) = (Ratio::default(), Test::default());
-    for request in 0..case.good_for + 2_000 {
-        let share = Share::from_percent([5, 20, 50, 80][(request / 100 % 4) as usize]);
-        let arm = if share.takes(rng.random()) {
-            Arm::New
-        } else {
-            Arm::Old
-        };
-        let trouble = if request / 250 % 2 == 0 { 1.0 } else { 4.0 };
-        let bad = arm == Arm::New && request >= case.good_for;
-        let rate = case.rate * trouble * if bad { case.times } else { 1.0 };
-        if rng.random::<f64>() >= rate {
-            continue;
-        }
-        ratio.observe(arm, share);
-        if test.evidence(&ratio) >= sufficient {
-            return true;
-        }
-        test.restart(&ratio);
-    }
-    false
-}
-
-/// The stated error rate holds over continuous looks, and a bad version is found.
-#[test]
-fn sequential_test_keeps_its_error_rate() {
-    const RUNS: u64 = 1_000;
-    let sufficient = f64::ln(1.0 / 0.05);
-    let good = Case {
-        times: 1.0,
-        good_for: 0,
-        rate: 0.05,
-        least: 0,
-        most: 50,
-    };
-    let bad = Case {
-        times: 8.0,
-        good_for: 0,
-        rate: 0.02,
-        least: 950,
-        most: RUNS,
-    };
-    let cases = [
-        Case {
-            times: TOLERATED,
-            ..good
-        },
-        Case {
-            good_for: 20_000,
-            ..bad
-        },
-        good,
-        bad,
-    ];
-    for case in cases {
-        let found = (0..RUNS).filter(|seed| rejects(&case, sufficient, *seed)).count() as u64;
-        assert!(
-            found >= case.least && found <= case.most,
-            "{found} of {RUNS} at {} times",
-            case.times
-        );
-    }
-}
