Measure what rarer reports cost; failed try: reports out of turn

Cause: with many nodes reports must be spaced, and pooled evidence is then old. Failed try, reverted: a node reports at once when its evidence has grown by one nat. But the controller then adds each node's highs to the others' old values; that sum is no supermartingale, and the error rate grows with the number of nodes, which 4 nodes don't show. Conclusion: reports stay in turn. Asking every node at once for its evidence as of now would be sound; not built.

--- a/crates/rollout/benches/policy.rs
+++ b/crates/rollout/benches/policy.rs
@@ -100,6 +100,7 @@
     let setting = Setting {
         rates: case.rates.to_vec(),
         ramp,
+        report: report_every(),
         ..Setting::default()
     };
     let mut world = World::new(
@@ -163,6 +164,12 @@
     wanted.unwrap_or(SEEDS)
 }
 
+/// Time between two reports of a node, by `--report-ms=`.
+fn report_every() -> Millis {
+    let wanted = std::env::args().find_map(|argument| argument.strip_prefix("--report-ms=")?.parse().ok());
+    wanted.map_or(Setting::default().report, Millis)
+}
+
 fn of(sorted: &[u64]) -> String {
     let middle = sorted.get(sorted.len() / 2);
     middle.map_or_else(
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -4,6 +4,12 @@
 //! allows. On each node a [`Split`] draws the version of every request, and a [`Guard`] compares the two
 //! versions on the same route at the same time and vetoes a bad one by itself. Everything here is pure: time
 //! and random draws are passed in, and what must last is a [`Record`] that the caller keeps in the store.
+//!
+//! A node passes announced [`Shares`] to its split and, if they were news, to its guard; draws each attempt's
+//! version with [`Split::choose`]; tells the guard of the attempt's start and, always, of its end, with the same
+//! [`Assignment`]; merges every [`Veto`] into its [`Vetoes`], passes what is new to split, guard and peers, and all
+//! of them to a controller that takes up its role; and sends [`Guard::summary`] to the controller every
+//! [`summary::interval`]. Reports must not be timed by what they say, or the error rate no longer holds.
 
 pub mod action;
 pub mod arm;
--- a/crates/rollout/tests/support/world.rs
+++ b/crates/rollout/tests/support/world.rs
@@ -34,6 +34,8 @@
     pub allowed: Millis,
     pub watch: Millis,
     pub limits: Limits,
+    /// Time between two reports of a node, in whole seconds.
+    pub report: Millis,
     /// Moves by the clock instead, with no controller and no guard.
     pub ramp: Option<Alarm>,
 }
@@ -47,6 +49,7 @@
             allowed: Millis::from_secs(120),
             watch: Millis::from_secs(60),
             limits: Limits::default().with_nodes(4),
+            report: Millis(1_000),
             ramp: None,
         }
     }
@@ -198,8 +201,15 @@
         self.kv.land();
         self.gossip();
         let id = self.kv.stored.as_ref().map(|stored| stored.record.plan.id);
-        for node in self.nodes.iter_mut().filter(|node| !node.cut) {
+        let second = self.now.0 / 1_000;
+        for (index, node) in self.nodes.iter_mut().enumerate().filter(|(_, node)| !node.cut) {
             let Some(id) = id else { break };
+            // Nodes take turns.
+            let turn = second + index as u64 * self.setting.report.0 / 4_000;
+            let due = turn.is_multiple_of(self.setting.report.0 / 1_000);
+            if !due {
+                continue;
+            }
             // Controllers get what has been through the codec.
             let bytes = postcard::to_stdvec(&node.guard.summary(id)).expect("a summary encodes");
             let summary: rollout::Summary = postcard::from_bytes(&bytes).expect("and decodes");
