--- a/crates/rollout/tests/support/world.rs
+++ b/crates/rollout/tests/support/world.rs
@@ -1,14 +1,16 @@
 //! Nodes, controllers and a key-value service in one process, on one seeded clock.
 
+mod control;
+mod peers;
+mod traffic;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
 use base::seed::Generator;
 use base::{Incarnation, Millis, Name, Seed};
 use rollout::guard::{self, Limits};
-use rollout::{
-    Action, Arm, Assignment, Controller, Event, Guard, Id, Plan, Share, Split, Stage, Verdict, Vetoes, Wall,
-};
+use rollout::{Arm, Controller, Event, Guard, Id, Plan, Share, Split, Verdict, Vetoes, Wall};
 
 use crate::kv::Kv;
 use crate::ramp::{Alarm, Ramp};
@@ -32,6 +34,8 @@
     pub allowed: Millis,
     pub watch: Millis,
     pub limits: Limits,
+    /// Time between two reports of a node, in whole seconds.
+    pub report: Millis,
     /// Moves by the clock instead, with no controller and no guard.
     pub ramp: Option<Alarm>,
 }
@@ -45,6 +49,7 @@
             allowed: Millis::from_secs(120),
             watch: Millis::from_secs(60),
             limits: Limits::default().with_nodes(4),
+            report: Millis(1_000),
             ramp: None,
         }
     }
@@ -165,48 +170,6 @@
         }
     }
 
-    /// A new holder takes the role up.
-    pub fn seat(&mut self) {
-        self.fence += 1;
-        let mut controller = Controller::new().with_limits(self.setting.limits);
-        let stored = self.kv.stored.clone().map(Box::new);
-        let vetoes = self
-            .nodes
-            .iter()
-            .filter(|node| !node.cut)
-            .flat_map(|node| node.vetoes.iter().cloned());
-        let mut inbox: VecDeque<_> = vetoes.map(|veto| Event::Vetoed(Box::new(veto))).collect();
-        let actions = controller.step(
-            self.now,
-            Event::Acquired {
-                fence: self.fence,
-                stored,
-                wall: self.wall(),
-            },
-        );
-        inbox.shrink_to_fit();
-        self.seats.push(Seat {
-            controller,
-            inbox,
-            frozen: false,
-            fence: self.fence,
-        });
-        self.act(self.seats.len() - 1, actions);
-    }
-
-    /// Whether the latest holder of the role lives and is awake.
-    pub fn is_held(&self) -> bool {
-        self.seats
-            .iter()
-            .any(|seat| seat.fence == self.fence && !seat.frozen)
-    }
-
-    pub fn send(&mut self, seat: usize, event: Event) {
-        if let Some(seat) = self.seats.get_mut(seat) {
-            seat.inbox.push_back(event);
-        }
-    }
-
     pub fn run(&mut self, until: Millis) {
         while self.now < until {
             self.tick();
@@ -238,8 +201,15 @@
         self.kv.land();
         self.gossip();
         let id = self.kv.stored.as_ref().map(|stored| stored.record.plan.id);
-        for node in self.nodes.iter_mut().filter(|node| !node.cut) {
+        let second = self.now.0 / 1_000;
+        for (index, node) in self.nodes.iter_mut().enumerate().filter(|(_, node)| !node.cut) {
             let Some(id) = id else { break };
+            // Nodes take turns.
+            let turn = second + index as u64 * self.setting.report.0 / 4_000;
+            let due = turn.is_multiple_of(self.setting.report.0 / 1_000);
+            if !due {
+                continue;
+            }
             // Controllers get what has been through the codec.
             let bytes = postcard::to_stdvec(&node.guard.summary(id)).expect("a summary encodes");
             let summary: rollout::Summary = postcard::from_bytes(&bytes).expect("and decodes");
@@ -252,265 +222,4 @@
         }
         self.note_full();
     }
-
-    fn ramp_on(&mut self) {
-        let (now, start, allowed) = (self.now, self.setting.start, self.setting.allowed);
-        if now < start {
-            return;
-        }
-        let plan = self.plan(1);
-        let Some(ramp) = &mut self.ramp else { return };
-        ramp.second();
-        let shares = rollout::Shares {
-            rollout: Id(1),
-            endpoint: plan.endpoint,
-            from: plan.from,
-            to: plan.to,
-            generation: now.0,
-            stage: Stage::Moving,
-            routes: indexmap::IndexMap::new(),
-            rest: ramp.share(now.since(start), allowed),
-        };
-        for node in &mut self.nodes {
-            node.split.apply(shares.clone());
-        }
-        self.note_full();
-    }
-
-    fn gossip(&mut self) {
-        let mut all = Vetoes::new();
-        self.nodes.iter().filter(|node| !node.cut).for_each(|node| {
-            all.merge(&node.vetoes);
-        });
-        for index in 0..self.nodes.len() {
-            if !self.nodes[index].cut && self.nodes[index].vetoes.merge(&all) {
-                self.learn_vetoes(index);
-            }
-        }
-        self.repair();
-        for veto in all.iter() {
-            for seat in &mut self.seats {
-                seat.inbox.push_back(Event::Vetoed(Box::new(veto.clone())));
-            }
-        }
-    }
-
-    /// Nodes that missed an announcement take the latest from their peers.
-    fn repair(&mut self) {
-        let endpoint = Name::from(ENDPOINT);
-        let known = self
-            .nodes
-            .iter()
-            .filter(|node| !node.cut)
-            .filter_map(|node| node.split.shares(&endpoint));
-        let Some(latest) = known.max_by_key(|shares| shares.generation).cloned() else {
-            return;
-        };
-        self.apply(&latest);
-    }
-
-    fn learn_vetoes(&mut self, index: usize) {
-        let now = self.now;
-        let node = &mut self.nodes[index];
-        for veto in node.vetoes.iter() {
-            node.split.veto(veto.rollout);
-            node.guard.step(now, guard::Event::Vetoed(veto.rollout));
-        }
-    }
-
-    fn note_full(&mut self) {
-        let endpoint = Name::from(ENDPOINT);
-        let full = |node: &Node| {
-            let shares = node.split.shares(&endpoint);
-            shares.is_some_and(|shares| self.routes.iter().all(|route| shares.of(route) == Share::FULL))
-        };
-        if self.tally.full_at.is_none() && self.nodes.iter().all(full) {
-            self.tally.full_at = Some(self.now);
-        }
-    }
-
-    fn issue(&mut self) {
-        for route in 0..self.routes.len() {
-            let mean = self.setting.rates[route] * TICK as f64 / 1_000.0;
-            let mut budget = mean;
-            while budget > 0.0 && draw(&mut self.rng) < budget.min(1.0) {
-                budget -= 1.0;
-                self.request(route);
-            }
-        }
-    }
-
-    fn request(&mut self, route: usize) {
-        use rand::RngExt;
-        let node = self.rng.random_range(0..self.nodes.len());
-        let ticket = self.rng.random::<u64>();
-        let endpoint = Name::from(ENDPOINT);
-        let choice = self.nodes[node]
-            .split
-            .choose(&endpoint, &self.routes[route], ticket);
-        let assignment = choice.map(|choice| choice.assignment);
-        let arm = assignment.map_or(Arm::Old, |assignment| assignment.arm);
-        if let Some(Assignment {
-            rollout,
-            arm: Arm::New,
-            ..
-        }) = assignment
-        {
-            let vetoed = self.nodes[node].vetoes.iter().any(|veto| veto.rollout == rollout);
-            assert!(!vetoed, "a request went to a vetoed version");
-            self.load[1] += 1;
-        }
-        let fate = self.truth.fate(self.now, arm, route, self.load[0], &mut self.rng);
-        if fate.bad {
-            self.tally.on_bad += 1;
-            self.tally.bad_since.get_or_insert(self.now);
-        }
-        self.number += 1;
-        self.flying.push(Reverse(Flying {
-            end: self.now.0 + fate.latency.0.max(1),
-            number: self.number,
-            started: self.now.0,
-            node,
-            route,
-            failed: fate.failed,
-            drawn: assignment.map(|Assignment { rollout, arm, share }| Drawn { rollout, arm, share }),
-        }));
-        if self.ramp.is_none() {
-            let event = guard::Event::Started {
-                endpoint,
-                route: self.routes[route].clone(),
-                assignment,
-            };
-            self.nodes[node].guard.step(self.now, event);
-        }
-    }
-
-    fn finish(&mut self) {
-        while let Some(Reverse(flying)) = self.flying.peek().copied() {
-            if flying.end > self.now.0 {
-                return;
-            }
-            self.flying.pop();
-            self.ended[flying.route] += u64::from(flying.drawn.is_some_and(|drawn| drawn.arm == Arm::New));
-            if let Some(ramp) = &mut self.ramp {
-                let latency = Millis(flying.end - flying.started);
-                let usual = crate::truth::USUAL[flying.route % crate::truth::USUAL.len()];
-                ramp.end(flying.drawn.map(|drawn| drawn.arm), latency, flying.failed, usual);
-                continue;
-            }
-            let drawn = flying.drawn;
-            let assignment = drawn.map(|Drawn { rollout, arm, share }| Assignment { rollout, arm, share });
-            let event = guard::Event::Finished {
-                endpoint: Name::from(ENDPOINT),
-                route: self.routes[flying.route].clone(),
-                assignment,
-                started: Millis(flying.started),
-                failed: flying.failed,
-            };
-            let actions = self.nodes[flying.node].guard.step(Millis(flying.end), event);
-            self.guarded(flying.node, actions);
-        }
-    }
-
-    fn guarded(&mut self, index: usize, actions: Vec<guard::Action>) {
-        for action in actions {
-            match action {
-                guard::Action::Veto(veto) => {
-                    self.tally.vetoed_at.get_or_insert(self.now);
-                    self.nodes[index].vetoes.insert(*veto);
-                    self.learn_vetoes(index);
-                }
-                guard::Action::Cap { rollout, route, cap } => {
-                    self.nodes[index].split.cap(rollout, &route, cap);
-                }
-            }
-        }
-    }
-
-    fn seated(&mut self, seat: usize) {
-        if self.seats[seat].frozen {
-            return;
-        }
-        let mut events = 0;
-        while let Some(event) = self.seats[seat].inbox.pop_front() {
-            events += 1;
-            assert!(events < 1_000, "a controller that never rests");
-            let actions = self.seats[seat].controller.step(self.now, event);
-            self.act(seat, actions);
-        }
-    }
-
-    fn act(&mut self, seat: usize, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Store { record, expected } => {
-                    let result = self.kv.store(*record, expected);
-                    self.send(seat, Event::Stored(result));
-                }
-                Action::Load if self.kv.down => self.send(seat, Event::Unloaded),
-                Action::Load => {
-                    let stored = self.kv.stored.clone().map(Box::new);
-                    self.send(seat, Event::Loaded(stored));
-                }
-                Action::Announce(shares) => self.announce(&shares),
-                Action::Veto(veto) => {
-                    self.tally.vetoed_at.get_or_insert(self.now);
-                    if let Some(index) = self.nodes.iter().position(|node| !node.cut) {
-                        self.nodes[index].vetoes.insert(*veto);
-                        self.learn_vetoes(index);
-                    }
-                }
-                Action::Accept(id) => self.tally.accepted.push(id),
-                Action::Refuse { rollout, .. } => self.tally.refused.push(rollout),
-                Action::Tell { rollout, verdict } => self.tell(rollout, *verdict),
-                Action::Late(_) => {}
-            }
-        }
-    }
-
-    fn tell(&mut self, rollout: Id, verdict: Verdict) {
-        let before = self.tally.tells.iter().find(|(id, _)| *id == rollout);
-        assert!(before.is_none(), "told twice: {before:?}, then {verdict:?}");
-        self.tally.tells.push((rollout, verdict));
-    }
-
-    fn announce(&mut self, shares: &rollout::Shares) {
-        let stored = self.kv.stored.as_ref();
-        assert!(
-            stored.is_some_and(|stored| stored.generation >= shares.generation),
-            "announced, not stored"
-        );
-        self.check_canary(shares);
-        self.apply(shares);
-    }
-
-    fn apply(&mut self, shares: &rollout::Shares) {
-        for node in self.nodes.iter_mut().filter(|node| !node.cut) {
-            let before = node
-                .split
-                .shares(&shares.endpoint)
-                .map_or(0, |shares| shares.generation);
-            if node.split.apply(shares.clone()) {
-                assert!(shares.generation > before, "a generation went back");
-                node.guard
-                    .step(self.now, guard::Event::Applied(Box::new(shares.clone())));
-            }
-        }
-    }
-
-    fn check_canary(&self, shares: &rollout::Shares) {
-        let Some(stored) = &self.kv.stored else { return };
-        let allowed = stored.record.plan.allowed().0;
-        let late = self.wall().since(stored.record.plan.start).0 * 100 >= allowed * 65;
-        if shares.stage != Stage::Moving || late {
-            return;
-        }
-        for (route, ended) in self.routes.iter().zip(&self.ended) {
-            let share = shares.of(route);
-            assert!(
-                share <= rollout::plan::CANARY || *ended >= 60,
-                "{share} of {route} after {ended} requests"
-            );
-        }
-    }
 }
