--- a/crates/fleet/src/planner/shape.rs
+++ b/crates/fleet/src/planner/shape.rs
@@ -3,13 +3,13 @@
 use base::Millis;
 
 /// Slots of a day.
-const SLOTS: usize = 96;
+const SLOTS: usize = 288;
 /// Length of a slot, in milliseconds.
 const SLOT: u64 = 86_400_000 / SLOTS as u64;
 /// Weight of the newest day, in hundredths.
 const NEWEST: u64 = 50;
 
-/// The highest load in each quarter of an hour: a mean over days that forgets.
+/// The highest load in each five minutes: a mean over days that forgets.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Shape {
     slots: Vec<u64>,
