--- a/crates/fleet/src/planner.rs
+++ b/crates/fleet/src/planner.rs
@@ -39,7 +39,7 @@
     pub const fn new() -> Self {
         Self {
             lead: Millis::from_secs(180),
-            hold: Millis::from_secs(600),
+            hold: Millis::from_secs(240),
             loyalty: 10,
             headroom: 15,
             backoff: Millis::from_secs(30),
