--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -8,6 +8,7 @@
 
 use crate::policy::table::Table;
 use crate::policy::{Config, Trial};
+use crate::run::plot;
 use crate::{Error, file, history};
 
 /// Exit code for a history with findings.
@@ -17,6 +18,7 @@
 pub fn main() -> ExitCode {
     let flags = BilberrylatchLoad::from_env_or_exit();
     let done = match flags.subcommand {
+        BilberrylatchLoadCmd::Run(flags) => run(&flags),
         BilberrylatchLoadCmd::Check(flags) => check(&flags),
         BilberrylatchLoadCmd::Policy(flags) => policy(&flags),
     };
@@ -26,6 +28,34 @@
     })
 }
 
+fn run(flags: &flags::Run) -> Result<ExitCode, Error> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|cause| Error::Deployment(cause.to_string()))?;
+    let outcome = runtime.block_on(crate::run::run(&flags.file))?;
+    let report = outcome.report;
+    println!("{report}");
+    if let Some(path) = &flags.json {
+        file::write_json(path, &report)?;
+    }
+    if let Some(path) = &flags.csv {
+        file::write_csv(path, &report.seconds)?;
+    }
+    if let Some(path) = &flags.svg {
+        plot::draw(path, &report)?;
+    }
+    if let Some(path) = &flags.history {
+        file::write_lines(path, &outcome.history)?;
+    }
+    Ok(verdict(report.findings.is_empty()))
+}
+
+fn verdict(sound: bool) -> ExitCode {
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_FINDINGS)
+    }
+}
+
 fn check(flags: &flags::Check) -> Result<ExitCode, Error> {
     let history = history::read(&file::text(&flags.history)?);
     let findings = history::check(&history);
@@ -33,10 +63,7 @@
         println!("{finding}");
     }
     println!("{} records, {} findings", history.lines.len(), findings.len());
-    if findings.is_empty() {
-        return Ok(ExitCode::SUCCESS);
-    }
-    Ok(ExitCode::from(EXIT_FINDINGS))
+    Ok(verdict(findings.is_empty()))
 }
 
 fn policy(flags: &flags::Policy) -> Result<ExitCode, Error> {
--- a/crates/load/src/file.rs
+++ b/crates/load/src/file.rs
@@ -44,6 +44,19 @@
     write(path, &text)
 }
 
+/// Writes records as JSON lines.
+pub fn write_lines<T>(path: &Path, records: &[T]) -> Result<(), Error>
+where
+    T: Serialize,
+{
+    let mut text = Vec::new();
+    for record in records {
+        serde_json::to_writer(&mut text, record).map_err(|cause| format_error(path, &cause))?;
+        text.push(b'\n');
+    }
+    write(path, &text)
+}
+
 /// Writes records as CSV with a header.
 pub fn write_csv<T>(path: &Path, records: &[T]) -> Result<(), Error>
 where
--- a/crates/load/src/history.rs
+++ b/crates/load/src/history.rs
@@ -15,5 +15,5 @@
 pub use content::Content;
 pub use end::End;
 pub use finding::{Finding, Kind};
-pub use reader::read;
+pub use reader::{History, read};
 pub use record::Record;
--- a/crates/load/src/history/checker.rs
+++ b/crates/load/src/history/checker.rs
@@ -1,7 +1,7 @@
 //! The checker.
 
-use indexmap::IndexMap;
 use indexmap::map::Entry;
+use indexmap::{IndexMap, IndexSet};
 
 use super::reader::{History, Line};
 use super::record::{Answer, Invoke, Run};
@@ -31,6 +31,8 @@
     /// First run of each non-idempotent request, by key or else by call.
     ran: IndexMap<&'a str, usize>,
     generations: IndexMap<&'a str, u64>,
+    /// Calls that a later one makes good.
+    repeated: IndexSet<&'a str>,
 }
 
 #[derive(Debug)]
@@ -51,6 +53,7 @@
             bodies: IndexMap::new(),
             ran: IndexMap::new(),
             generations: IndexMap::new(),
+            repeated: IndexSet::new(),
         };
         for line in &history.lines {
             match &line.record {
@@ -72,6 +75,9 @@
             ends: 0,
             refused: false,
         };
+        if let Some(before) = &invoke.repeats {
+            self.repeated.insert(before);
+        }
         match self.calls.entry(&invoke.call) {
             Entry::Vacant(vacant) => {
                 vacant.insert(call);
@@ -132,8 +138,10 @@
         let invoke = call.invoke;
         match answer.end {
             End::Answered => self.answered(line, invoke, answer),
-            End::Lost => self.find(line, Kind::Lost, &answer.call),
-            End::NotRun | End::Unknown | End::Unreached => {}
+            End::Lost if !self.repeated.contains(answer.call.as_str()) => {
+                self.find(line, Kind::Lost, &answer.call);
+            }
+            End::Failed | End::Lost | End::NotRun | End::Unknown | End::Unreached => {}
         }
     }
 
--- a/crates/load/src/history/end.rs
+++ b/crates/load/src/history/end.rs
@@ -8,6 +8,8 @@
 pub enum End {
     /// The answer came and was whole in form.
     Answered,
+    /// The endpoint's own answer was a failure, passed on whole.
+    Failed,
     /// A refusal said that the request did not run.
     NotRun,
     /// A refusal said that the request may have run.
@@ -23,6 +25,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Answered => "answered",
+            Self::Failed => "failed",
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
             Self::Unreached => "unreached",
--- a/crates/load/src/history/finding.rs
+++ b/crates/load/src/history/finding.rs
@@ -16,7 +16,7 @@
     Stray,
     /// A call has no end, or two.
     Ends,
-    /// A call's end is unknown although it was accepted.
+    /// A call's end was not stated, and no later call makes it good.
     Lost,
     /// A non-idempotent request ran twice.
     DoubleRun,
--- a/crates/load/src/history/reader.rs
+++ b/crates/load/src/history/reader.rs
@@ -20,6 +20,20 @@
     pub malformed: Vec<Finding>,
 }
 
+impl History {
+    /// The history of records that were never written; each counts as a line.
+    pub fn new(records: &[Record]) -> Self {
+        let lines = records.iter().enumerate().map(|(index, record)| Line {
+            number: index + 1,
+            record: record.clone(),
+        });
+        Self {
+            lines: lines.collect(),
+            malformed: Vec::new(),
+        }
+    }
+}
+
 /// Reads a history; empty lines are passed over.
 pub fn read(text: &str) -> History {
     let mut history = History::default();
--- a/crates/load/src/history/record.rs
+++ b/crates/load/src/history/record.rs
@@ -34,6 +34,9 @@
     /// Idempotency key, shared by repeats.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
+    /// Call before, whose end was not stated and which this one makes good.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeats: Option<String>,
     /// What the whole answer must hold.
     pub expects: Content,
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod file;
 pub mod history;
 pub mod policy;
+pub mod run;
 pub mod workload;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/load/src/run/deployment.rs
@@ -0,0 +1,268 @@
+//! The deployment of an experiment: stand-ins and nodes as tasks of this process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use base::{Millis, Name, Seed};
+use catalogue::Catalogue;
+use fake::Handle;
+use fake::cloud::Vm;
+use fake::cloud::vm::Kind;
+use node::settings::Format;
+use node::{Node, Settings};
+use reqwest::Client;
+use serde_json::Value;
+
+use super::caller;
+use super::config::{Experiment, Replicas};
+use crate::{Error, file};
+
+/// Operators' token and peer secret of experiments.
+const OPERATOR_TOKEN: &str = "load-operator-token";
+const PEER_SECRET: &str = "load-peer-secret-of-16";
+/// Looks until the catalogue is in force, and the span between them.
+const LOOKS: u32 = 400;
+const LOOK: Duration = Duration::from_millis(50);
+/// Longest graceful stop of a node.
+const DRAIN: Duration = Duration::from_secs(10);
+
+/// A replica as it was started.
+#[derive(Debug)]
+pub struct Replica {
+    /// Its VM.
+    pub vm: Vm,
+    handle: Option<Handle>,
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Catalogue in force.
+    pub catalogue: Catalogue,
+    /// URL of the key-value service.
+    pub store: String,
+    /// URL of the cloud.
+    pub cloud: String,
+    /// Addresses of the nodes at the start.
+    pub nodes: Vec<SocketAddr>,
+    /// Replicas at the start.
+    pub replicas: Vec<Replica>,
+    running: Vec<Option<Node>>,
+    platform: Vec<Handle>,
+    client: Client,
+}
+
+impl Deployment {
+    /// Starts everything and waits until the catalogue is in force.
+    pub async fn start(experiment: &Experiment, file: &Path, client: Client) -> Result<Self, Error> {
+        let catalogue = read_catalogue(experiment, file)?;
+        let store = fake::kv::Server::new().start(loopback()).await.map_err(failed)?;
+        let replicas = start_replicas(experiment, &catalogue).await?;
+        let vms = replicas.iter().map(|replica| replica.vm.clone());
+        let cloud = vms.fold(fake::cloud::Server::new(), fake::cloud::Server::with_vm);
+        let cloud = cloud.start(loopback()).await.map_err(failed)?;
+        let mut deployment = Self {
+            catalogue,
+            store: store.url(),
+            cloud: cloud.url(),
+            nodes: Vec::new(),
+            replicas,
+            running: Vec::new(),
+            platform: vec![store, cloud],
+            client,
+        };
+        deployment.start_nodes(experiment.nodes as usize).await?;
+        deployment.apply().await?;
+        Ok(deployment)
+    }
+
+    /// Sends a JSON body to a stand-in's or a node's admin route.
+    pub async fn send(&self, method: reqwest::Method, url: &str, body: &Value) -> Result<(), Error> {
+        let request = self
+            .client
+            .request(method, url)
+            .bearer_auth(OPERATOR_TOKEN)
+            .json(body);
+        let response = request.send().await.map_err(failed)?;
+        response.error_for_status().map_err(failed)?;
+        Ok(())
+    }
+
+    /// Reads JSON from a node's admin route.
+    pub async fn read(&self, node: SocketAddr, path: &str) -> Option<Value> {
+        let request = self
+            .client
+            .get(format!("http://{node}{path}"))
+            .bearer_auth(OPERATOR_TOKEN);
+        request.send().await.ok()?.json().await.ok()
+    }
+
+    /// The operators' token.
+    pub const fn operator(&self) -> &'static str {
+        OPERATOR_TOKEN
+    }
+
+    /// Stops a node gracefully.
+    pub async fn stop_node(&mut self, index: usize) {
+        if let Some(node) = self.running.get_mut(index).and_then(Option::take) {
+            node.stop().await;
+        }
+    }
+
+    /// Kills the replicas of a zone that are reclaimable.
+    pub fn kill_zone(&mut self, zone: &str) {
+        for replica in &mut self.replicas {
+            if replica.vm.zone == zone && replica.vm.reclaimable {
+                replica.handle = None;
+            }
+        }
+    }
+
+    /// Stops nodes, then stand-ins.
+    pub async fn stop(self) {
+        let stops = self.running.into_iter().flatten().map(Node::stop);
+        futures::future::join_all(stops).await;
+        drop(self.platform);
+    }
+
+    async fn start_nodes(&mut self, count: usize) -> Result<(), Error> {
+        let mut peers = Vec::new();
+        for index in 0..count {
+            let zone = self.catalogue.zones[index % self.catalogue.zones.len()].clone();
+            let settings = Settings {
+                listen: loopback(),
+                peer_listen: loopback(),
+                name: Name::new(format!("node-{index}")),
+                zone,
+                region: self.catalogue.region.clone(),
+                store: self.store.clone(),
+                cloud: self.cloud.clone(),
+                peers: peers.clone(),
+                peer_secret: PEER_SECRET.to_owned(),
+                operator_token: OPERATOR_TOKEN.to_owned(),
+                drain: DRAIN,
+                log_format: Format::Human,
+                log_level: log::LevelFilter::Warn,
+            };
+            let node = Node::start(settings).await.map_err(failed)?;
+            peers.push(node.peer_address());
+            self.nodes.push(node.address());
+            self.running.push(Some(node));
+        }
+        Ok(())
+    }
+
+    async fn apply(&self) -> Result<(), Error> {
+        let text = toml::to_string(&self.catalogue).map_err(failed)?;
+        let url = format!(
+            "http://{}/v1/admin/catalogue?expected=0&id=load&author=load",
+            self.nodes[0]
+        );
+        let request = self.client.put(url).bearer_auth(OPERATOR_TOKEN).body(text);
+        let response = request.send().await.map_err(failed)?;
+        if !response.status().is_success() {
+            let finding = response.text().await.unwrap_or_default();
+            return Err(Error::Deployment(format!("catalogue: {finding}")));
+        }
+        for node in &self.nodes {
+            self.wait_ready(*node).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_ready(&self, node: SocketAddr) -> Result<(), Error> {
+        let mut seen = 0;
+        let mut applied = None;
+        for _look in 0..LOOKS {
+            let status = self
+                .read(node, "/v1/admin/catalogue/status")
+                .await
+                .unwrap_or_default();
+            let replicas = self.read(node, "/v1/admin/replicas").await.unwrap_or_default();
+            seen = replicas.as_array().map_or(0, Vec::len);
+            applied = status["applied"].as_u64();
+            if applied == Some(1) && seen == self.replicas.len() {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        let wanted = self.replicas.len();
+        let finding = format!("node {node} applied {applied:?} and sees {seen} of {wanted} replicas");
+        Err(Error::Deployment(finding))
+    }
+}
+
+fn read_catalogue(experiment: &Experiment, file: &Path) -> Result<Catalogue, Error> {
+    let path = file
+        .parent()
+        .unwrap_or(Path::new("."))
+        .join(&experiment.catalogue);
+    let mut catalogue = file::settings::<Catalogue>(&path)?;
+    for workspace in &mut catalogue.workspaces {
+        workspace.token_digest = catalogue::token::digest(&caller::token(workspace.name.as_str()));
+    }
+    Ok(catalogue)
+}
+
+async fn start_replicas(experiment: &Experiment, catalogue: &Catalogue) -> Result<Vec<Replica>, Error> {
+    let mut replicas = Vec::new();
+    for group in &experiment.replicas {
+        let Some(endpoint) = catalogue.endpoint(&group.endpoint) else {
+            let finding = format!("replicas of '{}', which is not in the catalogue", group.endpoint);
+            return Err(Error::Deployment(finding));
+        };
+        for index in 0..group.count as usize {
+            let number = replicas.len() as u64 + 1;
+            let seed = Seed(experiment.seed).derive(number);
+            let is_engine = endpoint.kind == catalogue::endpoint::Kind::Engine;
+            let handle = start_replica(group, is_engine, seed).await?;
+            let vm = Vm {
+                id: format!("{}-{number}", group.endpoint),
+                kind: Kind::Replica,
+                endpoint: group.endpoint.clone(),
+                zone: catalogue.zones[index % catalogue.zones.len()].to_string(),
+                class: endpoint.class.to_string(),
+                reclaimable: group.reclaimable,
+                addr: handle.addr().to_string(),
+                version: group.version.clone(),
+                incarnation: format!("{number:016x}"),
+                ..Vm::default()
+            };
+            let handle = Some(handle);
+            replicas.push(Replica { vm, handle });
+        }
+    }
+    Ok(replicas)
+}
+
+async fn start_replica(group: &Replicas, is_engine: bool, seed: Seed) -> Result<Handle, Error> {
+    if is_engine {
+        let engine = fake::engine::Server::new()
+            .with_config(group.engine.clone())
+            .with_version(&group.version)
+            .with_lag(Millis(group.lag_ms))
+            .with_faults(group.faults.clone())
+            .with_seed(seed);
+        return engine.start(loopback()).await.map_err(failed);
+    }
+    let service = fake::service::Server::new()
+        .with_version(&group.version)
+        .with_lag(Millis(group.lag_ms))
+        .with_work(Millis(group.work_ms))
+        .with_capacity(group.capacity)
+        .with_faults(group.faults.clone())
+        .with_seed(seed);
+    service.start(loopback()).await.map_err(failed)
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn failed<E>(error: E) -> Error
+where
+    E: std::fmt::Display,
+{
+    Error::Deployment(error.to_string())
+}
--- /dev/null
+++ b/crates/load/src/run/driver.rs
@@ -0,0 +1,113 @@
+//! Runs an experiment from its start to its report.
+
+use std::io::IsTerminal;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Seed;
+use indicatif::ProgressBar;
+use reqwest::Client;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+use super::addresses::Addresses;
+use super::caller::Callers;
+use super::config::Experiment;
+use super::deployment::Deployment;
+use super::faults::Stage;
+use super::observer::Observer;
+use super::recorder::Recorder;
+use super::report::Report;
+use crate::history::Record;
+use crate::workload::{self, Arrival};
+use crate::{Error, file};
+
+/// Longest wait for what is under way after the last arrival.
+const TAIL: Duration = Duration::from_mins(2);
+
+/// A finished experiment.
+#[derive(Debug)]
+pub struct Outcome {
+    /// What it came to.
+    pub report: Report,
+    /// Its history.
+    pub history: Vec<Record>,
+}
+
+/// Runs the experiment of a file.
+pub async fn run(path: &Path) -> Result<Outcome, Error> {
+    let experiment = file::settings::<Experiment>(path)?;
+    let client = Client::builder()
+        .no_proxy()
+        .build()
+        .map_err(|cause| Error::Deployment(cause.to_string()))?;
+    let deployment = Deployment::start(&experiment, path, client.clone()).await?;
+    let recorder = Arc::new(Recorder::new());
+    let observer = Arc::new(Observer::new(client.clone(), Arc::clone(&recorder), &deployment));
+    let random = Seed(experiment.seed).derive(u64::MAX).generator();
+    let callers = Arc::new(Callers {
+        addresses: Addresses::new(client.clone(), deployment.nodes.clone(), random),
+        experiment: experiment.clone(),
+        client,
+        recorder: Arc::clone(&recorder),
+    });
+    let catalogue = deployment.catalogue.clone();
+    let stage = Stage {
+        deployment: Arc::new(Mutex::new(deployment)),
+        observer: Arc::clone(&observer),
+        recorder: Arc::clone(&recorder),
+    };
+    let mut events = JoinSet::new();
+    for event in experiment.events.clone() {
+        events.spawn(stage.clone().play(event));
+    }
+    let looks = tokio::spawn(Arc::clone(&observer).run());
+    let arrivals = workload::generate(
+        &experiment.streams,
+        experiment.span_s * 1_000_000,
+        Seed(experiment.seed),
+    );
+    call(callers, arrivals).await;
+    events.abort_all();
+    looks.abort();
+    observer.look().await;
+    let counts = observer.counts().await;
+    drop((stage, events));
+    let notes = std::mem::take(&mut *recorder.lock());
+    let report = Report::new(&experiment, &catalogue, &notes, counts);
+    Ok(Outcome {
+        report,
+        history: notes.records,
+    })
+}
+
+/// Lets each arrival come at its time, whatever became of those before.
+async fn call(callers: Arc<Callers>, arrivals: Vec<Arrival>) {
+    let progress = progress(arrivals.len() as u64);
+    let mut calls = JoinSet::new();
+    for (number, arrival) in arrivals.into_iter().enumerate() {
+        tokio::time::sleep_until(callers.recorder.at(arrival.at_us)).await;
+        calls.spawn(Arc::clone(&callers).serve(number, arrival));
+        while calls.try_join_next().is_some() {
+            progress.inc(1);
+        }
+    }
+    let rest = async {
+        while calls.join_next().await.is_some() {
+            progress.inc(1);
+        }
+    };
+    if tokio::time::timeout(TAIL, rest).await.is_err() {
+        callers.recorder.log(&format!("{} calls had no end", calls.len()));
+    }
+    progress.finish_and_clear();
+}
+
+fn progress(count: u64) -> ProgressBar {
+    if std::io::stderr().is_terminal() {
+        ProgressBar::new(count)
+    } else {
+        ProgressBar::hidden()
+    }
+}
