--- a/crates/fake/src/service/route.rs
+++ b/crates/fake/src/service/route.rs
@@ -5,7 +5,7 @@
 use axum::body::Bytes;
 use axum::extract::{ConnectInfo, Query, State};
 use axum::response::{IntoResponse, Response};
-use axum::routing::{get, post};
+use axum::routing::{any, get, post};
 use axum::{Json, Router};
 use http::{HeaderMap, Method, StatusCode, Uri};
 use serde::Deserialize;
@@ -24,6 +24,7 @@
         .route("/admin/runs", get(runs))
         .route("/admin/orders", get(orders))
         .route("/admin/faults", get(faults).put(switch))
+        .route("/admin/{*path}", any(unknown))
         .fallback(serve)
         .with_state(shared)
 }
@@ -83,6 +84,11 @@
     shared.lock().ledger.run(run, body)
 }
 
+/// Admin routes that there are none of; they are no requests to be run.
+async fn unknown() -> StatusCode {
+    StatusCode::NOT_FOUND
+}
+
 async fn load(State(shared): State<Arc<Shared>>) -> Json<Load> {
     Json(shared.report())
 }
--- a/crates/fake/tests/service.rs
+++ b/crates/fake/tests/service.rs
@@ -259,6 +259,21 @@
     }
 }
 
+#[tokio::test]
+async fn admin_calls_are_no_runs() {
+    let bench = Bench::new(Server::new()).await;
+    for path in [
+        "/admin/runs",
+        "/admin/orders",
+        "/admin/faults",
+        "/admin/counts",
+        "/v1/load",
+    ] {
+        bench.client.get(bench.url(path)).send().await.unwrap();
+    }
+    assert!(bench.runs().await.is_empty());
+}
+
 #[tokio::test]
 async fn load_is_reported_late() {
     let server = Server::new().with_capacity(1).with_work(Millis(400));
--- a/crates/load/src/run/deployment.rs
+++ b/crates/load/src/run/deployment.rs
@@ -56,7 +56,8 @@
 impl Deployment {
     /// Starts everything and waits until the catalogue is in force.
     pub async fn start(experiment: &Experiment, file: &Path, client: Client) -> Result<Self, Error> {
-        let catalogue = read_catalogue(experiment, file)?;
+        let text = read_text(experiment, file)?;
+        let catalogue = Catalogue::parse(&text).map_err(failed)?;
         let store = fake::kv::Server::new().start(loopback()).await.map_err(failed)?;
         let replicas = start_replicas(experiment, &catalogue).await?;
         let vms = replicas.iter().map(|replica| replica.vm.clone());
@@ -73,7 +74,7 @@
             client,
         };
         deployment.start_nodes(experiment.nodes as usize).await?;
-        deployment.apply().await?;
+        deployment.apply(text).await?;
         Ok(deployment)
     }
 
@@ -153,8 +154,7 @@
         Ok(())
     }
 
-    async fn apply(&self) -> Result<(), Error> {
-        let text = toml::to_string(&self.catalogue).map_err(failed)?;
+    async fn apply(&self, text: String) -> Result<(), Error> {
         let url = format!(
             "http://{}/v1/admin/catalogue?expected=0&id=load&author=load",
             self.nodes[0]
@@ -193,16 +193,23 @@
     }
 }
 
-fn read_catalogue(experiment: &Experiment, file: &Path) -> Result<Catalogue, Error> {
+/// The text of the experiment's catalogue, with the tool's own tokens.
+fn read_text(experiment: &Experiment, file: &Path) -> Result<String, Error> {
     let path = file
         .parent()
         .unwrap_or(Path::new("."))
         .join(&experiment.catalogue);
-    let mut catalogue = file::settings::<Catalogue>(&path)?;
-    for workspace in &mut catalogue.workspaces {
-        workspace.token_digest = catalogue::token::digest(&caller::token(workspace.name.as_str()));
+    let mut table = file::settings::<toml::Table>(&path)?;
+    let workspaces = table.get_mut("workspace").and_then(toml::Value::as_array_mut);
+    for workspace in workspaces.into_iter().flatten() {
+        let Some(workspace) = workspace.as_table_mut() else {
+            continue;
+        };
+        let name = workspace.get("name").and_then(toml::Value::as_str);
+        let digest = catalogue::token::digest(&caller::token(name.unwrap_or_default()));
+        workspace.insert("token_digest".to_owned(), digest.into());
     }
-    Ok(catalogue)
+    toml::to_string(&table).map_err(failed)
 }
 
 async fn start_replicas(experiment: &Experiment, catalogue: &Catalogue) -> Result<Vec<Replica>, Error> {
