Name the last refusal's reason in an experiment's report

Cause: one run of taliesin-lunch-reclaim ended with every arrival after 28 s refused as not run, 3 s after the outage; the report did not say why. Change: reasons beside the ends, for calls and for keys.

--- a/crates/load/src/run/attempt.rs
+++ b/crates/load/src/run/attempt.rs
@@ -43,6 +43,8 @@
     /// Tokens received by this call.
     pub tokens: u32,
     pub retry_after: Duration,
+    /// Label of the refusal.
+    pub reason: Option<String>,
 }
 
 impl Ended {
@@ -54,6 +56,7 @@
             version: None,
             tokens: 0,
             retry_after: DEFAULT_RETRY,
+            reason: None,
         }
     }
 }
@@ -61,6 +64,7 @@
 /// The end of a stream that is not whole.
 #[derive(Debug, Deserialize)]
 struct Problem {
+    title: String,
     outcome: base::Outcome,
     #[serde(default)]
     retry_after_ms: Option<u64>,
@@ -96,7 +100,7 @@
         };
         let version = header(&response, "bilberrylatch-version");
         let ended = if !response.status().is_success() {
-            refused(&response)
+            refused(response).await
         } else if let Ask::Question(question) = self.ask {
             self.read_stream(question, response, first).await
         } else {
@@ -185,20 +189,25 @@
     Ended {
         end,
         retry_after,
+        reason: Some(problem.title),
         ..ended
     }
 }
 
-fn refused(response: &Response) -> Ended {
-    let seconds = header(response, "retry-after").and_then(|text| text.parse().ok());
-    let end = match header(response, "bilberrylatch-outcome").as_deref() {
+/// A refusal with its reason.
+pub async fn refused(response: Response) -> Ended {
+    let seconds = header(&response, "retry-after").and_then(|text| text.parse().ok());
+    let end = match header(&response, "bilberrylatch-outcome").as_deref() {
         Some("not-run") => End::NotRun,
         Some("unknown") => End::Unknown,
         Some(_) => End::Failed,
         None => End::Lost,
     };
+    let status = response.status();
+    let problem = response.json::<Problem>().await;
     Ended {
         retry_after: seconds.map_or(DEFAULT_RETRY, Duration::from_secs),
+        reason: Some(problem.map_or_else(|_| status.as_str().to_owned(), |problem| problem.title)),
         ..Ended::new(end)
     }
 }
--- a/crates/load/src/run/caller.rs
+++ b/crates/load/src/run/caller.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 
 use super::addresses::Addresses;
-use super::attempt::{Attempt, Ended};
+use super::attempt::{self, Attempt, Ended};
 use super::config::{self, Experiment};
 use super::recorder::{Recorder, Sample};
 use crate::history::record::{Answer, Invoke};
@@ -68,6 +68,7 @@
             first_us: request.first_us,
             end_us: self.recorder.now_us(),
             end: ended.end,
+            reason: ended.reason,
             calls: request.calls,
             tokens: u64::from(request.from),
             version: ended.version,
@@ -103,9 +104,9 @@
         };
         self.node = Some(node);
         if !self.idempotent() && self.key.is_none() {
-            self.key = self.issue(node).await;
-            if self.key.is_none() {
-                return Ended::new(End::NotRun);
+            match self.issue(node).await {
+                Ok(key) => self.key = Some(key),
+                Err(ended) => return ended,
             }
         }
         self.calls += 1;
@@ -153,7 +154,8 @@
         ended
     }
 
-    async fn issue(&self, node: SocketAddr) -> Option<String> {
+    /// A key, or why there is none; nothing ran either way.
+    async fn issue(&self, node: SocketAddr) -> Result<String, Ended> {
         let url = format!("http://{node}/v1/endpoints/{}/keys", self.endpoint());
         let timeout = Duration::from_millis(self.callers.experiment.caller.timeout_ms);
         let asked = self
@@ -162,9 +164,18 @@
             .post(url)
             .bearer_auth(&self.token)
             .timeout(timeout);
-        let response = asked.send().await.ok()?.error_for_status().ok()?;
-        let issued = response.json::<Issued>().await.ok()?;
-        Some(issued.key)
+        let response = asked.send().await.map_err(|_error| Ended::new(End::Unreached))?;
+        if !response.status().is_success() {
+            let end = End::NotRun;
+            return Err(Ended {
+                end,
+                ..attempt::refused(response).await
+            });
+        }
+        let issued = response.json::<Issued>().await;
+        issued
+            .map(|issued| issued.key)
+            .map_err(|_error| Ended::new(End::NotRun))
     }
 
     fn idempotent(&self) -> bool {
--- a/crates/load/src/run/recorder.rs
+++ b/crates/load/src/run/recorder.rs
@@ -19,6 +19,8 @@
     pub end_us: u64,
     /// How the last call ended.
     pub end: End,
+    /// Label of the last refusal, if it ended in one.
+    pub reason: Option<String>,
     /// Calls made.
     pub calls: u32,
     /// Tokens received.
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -49,6 +49,8 @@
     pub arrived: u64,
     /// By end.
     pub ends: IndexMap<&'static str, u64>,
+    /// Last refusals by reason.
+    pub reasons: IndexMap<String, u64>,
     /// Calls for each arrival.
     pub calls: f64,
     /// Tokens received.
@@ -141,6 +143,9 @@
         figures.tokens += sample.tokens;
         calls += u64::from(sample.calls);
         *figures.ends.entry(sample.end.as_str()).or_default() += 1;
+        if let Some(reason) = &sample.reason {
+            *figures.reasons.entry(reason.clone()).or_default() += 1;
+        }
         if sample.end == crate::history::End::Answered {
             let begun = sample.first_us.unwrap_or(sample.end_us);
             first.saturating_record(begun - sample.due_us);
@@ -258,7 +263,11 @@
         writeln!(f, "{} seed {}", self.name, self.seed)?;
         for row in &self.streams {
             let ends = row.ends.iter().map(|(end, count)| format!("{end} {count}"));
-            let ends = ends.collect::<Vec<_>>().join(", ");
+            let reasons = row
+                .reasons
+                .iter()
+                .map(|(reason, count)| format!("{reason} {count}"));
+            let ends = ends.chain(reasons).collect::<Vec<_>>().join(", ");
             writeln!(
                 f,
                 "{} {}: arrived {} ({ends}); calls {:.3}; first p50 {:.1} p95 {:.1} p99 {:.1} ms; whole p95 {:.1} ms; \
