Free the slot of a caller that goes away

Cause: a caller's closed connection drops the future that serves it; the router never heard the end of its dispatch, so the replica's slot stayed taken for good. Weighed: letting the request run to its end unheard (wastes the replica), giving it up (taken; a request under a key still runs to its end, as repeats want its result). Change: the driver runs as a task that is abandoned once nobody waits; evidence goes out at the interval that the fleet's size allows, and the guard knows the number of nodes.

--- a/crates/node/src/actor/rollouts.rs
+++ b/crates/node/src/actor/rollouts.rs
@@ -61,6 +61,8 @@
     holders: IndexMap<Name, announcement::Holder>,
     lease: Option<Lease>,
     ticks: u32,
+    /// When this node's evidence is due next.
+    next_report: Millis,
 }
 
 /// The node's own lease, that of its registration.
@@ -94,6 +96,7 @@
             holders: IndexMap::new(),
             lease: None,
             ticks: 0,
+            next_report: Millis::ZERO,
         })
     }
 }
--- a/crates/node/src/actor/rollouts/message.rs
+++ b/crates/node/src/actor/rollouts/message.rs
@@ -6,7 +6,7 @@
 use member::node::State;
 use member::role::{self, rank};
 use rollout::event::StoreResult;
-use rollout::{Action, Event, Stored, Summary, Veto, Wall};
+use rollout::{Action, Event, Stored, Summary, Veto, Wall, summary};
 
 use super::announcement::{Announcement, Holder};
 use super::{ANNOUNCE_TICKS, Lease, Reply, Rollouts};
@@ -35,7 +35,9 @@
                 self.announce_again(&shared, endpoint).await;
             }
         }
-        self.send_summaries(&shared).await;
+        if self.now() >= self.next_report {
+            self.send_summaries(&shared).await;
+        }
     }
 }
 
@@ -386,6 +388,12 @@
 
     /// Sends this node's evidence to the controllers.
     async fn send_summaries(&mut self, shared: &Shared) {
+        let nodes = shared
+            .members
+            .ask(Nodes)
+            .await
+            .map_or(1, |nodes| nodes.len() as u32);
+        self.next_report = self.now() + summary::interval(nodes);
         let Ok(summaries) = self.traffic.ask(Summaries).await else {
             return;
         };
--- a/crates/node/src/actor/traffic/catalogue.rs
+++ b/crates/node/src/actor/traffic/catalogue.rs
@@ -6,6 +6,7 @@
 use catalogue::{Catalogue, Endpoint, Kind};
 use indexmap::IndexMap;
 use kameo::message::{Context, Message};
+use rollout::guard;
 use route::Event;
 use route::{endpoint, workspace};
 
@@ -25,6 +26,7 @@
 
     async fn handle(&mut self, apply: Apply, _context: &mut Context<Self, Self::Reply>) {
         self.nodes = apply.nodes.max(1);
+        self.guard_step(guard::Event::Nodes(self.nodes));
         self.apply_endpoints(&apply.catalogue);
         self.apply_tenants(&apply.catalogue);
         self.catalogue = Some(apply.catalogue);
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -5,7 +5,7 @@
 use route::event::Finish;
 use route::failure::{Failure, Kind};
 use route::{CallKey, DispatchId, Refusal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::stream::{Relay, Relayed};
 use super::{Export, Outgoing, Part, Whole, attempt, export};
@@ -64,6 +64,8 @@
     began: bool,
     /// KV cache that a leaving replica gave along.
     import: Option<Export>,
+    /// The dispatch under way.
+    current: Option<DispatchId>,
 }
 
 impl Driver {
@@ -94,6 +96,7 @@
             granted: false,
             began: false,
             import: None,
+            current: None,
         })
     }
 
@@ -114,6 +117,35 @@
         self.granted
     }
 
+    /// Runs the request as a task of its own; it is given up once nobody waits for its end.
+    ///
+    /// NB: a caller's connection may close at any time, and with it the future that serves it. Every dispatch must
+    /// end at the router all the same, or its slot would stay taken.
+    pub fn spawn(mut self) -> oneshot::Receiver<End> {
+        let (mut sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            let ended = tokio::select! {
+                end = self.run() => Some(end),
+                () = sender.closed() => None,
+            };
+            match ended {
+                // A caller that has just gone needs no end.
+                Some(end) => drop(sender.send(end)),
+                None => self.abandon().await,
+            }
+        });
+        receiver
+    }
+
+    async fn abandon(&mut self) {
+        match self.current.take() {
+            Some(dispatch) => self.cancel(dispatch).await,
+            None => {
+                let _gone = self.shared.traffic.tell(Cancelled(self.call)).await;
+            }
+        }
+    }
+
     /// Carries orders out until the request has ended.
     pub async fn run(&mut self) -> End {
         let mut whole = None;
@@ -124,6 +156,7 @@
             match order {
                 Order::Dispatch(target) => match self.dispatch(&target).await {
                     Tried::Ended(finish, answer) => {
+                        self.current = None;
                         let server_error = answer.as_ref().is_some_and(Whole::is_server_error);
                         whole = answer;
                         self.finished(target.dispatch, finish, server_error).await;
@@ -150,6 +183,7 @@
     }
 
     async fn dispatch(&mut self, target: &Target) -> Tried {
+        self.current = Some(target.dispatch);
         if !self.grant().await {
             return failed(Kind::Cancelled, false);
         }
--- a/crates/node/src/edge/call.rs
+++ b/crates/node/src/edge/call.rs
@@ -39,13 +39,15 @@
 
 /// An idempotent request whose answer is read whole.
 async fn plain(shared: &Shared, outgoing: Outgoing) -> Response {
-    let Some(mut driver) = Driver::start(shared.clone(), outgoing).await else {
+    let Some(driver) = Driver::start(shared.clone(), outgoing).await else {
         return Problem::stopping().into_response();
     };
-    match driver.run().await {
-        End::Whole(whole) => answer(whole),
-        End::Refused(refusal) => Problem::from_refusal(refusal).into_response(),
-        End::Streamed | End::CallerGone | End::Broken => broken(Outcome::Unknown).into_response(),
+    match driver.spawn().await {
+        Ok(End::Whole(whole)) => answer(whole),
+        Ok(End::Refused(refusal)) => Problem::from_refusal(refusal).into_response(),
+        Ok(End::Streamed | End::CallerGone | End::Broken) | Err(_) => {
+            broken(Outcome::Unknown).into_response()
+        }
     }
 }
 
--- a/crates/node/src/edge/streamed.rs
+++ b/crates/node/src/edge/streamed.rs
@@ -21,8 +21,8 @@
         return Problem::stopping().into_response();
     };
     let (sender, mut parts) = mpsc::channel(PARTS);
-    let driver = driver.with_parts(sender);
-    let end = tokio::spawn(run(driver));
+    let mut driver = driver.with_parts(sender);
+    let end = tokio::spawn(async move { driver.run().await });
     match parts.recv().await {
         Some(Part::Began { version }) => {
             let mut response = Sse::new(events(parts))
@@ -40,10 +40,6 @@
     }
 }
 
-async fn run(mut driver: Driver) -> End {
-    driver.run().await
-}
-
 /// The parts as events: tokens with their index as id, then `done` or `error`.
 fn events(mut parts: mpsc::Receiver<Part>) -> impl Stream<Item = Result<Event, Infallible>> {
     async_stream::stream! {
--- /dev/null
+++ b/tests/system/callers.rs
@@ -0,0 +1,108 @@
+//! Callers that go away, and callers that ask for what they may not.
+
+use std::time::Duration;
+
+use reqwest::StatusCode;
+use serde_json::{Value, json};
+
+use crate::deployment::{Deployment, TOKEN};
+
+#[tokio::test]
+async fn slots_of_callers_that_go_away_are_freed() {
+    let deployment = Deployment::start(1).await;
+    for service in &deployment.services {
+        deployment.faults(service, json!({"slow_ms": 20_000})).await;
+    }
+    let node = &deployment.nodes[0];
+    let url = format!("{}/v1/endpoints/ledger/balance/pupil", node.url());
+    let impatient = (0..20).map(|_caller| {
+        let call = deployment
+            .client
+            .get(&url)
+            .bearer_auth(TOKEN)
+            .timeout(Duration::from_millis(300));
+        call.send()
+    });
+    for ended in futures::future::join_all(impatient).await {
+        assert!(ended.is_err(), "the caller gave up");
+    }
+    let idle = |list: &Value| {
+        list.as_array()
+            .is_some_and(|list| list.iter().all(|it| it["in_flight"] == json!(0)))
+    };
+    deployment.wait_for(node, "/v1/admin/replicas", idle).await;
+}
+
+/// A request that must be refused before it reaches a replica.
+struct Case {
+    method: &'static str,
+    path: &'static str,
+    token: &'static str,
+    status: StatusCode,
+    label: &'static str,
+}
+
+const CASES: [Case; 6] = [
+    Case {
+        method: "GET",
+        path: "/v1/endpoints/ledger/balance/x",
+        token: "guess",
+        status: StatusCode::UNAUTHORIZED,
+        label: "unauthorized",
+    },
+    Case {
+        method: "GET",
+        path: "/v1/endpoints/nowhere/balance/x",
+        token: TOKEN,
+        status: StatusCode::NOT_FOUND,
+        label: "no-endpoint",
+    },
+    Case {
+        method: "DELETE",
+        path: "/v1/endpoints/ledger/balance/x",
+        token: TOKEN,
+        status: StatusCode::NOT_FOUND,
+        label: "no-route",
+    },
+    Case {
+        method: "POST",
+        path: "/v1/endpoints/ledger/topup",
+        token: TOKEN,
+        status: StatusCode::BAD_REQUEST,
+        label: "key-missing",
+    },
+    Case {
+        method: "GET",
+        path: "/v1/admin/nodes",
+        token: TOKEN,
+        status: StatusCode::UNAUTHORIZED,
+        label: "unauthorized",
+    },
+    Case {
+        method: "PUT",
+        path: "/v1/admin/catalogue?expected=1&id=x&author=x",
+        token: TOKEN,
+        status: StatusCode::UNAUTHORIZED,
+        label: "unauthorized",
+    },
+];
+
+#[tokio::test]
+async fn requests_without_leave_are_refused_as_not_run() {
+    let deployment = Deployment::start(1).await;
+    for case in CASES {
+        let url = format!("{}{}", deployment.nodes[0].url(), case.path);
+        let method = case.method.parse().unwrap();
+        let call = deployment
+            .client
+            .request(method, url)
+            .bearer_auth(case.token)
+            .body("{}");
+        let response = call.send().await.unwrap();
+        assert_eq!(response.status(), case.status, "{}", case.path);
+        assert_eq!(response.headers()["bilberrylatch-outcome"], "not-run");
+        let problem: Value = response.json().await.unwrap();
+        assert_eq!(problem["title"], json!(case.label));
+    }
+    assert_eq!(deployment.runs().await.len(), 0);
+}
