--- /dev/null
+++ b/crates/load/tests/run.rs
@@ -0,0 +1,63 @@
+//! A small experiment from its file to its report, history, table and picture.
+
+use std::path::{Path, PathBuf};
+
+use load::history::{Finding, History, Kind, Record, check};
+use load::run::{Experiment, plot};
+use load::{file, run};
+
+fn samples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples/experiments")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn small_experiment_is_answered_and_sound() {
+    let outcome = run::run(&samples().join("smoke.toml")).await.unwrap();
+    let report = outcome.report;
+    assert_eq!(report.streams.len(), 2);
+    for stream in &report.streams {
+        assert!(stream.arrived > 0);
+        assert_eq!(stream.ends.get("answered"), Some(&stream.arrived), "{report}");
+        assert!(stream.first.p50 > 0.0 && stream.first.p50 <= stream.whole.max);
+    }
+    let seconds = report.seconds.iter().map(|second| second.arrived);
+    assert_eq!(
+        seconds.sum::<u64>(),
+        report.streams.iter().map(|stream| stream.arrived).sum::<u64>()
+    );
+    assert!(report.tokens.decoded > 0 && report.costs.iter().all(|cost| cost.price.is_some()));
+    assert_eq!(check(&History::new(&outcome.history)), report.findings);
+    // NB: a node of another test may reach a port that it knew and that is now a replica's here.
+    let broken = report
+        .findings
+        .iter()
+        .filter(|finding| finding.kind != Kind::Stray);
+    assert_eq!(broken.collect::<Vec<_>>(), Vec::<&Finding>::new());
+    let runs = outcome
+        .history
+        .iter()
+        .filter(|record| matches!(record, Record::Run(_)));
+    assert!(runs.count() as u64 >= report.streams[0].arrived);
+    let svg = std::env::temp_dir().join(format!("bilberrylatch-load-{}.svg", std::process::id()));
+    plot::draw(&svg, &report).unwrap();
+    let drawn = file::text(&svg).unwrap();
+    std::fs::remove_file(&svg).unwrap();
+    assert!(drawn.starts_with("<svg") && drawn.contains("answered"));
+}
+
+#[test]
+fn every_sample_can_be_read() {
+    let mut read = 0;
+    for entry in std::fs::read_dir(samples()).unwrap() {
+        let path = entry.unwrap().path();
+        let text = file::text(&path).unwrap();
+        let known = match path.file_stem().unwrap().to_str().unwrap() {
+            name if name.ends_with("-catalogue") => toml::from_str::<toml::Table>(&text).is_ok(),
+            name if name.ends_with("-policy") => file::settings::<load::policy::Config>(&path).is_ok(),
+            _ => file::settings::<Experiment>(&path).is_ok(),
+        };
+        assert!(known, "{}", path.display());
+        read += 1;
+    }
+    assert!(read >= 9);
+}
