Route: bench of steps while all slots are used

Cause: a full queue with a lane for each prefix's replica is the dearest case of a step, and nothing measured it.

--- a/crates/route/benches/route.rs
+++ b/crates/route/benches/route.rs
@@ -1,5 +1,7 @@
 //! Cost of the router's steps by the number of replicas.
 
+use std::collections::VecDeque;
+
 use base::{Millis, Name, Seed};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use route::event::{Event, Finish};
@@ -29,7 +31,7 @@
 impl Fixture {
     fn new(replicas: u32, affinity: bool) -> Self {
         let mut router = Router::new(Seed(1)).with_zone(&Name::from("zone-0"));
-        let settings = endpoint::Settings::new(Millis(500)).with_affinity(affinity);
+        let settings = endpoint::Settings::new(Millis(5_000)).with_affinity(affinity);
         let endpoint = router.add_endpoint(settings);
         let workspace = router.add_workspace(workspace::Settings::new(u32::MAX));
         let mut actions = Vec::new();
@@ -57,21 +59,27 @@
 
     fn arrive(&mut self) -> Option<DispatchId> {
         self.calls += 1;
+        self.actions.clear();
         // Ten events a millisecond, so that latencies stay within the target.
         self.now = Millis(1 + self.calls / 10);
-        let deadline = self.now + Millis(5_000);
+        let deadline = self.now + Millis(60_000);
         let arrival = Arrival::new(CallKey(self.calls), self.endpoint, self.workspace, deadline)
             .with_prefix(Prefix(self.calls % 1_000));
-        self.actions.clear();
         self.router
             .step(self.now, Event::Arrive(arrival), &mut self.actions);
-        self.actions.iter().find_map(|action| match action {
+        self.dispatched().next()
+    }
+
+    /// The dispatches among the last actions.
+    fn dispatched(&self) -> impl Iterator<Item = DispatchId> + '_ {
+        self.actions.iter().filter_map(|action| match action {
             Action::Dispatch(dispatch) => Some(dispatch.id),
             _ => None,
         })
     }
 
     fn finish(&mut self, dispatch: DispatchId) {
+        self.actions.clear();
         let finish = Finish::Whole;
         self.router
             .step(self.now, Event::Finished { dispatch, finish }, &mut self.actions);
@@ -137,6 +145,29 @@
     group.finish();
 }
 
+/// Cost of an end and an arrival while all slots are used and the queue is full, each request with a home of its own.
+fn saturated(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("saturated");
+    for replicas in [10, 100, 1_000] {
+        let mut fixture = Fixture::new(replicas, true);
+        let mut running = VecDeque::new();
+        while let Some(dispatch) = fixture.arrive() {
+            running.push_back(dispatch);
+        }
+        fixture.load(HELD);
+        group.bench_function(BenchmarkId::from_parameter(replicas), |bencher| {
+            bencher.iter(|| {
+                let dispatch = running.pop_front().expect("all slots are used");
+                fixture.finish(dispatch);
+                running.extend(fixture.dispatched());
+                fixture.arrive();
+                running.extend(fixture.dispatched());
+            });
+        });
+    }
+    group.finish();
+}
+
 fn reports(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("report");
     for replicas in REPLICAS {
@@ -148,5 +179,5 @@
     group.finish();
 }
 
-criterion_group!(benches, requests, in_flight, reports);
+criterion_group!(benches, requests, in_flight, saturated, reports);
 criterion_main!(benches);
