--- a/crates/route/benches/policy/main.rs
+++ b/crates/route/benches/policy/main.rs
@@ -3,6 +3,7 @@
 //! `cargo bench -p route --bench policy [scenario]`
 
 mod engine;
+mod node;
 mod policy;
 mod run;
 mod scenario;
--- a/crates/route/benches/policy/run.rs
+++ b/crates/route/benches/policy/run.rs
@@ -3,18 +3,16 @@
 use std::collections::VecDeque;
 
 use base::seed::Generator;
-use base::{Millis, Name, Seed};
+use base::{Millis, Seed};
 use rand::RngExt;
 use route::event::{Event, Finish};
 use route::failure::{Failure, Kind};
-use route::replica::{Report, Spec};
-use route::{
-    Action, Arrival, CallKey, DispatchId, EndpointKey, Prefix, ReplicaKey, Router, WorkspaceKey, endpoint,
-    workspace,
-};
+use route::replica::Report;
+use route::{Action, Arrival, CallKey, DispatchId, Prefix};
 
-use crate::engine::{Engine, MAX_BATCH, Progress};
-use crate::policy::{Baseline, Policy};
+use crate::engine::{Engine, Progress};
+use crate::node::{Node, ZONES};
+use crate::policy::Policy;
 use crate::scenario::Scenario;
 
 /// Span of one moment.
@@ -27,7 +25,6 @@
 pub const TARGET: Millis = Millis(1_000);
 const DEADLINE: Millis = Millis(4_000);
 const NODES: usize = 4;
-const ZONES: usize = 4;
 /// Lease files that are worked on at once, and requests until one is replaced.
 const FILES: usize = 200;
 const REQUESTS_A_FILE: u32 = 15;
@@ -58,14 +55,6 @@
     ended: bool,
 }
 
-struct Node {
-    router: Router,
-    endpoint: EndpointKey,
-    workspaces: Vec<WorkspaceKey>,
-    replicas: Vec<ReplicaKey>,
-    baseline: Baseline,
-}
-
 /// Something that reaches the nodes late.
 #[derive(Clone, Copy, Debug)]
 enum Late {
@@ -407,50 +396,3 @@
         }
     }
 }
-
-impl Node {
-    fn new(index: usize, policy: Policy, scenario: Scenario, seed: u64) -> Self {
-        let seed = Seed(seed).derive(index as u64 + 1);
-        let mut router = Router::new(seed).with_zone(&zone(index));
-        let settings = endpoint::Settings::new(TARGET)
-            .with_affinity(policy == Policy::Router)
-            .with_retry_percent(10);
-        let endpoint = router.add_endpoint(settings);
-        let settings = workspace::Settings::new(u32::MAX);
-        let workspaces = if scenario.shared_flow {
-            let workspace = router.add_workspace(settings);
-            scenario.streams.iter().map(|_| workspace).collect()
-        } else {
-            scenario
-                .streams
-                .iter()
-                .map(|_| router.add_workspace(settings))
-                .collect()
-        };
-        Self {
-            router,
-            endpoint,
-            workspaces,
-            replicas: Vec::new(),
-            baseline: Baseline::default(),
-        }
-    }
-
-    fn add(&mut self, now: Millis, index: usize) -> Vec<Action> {
-        let spec = Spec {
-            endpoint: self.endpoint,
-            zone: self.router.zone(&zone(index)),
-            version: self.router.version(&Name::from("v1")),
-            capacity: MAX_BATCH as u32,
-            identity: self.replicas.len() as u64 + 1,
-        };
-        let mut actions = Vec::new();
-        self.replicas
-            .extend(self.router.add_replica(now, spec, &mut actions));
-        actions
-    }
-}
-
-fn zone(index: usize) -> Name {
-    Name::from(format!("zone-{}", index % ZONES))
-}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -8,6 +8,7 @@
 mod due;
 mod finish;
 mod flight;
+mod retry;
 
 use base::seed::Generator;
 use base::{Millis, Name, Seed};
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -1,8 +1,11 @@
 //! The router against a simple oracle, and tables of its refusals and retries.
 
-mod cases;
+mod choices;
 mod fairness;
+mod fixture;
 mod fuzz;
 mod op;
 mod oracle;
+mod refusals;
+mod retries;
 mod world;
--- /dev/null
+++ b/crates/route/tests/route/refusals.rs
@@ -0,0 +1,155 @@
+//! Each reason of refusal, once with what leads to it.
+
+use base::{Millis, Outcome};
+use route::action::Action;
+use route::event::Event;
+use route::failure::Kind;
+use route::refusal::Reason;
+
+use crate::fixture::{self, DEADLINE, Fixture, dispatch, failed, settings};
+
+struct Refused {
+    reason: Reason,
+    outcome: Outcome,
+    provoke: fn() -> Vec<Action>,
+}
+
+const REFUSED: [Refused; 12] = [
+    Refused {
+        reason: Reason::NoEndpoint,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            let endpoint = fixture.endpoint;
+            fixture.step(Millis(1), Event::EndpointRemoved { endpoint });
+            fixture.arrive(Millis(2), true)
+        },
+    },
+    Refused {
+        reason: Reason::NoWorkspace,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            let workspace = fixture.workspace;
+            fixture.step(Millis(1), Event::WorkspaceRemoved { workspace });
+            fixture.arrive(Millis(2), true)
+        },
+    },
+    Refused {
+        reason: Reason::NoReplica,
+        outcome: Outcome::NotRun,
+        provoke: || Fixture::new(settings(), 9, 0).arrive(Millis(1), true),
+    },
+    Refused {
+        reason: Reason::Overloaded,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            fixture.arrive(Millis(1), true);
+            fixture.arrive(Millis(1), true);
+            fixture.arrive(Millis(1), true)
+        },
+    },
+    // Its turn would come after the deadline: said on arrival.
+    Refused {
+        reason: Reason::DeadlineUnmet,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            fixture.arrive(Millis(1), true);
+            fixture.arrive(DEADLINE - Millis(150), true)
+        },
+    },
+    // It waited in vain: said while there is still time to ask elsewhere.
+    Refused {
+        reason: Reason::DeadlineUnmet,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            fixture.arrive(Millis(1), true);
+            fixture.arrive(Millis(2), true);
+            fixture.step(DEADLINE - Millis(100), Event::Tick)
+        },
+    },
+    // It was in flight: the node is told to give it up, and says whether a byte left.
+    Refused {
+        reason: Reason::DeadlineUnmet,
+        outcome: Outcome::Unknown,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 1);
+            let sent = dispatch(&fixture.arrive(Millis(1), false));
+            let cancel = fixture.step(DEADLINE, Event::Tick);
+            assert_eq!(cancel, [Action::Cancel { dispatch: sent.id }]);
+            fixture.end(DEADLINE, sent, failed(Kind::Cancelled, true))
+        },
+    },
+    Refused {
+        reason: Reason::WorkspaceLimit,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 1, 2);
+            fixture.arrive(Millis(1), true);
+            fixture.arrive(DEADLINE - Millis(150), true)
+        },
+    },
+    Refused {
+        reason: Reason::RetryBudget,
+        outcome: Outcome::NotRun,
+        provoke: || {
+            let mut fixture = Fixture::new(settings().with_max_attempts(20).with_retry_percent(0), 9, 2);
+            let mut actions = fixture.arrive_until(Millis(1), false, Millis::from_secs(60));
+            for turn in 1..=10 {
+                let sent = dispatch(&actions);
+                let now = Millis::from_secs(2 * turn);
+                assert_eq!(fixture.end(now, sent, failed(Kind::Rejected, false)), []);
+                actions = fixture.step(now + Millis(1_000), Event::Tick);
+            }
+            let sent = dispatch(&actions);
+            fixture.end(Millis::from_secs(22), sent, failed(Kind::Rejected, false))
+        },
+    },
+    Refused {
+        reason: Reason::Attempts,
+        outcome: Outcome::Unknown,
+        provoke: || {
+            let mut fixture = Fixture::new(settings().with_max_attempts(1), 9, 2);
+            let sent = dispatch(&fixture.arrive(Millis(1), true));
+            fixture.end(Millis(2), sent, failed(Kind::Status, true))
+        },
+    },
+    Refused {
+        reason: Reason::MayHaveRun,
+        outcome: Outcome::Unknown,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 2);
+            let sent = dispatch(&fixture.arrive(Millis(1), false));
+            fixture.end(Millis(2), sent, failed(Kind::Reset, true))
+        },
+    },
+    // The node says that it did not run, but a byte had left.
+    Refused {
+        reason: Reason::MayHaveRun,
+        outcome: Outcome::Unknown,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 2);
+            let sent = dispatch(&fixture.arrive(Millis(1), false));
+            fixture.step(Millis(1), Event::Sent { dispatch: sent.id });
+            fixture.end(Millis(2), sent, failed(Kind::Connect, false))
+        },
+    },
+];
+
+#[test]
+fn each_refusal_says_why_and_what_to_conclude() {
+    for case in REFUSED {
+        let refusal = fixture::refusal(&(case.provoke)());
+        assert_eq!(refusal.reason, case.reason);
+        assert_eq!(refusal.outcome, case.outcome, "{}", case.reason);
+    }
+    for reason in Reason::ALL {
+        assert!(
+            REFUSED.iter().any(|case| case.reason == reason),
+            "no case for {reason}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/route/tests/route/retries.rs
@@ -0,0 +1,91 @@
+//! Each cause of a retry, once with what leads to it.
+
+use base::Millis;
+use route::event::{Event, Finish};
+use route::failure::{Failure, Kind};
+use route::retry::Cause;
+
+use crate::fixture::{Fixture, dispatch, settings};
+
+/// Long enough for any backoff, shorter than the deadline.
+const LATER: Millis = Millis(200);
+
+struct Retried {
+    cause: Cause,
+    idempotent: bool,
+    sent: bool,
+    first_token: bool,
+    finish: Finish,
+    delivered: u32,
+}
+
+const RETRIED: [Retried; 5] = [
+    Retried {
+        cause: Cause::ReplicaLost,
+        idempotent: false,
+        sent: false,
+        first_token: false,
+        finish: Finish::Failed(Failure::new(Kind::Refused, false)),
+        delivered: 0,
+    },
+    Retried {
+        cause: Cause::Rejected,
+        idempotent: false,
+        sent: true,
+        first_token: false,
+        finish: Finish::Failed(Failure::new(Kind::Rejected, false)),
+        delivered: 0,
+    },
+    Retried {
+        cause: Cause::NotRun,
+        idempotent: false,
+        sent: false,
+        first_token: false,
+        finish: Finish::Failed(Failure::new(Kind::Connect, false)),
+        delivered: 0,
+    },
+    Retried {
+        cause: Cause::Idempotent,
+        idempotent: true,
+        sent: true,
+        first_token: false,
+        finish: Finish::Failed(Failure::new(Kind::Status, true)),
+        delivered: 0,
+    },
+    Retried {
+        cause: Cause::Resume,
+        idempotent: true,
+        sent: true,
+        first_token: true,
+        finish: Finish::Cut { tokens: 7 },
+        delivered: 7,
+    },
+];
+
+#[test]
+fn each_retry_says_why_and_goes_elsewhere() {
+    for case in RETRIED {
+        let mut fixture = Fixture::new(settings(), 9, 2);
+        let first = dispatch(&fixture.arrive(Millis(1), case.idempotent));
+        if case.sent {
+            fixture.step(Millis(2), Event::Sent { dispatch: first.id });
+        }
+        if case.first_token {
+            fixture.step(Millis(3), Event::FirstToken { dispatch: first.id });
+        }
+        let mut actions = fixture.end(Millis(4), first, case.finish);
+        actions.extend(fixture.step(LATER, Event::Tick));
+        let second = dispatch(&actions);
+        assert_eq!(second.cause, Some(case.cause));
+        assert_eq!(second.delivered, case.delivered);
+        assert_eq!(second.attempt, 2);
+        assert_ne!(second.replica, first.replica);
+    }
+    for cause in Cause::ALL {
+        assert!(
+            RETRIED.iter().any(|case| case.cause == cause),
+            "no case for {}",
+            cause.as_str()
+        );
+    }
+}
