--- /dev/null
+++ b/benches/path/latency.rs
@@ -0,0 +1,102 @@
+//! Latency that a node adds, and requests that a core carries.
+
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use reqwest::Client;
+
+use crate::deployment::{Deployment, TOKEN};
+use crate::usage::Usage;
+
+/// Requests one after another, each way.
+const SEQUENTIAL: usize = 3_000;
+
+/// Requests in parallel, and how many at once.
+const PARALLEL: usize = 20_000;
+const CONCURRENCY: usize = 32;
+
+/// Latencies of many requests.
+struct Latencies(Vec<Duration>);
+
+impl Latencies {
+    fn percentile(&self, percent: usize) -> f64 {
+        let index = (self.0.len() * percent / 100).min(self.0.len() - 1);
+        self.0[index].as_secs_f64() * 1000.0
+    }
+}
+
+/// Prints both tables.
+pub async fn run() {
+    let deployment = Deployment::start(1).await;
+    let direct = format!("{}/balance/pupil", deployment.services[0].url());
+    let through = format!("{}/v1/endpoints/ledger/balance/pupil", deployment.nodes[0].url());
+    sequential(&deployment.client, &direct).await;
+    sequential(&deployment.client, &through).await;
+    let direct = sequential(&deployment.client, &direct).await;
+    let node = sequential(&deployment.client, &through).await;
+    println!("latency of one request at a time, {SEQUENTIAL} requests");
+    println!("{:>10} {:>10} {:>10}", "", "p50 ms", "p99 ms");
+    for (label, latencies) in [("direct", &direct), ("node", &node)] {
+        println!(
+            "{label:>10} {:>10.3} {:>10.3}",
+            latencies.percentile(50),
+            latencies.percentile(99)
+        );
+    }
+    println!(
+        "{:>10} {:>10.3} {:>10.3}",
+        "added",
+        node.percentile(50) - direct.percentile(50),
+        node.percentile(99) - direct.percentile(99)
+    );
+    parallel(&deployment, &through).await;
+}
+
+async fn sequential(client: &Client, url: &str) -> Latencies {
+    let mut latencies = Vec::with_capacity(SEQUENTIAL);
+    for _request in 0..SEQUENTIAL {
+        let start = Instant::now();
+        let response = client
+            .get(url)
+            .bearer_auth(TOKEN)
+            .header("bilberrylatch-dispatch", "bench")
+            .send()
+            .await;
+        let _body = response.expect("an answer").bytes().await.expect("a body");
+        latencies.push(start.elapsed());
+    }
+    latencies.sort();
+    Latencies(latencies)
+}
+
+async fn parallel(deployment: &Deployment, url: &str) {
+    let node = &deployment.nodes[0];
+    let before = Usage::of(node);
+    let calls = (0..PARALLEL).map(|_request| async {
+        let response = deployment
+            .client
+            .get(url)
+            .bearer_auth(TOKEN)
+            .send()
+            .await
+            .expect("an answer");
+        response.status().is_success()
+    });
+    let answered = futures::stream::iter(calls)
+        .buffer_unordered(CONCURRENCY)
+        .filter(|ok| std::future::ready(*ok))
+        .count()
+        .await;
+    let after = Usage::of(node);
+    let span = after.at.duration_since(before.at).as_secs_f64();
+    let processor = after.processor - before.processor;
+    println!(
+        "\n{CONCURRENCY} requests at a time: {answered} of {PARALLEL} answered, {:.0} a second",
+        PARALLEL as f64 / span
+    );
+    println!(
+        "node: {:.0} µs of processor time a request, {:.0} requests a core a second",
+        processor / PARALLEL as f64 * 1e6,
+        PARALLEL as f64 / processor
+    );
+}
--- a/crates/node/src/actor/traffic/report.rs
+++ b/crates/node/src/actor/traffic/report.rs
@@ -7,6 +7,7 @@
 
 use super::Traffic;
 use super::replica::Identity;
+use crate::platform::load::Source;
 
 /// A replica reported its load.
 #[derive(Clone, Debug)]
@@ -34,6 +35,26 @@
     }
 }
 
+/// Asks where load reports are read.
+#[derive(Clone, Copy, Debug)]
+pub struct Sources;
+
+impl Message<Sources> for Traffic {
+    type Reply = Vec<Source>;
+
+    async fn handle(&mut self, _sources: Sources, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let known = self
+            .replicas
+            .values()
+            .filter(|replica| replica.key.is_some() && !replica.leaving);
+        let source = |replica: &super::Replica| Source {
+            identity: replica.identity.clone(),
+            url: format!("http://{}", replica.address),
+        };
+        known.map(source).collect()
+    }
+}
+
 /// Asks for the replicas as this node sees them.
 #[derive(Clone, Copy, Debug)]
 pub struct Status;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -249,6 +249,7 @@
             tokio::spawn(platform::nodes::watch(shared.clone())),
             tokio::spawn(spread_vetoes(shared.clone(), found)),
             tokio::spawn(platform::cloud::list(shared.clone())),
+            tokio::spawn(platform::load::watch(shared.clone())),
             tokio::spawn(platform::cloud::notices(shared.clone())),
         ];
         let registration = tokio::spawn(platform::registration::keep(shared.clone(), node));
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -2,6 +2,7 @@
 
 pub mod catalogue;
 pub mod cloud;
+pub mod load;
 pub mod nodes;
 pub mod registration;
 pub mod rollout;
--- /dev/null
+++ b/crates/node/src/platform/load.rs
@@ -0,0 +1,81 @@
+//! Load reports of replicas, read by every node for its own routing.
+
+use std::time::Duration;
+
+use base::Millis;
+use futures::StreamExt;
+use route::replica;
+use serde::Deserialize;
+use tokio::time::sleep;
+
+use crate::actor::traffic::replica::Identity;
+use crate::actor::traffic::report::{Report, Sources};
+use crate::shared::Shared;
+
+/// Span between two readings.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Time for one reading; a replica that is slower than this is known to be loaded by its latencies.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Readings under way at once.
+const CONCURRENCY: usize = 16;
+
+/// What a replica says of its load; other fields are not looked at.
+#[derive(Debug, Deserialize)]
+struct Load {
+    running: u32,
+    queued: u32,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+/// Where a replica's report is read.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// Which run of which VM.
+    pub identity: Identity,
+    /// Its base URL.
+    pub url: String,
+}
+
+/// Reads reports for as long as the node runs.
+pub async fn watch(shared: Shared) {
+    loop {
+        sleep(PERIOD).await;
+        let Ok(sources) = shared.traffic.ask(Sources).await else {
+            return;
+        };
+        let readings = futures::stream::iter(sources).map(|source| read(&shared, source));
+        readings.buffer_unordered(CONCURRENCY).collect::<()>().await;
+    }
+}
+
+async fn read(shared: &Shared, source: Source) {
+    let Ok(load) = fetch(shared, &source.url).await else {
+        metrics::counter!("bilberrylatch_load_reports_missed_total").increment(1);
+        return;
+    };
+    let report = replica::Report {
+        running: load.running,
+        queued: load.queued,
+        age: Millis(load.age_ms),
+    };
+    let _gone = shared
+        .traffic
+        .tell(Report {
+            identity: source.identity,
+            report,
+        })
+        .await;
+}
+
+async fn fetch(shared: &Shared, url: &str) -> Result<Load, reqwest::Error> {
+    let response = shared
+        .http
+        .get(format!("{url}/v1/load"))
+        .timeout(TIMEOUT)
+        .send()
+        .await?;
+    response.error_for_status()?.json().await
+}
--- a/tests/system/process.rs
+++ b/tests/system/process.rs
@@ -52,9 +52,14 @@
         format!("http://{}", self.address)
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process is there");
+        kill(Pid::from_raw(self.id() as i32), signal).expect("the process is there");
     }
 
     /// Waits for the end.
