Test settings, exit codes and a node under notice with the real programs

Cause: the settings' findings, the tool's exit codes and the stop of a node whose own VM is reclaimed had no test. Change: tables of cases against the binaries; a node in a zone that the catalogue does not know says so.

--- a/crates/node/src/actor/members/text.rs
+++ b/crates/node/src/actor/members/text.rs
@@ -87,6 +87,13 @@
         };
         self.checked.retain(|other, _snapshot| *other > generation);
         if let Some(catalogue) = &snapshot.catalogue {
+            if !catalogue.zones.contains(&self.node.zone) {
+                metrics::counter!("bilberrylatch_zone_unknown_total").increment(1);
+                log::error!(
+                    "zone '{}' of this node is not in the catalogue's 'zones'; correct --zone",
+                    self.node.zone
+                );
+            }
             let nodes = self.gossip.view().present().count() as u32;
             let apply = traffic::Apply {
                 catalogue: Arc::clone(catalogue),
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod process;
 mod rollouts;
+mod settings;
 mod smoke;
 mod sse;
 mod streams;
--- /dev/null
+++ b/tests/system/settings.rs
@@ -0,0 +1,188 @@
+//! The daemon's and the tool's arguments: every finding at once, and an exit code for each kind of failure.
+
+use std::net::TcpListener;
+use std::process::{Command, Output};
+
+/// Settings that are in order, as flags.
+const GOOD: [&str; 10] = [
+    "--name",
+    "node-0",
+    "--zone",
+    "demo-a",
+    "--region",
+    "demo",
+    "--store",
+    "http://127.0.0.1:1",
+    "--cloud",
+    "http://127.0.0.1:1",
+];
+
+struct Case {
+    name: &'static str,
+    flags: &'static [&'static str],
+    variables: &'static [(&'static str, &'static str)],
+    code: i32,
+    says: &'static [&'static str],
+}
+
+const SECRETS: [(&str, &str); 2] = [
+    ("BILBERRYLATCH_PEER_SECRET", "sixteen-characters"),
+    ("BILBERRYLATCH_OPERATOR_TOKEN", "sixteen-characters"),
+];
+
+const CASES: [Case; 6] = [
+    Case {
+        name: "in order",
+        flags: &["--check"],
+        variables: &SECRETS,
+        code: 0,
+        says: &["settings are in order"],
+    },
+    Case {
+        name: "no secrets",
+        flags: &["--check"],
+        variables: &[],
+        code: 2,
+        says: &[
+            "BILBERRYLATCH_PEER_SECRET: missing",
+            "BILBERRYLATCH_OPERATOR_TOKEN: missing",
+        ],
+    },
+    Case {
+        name: "several findings in one run",
+        flags: &[
+            "--check",
+            "--listen",
+            "nowhere",
+            "--drain-seconds",
+            "-1",
+            "--log-format",
+            "xml",
+        ],
+        variables: &[("BILBERRYLATCH_PEERS", "10.0.0.1"), SECRETS[0], SECRETS[1]],
+        code: 2,
+        says: &[
+            "--listen: 'nowhere' is not an IP address and port",
+            "--drain-seconds: '-1' is not whole seconds",
+            "--log-format: 'xml' is not human or json",
+            "BILBERRYLATCH_PEERS: '10.0.0.1' is not IP:PORT addresses",
+        ],
+    },
+    Case {
+        name: "a flag goes before its variable",
+        flags: &["--check", "--log-level", "info"],
+        variables: &[("BILBERRYLATCH_LOG_LEVEL", "loud"), SECRETS[0], SECRETS[1]],
+        code: 0,
+        says: &[],
+    },
+    Case {
+        name: "unknown flag",
+        flags: &["--chek"],
+        variables: &SECRETS,
+        code: 2,
+        says: &["--chek"],
+    },
+    Case {
+        name: "a secret that is too short never stands in the message",
+        flags: &["--check"],
+        variables: &[("BILBERRYLATCH_PEER_SECRET", "hunter2"), SECRETS[1]],
+        code: 2,
+        says: &["BILBERRYLATCH_PEER_SECRET: missing or too short"],
+    },
+];
+
+fn daemon(flags: &[&str], variables: &[(&str, &str)]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatchd"));
+    command
+        .env_clear()
+        .args(GOOD)
+        .args(flags)
+        .envs(variables.iter().copied());
+    command.output().expect("the daemon runs")
+}
+
+#[test]
+fn findings_are_reported_together() {
+    for case in CASES {
+        let output = daemon(case.flags, case.variables);
+        let said = format!(
+            "{}{}",
+            String::from_utf8_lossy(&output.stdout),
+            String::from_utf8_lossy(&output.stderr)
+        );
+        assert_eq!(output.status.code(), Some(case.code), "{}: {said}", case.name);
+        for part in case.says {
+            assert!(said.contains(part), "{}: no '{part}' in: {said}", case.name);
+        }
+        assert!(!said.contains("hunter2"), "a secret was printed");
+    }
+}
+
+#[test]
+fn a_port_in_use_is_named_with_an_exit_code_of_its_own() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let output = daemon(&["--listen", &address, "--peer-listen", "127.0.0.1:0"], &SECRETS);
+    assert_eq!(output.status.code(), Some(3));
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(said.contains(&address) && said.contains("--listen"), "{said}");
+}
+
+/// A command of the tool that fails, and how.
+struct Failure {
+    arguments: &'static [&'static str],
+    code: i32,
+    says: &'static str,
+}
+
+const FAILURES: [Failure; 3] = [
+    Failure {
+        arguments: &["catalogue", "check", "no-such-file.toml"],
+        code: 2,
+        says: "no-such-file.toml",
+    },
+    Failure {
+        arguments: &["--node", "http://127.0.0.1:1", "nodes"],
+        code: 3,
+        says: "--node",
+    },
+    Failure {
+        arguments: &["rollout", "start", "ledger"],
+        code: 2,
+        says: "which version",
+    },
+];
+
+#[test]
+fn the_tool_says_what_to_change() {
+    for failure in FAILURES {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatch"));
+        let output = command
+            .env("BILBERRYLATCH_OPERATOR_TOKEN", "x")
+            .args(failure.arguments)
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(failure.code), "{said}");
+        assert!(said.contains(failure.says), "{said}");
+    }
+}
+
+#[test]
+fn sample_catalogues_are_in_order() {
+    for sample in ["taliesin-tills.toml", "husleiegaranti.toml"] {
+        let path = format!("{}/samples/{sample}", env!("CARGO_MANIFEST_DIR"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bilberrylatch"));
+        let output = command.args(["catalogue", "check", &path]).output().unwrap();
+        assert!(
+            output.status.success(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+        assert!(
+            output.stderr.is_empty(),
+            "{}",
+            String::from_utf8_lossy(&output.stderr)
+        );
+    }
+}
--- a/tests/system/streams.rs
+++ b/tests/system/streams.rs
@@ -181,3 +181,40 @@
     println!("tokens recomputed after the reclaim: {recomputed}");
     assert!(recomputed <= STREAMS as u64 * RECOMPUTED_A_STREAM, "{recomputed}");
 }
+
+#[tokio::test]
+async fn node_under_notice_stops_by_itself_and_cuts_nothing() {
+    let mut deployment = Deployment::start(3).await;
+    let vm = json!({
+        "id": "node-1", "kind": "node", "zone": "demo-b", "class": "entry", "reclaimable": true,
+        "addr": deployment.nodes[1].address.to_string(), "state": "live", "incarnation": "00000000000000aa",
+    });
+    let url = format!("{}/admin/vms/node-1", deployment.cloud.url());
+    deployment
+        .client
+        .put(&url)
+        .json(&vm)
+        .send()
+        .await
+        .unwrap()
+        .error_for_status()
+        .unwrap();
+    let client = deployment.client.clone();
+    all_whole(&deployment, &[0, 1, 2], async {
+        client
+            .post(format!("{url}/notice"))
+            .json(&json!({"notice_ms": 20_000}))
+            .send()
+            .await
+            .unwrap();
+    })
+    .await;
+    assert!(deployment.nodes[1].wait().success());
+    let left = |list: &Value| {
+        list.as_array()
+            .is_some_and(|list| list.iter().any(|it| it["state"] == json!("gone")))
+    };
+    deployment
+        .wait_for(&deployment.nodes[0], "/v1/admin/nodes", left)
+        .await;
+}
