Tell the lease of a role from its holder's next one

Cause: the new system test (a version gone bad while the platform is down) waited 60 s for the undo that must be recorded once the platform answers. The log showed the role given up in the outage and never taken again: its record names the holder's lost lease, but the holder had registered under a new one and looked alive, so every candidate, itself included, waited for a lease that was long gone. Ruled out: the veto (it held: no request reached the vetoed version in 3 s), the controller (it keeps vetoes). Change: the leased record holds the lease's id, and a role's lease lives only if that very lease does. A new holder announces itself at once, not after up to 10 s.

--- a/crates/node/src/actor/rollouts/message.rs
+++ b/crates/node/src/actor/rollouts/message.rs
@@ -138,6 +138,11 @@
             }
         };
         self.control(&read.endpoint, event).await;
+        if read.acquired.is_some()
+            && let Some(shared) = self.shared()
+        {
+            self.announce_again(&shared, &read.endpoint).await;
+        }
     }
 }
 
--- a/crates/node/src/platform/registration.rs
+++ b/crates/node/src/platform/registration.rs
@@ -7,7 +7,7 @@
 
 use base::{Incarnation, Millis};
 use bytes::Bytes;
-use member::Node;
+use member::{Node, role};
 use store::{Condition, Lease, Write};
 use tokio::time::sleep;
 
@@ -93,7 +93,8 @@
 /// NB: the leased record comes first, so that a node whose record is listed without it has really lapsed.
 async fn register(shared: &Shared, node: &Node) -> Result<Lease, store::Error> {
     let granted = shared.store.grant(TTL).await?;
-    let alive = Write::new(alive_key(node.incarnation), Bytes::new(), Condition::Any);
+    let value = Bytes::from(role_lease(&granted).0.to_string());
+    let alive = Write::new(alive_key(node.incarnation), value, Condition::Any);
     shared.store.write(&alive.with_lease(granted.clone())).await?;
     let value = serde_json::to_vec(node).map_err(|error| store::Error::Protocol(error.to_string()))?;
     shared
@@ -103,11 +104,28 @@
     Ok(granted)
 }
 
+/// The lease as roles name it.
+fn role_lease(lease: &Lease) -> role::Lease {
+    role::Lease(hash::stable(&lease.0))
+}
+
+/// Whether the lease under which `holder` took a role up still lives.
+///
+/// NB: a node that lost its lease registers again under another one; that says nothing about the first.
+pub async fn is_alive(
+    shared: &Shared,
+    holder: Incarnation,
+    lease: role::Lease,
+) -> Result<bool, store::Error> {
+    let record = shared.store.get(&alive_key(holder)).await?;
+    Ok(record.is_some_and(|record| record.value.as_ref() == lease.0.to_string().as_bytes()))
+}
+
 /// Roles last as long as the lease, reckoned from when its renewal was sent.
 async fn renewed(shared: &Shared, lease: &Lease, sent: Millis) {
     let until = sent + Millis(TTL.as_millis() as u64);
     let leased = Leased {
-        lease: member::role::Lease(hash::stable(&lease.0)),
+        lease: role_lease(lease),
         until,
     };
     let _gone = shared.rollouts.tell(leased).await;
--- a/crates/node/src/platform/rollout.rs
+++ b/crates/node/src/platform/rollout.rs
@@ -12,7 +12,7 @@
 use serde::de::DeserializeOwned;
 use store::{Condition, Error, Write};
 
-use super::registration::alive_key;
+use super::registration;
 use crate::actor::Rollouts;
 use crate::actor::members::Whereabouts;
 use crate::actor::rollouts::announcement::Holder;
@@ -49,7 +49,7 @@
     let revision = Revision(record.revision);
     let record: Record = parse(&record.value)?;
     let lease_lives = match record.holder {
-        Some(holder) => is_registered(shared, holder).await?,
+        Some(holder) => registration::is_alive(shared, holder, record.lease).await?,
         None => false,
     };
     Ok(Some(Observed {
@@ -59,11 +59,6 @@
     }))
 }
 
-/// The leased record vanishes with its node's lease, so it stands for the lease.
-async fn is_registered(shared: &Shared, holder: base::Incarnation) -> Result<bool, Error> {
-    Ok(shared.store.get(&alive_key(holder)).await?.is_some())
-}
-
 /// Swaps a role's record.
 pub fn swap_role(
     shared: Shared,
--- a/tests/system/rollouts.rs
+++ b/tests/system/rollouts.rs
@@ -4,6 +4,7 @@
 use std::process::Output;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
 use crate::deployment::{Deployment, TOKEN};
@@ -11,6 +12,9 @@
 /// Requests under way at once.
 const CONCURRENCY: usize = 24;
 
+/// Time for evidence against a version that fails always, under this load, and for the veto to spread.
+const GATHERING: Duration = Duration::from_secs(5);
+
 /// A deployment whose ledger also runs at a second version.
 async fn with_second_version(faults: Value) -> Deployment {
     let deployment = Deployment::start(3).await;
@@ -142,3 +146,106 @@
         .count();
     assert_eq!(bad, 0);
 }
+
+/// Runs of the second version's replicas so far.
+async fn runs_of_v2(deployment: &Deployment) -> usize {
+    let mut sum = 0;
+    for service in &deployment.services[2..] {
+        let url = format!("{}/admin/runs?after=0", service.url());
+        let runs: Vec<Value> = deployment
+            .client
+            .get(url)
+            .send()
+            .await
+            .unwrap()
+            .json()
+            .await
+            .unwrap();
+        sum += runs.len();
+    }
+    sum
+}
+
+#[tokio::test]
+async fn version_gone_bad_during_an_outage_gets_no_requests_and_is_taken_back_later() {
+    let deployment = with_second_version(json!({})).await;
+    let story = async {
+        let start = [
+            "rollout",
+            "start",
+            "ledger",
+            "v2",
+            "--within-seconds",
+            "40",
+            "--watch-seconds",
+            "2",
+        ];
+        assert!(deployment.tool_async(&start).await.status.success());
+        while runs_of_v2(&deployment).await < 20 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        deployment
+            .faults(&deployment.kv, json!({"outage": "unavailable"}))
+            .await;
+        for service in &deployment.services[2..] {
+            deployment
+                .faults(service, json!({"fail_after": {"ppm": 1_000_000}, "status": 500}))
+                .await;
+        }
+        // Time for evidence to come together on one node and for its veto to spread.
+        tokio::time::sleep(GATHERING).await;
+        let before = runs_of_v2(&deployment).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(
+            runs_of_v2(&deployment).await,
+            before,
+            "a vetoed version got requests"
+        );
+        deployment.faults(&deployment.kv, json!({})).await;
+        deployment
+            .tool_async(&["rollout", "wait", "ledger", "--timeout-seconds", "60"])
+            .await
+    };
+    let Seen { output, versions } = load(&deployment, story).await;
+    assert_eq!(
+        output.status.code(),
+        Some(1),
+        "{}",
+        String::from_utf8_lossy(&output.stdout)
+    );
+    assert!(versions.iter().all(Option::is_some), "a request failed");
+}
+
+#[tokio::test]
+async fn rollout_goes_on_when_a_node_is_killed_and_a_second_operator_is_told() {
+    let deployment = with_second_version(json!({})).await;
+    let story = async {
+        let start = [
+            "rollout",
+            "start",
+            "ledger",
+            "v2",
+            "--within-seconds",
+            "40",
+            "--watch-seconds",
+            "2",
+        ];
+        let first = [&start[..], &["--operator", "anna"]].concat();
+        assert!(deployment.tool_async(&first).await.status.success());
+        let second = [&start[..], &["--operator", "bea"]].concat();
+        let refused = deployment.tool_async(&second).await;
+        assert_eq!(refused.status.code(), Some(4));
+        assert!(String::from_utf8_lossy(&refused.stderr).contains("'anna'"));
+        deployment.nodes[2].signal(Signal::SIGKILL);
+        deployment
+            .tool_async(&["rollout", "wait", "ledger", "--timeout-seconds", "90"])
+            .await
+    };
+    let output = story.await;
+    assert_eq!(
+        output.status.code(),
+        Some(0),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+}
