Route: a prefix that alone is more than a replica's work is spread sooner

Cause: with half of all requests about one file, requests piled up at one replica after the other: 87% within the target, where least in flight has 98%. Change: the table counts this node's requests in flight by prefix; a prefix with at least three, and more than a replica has on average, leaves its replica at 1.25 times the use of one drawn instead of eight.

--- a/crates/route/src/affinity.rs
+++ b/crates/route/src/affinity.rs
@@ -7,33 +7,65 @@
 /// Most prefixes remembered for one endpoint.
 const CAPACITY: usize = 16_384;
 
+/// Where a prefix is held, and how many of this node's requests with it are in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Home {
+    pub replica: ReplicaKey,
+    pub in_flight: u32,
+}
+
 /// A bounded table of prefixes; the oldest entries make room for new ones.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
-    homes: IndexMap<Prefix, ReplicaKey>,
+    homes: IndexMap<Prefix, Home>,
     /// Place of the next entry to be replaced.
     hand: usize,
 }
 
 impl Table {
     /// The replica that should hold the prefix.
-    pub fn get(&self, prefix: Prefix) -> Option<ReplicaKey> {
+    pub fn get(&self, prefix: Prefix) -> Option<Home> {
         self.homes.get(&prefix).copied()
     }
 
     /// Notes that the replica holds the prefix.
     pub fn insert(&mut self, prefix: Prefix, replica: ReplicaKey) {
-        if !self.homes.contains_key(&prefix) && self.homes.len() >= CAPACITY {
+        if let Some(home) = self.homes.get_mut(&prefix) {
+            home.replica = replica;
+            return;
+        }
+        if self.homes.len() >= CAPACITY {
             self.homes.swap_remove_index(self.hand);
             self.hand = (self.hand + 1) % CAPACITY;
         }
-        self.homes.insert(prefix, replica);
+        self.homes.insert(
+            prefix,
+            Home {
+                replica,
+                in_flight: 0,
+            },
+        );
     }
 
     /// Notes that the replica no longer holds the prefix.
     pub fn remove(&mut self, prefix: Prefix, replica: ReplicaKey) {
-        if self.get(prefix) == Some(replica) {
+        if self.get(prefix).is_some_and(|home| home.replica == replica) {
             self.homes.swap_remove(&prefix);
         }
     }
+
+    /// A request with the prefix was dispatched to the replica.
+    pub fn begin(&mut self, prefix: Prefix, replica: ReplicaKey) {
+        self.insert(prefix, replica);
+        if let Some(home) = self.homes.get_mut(&prefix) {
+            home.in_flight += 1;
+        }
+    }
+
+    /// A dispatch with the prefix has ended. The entry may have been replaced meanwhile.
+    pub fn end(&mut self, prefix: Prefix) {
+        if let Some(home) = self.homes.get_mut(&prefix) {
+            home.in_flight = home.in_flight.saturating_sub(1);
+        }
+    }
 }
--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -119,7 +119,9 @@
         let answer = endpoint.speed.answer().min(Millis((until - now).0 / 2));
         let give_up = until - answer;
         let prefix = arrival.prefix.filter(|_| endpoint.settings.affinity);
-        call.home = prefix.and_then(|prefix| endpoint.table.get(prefix));
+        call.home = prefix
+            .and_then(|prefix| endpoint.table.get(prefix))
+            .map(|home| home.replica);
         let weight = workspace.settings.weight;
         endpoint
             .queue
--- a/crates/route/src/router/choose.rs
+++ b/crates/route/src/router/choose.rs
@@ -18,6 +18,10 @@
 const MOST_DRAWS: usize = 8;
 /// Use of the prefix's own replica from which on it is passed over, as a multiple of that of one drawn at random.
 const AFFINITY_BOUND: f32 = 8.0;
+/// The same for a prefix that alone has more requests than a replica has on average.
+const AFFINITY_BOUND_HOT: f32 = 1.25;
+/// Fewest requests in flight of such a prefix.
+const HOT_LEAST: usize = 3;
 /// Use of a replica up to which its prefixes are always sent to it.
 const AFFINITY_FREE: f32 = 0.5;
 
@@ -79,7 +83,23 @@
 
     /// Whether the request goes elsewhere than to the replica that holds its prefix.
     fn passes_over(&self, home: ReplicaKey, other: ReplicaKey) -> bool {
-        self.used(home) >= (self.used(other) * AFFINITY_BOUND).max(AFFINITY_FREE)
+        let bound = if self.is_hot() {
+            AFFINITY_BOUND_HOT
+        } else {
+            AFFINITY_BOUND
+        };
+        self.used(home) >= (self.used(other) * bound).max(AFFINITY_FREE)
+    }
+
+    /// Whether the prefix alone has more of this node's requests than a replica has on average.
+    fn is_hot(&self) -> bool {
+        let home = self
+            .call
+            .arrival
+            .prefix
+            .and_then(|prefix| self.endpoint.table.get(prefix));
+        let own = home.map_or(0, |home| home.in_flight) as usize;
+        own >= HOT_LEAST && own * self.endpoint.pools.live() >= self.endpoint.in_flight as usize
     }
 
     /// The replica that holds the request's prefix, if the request may go there.
@@ -87,7 +107,7 @@
         if !self.endpoint.settings.affinity {
             return None;
         }
-        let home = self.endpoint.table.get(self.call.arrival.prefix?)?;
+        let home = self.endpoint.table.get(self.call.arrival.prefix?)?.replica;
         let replica = self.replicas.get(home)?;
         let other = self.replicas.get(drawn)?;
         let may = replica.phase == Phase::Live && self.avoid != Some(home);
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -119,6 +119,7 @@
                 endpoint: arrival.endpoint,
                 workspace: arrival.workspace,
                 replica: to,
+                prefix: arrival.prefix,
                 started_at: now,
                 first_at: None,
                 sent: false,
@@ -156,7 +157,7 @@
             if let Some(prefix) = arrival.prefix
                 && endpoint.settings.affinity
             {
-                endpoint.table.insert(prefix, to);
+                endpoint.table.begin(prefix, to);
             }
         }
         if let Some(replica) = self.replicas.get_mut(to) {
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -120,6 +120,9 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
             endpoint.in_flight -= 1;
+            if let Some(prefix) = flight.prefix {
+                endpoint.table.end(prefix);
+            }
             endpoint.speed.observe_hold(now.since(flight.started_at));
         }
         self.free_replica(flight.replica);
--- a/crates/route/src/router/flight.rs
+++ b/crates/route/src/router/flight.rs
@@ -2,7 +2,7 @@
 
 use base::Millis;
 
-use crate::key::{CallKey, EndpointKey, ReplicaKey, WorkspaceKey};
+use crate::key::{CallKey, EndpointKey, Prefix, ReplicaKey, WorkspaceKey};
 
 /// A dispatch that has not ended; it holds a slot of its replica and of its workspace's share.
 #[derive(Clone, Copy, Debug)]
@@ -12,6 +12,7 @@
     pub endpoint: EndpointKey,
     pub workspace: WorkspaceKey,
     pub replica: ReplicaKey,
+    pub prefix: Option<Prefix>,
     pub started_at: Millis,
     /// When the answer began.
     pub first_at: Option<Millis>,
