--- a/crates/route/src/endpoint/pool.rs
+++ b/crates/route/src/endpoint/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::hash::{Map, Set};
 use crate::key::{ReplicaKey, VersionKey, ZoneKey};
-use crate::replica::Spec;
+use crate::replica::Place;
 
 /// Replicas with a free slot, in no order; a draw by index costs the same at every size.
 pub(crate) type Pool = Set<ReplicaKey>;
@@ -67,28 +67,28 @@
     }
 
     /// Counts a replica in.
-    pub fn add(&mut self, spec: &Spec) {
+    pub fn add(&mut self, place: Place) {
         self.any.live += 1;
-        self.versions.entry(spec.version).or_default().live += 1;
+        self.versions.entry(place.version).or_default().live += 1;
     }
 
     /// Counts a replica out; a version without replicas is forgotten.
-    pub fn remove(&mut self, spec: &Spec) {
+    pub fn remove(&mut self, place: Place) {
         self.any.live -= 1;
-        let Some(group) = self.versions.get_mut(&spec.version) else {
+        let Some(group) = self.versions.get_mut(&place.version) else {
             return;
         };
         group.live -= 1;
         if group.live == 0 {
-            self.versions.swap_remove(&spec.version);
+            self.versions.swap_remove(&place.version);
         }
     }
 
     /// Puts a replica in or takes it out of the lists of free ones.
-    pub fn set_free(&mut self, key: ReplicaKey, spec: &Spec, free: bool) {
-        self.any.set_free(key, spec.zone, free);
-        if let Some(group) = self.versions.get_mut(&spec.version) {
-            group.set_free(key, spec.zone, free);
+    pub fn set_free(&mut self, key: ReplicaKey, place: Place, free: bool) {
+        self.any.set_free(key, place.zone, free);
+        if let Some(group) = self.versions.get_mut(&place.version) {
+            group.set_free(key, place.zone, free);
         }
     }
 }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -3,6 +3,7 @@
 pub(crate) mod health;
 pub(crate) mod limit;
 pub(crate) mod load;
+pub(crate) mod place;
 pub mod report;
 pub mod spec;
 pub mod view;
@@ -13,6 +14,8 @@
 
 use base::Millis;
 
+pub(crate) use place::Place;
+
 use health::Health;
 use limit::Limit;
 use load::Load;
@@ -28,7 +31,7 @@
 /// One incarnation of a replica.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Replica {
-    pub spec: Spec,
+    pub place: Place,
     pub phase: Phase,
     /// Whether it stands in its endpoint's pools.
     pub pooled: bool,
@@ -42,7 +45,7 @@
 impl Replica {
     pub fn new(spec: Spec) -> Self {
         Self {
-            spec,
+            place: Place::new(&spec),
             phase: Phase::Live,
             pooled: false,
             in_flight: 0,
--- /dev/null
+++ b/crates/route/src/replica/place.rs
@@ -0,0 +1,22 @@
+//! Where a replica belongs.
+
+use super::Spec;
+use crate::key::{EndpointKey, VersionKey, ZoneKey};
+
+/// The part of a replica's spec that every choice needs; kept small, as draws touch replicas at random.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place {
+    pub endpoint: EndpointKey,
+    pub zone: ZoneKey,
+    pub version: VersionKey,
+}
+
+impl Place {
+    pub const fn new(spec: &Spec) -> Self {
+        Self {
+            endpoint: spec.endpoint,
+            zone: spec.zone,
+            version: spec.version,
+        }
+    }
+}
--- a/crates/route/src/replica/spec.rs
+++ b/crates/route/src/replica/spec.rs
@@ -13,6 +13,6 @@
     pub version: VersionKey,
     /// Requests that it is known to run at once; the adaptive limit starts here.
     pub capacity: u32,
-    /// Hash of its address and incarnation, equal on every node.
+    /// Hash of its address and incarnation, equal on every node. No choice uses it so far.
     pub identity: u64,
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -100,7 +100,7 @@
         actions: &mut Vec<Action>,
     ) -> Option<ReplicaKey> {
         let endpoint = self.endpoints.get_mut(spec.endpoint)?;
-        endpoint.pools.add(&spec);
+        endpoint.pools.add(replica::Place::new(&spec));
         let key = self.replicas.insert(Replica::new(spec));
         self.refresh(key);
         self.pump(now, spec.endpoint, actions);
--- a/crates/route/src/router/change.rs
+++ b/crates/route/src/router/change.rs
@@ -105,7 +105,7 @@
     fn replicas_of(&self, endpoint: EndpointKey) -> Vec<ReplicaKey> {
         let replicas = self.replicas.iter();
         replicas
-            .filter(|(_, replica)| replica.spec.endpoint == endpoint)
+            .filter(|(_, replica)| replica.place.endpoint == endpoint)
             .map(|(key, _)| key)
             .collect()
     }
@@ -117,7 +117,7 @@
         };
         let was_live = replica.phase == Phase::Live;
         replica.phase = replica.phase.max(phase);
-        let spec = replica.spec;
+        let place = replica.place;
         let ended = replica.phase == Phase::Gone && replica.in_flight == 0;
         self.refresh(key);
         if ended {
@@ -126,13 +126,13 @@
         if !was_live {
             return;
         }
-        let Some(endpoint) = self.endpoints.get_mut(spec.endpoint) else {
+        let Some(endpoint) = self.endpoints.get_mut(place.endpoint) else {
             return;
         };
-        endpoint.pools.remove(&spec);
+        endpoint.pools.remove(place);
         endpoint.ejected.swap_remove(&key);
-        self.restore_ejected(now, spec.endpoint, actions);
-        self.refuse_stranded(spec.endpoint, actions);
+        self.restore_ejected(now, place.endpoint, actions);
+        self.refuse_stranded(place.endpoint, actions);
     }
 
     /// Probes ejected replicas early when too great a part of what is left is ejected.
@@ -176,24 +176,24 @@
             return;
         };
         replica.load.take(now, report, replica.in_flight);
-        let endpoint = replica.spec.endpoint;
+        let endpoint = replica.place.endpoint;
         self.pump(now, endpoint, actions);
     }
 
     pub(super) fn prefix_cached(&mut self, replica: ReplicaKey, prefix: Prefix) {
-        let Some(spec) = self.replicas.get(replica).map(|replica| replica.spec) else {
+        let Some(place) = self.replicas.get(replica).map(|replica| replica.place) else {
             return;
         };
-        if let Some(endpoint) = self.endpoints.get_mut(spec.endpoint) {
+        if let Some(endpoint) = self.endpoints.get_mut(place.endpoint) {
             endpoint.table.insert(prefix, replica);
         }
     }
 
     pub(super) fn prefix_evicted(&mut self, replica: ReplicaKey, prefix: Prefix) {
-        let Some(spec) = self.replicas.get(replica).map(|replica| replica.spec) else {
+        let Some(place) = self.replicas.get(replica).map(|replica| replica.place) else {
             return;
         };
-        if let Some(endpoint) = self.endpoints.get_mut(spec.endpoint) {
+        if let Some(endpoint) = self.endpoints.get_mut(place.endpoint) {
             endpoint.table.remove(prefix, replica);
         }
     }
--- a/crates/route/src/router/choose.rs
+++ b/crates/route/src/router/choose.rs
@@ -111,7 +111,7 @@
         let replica = self.replicas.get(home)?;
         let other = self.replicas.get(drawn)?;
         let may = replica.phase == Phase::Live && self.avoid != Some(home);
-        (may && replica.spec.version == other.spec.version).then_some(home)
+        (may && replica.place.version == other.place.version).then_some(home)
     }
 
     fn draw_version(&self, version: Option<VersionKey>, generator: &mut Generator) -> Option<ReplicaKey> {
--- a/crates/route/src/router/dispatch.rs
+++ b/crates/route/src/router/dispatch.rs
@@ -183,8 +183,8 @@
             return;
         }
         replica.pooled = free;
-        if let Some(endpoint) = self.endpoints.get_mut(replica.spec.endpoint) {
-            endpoint.pools.set_free(key, &replica.spec, free);
+        if let Some(endpoint) = self.endpoints.get_mut(replica.place.endpoint) {
+            endpoint.pools.set_free(key, replica.place, free);
         }
     }
 
--- a/crates/route/src/router/due.rs
+++ b/crates/route/src/router/due.rs
@@ -126,7 +126,7 @@
         let Some(replica) = self.replicas.get_mut(key) else {
             return;
         };
-        let endpoint = replica.spec.endpoint;
+        let endpoint = replica.place.endpoint;
         replica.health.probe();
         if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
             endpoint.ejected.swap_remove(&key);
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -100,7 +100,7 @@
         if replica.phase > Phase::Live || !replica.health.fail() {
             return;
         }
-        let Some(endpoint) = self.endpoints.get_mut(replica.spec.endpoint) else {
+        let Some(endpoint) = self.endpoints.get_mut(replica.place.endpoint) else {
             return;
         };
         if endpoint.ejected.len() >= endpoint.most_ejected() {
