Route: a non-idempotent request taken over after part of its answer is not sent

Cause: an arrival that says tokens were delivered has run in part elsewhere; nothing kept a non-idempotent one from a second run. Change: it is refused at once as `may-have-run`, outcome unknown. Measured: the new case of the table failed first (it was dispatched), and passes.

--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -55,6 +55,10 @@
         let Some(workspace) = self.workspaces.get(arrival.workspace) else {
             return Some(Reason::NoWorkspace);
         };
+        // Taken over from another node, where it ran in part.
+        if arrival.delivered > 0 && !arrival.idempotent {
+            return Some(Reason::MayHaveRun);
+        }
         if arrival.deadline <= now {
             return Some(Reason::DeadlineUnmet);
         }
--- a/crates/route/tests/route/refusals.rs
+++ b/crates/route/tests/route/refusals.rs
@@ -5,6 +5,7 @@
 use route::event::Event;
 use route::failure::Kind;
 use route::refusal::Reason;
+use route::{Arrival, CallKey};
 
 use crate::fixture::{self, DEADLINE, Fixture, dispatch, failed, settings};
 
@@ -14,7 +15,7 @@
     provoke: fn() -> Vec<Action>,
 }
 
-const REFUSED: [Refused; 12] = [
+const REFUSED: [Refused; 13] = [
     Refused {
         reason: Reason::NoEndpoint,
         outcome: Outcome::NotRun,
@@ -126,6 +127,16 @@
             fixture.end(Millis(2), sent, failed(Kind::Reset, true))
         },
     },
+    // Another node gave it over after part of its answer.
+    Refused {
+        reason: Reason::MayHaveRun,
+        outcome: Outcome::Unknown,
+        provoke: || {
+            let mut fixture = Fixture::new(settings(), 9, 2);
+            let arrival = Arrival::new(CallKey(1), fixture.endpoint, fixture.workspace, DEADLINE);
+            fixture.step(Millis(1), Event::Arrive(arrival.with_delivered(3)))
+        },
+    },
     // The node says that it did not run, but a byte had left.
     Refused {
         reason: Reason::MayHaveRun,
