--- a/crates/route/src/router/arrive.rs
+++ b/crates/route/src/router/arrive.rs
@@ -55,6 +55,10 @@
         let Some(workspace) = self.workspaces.get(arrival.workspace) else {
             return Some(Reason::NoWorkspace);
         };
+        // Taken over from another node, where it ran in part.
+        if arrival.delivered > 0 && !arrival.idempotent {
+            return Some(Reason::MayHaveRun);
+        }
         if arrival.deadline <= now {
             return Some(Reason::DeadlineUnmet);
         }
@@ -119,7 +123,9 @@
         let answer = endpoint.speed.answer().min(Millis((until - now).0 / 2));
         let give_up = until - answer;
         let prefix = arrival.prefix.filter(|_| endpoint.settings.affinity);
-        call.home = prefix.and_then(|prefix| endpoint.table.get(prefix));
+        call.home = prefix
+            .and_then(|prefix| endpoint.table.get(prefix))
+            .map(|home| home.replica);
         let weight = workspace.settings.weight;
         endpoint
             .queue
--- a/crates/route/src/router/finish.rs
+++ b/crates/route/src/router/finish.rs
@@ -100,7 +100,7 @@
         if replica.phase > Phase::Live || !replica.health.fail() {
             return;
         }
-        let Some(endpoint) = self.endpoints.get_mut(replica.spec.endpoint) else {
+        let Some(endpoint) = self.endpoints.get_mut(replica.place.endpoint) else {
             return;
         };
         if endpoint.ejected.len() >= endpoint.most_ejected() {
@@ -120,6 +120,9 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(flight.endpoint) {
             endpoint.in_flight -= 1;
+            if let Some(prefix) = flight.prefix {
+                endpoint.table.end(prefix);
+            }
             endpoint.speed.observe_hold(now.since(flight.started_at));
         }
         self.free_replica(flight.replica);
