Report how far declared moves came

Cause: good versions moved and bad ones taken back are to be counted. Change: the state of each declared rollout at the end of the run goes into the report's log.

--- a/crates/load/src/run/driver.rs
+++ b/crates/load/src/run/driver.rs
@@ -73,6 +73,7 @@
     looks.abort();
     observer.look().await;
     let counts = observer.counts().await;
+    stage.log_rollouts(&experiment.events).await;
     drop((stage, events));
     let notes = std::mem::take(&mut *recorder.lock());
     let report = Report::new(&experiment, &catalogue, &notes, counts);
--- a/crates/load/src/run/faults.rs
+++ b/crates/load/src/run/faults.rs
@@ -85,6 +85,24 @@
         }
     }
 
+    /// Notes how far the declared moves came.
+    pub async fn log_rollouts(&self, events: &[Event]) {
+        let deployment = self.deployment.lock().await;
+        for event in events {
+            let What::Rollout { endpoint, .. } = &event.what else {
+                continue;
+            };
+            let path = format!("/v1/admin/rollouts/{endpoint}");
+            for node in &deployment.nodes {
+                let Some(status) = deployment.read(*node, &path).await else {
+                    continue;
+                };
+                self.recorder.log(&format!("rollout of {endpoint}: {status}"));
+                break;
+            }
+        }
+    }
+
     async fn reclaim(&self, zone: &str, notice_ms: u64) -> Result<(), Error> {
         let deployment = self.deployment.lock().await;
         let url = format!("{}/admin/zones/{zone}/reclaim", deployment.cloud);
