Split the experiment's report; stop a node without holding up other events

Change: rows, working out and text are files of their own; the node is taken out under the lock and stopped outside it.

--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod deployment;
 pub mod driver;
+pub mod figures;
 pub mod plot;
 pub mod report;
 
@@ -15,6 +16,7 @@
 mod faults;
 mod observer;
 mod recorder;
+mod text;
 
 pub use config::Experiment;
 pub use driver::run;
--- a/crates/load/src/run/deployment.rs
+++ b/crates/load/src/run/deployment.rs
@@ -104,11 +104,9 @@
         OPERATOR_TOKEN
     }
 
-    /// Stops a node gracefully.
-    pub async fn stop_node(&mut self, index: usize) {
-        if let Some(node) = self.running.get_mut(index).and_then(Option::take) {
-            node.stop().await;
-        }
+    /// Hands a running node over, to be stopped.
+    pub fn take_node(&mut self, index: usize) -> Option<Node> {
+        self.running.get_mut(index)?.take()
     }
 
     /// Kills the replicas of a zone that are reclaimable.
--- a/crates/load/src/run/faults.rs
+++ b/crates/load/src/run/faults.rs
@@ -42,7 +42,11 @@
         match what {
             What::Reclaim { zone, notice_ms } => self.reclaim(zone, *notice_ms).await,
             What::StopNode { node } => {
-                self.deployment.lock().await.stop_node(*node).await;
+                // NB: not stopped under the lock, so that other events keep their times.
+                let node = self.deployment.lock().await.take_node(*node);
+                if let Some(node) = node {
+                    node.stop().await;
+                }
                 Ok(())
             }
             What::Kv { for_ms, faults } => {
--- a/crates/load/src/run/plot.rs
+++ b/crates/load/src/run/plot.rs
@@ -4,7 +4,8 @@
 
 use plotters::prelude::*;
 
-use super::report::{Report, Second};
+use super::figures::Second;
+use super::report::Report;
 use crate::Error;
 
 /// Size of the picture in pixels.
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -1,7 +1,5 @@
 //! What an experiment comes to.
 
-use std::fmt;
-
 use catalogue::Catalogue;
 use fake::engine::model;
 use hdrhistogram::Histogram;
@@ -9,6 +7,7 @@
 use serde::Serialize;
 
 use super::config::Experiment;
+use super::figures::{CostFigures, Percentiles, Second, StreamFigures};
 use super::recorder::{Cost, Notes, Sample};
 use crate::history::{Finding, History, check};
 
@@ -38,76 +37,6 @@
     pub findings: Vec<Finding>,
 }
 
-/// Figures of a stream; latencies in milliseconds from the due time.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct StreamFigures {
-    /// Endpoint asked for.
-    pub endpoint: String,
-    /// Workspace of the callers.
-    pub workspace: String,
-    /// Arrivals that ended.
-    pub arrived: u64,
-    /// By end.
-    pub ends: IndexMap<&'static str, u64>,
-    /// Last refusals by reason.
-    pub reasons: IndexMap<String, u64>,
-    /// Calls for each arrival.
-    pub calls: f64,
-    /// Tokens received.
-    pub tokens: u64,
-    /// Latency of the first token or whole body of answered arrivals.
-    pub first: Percentiles,
-    /// Latency of the end of answered arrivals.
-    pub whole: Percentiles,
-}
-
-/// Points of a histogram, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Percentiles {
-    /// Median.
-    pub p50: f64,
-    /// 95th percentile.
-    pub p95: f64,
-    /// 99th percentile.
-    pub p99: f64,
-    /// Longest.
-    pub max: f64,
-}
-
-/// Cost of the VMs of one kind.
-#[derive(Clone, Debug, Serialize)]
-pub struct CostFigures {
-    /// Class.
-    pub class: String,
-    /// Availability zone.
-    pub zone: String,
-    /// Whether reclaimable.
-    pub reclaimable: bool,
-    /// Hours of all VMs of the kind.
-    pub hours: f64,
-    /// Price of these hours; none if the catalogue has no price.
-    pub price: Option<f64>,
-}
-
-/// One second of arrivals of an endpoint, by due time.
-#[derive(Clone, Debug, Serialize)]
-pub struct Second {
-    /// Second of the run.
-    pub second: u64,
-    /// Endpoint.
-    pub endpoint: String,
-    /// Arrivals due.
-    pub arrived: u64,
-    /// Answered.
-    pub answered: u64,
-    /// Ended as not run, unreached, unknown or lost.
-    pub failed: u64,
-    /// 95th percentile of the first token or whole body, in milliseconds.
-    pub p95_ms: f64,
-    /// Answers by version, as `version=count` separated by spaces.
-    pub versions: String,
-}
-
 impl Report {
     /// Works the notes out.
     pub fn new(experiment: &Experiment, catalogue: &Catalogue, notes: &Notes, tokens: model::Counts) -> Self {
@@ -245,59 +174,3 @@
     // The bounds are fixed and valid.
     Histogram::new_with_max(LONGEST_US, 3).unwrap_or_else(|_| unreachable!("bounds are valid"))
 }
-
-impl Percentiles {
-    fn new(histogram: &Histogram<u64>) -> Self {
-        let ms = |us: u64| us as f64 / 1_000.0;
-        Self {
-            p50: ms(histogram.value_at_quantile(0.5)),
-            p95: ms(histogram.value_at_quantile(0.95)),
-            p99: ms(histogram.value_at_quantile(0.99)),
-            max: ms(histogram.max()),
-        }
-    }
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{} seed {}", self.name, self.seed)?;
-        for row in &self.streams {
-            let ends = row.ends.iter().map(|(end, count)| format!("{end} {count}"));
-            let reasons = row
-                .reasons
-                .iter()
-                .map(|(reason, count)| format!("{reason} {count}"));
-            let ends = ends.chain(reasons).collect::<Vec<_>>().join(", ");
-            writeln!(
-                f,
-                "{} {}: arrived {} ({ends}); calls {:.3}; first p50 {:.1} p95 {:.1} p99 {:.1} ms; whole p95 {:.1} ms; \
-                 tokens {}",
-                row.endpoint,
-                row.workspace,
-                row.arrived,
-                row.calls,
-                row.first.p50,
-                row.first.p95,
-                row.first.p99,
-                row.whole.p95,
-                row.tokens
-            )?;
-        }
-        let tokens = &self.tokens;
-        writeln!(
-            f,
-            "tokens: prefilled {}, recomputed for resumes {}, cached {}, imported {}, decoded {}",
-            tokens.prefilled, tokens.recomputed, tokens.cached, tokens.imported, tokens.decoded
-        )?;
-        let price = self.costs.iter().filter_map(|cost| cost.price).sum::<f64>();
-        let hours = self.costs.iter().map(|cost| cost.hours).sum::<f64>();
-        writeln!(f, "cost: {price:.4} for {hours:.4} VM hours")?;
-        for line in &self.log {
-            writeln!(f, "event at {line}")?;
-        }
-        for finding in self.findings.iter().take(20) {
-            writeln!(f, "finding: {finding}")?;
-        }
-        write!(f, "findings: {}", self.findings.len())
-    }
-}
