Keep nodes of an experiment running as the daemon does

The daemon starts its next incarnation when the present one may have been declared gone; the tool's nodes did not, so a lapse of registrations would end them for good. Change: a keeper for each node does as the daemon does, and the logs of nodes go to standard error, so that it will be seen next time.

--- a/crates/load/src/cli.rs
+++ b/crates/load/src/cli.rs
@@ -30,6 +30,8 @@
 
 fn run(flags: &flags::Run) -> Result<ExitCode, Error> {
     let runtime = tokio::runtime::Runtime::new().map_err(|cause| Error::Deployment(cause.to_string()))?;
+    node::logs::start(node::settings::Format::Human, log::LevelFilter::Warn)
+        .map_err(|error| Error::Deployment(error.to_string()))?;
     let outcome = runtime.block_on(crate::run::run(&flags.file))?;
     let report = outcome.report;
     println!("{report}");
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -14,6 +14,7 @@
 mod attempt;
 mod caller;
 mod faults;
+mod keeper;
 mod observer;
 mod recorder;
 mod text;
--- a/crates/load/src/run/deployment.rs
+++ b/crates/load/src/run/deployment.rs
@@ -9,13 +9,14 @@
 use fake::Handle;
 use fake::cloud::Vm;
 use fake::cloud::vm::Kind;
+use node::Settings;
 use node::settings::Format;
-use node::{Node, Settings};
 use reqwest::Client;
 use serde_json::Value;
 
 use super::caller;
 use super::config::{Experiment, Replicas};
+use super::keeper::Keeper;
 use crate::{Error, file};
 
 /// Operators' token and peer secret of experiments.
@@ -48,7 +49,7 @@
     pub nodes: Vec<SocketAddr>,
     /// Replicas at the start.
     pub replicas: Vec<Replica>,
-    running: Vec<Option<Node>>,
+    running: Vec<Option<Keeper>>,
     platform: Vec<Handle>,
     client: Client,
 }
@@ -105,7 +106,7 @@
     }
 
     /// Hands a running node over, to be stopped.
-    pub fn take_node(&mut self, index: usize) -> Option<Node> {
+    pub(super) fn take_node(&mut self, index: usize) -> Option<Keeper> {
         self.running.get_mut(index)?.take()
     }
 
@@ -120,7 +121,7 @@
 
     /// Stops nodes, then stand-ins.
     pub async fn stop(self) {
-        let stops = self.running.into_iter().flatten().map(Node::stop);
+        let stops = self.running.into_iter().flatten().map(Keeper::stop);
         futures::future::join_all(stops).await;
         drop(self.platform);
     }
@@ -144,9 +145,9 @@
                 log_format: Format::Human,
                 log_level: log::LevelFilter::Warn,
             };
-            let node = Node::start(settings).await.map_err(failed)?;
-            peers.push(node.peer_address());
-            self.nodes.push(node.address());
+            let node = Keeper::start(settings).await.map_err(failed)?;
+            peers.push(node.peer_address);
+            self.nodes.push(node.address);
             self.running.push(Some(node));
         }
         Ok(())
