--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod deployment;
 pub mod driver;
+pub mod figures;
 pub mod plot;
 pub mod report;
 
@@ -13,8 +14,10 @@
 mod attempt;
 mod caller;
 mod faults;
+mod keeper;
 mod observer;
 mod recorder;
+mod text;
 
 pub use config::Experiment;
 pub use driver::run;
--- a/crates/load/src/run/faults.rs
+++ b/crates/load/src/run/faults.rs
@@ -42,7 +42,11 @@
         match what {
             What::Reclaim { zone, notice_ms } => self.reclaim(zone, *notice_ms).await,
             What::StopNode { node } => {
-                self.deployment.lock().await.stop_node(*node).await;
+                // NB: not stopped under the lock, so that other events keep their times.
+                let node = self.deployment.lock().await.take_node(*node);
+                if let Some(node) = node {
+                    node.stop().await;
+                }
                 Ok(())
             }
             What::Kv { for_ms, faults } => {
@@ -85,6 +89,24 @@
         }
     }
 
+    /// Notes how far the declared moves came.
+    pub async fn log_rollouts(&self, events: &[Event]) {
+        let deployment = self.deployment.lock().await;
+        for event in events {
+            let What::Rollout { endpoint, .. } = &event.what else {
+                continue;
+            };
+            let path = format!("/v1/admin/rollouts/{endpoint}");
+            for node in &deployment.nodes {
+                let Some(status) = deployment.read(*node, &path).await else {
+                    continue;
+                };
+                self.recorder.log(&format!("rollout of {endpoint}: {status}"));
+                break;
+            }
+        }
+    }
+
     async fn reclaim(&self, zone: &str, notice_ms: u64) -> Result<(), Error> {
         let deployment = self.deployment.lock().await;
         let url = format!("{}/admin/zones/{zone}/reclaim", deployment.cloud);
