Let every node of a reclaimed zone drain; bound the drain; name refusals of other nodes

A third node of a zone reads no notices (two watchers do), learned the mark of its own VM by gossip and went on serving. A drain had no bound while an answer was still open, and did not end before the reclaim. A refusal of a forwarded request lost its label. Weighed: letting every node read notices (one waiting call a node), the mark and the VM list, which every node has already (taken). A mark counts only for the run of the VM that the list names, as marks outlive their VMs. Change: as said; an author's name in 'catalogue apply' is escaped in the URL.

--- a/crates/ctl/src/command/catalogue/apply.rs
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -61,7 +61,7 @@
     id: &str,
     author: &str,
 ) -> Result<Accepted, Error> {
-    let path = format!("/v1/admin/catalogue?expected={expected}&id={id}&author={author}");
+    let path = path(expected, id, author)?;
     let mut attempt = 1;
     loop {
         match client.send(Method::PUT, &path, text.to_owned()).await {
@@ -73,6 +73,16 @@
     }
 }
 
+/// The resource with its parameters, escaped as URLs need it.
+fn path(expected: u64, id: &str, author: &str) -> Result<String, Error> {
+    const RESOURCE: &str = "http://node/v1/admin/catalogue";
+    let expected = expected.to_string();
+    let query = [("expected", expected.as_str()), ("id", id), ("author", author)];
+    let url =
+        reqwest::Url::parse_with_params(RESOURCE, query).map_err(|error| Error::Usage(error.to_string()))?;
+    Ok(format!("{}?{}", url.path(), url.query().unwrap_or_default()))
+}
+
 async fn wait(client: &Client, generation: u64, timeout: Duration) -> Result<(), Error> {
     let bar = if std::io::stderr().is_terminal() {
         ProgressBar::new_spinner()
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -241,6 +241,10 @@
                 return actions;
             }
             Body::Mark { vm, ended: false } => {
+                // A node that reads no notices itself learns of its own by the mark.
+                if vm.name == self.node.name && self.stop.is_vm(vm.incarnation) {
+                    self.stop.leave(None);
+                }
                 let identity = traffic::replica::Identity {
                     vm: vm.name,
                     incarnation: vm.incarnation,
--- a/crates/node/src/edge/drain.rs
+++ b/crates/node/src/edge/drain.rs
@@ -14,16 +14,28 @@
 /// Span between two looks at what is left.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Time kept back before a reclaim for handing over.
+const HANDOVER: Duration = Duration::from_secs(1);
+
 /// Least time for which the node still answers after its address is withdrawn.
 const WITHDRAW: Duration = Duration::from_millis(500);
 
+/// When the drain must be over: as set, or before the VM is taken away, with time left to hand over.
+fn deadline(shared: &Shared) -> Instant {
+    let longest = Instant::now() + shared.settings.drain;
+    match shared.stop.reclaim_at().and_then(|at| at.checked_sub(HANDOVER)) {
+        Some(before_reclaim) => longest.min(before_reclaim),
+        None => longest,
+    }
+}
+
 /// Drains the node; ends when nothing is left or the time is over.
 pub async fn run(shared: &Shared) {
     shared.stop.advance(Phase::Draining);
     log::info!("draining: the address is withdrawn, accepted requests go on");
     let _gone = shared.members.tell(Leaving).await;
     let _gone = shared.claims.tell(Seal).await;
-    let deadline = Instant::now() + shared.settings.drain;
+    let deadline = deadline(shared);
     sleep(WITHDRAW.min(shared.settings.drain)).await;
     while Instant::now() < deadline {
         let left = shared.traffic.ask(Queues).await.unwrap_or(0);
--- a/crates/node/src/edge/peer.rs
+++ b/crates/node/src/edge/peer.rs
@@ -201,7 +201,11 @@
         .get("detail")
         .and_then(serde_json::Value::as_str)
         .unwrap_or("refused by the key's node");
-    let problem = Problem::new(status, "refused-at-home", detail).with_outcome(outcome);
+    let label = text
+        .get("title")
+        .and_then(serde_json::Value::as_str)
+        .unwrap_or("refused-at-home");
+    let problem = Problem::new(status, label.to_owned(), detail).with_outcome(outcome);
     match header::text(fields, &http::header::RETRY_AFTER).and_then(|text| text.parse().ok()) {
         Some(seconds) => problem.with_retry_after(Millis::from_secs(seconds)),
         None => problem,
--- a/crates/node/src/edge/problem.rs
+++ b/crates/node/src/edge/problem.rs
@@ -1,5 +1,7 @@
 //! Refusals as problem details (RFC 9457), with outcome and `Retry-After`.
 
+use std::borrow::Cow;
+
 use axum::response::{IntoResponse, Response};
 use base::{Millis, Outcome};
 use http::{HeaderValue, StatusCode, header};
@@ -21,7 +23,7 @@
     /// HTTP status.
     pub status: StatusCode,
     /// Label of the reason, the same as its counter's.
-    pub label: &'static str,
+    pub label: Cow<'static, str>,
     /// What is wrong and what to do.
     pub detail: String,
     /// What the caller may conclude.
@@ -44,14 +46,15 @@
 
 impl Problem {
     /// A refusal of a request that did not run, without a time to come back.
-    pub fn new<D>(status: StatusCode, label: &'static str, detail: D) -> Self
+    pub fn new<L, D>(status: StatusCode, label: L, detail: D) -> Self
     where
+        L: Into<Cow<'static, str>>,
         D: Into<String>,
     {
         let outcome = Outcome::NotRun;
         Self {
             status,
-            label,
+            label: label.into(),
             detail: detail.into(),
             outcome,
             retry_after: None,
@@ -108,7 +111,7 @@
     pub fn to_json(&self) -> String {
         let body = Body {
             r#type: format!("{TYPE_PREFIX}{}", self.label),
-            title: self.label,
+            title: &self.label,
             status: self.status.as_u16(),
             detail: &self.detail,
             outcome: self.outcome,
@@ -119,7 +122,7 @@
 
     /// Counts the refusal; those of the router and the claims are counted where they are decided.
     pub fn counted(self) -> Self {
-        metrics::counter!("bilberrylatch_refusals_total", "reason" => self.label).increment(1);
+        metrics::counter!("bilberrylatch_refusals_total", "reason" => self.label.clone()).increment(1);
         self
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,6 +31,9 @@
 /// Vetoes of this node that wait to be spread.
 const VETOES: usize = 64;
 
+/// Time for callers to read the rest of their answers after the drain.
+const CLOSE: Duration = Duration::from_secs(2);
+
 /// Time to set up a connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -115,7 +118,11 @@
     pub async fn stop(self) {
         edge::drain::run(&self.shared).await;
         self.shared.stop.advance(Phase::Ended);
-        let _ended = self.server.await;
+        let server = self.server.abort_handle();
+        if tokio::time::timeout(CLOSE, self.server).await.is_err() {
+            log::warn!("connections of callers were still open and are closed now");
+            server.abort();
+        }
         let _ended = self.registration.await;
         for task in &self.tasks {
             task.abort();
--- a/crates/node/src/platform/cloud.rs
+++ b/crates/node/src/platform/cloud.rs
@@ -7,11 +7,10 @@
 use tokio::time::sleep;
 
 use super::is_watcher;
-use super::vm::{Kind, Notice, Vm, incarnation};
+use super::vm::{Kind, Notice, State, Vm, incarnation};
 use crate::actor::members::{Listed, Mark};
 use crate::actor::traffic::Roster;
 use crate::shared::Shared;
-use crate::stop::Phase;
 
 /// Span between two readings of the VM list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -35,6 +34,15 @@
 }
 
 async fn tell(shared: &Shared, vms: &[Vm]) {
+    let own = vms
+        .iter()
+        .find(|vm| vm.kind == Kind::Node && vm.id == shared.settings.name);
+    if let Some(own) = own {
+        shared.stop.note_vm(incarnation(&own.incarnation));
+        if own.state == State::Leaving {
+            shared.stop.leave(own.deadline_ms.map(Duration::from_millis));
+        }
+    }
     let replicas = vms.iter().filter_map(Vm::replica).collect();
     let _gone = shared.traffic.tell(Roster { replicas }).await;
     let listed = vms.iter().map(|vm| item::Vm {
@@ -81,7 +89,9 @@
     log::info!(vm = notice.vm.as_str(), remaining_ms = notice.remaining_ms; "reclaim notice for {}", notice.vm);
     let own = notice.kind == Kind::Node && notice.vm == shared.settings.name;
     if own {
-        shared.stop.advance(Phase::Draining);
+        shared
+            .stop
+            .leave(Some(Duration::from_millis(notice.remaining_ms)));
     }
     let _gone = shared.members.tell(Mark(vm)).await;
 }
--- a/crates/node/src/platform/vm.rs
+++ b/crates/node/src/platform/vm.rs
@@ -49,6 +49,9 @@
     pub state: State,
     /// Number of the start, as 16 hexadecimal digits.
     pub incarnation: String,
+    /// Milliseconds left until the reclaim, if it is leaving.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
 }
 
 /// A reclaim notice.
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -1,8 +1,11 @@
 //! The phases of a node's life.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use base::Incarnation;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// How far a graceful stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,6 +23,10 @@
 pub struct Stop {
     sender: Arc<watch::Sender<Phase>>,
     fenced: Arc<watch::Sender<bool>>,
+    /// The run of the VM that this node is on, once the VM list has told it.
+    vm: Arc<watch::Sender<Option<Incarnation>>>,
+    /// When the VM is taken away, once a notice has told it.
+    reclaim: Arc<watch::Sender<Option<Instant>>>,
 }
 
 impl Stop {
@@ -27,9 +34,13 @@
     pub fn new() -> Self {
         let (sender, _receiver) = watch::channel(Phase::Serving);
         let (fenced, _receiver) = watch::channel(false);
+        let (vm, _receiver) = watch::channel(None);
+        let (reclaim, _receiver) = watch::channel(None);
         Self {
             sender: Arc::new(sender),
             fenced: Arc::new(fenced),
+            vm: Arc::new(vm),
+            reclaim: Arc::new(reclaim),
         }
     }
 
@@ -49,6 +60,38 @@
         });
     }
 
+    /// Notes the run of the VM that this node is on.
+    pub fn note_vm(&self, vm: Incarnation) {
+        self.vm.send_replace(Some(vm));
+    }
+
+    /// Whether this is the run of the VM that this node is on.
+    ///
+    /// NB: a mark of an earlier VM of the same name is told for minutes after its end.
+    pub fn is_vm(&self, vm: Incarnation) -> bool {
+        *self.vm.borrow() == Some(vm)
+    }
+
+    /// The VM will be taken away, after this span if it is known: drain.
+    pub fn leave(&self, remaining: Option<Duration>) {
+        if let Some(remaining) = remaining {
+            let at = Instant::now() + remaining;
+            self.reclaim.send_if_modified(|known| {
+                let sooner = known.is_none_or(|known| at < known);
+                if sooner {
+                    *known = Some(at);
+                }
+                sooner
+            });
+        }
+        self.advance(Phase::Draining);
+    }
+
+    /// When the VM is taken away, if that is known.
+    pub fn reclaim_at(&self) -> Option<Instant> {
+        *self.reclaim.borrow()
+    }
+
     /// Says that this incarnation may have been declared gone.
     pub fn fence(&self) {
         self.fenced.send_replace(true);
--- a/tests/system/streams.rs
+++ b/tests/system/streams.rs
@@ -182,14 +182,14 @@
     assert!(recomputed <= STREAMS as u64 * RECOMPUTED_A_STREAM, "{recomputed}");
 }
 
-#[tokio::test]
-async fn node_under_notice_stops_by_itself_and_cuts_nothing() {
-    let mut deployment = Deployment::start(3).await;
+/// Registers a node's own VM at the cloud.
+async fn register_node(deployment: &Deployment, index: usize, zone: &str) {
     let vm = json!({
-        "id": "node-1", "kind": "node", "zone": "demo-b", "class": "entry", "reclaimable": true,
-        "addr": deployment.nodes[1].address.to_string(), "state": "live", "incarnation": "00000000000000aa",
+        "id": format!("node-{index}"), "kind": "node", "zone": zone, "class": "entry", "reclaimable": true,
+        "addr": deployment.nodes[index].address.to_string(), "state": "live",
+        "incarnation": format!("{:016x}", 0xaa00 + index),
     });
-    let url = format!("{}/admin/vms/node-1", deployment.cloud.url());
+    let url = format!("{}/admin/vms/node-{index}", deployment.cloud.url());
     deployment
         .client
         .put(&url)
@@ -199,20 +199,37 @@
         .unwrap()
         .error_for_status()
         .unwrap();
+}
+
+/// A whole zone is reclaimed at once: its three nodes, of which one reads no notices itself, and its replicas.
+#[tokio::test]
+async fn zone_under_notice_stops_by_itself_and_cuts_nothing() {
+    const ZONE_NODES: [usize; 3] = [1, 4, 7];
+    let mut deployment = Deployment::start(9).await;
+    for index in ZONE_NODES {
+        register_node(&deployment, index, "demo-b").await;
+    }
+    // Every node has read the list once, so that it knows the run of its own VM.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let url = format!("{}/admin/zones/demo-b/reclaim", deployment.cloud.url());
     let client = deployment.client.clone();
-    all_whole(&deployment, &[0, 1, 2], async {
+    all_whole(&deployment, &[0, 1, 4, 7, 8], async {
         client
-            .post(format!("{url}/notice"))
-            .json(&json!({"notice_ms": 20_000}))
+            .post(url)
+            .json(&json!({"notice_ms": 15_000}))
             .send()
             .await
+            .unwrap()
+            .error_for_status()
             .unwrap();
     })
     .await;
-    assert!(deployment.nodes[1].wait().success());
+    for index in ZONE_NODES {
+        assert!(deployment.nodes[index].wait().success());
+    }
     let left = |list: &Value| {
         list.as_array()
-            .is_some_and(|list| list.iter().any(|it| it["state"] == json!("gone")))
+            .is_some_and(|list| list.iter().filter(|it| it["state"] == json!("alive")).count() == 6)
     };
     deployment
         .wait_for(&deployment.nodes[0], "/v1/admin/nodes", left)
