member: rounds in exchanges; planned stops and one-way cuts among the schedules

Cause: with planned stops and nodes that hear and aren't heard among the schedules, 1,000 of them found 'node-0 serves with 1, accepted is 4': an answer meant for the run before came to the same address after a restart and told the new process that it knew all there is; it had applied the newest generation, knew two nodes, and said that the generation was in force everywhere. An answer that waited in the socket through a pause would have had the same effect. Weighed: an addressee in every frame (doesn't catch a pause; 9 bytes a frame) against a number a round, drawn at the start and after each gap of more than 5 s between steps, echoed through the exchange. Change: the number. The wait of 2 s after a peer's first answer now holds also where a generation was applied before it. Conclusion: mended; the exchange's message shapes grew by a field.

--- a/crates/member/src/config.rs
+++ b/crates/member/src/config.rs
@@ -42,6 +42,8 @@
     /// When a generation above the applied one was first known.
     behind_since: Option<Millis>,
     asked: Asked,
+    /// Whether any answer has come since the start.
+    has_answer: bool,
     next_ask: Millis,
     last_step: Option<Millis>,
     /// When the applied generation was last known to be the platform's.
@@ -68,6 +70,7 @@
             known: None,
             behind_since: None,
             asked: Asked::Open,
+            has_answer: false,
             next_ask: Millis::ZERO,
             last_step: None,
             current: None,
@@ -235,16 +238,17 @@
 
     fn take_peer(&mut self, now: Millis, serving: Option<Generation>, actions: &mut Actions) {
         let Some(generation) = serving else { return };
-        let from = if self.applied.is_none() {
-            now + self.settings.settle
-        } else {
+        let from = if self.has_answer {
             now
+        } else {
+            now + self.settings.settle
         };
         self.answer(generation, from);
         self.know(now, generation, actions);
     }
 
     fn answer(&mut self, generation: Generation, from: Millis) {
+        self.has_answer = true;
         self.asked = match self.asked {
             Asked::Open => Asked::Answered { generation, from },
             Asked::Answered {
--- a/crates/member/src/frame.rs
+++ b/crates/member/src/frame.rs
@@ -94,6 +94,8 @@
     },
     /// Opens an exchange: one sum for each bucket of items.
     Sums {
+        /// Echoed in all that follows: an answer to another run, or from before a pause, is told apart.
+        round: u32,
         /// The sums.
         sums: Vec<u32>,
         /// When each zone was last heard.
@@ -101,6 +103,8 @@
     },
     /// Answers sums: the buckets that differ, none if all is equal.
     Differ {
+        /// The round of the sums.
+        round: u32,
         /// The buckets, each with all its entries.
         listings: Vec<Listing>,
         /// When each zone was last heard.
@@ -110,6 +114,8 @@
     },
     /// Answers differing buckets: items that the other lacks, and the keys of those that the sender lacks.
     Delta {
+        /// The round of the sums.
+        round: u32,
         /// The items.
         items: Vec<Item>,
         /// Hashes of the keys that the sender asks for.
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -21,11 +21,13 @@
 mod settings;
 mod spread;
 mod store;
+mod timers;
 mod watch;
 
 use base::seed::Generator;
 use base::{Incarnation, Millis, Seed};
 use indexmap::{IndexMap, IndexSet};
+use rand::RngExt;
 
 pub use action::Action;
 pub use event::Event;
@@ -34,9 +36,11 @@
 
 use self::chunks::Chunks;
 use self::count::Count;
+use self::exchange::Partner;
 use self::fresh::Fresh;
 use self::peers::{Peer, Peers};
 use self::store::Store;
+use self::timers::Timers;
 use self::watch::Watch;
 use crate::frame::{Confirmed, Frame, Message};
 use crate::generation::Head;
@@ -47,6 +51,9 @@
 /// The actions of one step.
 pub type Actions = Vec<Action>;
 
+/// Label of the seed of the first round.
+const ROUND: u64 = 1;
+
 /// One node's part in spreading items and in keeping the view.
 #[derive(Clone, Debug)]
 pub struct Gossip {
@@ -67,6 +74,9 @@
     /// Since when more than half of the known nodes have been in reach without a break.
     majority: Option<Millis>,
     last_tick: Millis,
+    last_step: Millis,
+    /// Drawn at the start and after each pause; tells answers to this run's questions apart.
+    round: u32,
     /// VMs with a mark missing from the VM list, with the time since when.
     unlisted: IndexMap<Vm, Millis>,
     count: Count,
@@ -79,17 +89,6 @@
     timers: Timers,
 }
 
-/// When each periodic job is due next.
-#[derive(Clone, Copy, Debug, Default)]
-struct Timers {
-    heartbeat: Millis,
-    exchange: Millis,
-    report: Millis,
-    expiry: Millis,
-    majority: Millis,
-    collect: Millis,
-}
-
 impl Gossip {
     /// The gossip of `node`; `seeds` are the peer addresses from its settings.
     pub fn new(node: Node, seeds: Vec<std::net::SocketAddr>, seed: Seed) -> Self {
@@ -113,6 +112,8 @@
             unregistered: IndexMap::new(),
             majority: None,
             last_tick: Millis::ZERO,
+            last_step: Millis::ZERO,
+            round: seed.derive(ROUND).0 as u32,
             unlisted: IndexMap::new(),
             count: Count::default(),
             serving: false,
@@ -139,6 +140,7 @@
             suspect: false,
             gone: false,
         };
+        self.round = self.generator.random();
         self.fenced = false;
         self.serving = false;
         self.stale = true;
@@ -222,6 +224,7 @@
     /// Takes one event.
     pub fn step(&mut self, now: Millis, event: Event) -> Actions {
         let mut actions = Actions::new();
+        self.note_pause(now);
         match event {
             Event::Receive(frame) => self.receive(now, frame, &mut actions),
             Event::Put(body) => self.put(now, body, &mut actions),
@@ -276,6 +279,7 @@
     }
 
     fn handle(&mut self, now: Millis, from: Incarnation, message: Message, actions: &mut Actions) {
+        let node = from;
         match message {
             Message::Join(_) => self.open(now, from, actions),
             Message::Heartbeat { applied } => self.take_report(from, applied),
@@ -283,20 +287,24 @@
                 self.take_all(now, items, actions);
                 self.take_briefs(now, briefs, actions);
             }
-            Message::Sums { sums, heard } => self.take_sums(now, from, &sums, &heard, actions),
+            Message::Sums { round, sums, heard } => {
+                self.take_sums(now, Partner { node, round }, &sums, &heard, actions);
+            }
             Message::Differ {
+                round,
                 listings,
                 heard,
                 serving,
-            } => self.take_differ(now, from, &listings, &heard, serving, actions),
+            } => self.take_differ(now, Partner { node, round }, &listings, &heard, serving, actions),
             Message::Delta {
+                round,
                 items,
                 want,
                 more,
                 serving,
             } => {
                 self.take_all(now, items, actions);
-                self.take_delta(now, from, &want, more, serving, actions);
+                self.take_delta(now, Partner { node, round }, &want, more, serving, actions);
             }
             Message::Want(digest) => self.give_chunk(now, from, digest, actions),
             Message::Chunk(bytes) => self.take_chunk(bytes, actions),
--- a/crates/member/src/gossip/exchange.rs
+++ b/crates/member/src/gossip/exchange.rs
@@ -1,6 +1,7 @@
 //! Repair: two nodes find the items that one of them lacks.
 
 use base::{Incarnation, Millis};
+use rand::RngExt;
 
 use super::peers::Peer;
 use super::{Action, Actions, Gossip};
@@ -20,6 +21,13 @@
     (frame_bytes / ITEM_BYTES).max(1)
 }
 
+/// The other node of an exchange, and the round of the node that opened it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Partner {
+    pub(super) node: Incarnation,
+    pub(super) round: u32,
+}
+
 impl Gossip {
     /// The periodic exchange with a random peer, or with an address from the settings while none is known.
     pub(super) fn exchange(&mut self, now: Millis, actions: &mut Actions) {
@@ -74,6 +82,7 @@
 
     fn send_sums(&self, now: Millis, peer: Peer, actions: &mut Actions) {
         let message = Message::Sums {
+            round: self.round,
             sums: self.store.sums(),
             heard: self.fresh.heard(now),
         };
@@ -83,14 +92,15 @@
     pub(super) fn take_sums(
         &mut self,
         now: Millis,
-        from: Incarnation,
+        with: Partner,
         sums: &[u32],
         heard: &[Heard],
         actions: &mut Actions,
     ) {
         self.fresh.take_heard(now, self.settings.wire_allowance, heard);
-        let Some(peer) = self.peer(from) else { return };
+        let Some(peer) = self.peer(with.node) else { return };
         let message = Message::Differ {
+            round: with.round,
             listings: self.store.differing(sums),
             heard: self.fresh.heard(now),
             serving: self.serves_with(),
@@ -101,7 +111,7 @@
     pub(super) fn take_differ(
         &mut self,
         now: Millis,
-        from: Incarnation,
+        with: Partner,
         listings: &[Listing],
         heard: &[Heard],
         serving: Option<Generation>,
@@ -111,44 +121,45 @@
         let beyond: Vec<u64> = listings.iter().flat_map(|it| self.store.beyond(it)).collect();
         let want: Vec<u64> = listings.iter().flat_map(|it| self.store.lacking(it)).collect();
         if want.is_empty() {
-            actions.push(Action::Exchanged { with: from, serving });
+            self.end_exchange(with, serving, actions);
         }
-        self.send_delta(now, from, &beyond, want, actions);
+        self.send_delta(now, with, &beyond, want, actions);
     }
 
     pub(super) fn take_delta(
         &mut self,
         now: Millis,
-        from: Incarnation,
+        with: Partner,
         want: &[u64],
         more: bool,
         serving: Option<Generation>,
         actions: &mut Actions,
     ) {
         if more {
-            let Some(peer) = self.peer(from) else { return };
+            let Some(peer) = self.peer(with.node) else { return };
             self.send_sums(now, peer, actions);
             return;
         }
-        actions.push(Action::Exchanged { with: from, serving });
-        self.send_delta(now, from, want, Vec::new(), actions);
+        self.end_exchange(with, serving, actions);
+        self.send_delta(now, with, want, Vec::new(), actions);
     }
 
     fn send_delta(
         &mut self,
         now: Millis,
-        to: Incarnation,
+        with: Partner,
         give: &[u64],
         want: Vec<u64>,
         actions: &mut Actions,
     ) {
-        let Some(peer) = self.peer(to) else { return };
+        let Some(peer) = self.peer(with.node) else { return };
         if give.is_empty() && want.is_empty() {
             return;
         }
         let most = items_a_frame(self.settings.frame_bytes);
         let held = give.iter().take(most).filter_map(|key| self.store.by_hash(*key));
         let message = Message::Delta {
+            round: with.round,
             items: held.map(|held| held.to_item(now, 0)).collect(),
             more: give.len() > most,
             serving: self.serves_with(),
@@ -157,6 +168,23 @@
         self.send(now, peer, message, actions);
     }
 
+    /// Tells that an exchange has ended, if this node has asked for it since it started or last woke.
+    fn end_exchange(&self, with: Partner, serving: Option<Generation>, actions: &mut Actions) {
+        if with.round == self.round {
+            let with = with.node;
+            actions.push(Action::Exchanged { with, serving });
+        }
+    }
+
+    /// Draws a new round after a pause: answers from before it say nothing now.
+    pub(super) fn note_pause(&mut self, now: Millis) {
+        let gap = now.since(self.last_step);
+        self.last_step = now.max(self.last_step);
+        if gap > self.settings.suspect_after {
+            self.round = self.generator.random();
+        }
+    }
+
     fn serves_with(&self) -> Option<Generation> {
         if self.serving { self.count.own } else { None }
     }
--- /dev/null
+++ b/crates/member/src/gossip/timers.rs
@@ -0,0 +1,14 @@
+//! Periodic jobs.
+
+use base::Millis;
+
+/// When each periodic job is due next.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Timers {
+    pub(super) heartbeat: Millis,
+    pub(super) exchange: Millis,
+    pub(super) report: Millis,
+    pub(super) expiry: Millis,
+    pub(super) majority: Millis,
+    pub(super) collect: Millis,
+}
--- a/crates/member/tests/gossip.rs
+++ b/crates/member/tests/gossip.rs
@@ -19,7 +19,7 @@
 fn apply(fleet: &mut Fleet, number: usize, step: Step) {
     let (kind, which, amount) = step;
     let index = usize::from(which) % NODES;
-    match kind % 14 {
+    match kind % 16 {
         0 | 1 => {
             fleet.edit();
         }
@@ -34,6 +34,8 @@
         10 => put_mark(fleet, index, number),
         11 => put_veto(fleet, index, number),
         12 => fleet.run(u64::from(amount) * 400),
+        13 => fleet.replace(index),
+        14 => fleet.vms[index].mute = amount % 2 == 0,
         _ => {}
     }
     fleet.run(u64::from(amount) * 20);
@@ -156,6 +158,7 @@
     fleet.loss = 0;
     for vm in &mut fleet.vms {
         vm.frozen = false;
+        vm.mute = false;
     }
     for _ in 0..60 {
         fleet.run(1_000);
--- a/crates/member/tests/model/fleet.rs
+++ b/crates/member/tests/model/fleet.rs
@@ -25,6 +25,8 @@
     pub node: Node,
     pub up: bool,
     pub frozen: bool,
+    /// What it sends to peers is lost; it hears them and reaches the platform.
+    pub mute: bool,
     /// Side of a cut; nodes of different sides can't reach each other, and the platform is on side 0.
     pub side: u8,
     pub learned: Vec<Body>,
@@ -109,6 +111,7 @@
             node,
             up: true,
             frozen: false,
+            mute: false,
             side: 0,
             learned: Vec::new(),
             gone_here: Vec::new(),
@@ -124,6 +127,17 @@
         self.vms[index].side = side;
     }
 
+    /// A planned stop: the node leaves, finishes, says goodbye, and a new process takes its place.
+    pub fn replace(&mut self, index: usize) {
+        if self.vms[index].frozen {
+            return;
+        }
+        self.step(index, Event::Leaving);
+        self.run(1_000);
+        self.step(index, Event::Goodbye);
+        self.restart(index);
+    }
+
     /// Starts the next incarnation in the same process.
     fn renew(&mut self, index: usize) {
         self.incarnations += 1;
@@ -179,7 +193,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, frame: &Frame) {
         let to = usize::from(to.port()) - 1;
-        if to >= self.vms.len() || self.generator.random_range(0..100) < self.loss {
+        if to >= self.vms.len() || self.vms[from].mute || self.generator.random_range(0..100) < self.loss {
             return;
         }
         let copies = 1 + u64::from(self.generator.random_range(0..100) < self.loss);
