member: note changes of state in the order in which they were told

The model obeyed each action before the next of the same step; obeying one stepped the node again, so a NodeSuspect told before a NodeGone was noted after it. The fault is the model's: the node told them in the right order. Change: the model notes all changes of state of a step before it obeys the rest. The check is the same.

--- a/crates/member/tests/model/fleet.rs
+++ b/crates/member/tests/model/fleet.rs
@@ -31,7 +31,6 @@
     pub side: u8,
     pub learned: Vec<Body>,
     pub gone_here: Vec<Incarnation>,
-    pub up_here: Vec<Incarnation>,
     pub applied: Vec<Generation>,
 }
 
@@ -115,7 +114,6 @@
             side: 0,
             learned: Vec::new(),
             gone_here: Vec::new(),
-            up_here: Vec::new(),
             applied: Vec::new(),
         }
     }
@@ -301,22 +299,29 @@
 
     pub fn step(&mut self, index: usize, event: Event) {
         let actions = self.vms[index].gossip.step(Millis(self.now), event);
+        // NB: what follows may step the node again, so changes of state are noted before, in their order.
+        for action in &actions {
+            self.note(index, action);
+        }
         for action in actions {
             match action {
                 Action::Send { to, frame } => self.send(index, to, &frame),
                 Action::Learned(body) => self.learn(index, body),
-                Action::NodeUp(node) | Action::NodeLeaving(node) | Action::NodeSuspect(node) => {
-                    self.vms[index].up_here.push(node);
-                    assert!(
-                        !self.vms[index].gone_here.contains(&node),
-                        "a gone incarnation came back"
-                    );
-                }
-                Action::NodeGone(node) => self.vms[index].gone_here.push(node),
                 Action::Exchanged { serving, .. } => self.configure(index, config::Event::Peer(serving)),
                 Action::Fenced => self.configure(index, config::Event::Fenced),
-                Action::Fetched { .. } => {}
+                _ => {}
+            }
+        }
+    }
+
+    fn note(&mut self, index: usize, action: &Action) {
+        let vm = &mut self.vms[index];
+        match action {
+            Action::NodeGone(node) => vm.gone_here.push(*node),
+            Action::NodeUp(node) | Action::NodeLeaving(node) | Action::NodeSuspect(node) => {
+                assert!(!vm.gone_here.contains(node), "a gone incarnation came back");
             }
+            _ => {}
         }
     }
 
