--- a/crates/member/tests/model/fleet.rs
+++ b/crates/member/tests/model/fleet.rs
@@ -25,11 +25,12 @@
     pub node: Node,
     pub up: bool,
     pub frozen: bool,
+    /// What it sends to peers is lost; it hears them and reaches the platform.
+    pub mute: bool,
     /// Side of a cut; nodes of different sides can't reach each other, and the platform is on side 0.
     pub side: u8,
     pub learned: Vec<Body>,
     pub gone_here: Vec<Incarnation>,
-    pub up_here: Vec<Incarnation>,
     pub applied: Vec<Generation>,
 }
 
@@ -109,10 +110,10 @@
             node,
             up: true,
             frozen: false,
+            mute: false,
             side: 0,
             learned: Vec::new(),
             gone_here: Vec::new(),
-            up_here: Vec::new(),
             applied: Vec::new(),
         }
     }
@@ -124,6 +125,17 @@
         self.vms[index].side = side;
     }
 
+    /// A planned stop: the node leaves, finishes, says goodbye, and a new process takes its place.
+    pub fn replace(&mut self, index: usize) {
+        if self.vms[index].frozen {
+            return;
+        }
+        self.step(index, Event::Leaving);
+        self.run(1_000);
+        self.step(index, Event::Goodbye);
+        self.restart(index);
+    }
+
     /// Starts the next incarnation in the same process.
     fn renew(&mut self, index: usize) {
         self.incarnations += 1;
@@ -179,7 +191,7 @@
 
     fn send(&mut self, from: usize, to: SocketAddr, frame: &Frame) {
         let to = usize::from(to.port()) - 1;
-        if to >= self.vms.len() || self.generator.random_range(0..100) < self.loss {
+        if to >= self.vms.len() || self.vms[from].mute || self.generator.random_range(0..100) < self.loss {
             return;
         }
         let copies = 1 + u64::from(self.generator.random_range(0..100) < self.loss);
@@ -287,22 +299,29 @@
 
     pub fn step(&mut self, index: usize, event: Event) {
         let actions = self.vms[index].gossip.step(Millis(self.now), event);
+        // NB: what follows may step the node again, so changes of state are noted before, in their order.
+        for action in &actions {
+            self.note(index, action);
+        }
         for action in actions {
             match action {
                 Action::Send { to, frame } => self.send(index, to, &frame),
                 Action::Learned(body) => self.learn(index, body),
-                Action::NodeUp(node) | Action::NodeLeaving(node) | Action::NodeSuspect(node) => {
-                    self.vms[index].up_here.push(node);
-                    assert!(
-                        !self.vms[index].gone_here.contains(&node),
-                        "a gone incarnation came back"
-                    );
-                }
-                Action::NodeGone(node) => self.vms[index].gone_here.push(node),
                 Action::Exchanged { serving, .. } => self.configure(index, config::Event::Peer(serving)),
                 Action::Fenced => self.configure(index, config::Event::Fenced),
-                Action::Fetched { .. } => {}
+                _ => {}
+            }
+        }
+    }
+
+    fn note(&mut self, index: usize, action: &Action) {
+        let vm = &mut self.vms[index];
+        match action {
+            Action::NodeGone(node) => vm.gone_here.push(*node),
+            Action::NodeUp(node) | Action::NodeLeaving(node) | Action::NodeSuspect(node) => {
+                assert!(!vm.gone_here.contains(node), "a gone incarnation came back");
             }
+            _ => {}
         }
     }
 
