Say written at the swap and accepted once in force; ask for nodes before the head

Cause: the tool said 'accepted' at the swap while the design says it once every node that is not gone has the edit; a node could take the platform's word on the head before it knew of the nodes it is cut off from, and one that does not serve could say what is in force.

--- a/crates/ctl/src/command/catalogue/apply.rs
+++ b/crates/ctl/src/command/catalogue/apply.rs
@@ -1,4 +1,4 @@
-//! `catalogue apply`: an edit is accepted once, and `--wait` follows it until it is in force everywhere.
+//! `catalogue apply`: an edit is written once, and `--wait` follows it until it is accepted: in force everywhere.
 
 use std::io::IsTerminal;
 use std::time::Duration;
@@ -43,7 +43,7 @@
         .unwrap_or_else(|| "operator".to_owned());
     let accepted = submit(client, &text, expected, &id, &author).await?;
     output.line(
-        &format!("accepted as generation {}", accepted.generation),
+        &format!("written as generation {}", accepted.generation),
         &accepted,
     );
     if flags.wait {
@@ -95,7 +95,7 @@
         let status: Status = client.get("/v1/admin/catalogue/status").await?;
         if status.in_force >= generation {
             bar.finish_and_clear();
-            eprintln!("in force on all {} nodes", status.nodes);
+            eprintln!("accepted: in force on all {} nodes", status.nodes);
             return Ok(());
         }
         let zones: Vec<&str> = status.behind.iter().map(|zone| zone.zone.as_str()).collect();
--- a/crates/node/src/actor/members/status.rs
+++ b/crates/node/src/actor/members/status.rs
@@ -124,7 +124,7 @@
     pub known: u64,
     /// The generation that this node has applied.
     pub applied: u64,
-    /// The highest generation that every node that is not gone has applied.
+    /// The highest generation that every node that is not gone has applied; 0 if this node can't tell.
     pub in_force: u64,
     /// Nodes that are not gone.
     pub nodes: usize,
@@ -139,6 +139,9 @@
         let number = |generation: Option<Generation>| generation.map_or(0, |generation| generation.0);
         let known = self.config.known().unwrap_or(Generation(0));
         let acks = Acks::new(self.gossip.view(), self.gossip.bodies());
+        // Only a node that serves may say what is in force: another one may not know of all nodes.
+        let serves = self.config.serving(self.now()).is_ok();
+        let in_force = acks.in_force().filter(|_| serves);
         let behind = acks.missing(known).into_iter().map(|zone| Behind {
             region: zone.region.clone(),
             zone: zone.zone.clone(),
@@ -149,7 +152,7 @@
         Ok(Progress {
             known: known.0,
             applied: number(self.config.applied()),
-            in_force: number(acks.in_force()),
+            in_force: number(in_force),
             nodes: self.gossip.view().present().count(),
             behind: behind.collect(),
         })
--- a/crates/node/src/platform/catalogue.rs
+++ b/crates/node/src/platform/catalogue.rs
@@ -11,8 +11,8 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::is_watcher;
-use crate::actor::members::{self, Text, Want};
+use super::{is_watcher, nodes};
+use crate::actor::members::{self, Registered, Text, Want};
 use crate::shared::Shared;
 
 /// Longest wait of one watch.
@@ -154,6 +154,12 @@
 async fn answer(shared: Shared, want: Want) {
     match want {
         Want::Head => {
+            // NB: nodes come before the head, so that this node knows of those it may be cut off from before it
+            // takes the platform's word that its catalogue is the newest.
+            let Ok(registrations) = nodes::list(&shared).await else {
+                return;
+            };
+            let _gone = shared.members.tell(Registered(registrations)).await;
             let _ended = tell_head(&shared).await;
         }
         Want::Text(head) => fetch(&shared, head).await,
