--- a/benches/path/control.rs
+++ b/benches/path/control.rs
@@ -11,6 +11,10 @@
 /// Nodes in the fleets measured.
 const FLEETS: [usize; 3] = [3, 6, 9];
 
+/// Metrics: bytes of frames, and of UDP payload with what QUIC adds.
+const FRAMES: &str = "bilberrylatch_peer_bytes_total";
+const WIRE: &str = "bilberrylatch_peer_wire_bytes";
+
 /// Time for a fleet to settle, and time measured.
 const SETTLE: Duration = Duration::from_secs(8);
 const MEASURED: Duration = Duration::from_secs(30);
@@ -22,14 +26,15 @@
         MEASURED.as_secs()
     );
     println!(
-        "{:>6} {:>10} {:>12} {:>14} {:>18}",
-        "nodes", "core %", "resident MB", "peer bytes/s", "kv calls/s (all)"
+        "{:>6} {:>10} {:>12} {:>14} {:>14} {:>18}",
+        "nodes", "core %", "resident MB", "frame bytes/s", "UDP bytes/s", "kv calls/s (all)"
     );
     for size in FLEETS {
         let deployment = Deployment::start(size).await;
         tokio::time::sleep(SETTLE).await;
         let before: Vec<Usage> = deployment.nodes.iter().map(Usage::of).collect();
-        let sent_before = sent(&deployment).await;
+        let sent_before = sum(&deployment, FRAMES).await;
+        let wire_before = sum(&deployment, WIRE).await;
         let calls_before = calls(&deployment).await;
         tokio::time::sleep(MEASURED).await;
         let after: Vec<Usage> = deployment.nodes.iter().map(Usage::of).collect();
@@ -40,20 +45,22 @@
         let percent = percents.sum::<f64>() / size as f64;
         let memory =
             after.iter().map(|usage| usage.memory as f64).sum::<f64>() / size as f64 / (1024.0 * 1024.0);
-        let bytes = (sent(&deployment).await - sent_before) / size as f64 / MEASURED.as_secs_f64();
+        let rate = |before: f64, after: f64| (after - before) / size as f64 / MEASURED.as_secs_f64();
+        let bytes = rate(sent_before, sum(&deployment, FRAMES).await);
+        let wire = rate(wire_before, sum(&deployment, WIRE).await);
         let platform = (calls(&deployment).await - calls_before) / MEASURED.as_secs_f64();
-        println!("{size:>6} {percent:>10.2} {memory:>12.1} {bytes:>14.0} {platform:>18.1}");
+        println!("{size:>6} {percent:>10.2} {memory:>12.1} {bytes:>14.0} {wire:>14.0} {platform:>18.1}");
     }
 }
 
-/// Bytes of frames that all nodes have sent to peers.
-async fn sent(deployment: &Deployment) -> f64 {
+/// Sum of a metric over all nodes.
+async fn sum(deployment: &Deployment, name: &str) -> f64 {
     let mut sum = 0.0;
     for node in &deployment.nodes {
         let text = metrics(deployment, node).await;
         let lines = text
             .lines()
-            .filter(|line| line.starts_with("bilberrylatch_peer_bytes_total"));
+            .filter(|line| line.starts_with(name));
         sum += lines
             .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
             .sum::<f64>();
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -312,6 +312,7 @@
         self.configure(config::Event::Tick).await;
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(FETCH_TICKS) {
+            metrics::gauge!("bilberrylatch_peer_wire_bytes").set(self.peers.sent_bytes() as f64);
             let actions = self.fetch_missing(now);
             self.carry_all(now, actions).await;
         }
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -91,6 +91,14 @@
         Ok(Channel::new(sender, receiver))
     }
 
+    /// Bytes of UDP payload sent on the connections that are open now and were opened by this process.
+    pub fn sent_bytes(&self) -> u64 {
+        let Ok(connections) = self.connections.lock() else {
+            return 0;
+        };
+        connections.values().map(|connection| connection.stats().udp_tx.bytes).sum()
+    }
+
     /// Closes all connections after what was sent has left.
     pub async fn close(&self) {
         self.quic.close(0_u32.into(), b"leaving");
