Freeze homes surely, say what a repeat was told, and count requests at the slow version

Cause: a home was taken as frozen as soon as SIGSTOP was sent.

Change: `Process::freeze` waits until all threads stand still; the first repeat must be answered at once; a wrong outcome is shown with its text; the requests that met the slow version are printed.

Weighed: waiting a fixed time after the signal; ruled out, as it depends on the machine's load.

--- a/tests/system/keys.rs
+++ b/tests/system/keys.rs
@@ -35,10 +35,12 @@
         let started = Instant::now();
         let response = top_up(deployment, node, key).await;
         assert!(started.elapsed() < AT_ONCE, "a repeat was held back");
-        assert_ne!(outcome(&response), "not-run", "the request ran");
-        if outcome(&response) == wanted {
+        let told = outcome(&response);
+        if told == wanted {
             return response;
         }
+        let text = response.text().await.unwrap();
+        assert_ne!(told, "not-run", "the request ran: {text}");
         tokio::time::sleep(Duration::from_millis(200)).await;
     }
     panic!("no answer with outcome {wanted}")
@@ -124,7 +126,7 @@
 async fn frozen_home_runs_nothing_twice_when_it_wakes() {
     let deployment = Deployment::start(3).await;
     let key = deployment.key(&deployment.nodes[0]).await;
-    deployment.nodes[0].signal(Signal::SIGSTOP);
+    deployment.nodes[0].freeze().await;
     let response = top_up(&deployment, &deployment.nodes[1], &key).await;
     assert_eq!(outcome(&response), "unknown");
     // Longer than the registration's lease.
@@ -144,8 +146,10 @@
 async fn home_frozen_for_a_moment_answers_when_it_wakes() {
     let deployment = Deployment::start(3).await;
     let key = deployment.key(&deployment.nodes[0]).await;
-    deployment.nodes[0].signal(Signal::SIGSTOP);
+    deployment.nodes[0].freeze().await;
+    let started = Instant::now();
     let response = top_up(&deployment, &deployment.nodes[1], &key).await;
+    assert!(started.elapsed() < AT_ONCE, "the answer was held back");
     assert_eq!(outcome(&response), "unknown");
     deployment.nodes[0].signal(Signal::SIGCONT);
     // The request that was sent on to the frozen home may run when it wakes; the repeats join it.
@@ -159,13 +163,13 @@
 }
 
 /// Longest wait until a silent node is declared gone.
-const GONE: Duration = Duration::from_secs(60);
+const GONE: Duration = Duration::from_mins(1);
 
 #[tokio::test]
 async fn home_declared_gone_runs_nothing_when_it_wakes() {
     let deployment = Deployment::start(3).await;
     let key = deployment.key(&deployment.nodes[0]).await;
-    deployment.nodes[0].signal(Signal::SIGSTOP);
+    deployment.nodes[0].freeze().await;
     let started = Instant::now();
     while !told_gone(&deployment, &deployment.nodes[1], &key).await {
         assert!(started.elapsed() < GONE, "the home was not declared gone");
--- a/tests/system/process.rs
+++ b/tests/system/process.rs
@@ -62,6 +62,22 @@
         kill(Pid::from_raw(self.id() as i32), signal).expect("the process is there");
     }
 
+    /// Stops it with SIGSTOP, and waits until none of its threads runs any more.
+    pub async fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        let start = Instant::now();
+        while !self.is_frozen() {
+            assert!(start.elapsed() < PATIENCE, "the process did not freeze");
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn is_frozen(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.id())).expect("the process has threads");
+        let mut tasks = tasks.map(|task| task.expect("a thread").path().join("stat"));
+        tasks.all(|stat| std::fs::read_to_string(stat).is_ok_and(|stat| stat.contains(") T ")))
+    }
+
     /// Waits for the end.
     pub fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
--- a/tests/system/rollouts.rs
+++ b/tests/system/rollouts.rs
@@ -164,6 +164,7 @@
     );
     let slow = served_by(&versions, "v2");
     let all = versions.len();
+    println!("requests that met the slow version: {slow} of {all}");
     assert!(slow > 0, "the slow version was never tried");
     assert!(
         slow <= all * CANARY_PERCENT / 100 + CHANCE,
