--- a/crates/node/src/actor.rs
+++ b/crates/node/src/actor.rs
@@ -3,6 +3,7 @@
 pub mod claims;
 pub mod members;
 pub mod rollouts;
+pub mod ticker;
 pub mod traffic;
 
 pub use claims::Claims;
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -13,8 +13,8 @@
 use kameo::message::{Context, Message};
 use slotmap::SlotMap;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
 
+use crate::actor::ticker;
 use crate::clock::Clock;
 use crate::shared::Shared;
 
@@ -80,7 +80,7 @@
     type Error = Infallible;
 
     async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        start_ticks(&actor);
+        ticker::start(&actor, TICK, Tick);
         Ok(Self {
             clock: arguments.clock,
             table: Table::new(arguments.incarnation, arguments.secret),
@@ -302,18 +302,3 @@
         self.step(Event::Import(import.0));
     }
 }
-
-fn start_ticks(actor: &ActorRef<Claims>) {
-    let weak = actor.downgrade();
-    tokio::spawn(async move {
-        let mut interval = interval(TICK);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            let Some(actor) = weak.upgrade() else { return };
-            if actor.tell(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
-}
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -19,8 +19,8 @@
 use member::item::Body;
 use member::{Config, Generation, Gossip, Node, config};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{MissedTickBehavior, interval};
 
+use crate::actor::ticker;
 use crate::actor::{Rollouts, Traffic, rollouts, traffic};
 use crate::clock::Clock;
 use crate::heritage::Heritage;
@@ -117,7 +117,7 @@
             stop,
             heritage,
         } = arguments;
-        start_ticks(&actor);
+        ticker::start(&actor, TICK, Tick);
         let (gossip, config) = match heritage {
             Some(heritage) => (
                 heritage
@@ -324,18 +324,3 @@
         metrics::gauge!("bilberrylatch_nodes_reachable").set(reach.reachable as f64);
     }
 }
-
-fn start_ticks(actor: &ActorRef<Members>) {
-    let weak = actor.downgrade();
-    tokio::spawn(async move {
-        let mut interval = interval(TICK);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            let Some(actor) = weak.upgrade() else { return };
-            if actor.tell(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
-}
--- a/crates/node/src/actor/rollouts.rs
+++ b/crates/node/src/actor/rollouts.rs
@@ -2,8 +2,11 @@
 
 pub mod announcement;
 pub mod command;
+mod control;
 pub mod message;
+mod roles;
 pub mod seat;
+mod spread;
 
 use std::convert::Infallible;
 use std::time::Duration;
@@ -14,9 +17,9 @@
 use kameo::actor::{ActorRef, WeakActorRef};
 use member::role;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
 
 use crate::actor::Traffic;
+use crate::actor::ticker;
 use crate::clock::Clock;
 use crate::shared::Shared;
 pub use announcement::Announcement;
@@ -77,7 +80,7 @@
     type Error = Infallible;
 
     async fn on_start(arguments: Self::Args, actor: ActorRef<Self>) -> Result<Self, Self::Error> {
-        start_ticks(&actor);
+        ticker::start(&actor, TICK, Tick);
         let Arguments {
             incarnation,
             seed,
@@ -126,18 +129,3 @@
         }
     }
 }
-
-fn start_ticks(actor: &ActorRef<Rollouts>) {
-    let weak = actor.downgrade();
-    tokio::spawn(async move {
-        let mut interval = interval(TICK);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            let Some(actor) = weak.upgrade() else { return };
-            if actor.tell(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
-}
--- /dev/null
+++ b/crates/node/src/actor/rollouts/control.rs
@@ -0,0 +1,67 @@
+//! Steps of controllers, and what follows from them.
+
+use base::Name;
+use rollout::{Action, Event};
+
+use super::announcement::Announcement;
+use super::{Reply, Rollouts};
+use crate::actor::members::Veto as SpreadVeto;
+use crate::actor::traffic::rollout::{Applied, VetoedElsewhere};
+use crate::platform::rollout as platform;
+use crate::shared::Shared;
+
+impl Rollouts {
+    /// Steps an endpoint's controller and carries its actions out.
+    pub(super) async fn control(&mut self, endpoint: &Name, event: Event) {
+        let now = self.now();
+        let (Some(shared), Some(seat)) = (self.shared(), self.seats.get_mut(endpoint)) else {
+            return;
+        };
+        let actions = seat.controller.step(now, event);
+        for action in actions {
+            self.carry(&shared, endpoint, action).await;
+        }
+    }
+
+    pub(super) async fn carry(&mut self, shared: &Shared, endpoint: &Name, action: Action) {
+        match action {
+            Action::Store { record, expected } => {
+                platform::store(
+                    shared.clone(),
+                    self.this.clone(),
+                    endpoint.clone(),
+                    record,
+                    expected,
+                );
+            }
+            Action::Load => platform::load(shared.clone(), self.this.clone(), endpoint.clone(), None),
+            Action::Announce(shares) => {
+                self.spread(shared, Announcement::Shares((*shares).clone())).await;
+                let _gone = self.traffic.tell(Applied(shares)).await;
+            }
+            Action::Veto(veto) => {
+                let _gone = self.traffic.tell(VetoedElsewhere((*veto).clone())).await;
+                let _gone = shared.members.tell(SpreadVeto::new(&veto)).await;
+            }
+            Action::Accept(id) => self.reply(endpoint, id, Reply::Accepted(id)),
+            Action::Refuse { rollout, refusal } => self.reply(endpoint, rollout, Reply::Refused(refusal)),
+            Action::Tell { rollout, verdict } => {
+                metrics::counter!("bilberrylatch_rollouts_ended_total").increment(1);
+                log::info!("rollout {rollout} of {endpoint} ended: {verdict:?}");
+            }
+            Action::Late(veto) => {
+                metrics::counter!("bilberrylatch_rollouts_late_vetoes_total").increment(1);
+                log::error!(
+                    "version {} of {endpoint} was done and is found bad: declare the way back",
+                    veto.version
+                );
+            }
+        }
+    }
+
+    pub(super) fn reply(&mut self, endpoint: &Name, id: rollout::Id, reply: Reply) {
+        if let Some(seat) = self.seats.get_mut(endpoint) {
+            seat.answer(id, reply);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/rollouts/roles.rs
@@ -0,0 +1,79 @@
+//! Steps of roles: which node controls an endpoint's rollouts.
+
+use base::Name;
+use member::node::State;
+use member::role::{self, rank};
+use rollout::Event;
+
+use super::{Lease, Rollouts};
+use crate::actor::members::Nodes;
+use crate::platform::rollout as platform;
+use crate::shared::Shared;
+
+impl Rollouts {
+    /// Tells every role this node's place among the candidates.
+    pub(super) async fn rank_all(&mut self, shared: &Shared, endpoints: &[Name]) {
+        let Ok(nodes) = shared.members.ask(Nodes).await else {
+            return;
+        };
+        let alive: Vec<_> = nodes
+            .iter()
+            .filter(|node| node.state == State::Alive)
+            .map(|node| node.incarnation)
+            .collect();
+        let lease = self.lease;
+        for endpoint in endpoints {
+            let role = Name::new(format!("controller/{endpoint}"));
+            let place = rank(&role, self.incarnation, alive.iter().copied());
+            self.role_step(endpoint, role::Event::Rank(place)).await;
+            if let Some(Lease { lease, until }) = lease {
+                self.role_step(endpoint, role::Event::Leased { lease, until })
+                    .await;
+            }
+        }
+    }
+
+    pub(super) async fn role_step(&mut self, endpoint: &Name, event: role::Event) {
+        let now = self.now();
+        let (Some(shared), Some(seat)) = (self.shared(), self.seats.get_mut(endpoint)) else {
+            return;
+        };
+        let actions = seat.role.step(now, event);
+        if seat.role.is_held() && !seat.acting && seat.role.may_act(now).is_some() {
+            seat.acting = true;
+            let fence = seat.role.may_act(now).map(|fence| fence.0);
+            platform::load(shared.clone(), self.this.clone(), endpoint.clone(), fence);
+        }
+        for action in actions {
+            self.carry_role(&shared, endpoint, action).await;
+        }
+    }
+
+    pub(super) async fn carry_role(&mut self, shared: &Shared, endpoint: &Name, action: role::Action) {
+        match action {
+            role::Action::Read => platform::read_role(shared.clone(), self.this.clone(), endpoint.clone()),
+            role::Action::Swap { expect, record } => {
+                platform::swap_role(
+                    shared.clone(),
+                    self.this.clone(),
+                    endpoint.clone(),
+                    expect,
+                    record,
+                );
+            }
+            role::Action::Held { fence, .. } => {
+                log::info!("controls rollouts of {endpoint} with fencing number {}", fence.0);
+            }
+            role::Action::Ended(fence) => {
+                log::info!(
+                    "no longer controls rollouts of {endpoint} (fencing number {})",
+                    fence.0
+                );
+                if let Some(seat) = self.seats.get_mut(endpoint) {
+                    seat.acting = false;
+                }
+                self.control(endpoint, Event::Released).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/rollouts/spread.rs
@@ -0,0 +1,88 @@
+//! What controllers tell all nodes, and the evidence that nodes send to controllers.
+
+use base::Name;
+use bytes::Bytes;
+use rollout::{Event, Stored, Summary, Wall, summary};
+
+use super::Rollouts;
+use super::announcement::{Announcement, Holder};
+use crate::actor::members::{Nodes, Spread};
+use crate::actor::traffic::rollout::Summaries;
+use crate::platform::rollout as platform;
+use crate::shared::Shared;
+
+impl Rollouts {
+    pub(super) async fn announce_again(&mut self, shared: &Shared, endpoint: &Name) {
+        let now = self.now();
+        let Some(seat) = self.seats.get(endpoint) else {
+            return;
+        };
+        let Some(fence) = seat.role.may_act(now) else {
+            return;
+        };
+        let shares = seat.controller.stored().map(Stored::shares);
+        let holder = Holder {
+            node: self.incarnation,
+            fence: fence.0,
+        };
+        self.holders.insert(endpoint.clone(), holder);
+        self.spread(
+            shared,
+            Announcement::Holder {
+                endpoint: endpoint.clone(),
+                holder,
+            },
+        )
+        .await;
+        if let Some(shares) = shares {
+            self.spread(shared, Announcement::Shares(shares)).await;
+        }
+    }
+
+    pub(super) async fn spread(&self, shared: &Shared, announcement: Announcement) {
+        const MILLIS_A_SECOND: u64 = 1000;
+        let Ok(bytes) = wire::encode(&announcement) else {
+            return;
+        };
+        let Wall(wall) = platform::wall();
+        let spread = Spread {
+            id: announcement.id(),
+            version: announcement.version(wall / MILLIS_A_SECOND),
+            report: Bytes::from(bytes),
+        };
+        let _gone = shared.members.tell(spread).await;
+    }
+
+    pub(super) async fn report(&mut self, summary: Summary) {
+        let running = self.seats.iter().find(|(_endpoint, seat)| {
+            seat.controller
+                .stored()
+                .is_some_and(|stored| stored.record.plan.id == summary.rollout)
+        });
+        let Some(endpoint) = running.map(|(endpoint, _seat)| endpoint.clone()) else {
+            return;
+        };
+        self.control(&endpoint, Event::Reported(Box::new(summary))).await;
+    }
+
+    /// Sends this node's evidence to the controllers.
+    pub(super) async fn send_summaries(&mut self, shared: &Shared) {
+        let nodes = shared
+            .members
+            .ask(Nodes)
+            .await
+            .map_or(1, |nodes| nodes.len() as u32);
+        self.next_report = self.now() + summary::interval(nodes);
+        let Ok(summaries) = self.traffic.ask(Summaries).await else {
+            return;
+        };
+        for (endpoint, summary) in summaries {
+            match self.holders.get(&endpoint) {
+                Some(holder) if holder.node != self.incarnation => {
+                    platform::send_summary(shared.clone(), *holder, &summary);
+                }
+                _own_or_unknown => self.control(&endpoint, Event::Reported(Box::new(summary))).await,
+            }
+        }
+    }
+}
--- a/crates/node/src/actor/traffic/tick.rs
+++ b/crates/node/src/actor/traffic/tick.rs
@@ -6,9 +6,9 @@
 use kameo::message::{Context, Message};
 use rollout::guard;
 use route::Event;
-use tokio::time::{MissedTickBehavior, interval};
 
 use super::Traffic;
+use crate::actor::ticker;
 
 /// Span between two ticks; deadlines are met to this precision.
 const TICK: Duration = Duration::from_millis(20);
@@ -31,16 +31,5 @@
 
 /// Sends ticks until the actor ends.
 pub(super) fn start(actor: &ActorRef<Traffic>) {
-    let weak = actor.downgrade();
-    tokio::spawn(async move {
-        let mut interval = interval(TICK);
-        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        loop {
-            interval.tick().await;
-            let Some(actor) = weak.upgrade() else { return };
-            if actor.tell(Tick).await.is_err() {
-                return;
-            }
-        }
-    });
+    ticker::start(actor, TICK, Tick);
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -4,6 +4,7 @@
 pub mod driver;
 pub mod export;
 pub mod header;
+mod interrupt;
 pub mod outgoing;
 pub mod part;
 pub mod stream;
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -1,22 +1,18 @@
 //! Drives one request: carries out the router's orders until the request has ended.
 
-use std::time::Duration;
-
 use route::event::Finish;
 use route::failure::{Failure, Kind};
 use route::{CallKey, DispatchId, Refusal};
 use tokio::sync::{mpsc, oneshot};
 
+use super::interrupt::{cancelled, left};
 use super::stream::{Relay, Relayed};
-use super::{Export, Outgoing, Part, Whole, attempt, export};
+use super::{Export, Outgoing, Part, Whole, attempt};
 use crate::actor::claims::{self, Keyed};
 use crate::actor::traffic::arrive::{Arrive, Began, Cancelled, Finished};
 use crate::actor::traffic::{Order, Target};
 use crate::shared::Shared;
 
-/// Pause before a leaving replica is asked again for a stream's KV cache.
-const EXPORT_PAUSE: Duration = Duration::from_millis(100);
-
 /// Orders that wait for one driver.
 const ORDERS: usize = 16;
 
@@ -320,41 +316,6 @@
     }
 }
 
-/// Waits until the router gives this stream up, or its replica leaves and has given its KV cache along.
-///
-/// A stream that the engine has not begun can't be exported yet, so a leaving replica is asked again and again; the
-/// stream goes on there meanwhile.
-async fn left(shared: &Shared, orders: &mut mpsc::Receiver<Order>, target: &Target) -> Option<Export> {
-    let mut leaving = false;
-    loop {
-        let order = tokio::select! {
-            order = orders.recv() => order?,
-            () = tokio::time::sleep(EXPORT_PAUSE), if leaving => Order::Leaving(target.dispatch),
-        };
-        match order {
-            Order::Cancel(id) if id == target.dispatch => return None,
-            Order::Leaving(id) if id == target.dispatch => {
-                leaving = true;
-                if let Some(export) = export::fetch(shared, target).await {
-                    return Some(export);
-                }
-            }
-            _other => {}
-        }
-    }
-}
-
-/// Waits until the router gives this dispatch up. Other orders can't come while it runs.
-async fn cancelled(orders: &mut mpsc::Receiver<Order>, dispatch: DispatchId) {
-    loop {
-        match orders.recv().await {
-            Some(Order::Cancel(id)) if id == dispatch => return,
-            Some(_other) => {}
-            None => return,
-        }
-    }
-}
-
 const fn failed(kind: Kind, may_have_run: bool) -> Tried {
     Tried::Ended(Finish::Failed(Failure::new(kind, may_have_run)), None)
 }
--- a/tests/system/main.rs
+++ b/tests/system/main.rs
@@ -13,3 +13,4 @@
 mod smoke;
 mod sse;
 mod streams;
+mod top_up;
