--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -35,6 +35,7 @@
         BilberrylatchCmd::Rollout(rollout) => {
             command::rollout::run(args.node.as_deref(), output, rollout).await
         }
+        BilberrylatchCmd::Keys(_) => command::keys::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Nodes(_) => command::nodes::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Replicas(_) => command::replicas::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -71,6 +71,11 @@
             /// Longest wait, in seconds.
             optional --timeout-seconds seconds: u64
         }
+        /// Idempotency keys: show counts those that the asked node holds.
+        cmd keys {
+            /// What to do: show.
+            required action: KeysAction
+        }
         /// List nodes.
         cmd nodes {}
         /// List replicas as the asked node sees them.
@@ -107,3 +112,20 @@
         }
     }
 }
+
+/// What to do with keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeysAction {
+    Show,
+}
+
+impl FromStr for KeysAction {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "show" => Ok(Self::Show),
+            _ => Err(format!("'{text}' is not show")),
+        }
+    }
+}
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -11,6 +11,7 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
+use serde::Serialize;
 use slotmap::SlotMap;
 use tokio::sync::{mpsc, watch};
 
@@ -266,6 +267,50 @@
     }
 }
 
+/// Asks how many keys are held.
+#[derive(Clone, Copy, Debug)]
+pub struct Counts;
+
+/// Keys that this node holds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Tally {
+    /// This run of the node.
+    pub node: String,
+    /// Keys issued here whose request runs.
+    pub issued_running: usize,
+    /// Keys issued here whose request ended.
+    pub issued_ended: usize,
+    /// Keys taken over from nodes that stopped.
+    pub taken_over: usize,
+    /// Bytes of answers kept for issued keys.
+    pub answer_bytes: usize,
+    /// Claims of chosen keys that are known here, of all nodes.
+    pub chosen_held: usize,
+    /// Chosen keys that wait or run here.
+    pub chosen_open: usize,
+    /// Results of chosen keys that are not yet written.
+    pub chosen_unwritten: usize,
+}
+
+impl Message<Counts> for Claims {
+    type Reply = Result<Tally, Infallible>;
+
+    async fn handle(&mut self, _counts: Counts, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
+        let table = self.table.usage();
+        let ledger = self.ledger.usage();
+        Ok(Tally {
+            node: self.table.home().to_string(),
+            issued_running: table.running,
+            issued_ended: table.ended,
+            taken_over: table.imported,
+            answer_bytes: table.bytes,
+            chosen_held: ledger.claims,
+            chosen_open: ledger.open,
+            chosen_unwritten: ledger.notes,
+        })
+    }
+}
+
 /// The node stops: no key is issued and no run starts from here on.
 #[derive(Clone, Copy, Debug)]
 pub struct Seal;
--- /dev/null
+++ b/crates/node/src/edge/admin/keys.rs
@@ -0,0 +1,21 @@
+//! How many idempotency keys this node holds.
+
+use axum::Json;
+use axum::extract::State;
+use axum::response::{IntoResponse, Response};
+use http::HeaderMap;
+
+use crate::actor::claims::Counts;
+use crate::edge::{Problem, auth};
+use crate::shared::Shared;
+
+/// `GET /v1/admin/keys`.
+pub async fn show(State(shared): State<Shared>, fields: HeaderMap) -> Response {
+    if let Err(problem) = auth::operator(&shared, &fields) {
+        return problem.into_response();
+    }
+    match shared.claims.ask(Counts).await {
+        Ok(tally) => Json(tally).into_response(),
+        Err(_ended) => Problem::stopping().into_response(),
+    }
+}
--- a/crates/node/src/edge/http.rs
+++ b/crates/node/src/edge/http.rs
@@ -17,6 +17,7 @@
         .route("/v1/endpoints/{endpoint}/keys", post(keys::handle))
         .route("/v1/endpoints/{endpoint}/{*path}", any(call::handle));
     let operators = Router::new()
+        .route("/v1/admin/keys", get(admin::keys::show))
         .route("/v1/admin/nodes", get(admin::lists::nodes))
         .route("/v1/admin/replicas", get(admin::lists::replicas))
         .route(
--- a/tests/system/keys.rs
+++ b/tests/system/keys.rs
@@ -269,3 +269,20 @@
     let response = top_up(&deployment, &deployment.nodes[1], &key).await;
     assert_ne!(outcome(&response), "not-run");
 }
+
+#[tokio::test]
+async fn operators_see_how_many_keys_a_node_holds() {
+    let deployment = Deployment::start(1).await;
+    let key = deployment.key(&deployment.nodes[0]).await;
+    top_up(&deployment, &deployment.nodes[0], &key).await;
+    top_up(&deployment, &deployment.nodes[0], "chosen").await;
+    let shown = deployment.tool(&["--json", "keys", "show"]);
+    assert!(
+        shown.status.success(),
+        "{}",
+        String::from_utf8_lossy(&shown.stderr)
+    );
+    let tally: Value = serde_json::from_slice(&shown.stdout).unwrap();
+    assert_eq!(tally["issued_ended"], json!(1));
+    assert_eq!(tally["chosen_held"], json!(1));
+}
