Change a node's part of the limits when nodes come or go

Cause: read through as a newcomer: the parts of workspaces' limits were worked out only when a generation came into force, so the first node kept the whole limit while others joined. The new test saw parts of 96 and 48 for a limit of 96. Weighed: leases by route::share (follow demand, need the role's holder; next), the number of nodes looked at once a second (taken). Change: the members tell routing the number of nodes that are not gone; a gauge shows each part. Measured: the test fails without the change ([96, 48]) and passes with it. Conclusion: kept; for a moment after a join views differ, and with them the parts.

--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -313,6 +313,8 @@
         self.ticks = self.ticks.wrapping_add(1);
         if self.ticks.is_multiple_of(FETCH_TICKS) {
             metrics::gauge!("bilberrylatch_peer_wire_bytes").set(self.peers.sent_bytes() as f64);
+            let nodes = self.gossip.view().present().count() as u32;
+            let _gone = self.traffic.tell(traffic::Resize(nodes)).await;
             let actions = self.fetch_missing(now);
             self.carry_all(now, actions).await;
         }
--- a/crates/node/src/actor/traffic.rs
+++ b/crates/node/src/actor/traffic.rs
@@ -23,7 +23,7 @@
 use crate::clock::Clock;
 use ::catalogue::Catalogue;
 pub use arrive::Arrive;
-pub use catalogue::Apply;
+pub use catalogue::{Apply, Resize};
 pub use order::{Order, Target};
 pub use replica::{Replica, Roster};
 pub use report::{Queues, Report, Status};
--- a/crates/node/src/actor/traffic/catalogue.rs
+++ b/crates/node/src/actor/traffic/catalogue.rs
@@ -34,6 +34,26 @@
     }
 }
 
+/// Nodes came or went: this node's part of the workspaces' limits changes.
+#[derive(Clone, Copy, Debug)]
+pub struct Resize(pub u32);
+
+impl Message<Resize> for Traffic {
+    type Reply = ();
+
+    async fn handle(&mut self, resize: Resize, _context: &mut Context<Self, Self::Reply>) {
+        let nodes = resize.0.max(1);
+        if nodes == self.nodes {
+            return;
+        }
+        self.nodes = nodes;
+        self.guard_step(guard::Event::Nodes(nodes));
+        if let Some(catalogue) = self.catalogue.clone() {
+            self.apply_tenants(&catalogue);
+        }
+    }
+}
+
 impl Traffic {
     /// The version that serves an endpoint when no rollout is under way.
     pub(super) fn stable(&self, endpoint: &Name) -> Option<Name> {
@@ -72,6 +92,7 @@
                     workspace: share.workspace.clone(),
                 };
                 let settings = self.tenant_settings(catalogue, endpoint, share);
+                show(&tenant, settings.share);
                 let key = match left.swap_remove(&tenant) {
                     Some(workspace) => {
                         self.step(Event::WorkspaceChanged { workspace, settings });
@@ -106,6 +127,14 @@
     }
 }
 
+fn show(tenant: &Tenant, share: u32) {
+    let labels = [
+        ("endpoint", tenant.endpoint.to_string()),
+        ("workspace", tenant.workspace.to_string()),
+    ];
+    metrics::gauge!("bilberrylatch_workspace_share", &labels).set(f64::from(share));
+}
+
 fn endpoint_settings(endpoint: &Endpoint) -> endpoint::Settings {
     endpoint::Settings::new(endpoint.latency_target())
         .with_max_queue(endpoint.limits.queue)
--- a/tests/system/callers.rs
+++ b/tests/system/callers.rs
@@ -33,6 +33,50 @@
     deployment.wait_for(node, "/v1/admin/replicas", idle).await;
 }
 
+/// The part of the demo workspace's 96 requests at the ledger that a node keeps to.
+async fn share(deployment: &Deployment, node: usize) -> f64 {
+    let url = format!("{}/metrics", deployment.nodes[node].url());
+    let text = deployment
+        .client
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    let is_ledger =
+        |line: &&str| line.starts_with("bilberrylatch_workspace_share") && line.contains("ledger");
+    let line = text.lines().find(is_ledger).unwrap_or_default();
+    line.rsplit(' ')
+        .next()
+        .and_then(|value| value.parse().ok())
+        .unwrap_or_default()
+}
+
+#[tokio::test]
+async fn parts_of_a_limit_never_sum_above_it_when_nodes_join() {
+    const LIMIT: f64 = 96.0;
+    let mut deployment = Deployment::start(1).await;
+    for count in 2..=4_usize {
+        let node = deployment.start_node(count - 1);
+        deployment.nodes.push(node);
+        deployment.wait_ready().await;
+        let mut shares = Vec::new();
+        for _look in 0..100 {
+            shares.clear();
+            for node in 0..count {
+                shares.push(share(&deployment, node).await);
+            }
+            if shares.iter().all(|share| *share > 0.0) && shares.iter().sum::<f64>() <= LIMIT {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert!(shares.iter().sum::<f64>() <= LIMIT, "{shares:?}");
+    }
+}
+
 /// A request that must be refused before it reaches a replica.
 struct Case {
     method: &'static str,
