Count a refusal in one place; copy less on the way of a request

Cause: read once more: the claims counted refusals in two places word for word; each request copied its endpoint's whole entry and, before it was sent, itself. Change: one function for both kinds of key; the entry's name and limits alone are taken, the request is borrowed. The path's cost was not measured again, so no gain is claimed.

--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -120,16 +120,18 @@
             Action::Forward { call, to } => self.last(call, Verdict::Forward(to)),
             Action::Dispatch { .. } => self.granted = true,
             Action::Halt { .. } => self.granted = false,
-            Action::Answer { call, answer } => {
-                if let Answer::Refused(reason) = &answer {
-                    metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label())
-                        .increment(1);
-                }
-                self.last(call, Verdict::Answer(answer));
-            }
+            Action::Answer { call, answer } => self.answer(call, answer),
         }
     }
 
+    /// Ends a call, and counts its reason if it is refused.
+    fn answer(&mut self, call: Call, answer: Answer) {
+        if let Answer::Refused(reason) = &answer {
+            metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label()).increment(1);
+        }
+        self.last(call, Verdict::Answer(answer));
+    }
+
     fn tell(&self, call: Call, verdict: Verdict) {
         if let Some(sender) = self.calls.get(call) {
             // A caller that is gone needs no verdict.
--- a/crates/node/src/actor/claims/chosen.rs
+++ b/crates/node/src/actor/claims/chosen.rs
@@ -1,8 +1,8 @@
 //! Keys that callers chose: claims in the key-value service, each call to it a task.
 
 use bytes::Bytes;
+use claim::Fingerprint;
 use claim::ledger::{Action, BaseDone, Event, Key, ReadDone, Shard, Version, WriteDone};
-use claim::{Answer, Fingerprint};
 use kameo::actor::WeakActorRef;
 use kameo::message::{Context, Message};
 use store::{Condition, Error, Write};
@@ -74,13 +74,7 @@
             Action::Taken { call, by } => self.last(call, Verdict::Forward(by)),
             Action::Dispatch { .. } => self.granted = true,
             Action::Halt { .. } => self.granted = false,
-            Action::Answer { call, answer } => {
-                if let Answer::Refused(reason) = &answer {
-                    metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label())
-                        .increment(1);
-                }
-                self.last(call, Verdict::Answer(answer));
-            }
+            Action::Answer { call, answer } => self.answer(call, answer),
             Action::Write {
                 shard,
                 sequence,
--- a/crates/node/src/dispatch/driver.rs
+++ b/crates/node/src/dispatch/driver.rs
@@ -206,11 +206,15 @@
     }
 
     async fn whole(&mut self, target: &Target) -> Tried {
-        let shared = self.shared.clone();
-        let outgoing = self.outgoing.clone();
+        let Self {
+            shared,
+            outgoing,
+            orders,
+            ..
+        } = self;
         let idle = outgoing.idle;
         let exchange = async {
-            let response = attempt::send(&shared, &outgoing, target, None).await?;
+            let response = attempt::send(shared, outgoing, target, None).await?;
             let _gone = shared.traffic.tell(Began(target.dispatch)).await;
             attempt::read(response, target, idle).await
         };
@@ -219,7 +223,7 @@
                 Ok(whole) => Tried::Ended(Finish::Whole, Some(whole)),
                 Err(failure) => Tried::Ended(Finish::Failed(failure), None),
             },
-            () = cancelled(&mut self.orders, target.dispatch) => failed(Kind::Cancelled, true),
+            () = cancelled(orders, target.dispatch) => failed(Kind::Cancelled, true),
         }
     }
 
--- a/crates/node/src/edge/intake.rs
+++ b/crates/node/src/edge/intake.rs
@@ -5,7 +5,7 @@
 use axum::body::Body;
 use base::{Millis, Name, Outcome};
 use bytes::Bytes;
-use catalogue::{Endpoint, Route};
+use catalogue::{Limits, Route};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use route::arrival::Priority;
 
@@ -17,8 +17,10 @@
 /// What the catalogue says about a request.
 #[derive(Clone, Debug)]
 pub struct Admitted {
-    /// The endpoint's entry.
-    pub endpoint: Endpoint,
+    /// The endpoint's name.
+    pub endpoint: Name,
+    /// Its limits.
+    pub limits: Limits,
     /// The route taken.
     pub route: Route,
     /// The workspace that asks.
@@ -58,7 +60,7 @@
     may_serve(shared)?;
     let workspace = auth::workspace(shared, &parts.headers)?;
     let admitted = look_up(shared, endpoint, workspace, &parts.method, path)?;
-    let limit = admitted.endpoint.limits.body_bytes as usize;
+    let limit = admitted.limits.body_bytes as usize;
     let body = read(body, limit).await?;
     let query = parts
         .uri
@@ -113,7 +115,8 @@
         return Err(Problem::new(StatusCode::NOT_FOUND, "no-route", detail).counted());
     };
     Ok(Admitted {
-        endpoint: entry.clone(),
+        endpoint: entry.name.clone(),
+        limits: entry.limits,
         route: route.clone(),
         workspace,
     })
@@ -136,10 +139,11 @@
 ) -> Result<Outgoing, Problem> {
     let Admitted {
         endpoint,
+        limits,
         route,
         workspace,
     } = admitted;
-    let own = Duration::from_millis(endpoint.limits.timeout_ms);
+    let own = Duration::from_millis(limits.timeout_ms);
     let timeout = match asked_timeout(fields)? {
         Some(asked) => asked.min(own),
         None => own,
@@ -160,7 +164,7 @@
         request_id: request_id(fields),
         workspace,
         route: Name::new(format!("{} {}", route.method, route.path)),
-        endpoint: endpoint.name,
+        endpoint,
         method,
         path,
         fields: passed,
