--- /dev/null
+++ b/crates/entry/src/edge/answer.rs
@@ -0,0 +1,22 @@
+//! A replica's answer, as far as its head decides anything.
+
+use std::time::Duration;
+
+use place::Load;
+
+/// The head of a replica's answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// Whether the replica says that it did not run the request.
+    pub not_run: bool,
+    /// Whether it names the request that it answers; `None` if it names none.
+    pub is_own: Option<bool>,
+    /// Whether it carries the replica's signature.
+    pub sealed: bool,
+    /// The replica's load.
+    pub load: Option<Load>,
+    /// How long the replica keeps the connection idle, if it says so.
+    pub idle: Option<Duration>,
+    /// Whether the replica closes the connection after it.
+    pub closes: bool,
+}
--- /dev/null
+++ b/crates/entry/src/edge/item.rs
@@ -0,0 +1,32 @@
+//! A record of the store, decoded.
+
+use std::sync::Arc;
+
+use place::Spec;
+use table::Table;
+
+use crate::edge::Move;
+
+/// What a record of the store holds.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// The newest configuration.
+    Table(Arc<Table>),
+    /// A replica's registration.
+    Replica(Spec),
+    /// A replica's registration that can't be used; the replica takes no requests.
+    BadReplica {
+        /// Id of the replica.
+        id: Arc<str>,
+        /// What is wrong with it.
+        cause: String,
+    },
+    /// An operator's order to move an endpoint to another version.
+    Move(Move),
+    /// A record of the nodes' own; the rest of its key.
+    Own(String),
+    /// A record that can't be decoded.
+    Bad(String),
+    /// A record that means nothing to a node.
+    Other,
+}
--- /dev/null
+++ b/crates/entry/src/error.rs
@@ -0,0 +1,37 @@
+//! Why the daemon could not start or go on.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+/// A failure that ends the daemon.
+#[derive(Debug)]
+pub enum Error {
+    /// The settings are not in order.
+    Settings(String),
+    /// An address could not be bound.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The logs, metrics or signal handlers could not be set up.
+    Setup(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Settings(findings) => f.write_str(findings),
+            Self::Listen { address, cause } => {
+                write!(
+                    f,
+                    "can't listen on {address}: {cause}; free the port or change the address"
+                )
+            }
+            Self::Setup(cause) => write!(f, "can't start: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,135 @@
+//! Keeps the node's view of the store: a listing, then watches from its revision on.
+//!
+//! One watch covers all keys. It is armed again after a short pause, so that a burst of changes costs one call. When it
+//! is cut, or its history is gone, everything is listed again and nothing is forgotten meanwhile.
+
+mod apply;
+mod missing;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Millis;
+use rand::RngExt;
+use store::Error;
+use tokio::time::sleep;
+
+use crate::Shared;
+use crate::stop::Phase;
+use apply::Applier;
+pub use apply::{MOVES, NODES};
+
+/// All keys: configuration, replicas, orders and the nodes' own records.
+const EVERYTHING: &str = "";
+/// Longest time that a watch waits. An answer proves the view as of its sending, so this is part of the view's age.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause before the next watch, which gathers changes; part of the time until a change is in force.
+const GATHER: Duration = Duration::from_millis(120);
+/// Pauses before a failed call is made again, with jitter between the half and the whole.
+const RETRY: [Duration; 4] = [
+    Duration::from_millis(60),
+    Duration::from_millis(120),
+    Duration::from_millis(240),
+    Duration::from_millis(400),
+];
+
+/// Follows the store until the node ends.
+pub async fn run(shared: Arc<Shared>) {
+    let stop = shared.stop.clone();
+    let mut follower = Follower::new(shared);
+    loop {
+        tokio::select! {
+            () = follower.turn() => {}
+            () = stop.reached(Phase::Ended) => return,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Follower {
+    shared: Arc<Shared>,
+    applier: Applier,
+    /// Revision to go on from; `None` if a listing is due.
+    revision: Option<u64>,
+    failures: usize,
+}
+
+impl Follower {
+    fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            applier: Applier::new(Arc::clone(&shared)),
+            shared,
+            revision: None,
+            failures: 0,
+        }
+    }
+
+    /// One call and what follows from it.
+    async fn turn(&mut self) {
+        let sent = self.shared.now();
+        let result = match self.revision {
+            None => self.list(sent).await,
+            Some(revision) => self.watch(sent, revision).await,
+        };
+        self.applier.expire();
+        match result {
+            Ok(changed) => {
+                self.regained();
+                if changed {
+                    sleep(GATHER).await;
+                }
+            }
+            Err(Error::Gap) => {
+                log::warn!(revision:? = self.revision; "store history gone, listing again");
+                self.revision = None;
+            }
+            Err(error) => self.fail(&error).await,
+        }
+    }
+
+    async fn list(&mut self, sent: Millis) -> Result<bool, Error> {
+        let listing = self.shared.store.list(EVERYTHING).await?;
+        self.revision = Some(listing.revision);
+        self.applier.replace(&listing);
+        self.prove(sent);
+        log::info!(records = listing.entries.len(), revision = listing.revision; "store listed");
+        Ok(false)
+    }
+
+    async fn watch(&mut self, sent: Millis, revision: u64) -> Result<bool, Error> {
+        let changes = self.shared.store.watch(EVERYTHING, revision, WAIT).await?;
+        for change in &changes.list {
+            self.applier.change(change);
+        }
+        let last = changes.list.iter().map(|change| change.revision).max();
+        self.revision = Some(changes.revision.max(last.unwrap_or(0)).max(revision));
+        self.prove(sent);
+        Ok(!changes.list.is_empty())
+    }
+
+    fn prove(&self, sent: Millis) {
+        self.shared.view().proof.note(sent);
+    }
+
+    fn regained(&mut self) {
+        if self.failures > 0 {
+            let now = self.shared.now();
+            self.applier.store_regained(now);
+            log::info!(failures = self.failures; "store regained");
+        }
+        self.failures = 0;
+    }
+
+    async fn fail(&mut self, error: &Error) {
+        if self.failures == 0 {
+            log::warn!(cause:% = error; "store lost");
+        }
+        let pause = RETRY[self.failures.min(RETRY.len() - 1)];
+        self.failures += 1;
+        let now = self.shared.now();
+        self.shared.view().store_lost = Some(now);
+        metrics::counter!("bilberrylatch_store_failures_total").increment(1);
+        let jitter: f64 = rand::rng().random_range(0.5..1.0);
+        sleep(pause.mul_f64(jitter)).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,130 @@
+//! One running node: its tasks, and the order in which it starts and stops.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::Millis;
+use clock::Clock;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{interval, sleep};
+
+use crate::edge::{Cloud, Edge};
+use crate::serve::{Listener, Service};
+use crate::stop::Phase;
+use crate::{Error, Settings, Shared, duty, follow, register};
+
+/// Time for callers to learn that the node is leaving, before idle connections are closed.
+const LEAVING: Millis = Millis(2_500);
+/// Time before SIGKILL at which the process ends whatever is still in flight.
+const END_MARGIN: Millis = Millis(300);
+/// Pace at which the end of the last request is noticed.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+/// Pace of samples of the time of day and of looking through idle connections.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+
+/// What an adapter brings.
+#[derive(Debug)]
+pub struct Adapter {
+    /// Names and formats.
+    pub edge: Arc<dyn Edge>,
+    /// The store.
+    pub store: store::Client,
+    /// The cloud's API.
+    pub cloud: Arc<dyn Cloud>,
+}
+
+/// A node that serves.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    registration: JoinHandle<()>,
+}
+
+impl Node {
+    /// Binds the addresses and starts all tasks.
+    pub async fn start(
+        settings: Settings,
+        adapter: Adapter,
+        metrics: Option<PrometheusHandle>,
+    ) -> Result<Self, Error> {
+        let Adapter { edge, store, cloud } = adapter;
+        let shared = Arc::new(Shared::new(edge, store, cloud, settings, Clock::new()));
+        let settings = shared.settings();
+        let mut services = vec![
+            (settings.listen, Service::Front),
+            (settings.directory_listen, Service::Directory),
+            (settings.ready_listen, Service::Ready),
+        ];
+        services.extend(metrics.map(|handle| (settings.metrics_listen, Service::Metrics(handle))));
+        for (address, service) in services {
+            let listener = Listener::bind(Arc::clone(&shared), address, service).await?;
+            tokio::spawn(listener.run());
+        }
+        let (held, holds) = watch::channel(None);
+        tokio::spawn(follow::run(Arc::clone(&shared)));
+        let registration = tokio::spawn(register::run(Arc::clone(&shared), held));
+        tokio::spawn(duty::run(Arc::clone(&shared), holds));
+        tokio::spawn(keep_house(Arc::clone(&shared)));
+        log::info!(node = settings.name, zone = settings.zone, incarnation:% = shared.incarnation,
+            address:% = settings.listen; "node started");
+        Ok(Self { shared, registration })
+    }
+
+    /// What the tasks share.
+    pub const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Leaves: tells callers, lets requests in flight end, withdraws the registration.
+    pub async fn stop(self) {
+        let grace = self.shared.settings().grace - END_MARGIN;
+        let started = self.shared.now();
+        let elapsed = || self.shared.now().since(started);
+        log::info!(waiting = self.shared.waiting(); "node leaving");
+        self.shared.stop.enter(Phase::Leaving);
+        sleep(LEAVING.min(grace).as_duration()).await;
+        self.shared.stop.enter(Phase::Closing);
+        while self.shared.waiting() > 0 && elapsed() < grace {
+            sleep(IDLE_POLL).await;
+        }
+        // Answers that were just finished are still on their way out.
+        sleep(IDLE_POLL).await;
+        log::info!(waiting = self.shared.waiting(), took_ms = elapsed().0; "node ends");
+        self.shared.stop.enter(Phase::Ended);
+        let left = grace - elapsed();
+        if tokio::time::timeout(left.as_duration(), self.registration)
+            .await
+            .is_err()
+        {
+            log::warn!("registration not withdrawn in time");
+        }
+    }
+}
+
+/// Samples the time of day and closes connections that were idle for too long.
+async fn keep_house(shared: Arc<Shared>) {
+    let mut ticks = interval(HOUSEKEEPING);
+    loop {
+        tokio::select! {
+            _tick = ticks.tick() => {}
+            () = shared.stop.reached(Phase::Ended) => return,
+        }
+        match SystemTime::now().duration_since(UNIX_EPOCH) {
+            Ok(time) => {
+                let now = shared.now();
+                shared.truth().note(now, time.as_millis() as u64);
+            }
+            Err(error) => log::warn!(cause:% = error; "time of day can't be used"),
+        }
+        shared.links.sweep();
+        let (age, nodes) = {
+            let view = shared.view();
+            (view.proof.age(shared.now()), view.nodes())
+        };
+        metrics::gauge!("bilberrylatch_view_age_ms").set(age.map_or(f64::INFINITY, |it| it.0 as f64));
+        metrics::gauge!("bilberrylatch_nodes").set(nodes as f64);
+        metrics::gauge!("bilberrylatch_requests_waiting").set(shared.waiting() as f64);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/register.rs
@@ -0,0 +1,146 @@
+//! The node's own registration, bound to a lease that it keeps.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Millis;
+use bytes::Bytes;
+use store::{Condition, Error, Lease, Write};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::Shared;
+use crate::follow::NODES;
+use crate::stop::Phase;
+use crate::view::Peer;
+
+/// Life of the lease without renewal: callers are sent to a dead node for that long.
+const LIFE: Millis = Millis(2_500);
+/// Time between renewals.
+const RENEW: Duration = Duration::from_millis(700);
+/// Time before a failed call is made again.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// The lease as the duties need it: its id and its end on the own clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Id of the lease.
+    pub lease: u64,
+    /// When it ends if it is not renewed, reckoned from the sending of the last renewal.
+    pub until: Millis,
+}
+
+/// Keeps the registration until the node ends, then withdraws it.
+pub async fn run(shared: Arc<Shared>, held: watch::Sender<Option<Held>>) {
+    let mut keeper = Keeper {
+        shared,
+        held,
+        lease: None,
+        written: None,
+    };
+    loop {
+        let pause = match keeper.keep().await {
+            Ok(()) => RENEW,
+            Err(error) => {
+                log::warn!(cause:% = error; "registration not renewed");
+                RETRY
+            }
+        };
+        let next = if keeper.shared.stop.phase() < Phase::Leaving {
+            Phase::Leaving
+        } else {
+            Phase::Ended
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = keeper.shared.stop.reached(next) => {}
+        }
+        if keeper.shared.stop.phase() == Phase::Ended {
+            keeper.withdraw().await;
+            return;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Keeper {
+    shared: Arc<Shared>,
+    held: watch::Sender<Option<Held>>,
+    lease: Option<Lease>,
+    written: Option<Peer>,
+}
+
+impl Keeper {
+    async fn keep(&mut self) -> Result<(), Error> {
+        let life = LIFE.max(self.shared.settings().lease_least);
+        let sent = self.shared.now();
+        match &self.lease {
+            None => {
+                let lease = self.shared.store.grant(life.as_duration()).await?;
+                self.lease = Some(lease);
+                self.written = None;
+            }
+            Some(lease) => match self.shared.store.renew(lease).await {
+                Ok(()) => {}
+                Err(Error::Lapsed) => {
+                    log::warn!("lease lapsed");
+                    self.lease = None;
+                    self.held.send_replace(None);
+                    return Err(Error::Lapsed);
+                }
+                Err(error) => return Err(error),
+            },
+        }
+        let Some(lease) = self.lease.clone() else {
+            return Ok(());
+        };
+        let number = lease
+            .0
+            .parse()
+            .map_err(|_not_a_number| Error::Protocol(format!("lease id {}", lease.0)))?;
+        self.write(&lease, number).await?;
+        self.held.send_replace(Some(Held {
+            lease: number,
+            until: sent + life,
+        }));
+        Ok(())
+    }
+
+    /// Writes the registration if it changed.
+    async fn write(&mut self, lease: &Lease, number: u64) -> Result<(), Error> {
+        let shared = &self.shared;
+        let peer = Peer {
+            name: shared.settings().name.clone(),
+            zone: shared.settings().zone.clone(),
+            address: shared.settings().listen,
+            ready: shared.is_ready(),
+            lease: number,
+        };
+        if self.written.as_ref() == Some(&peer) {
+            return Ok(());
+        }
+        let value = serde_json::to_vec(&peer).map_err(|error| Error::Protocol(error.to_string()))?;
+        let key = format!("{}{NODES}{}", shared.edge.own_prefix(), shared.incarnation);
+        let write = Write::new(key, Bytes::from(value), Condition::Any).with_lease(lease.clone());
+        match shared.store.write(&write).await {
+            Ok(_revision) => {}
+            Err(Error::Lapsed) => {
+                self.lease = None;
+                self.held.send_replace(None);
+                return Err(Error::Lapsed);
+            }
+            Err(error) => return Err(error),
+        }
+        self.written = Some(peer);
+        Ok(())
+    }
+
+    async fn withdraw(&mut self) {
+        self.held.send_replace(None);
+        let Some(lease) = self.lease.take() else { return };
+        if let Err(error) = self.shared.store.revoke(&lease).await {
+            // It lapses by itself.
+            log::warn!(cause:% = error; "registration not withdrawn");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/admit.rs
@@ -0,0 +1,79 @@
+//! Whether a request is let in, and where it goes.
+
+use std::sync::Arc;
+
+use base::Millis;
+use bytes::Bytes;
+use http::{header, request};
+use rand::RngExt;
+use table::Access;
+
+use super::Reason;
+use super::call::Call;
+use super::intake::{origin_form, strip_connection};
+use crate::Shared;
+use crate::edge::Ask;
+
+/// Checks a request against the view.
+pub(super) fn admit(
+    shared: &Shared,
+    head: request::Parts,
+    ask: Ask,
+    body: Bytes,
+    received: Millis,
+) -> Result<Call, Reason> {
+    let view = shared.view();
+    let Some(table) = view.table.clone() else {
+        return Err(Reason::NoConfiguration);
+    };
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or("");
+    let is_proved = view.proof.holds(shared.now(), shared.settings().key_life);
+    let Some(found) = table.route(host, head.uri.path()) else {
+        return Err(if is_proved {
+            Reason::NoRoute
+        } else {
+            Reason::StaleView
+        });
+    };
+    let index = found.index;
+    let workspace = match table.access(found.route, ask.key.as_deref()) {
+        Access::Public => None,
+        // NB: a key may have been taken away, or given, since the view was last shown to be complete.
+        _ if !is_proved => return Err(Reason::StaleView),
+        Access::Denied => return Err(Reason::Denied),
+        Access::Workspace(workspace) => table.workspaces().iter().position(|it| it == workspace),
+    };
+    let mut generator = rand::rng();
+    let Some(endpoint) = found.route.draw(generator.random()).cloned() else {
+        return Err(Reason::NoRoute);
+    };
+    let version = view.moves.version(&endpoint, generator.random()).cloned();
+    let nodes = view.nodes();
+    drop(view);
+    let patience = ask.patience.unwrap_or(Millis::NEVER);
+    let until = received + patience.min(found.route.timeout);
+    let mut headers = head.headers;
+    strip_connection(&mut headers);
+    let call = Call {
+        ask,
+        method: head.method,
+        uri: origin_form(&head.uri),
+        headers,
+        body,
+        received,
+        until,
+        route: index,
+        workspace,
+        endpoint,
+        version,
+        table: Arc::clone(&table),
+    };
+    if let Some(workspace) = call.workspace() {
+        shared
+            .take_quota(workspace, call.charge(), nodes)
+            .map_err(Reason::OverLimit)?;
+    }
+    Ok(call)
+}
--- /dev/null
+++ b/crates/entry/src/serve/dispatch.rs
@@ -0,0 +1,331 @@
+//! Sends a request to replicas until there is an answer or nothing more may be tried.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Millis;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use place::{Choice, Demand, End, Event, Refusal, ReplicaKey, Verdict};
+use tokio::time::timeout;
+
+use super::body::Body;
+use super::call::Call;
+use super::flight::Flight;
+use super::relay::Relay;
+use super::{Reason, log, whole};
+use crate::Shared;
+use crate::edge::{Answer, Forward};
+use crate::shared::Waiting;
+use crate::upstream::{Failure, Link, Sent};
+
+/// Dispatches of one request at most, those that did not run included.
+const MOST_DISPATCHES: usize = 4;
+/// Time left below which no dispatch is worth while.
+const LEAST_LEFT: Millis = Millis(15);
+/// Patience with an idempotent request at one replica: this multiple of what is expected, and this much besides.
+const PATIENCE_FACTOR: u64 = 4;
+const PATIENCE_MORE: Millis = Millis(60);
+/// Part of the time left that one replica may use up if another one may be tried.
+const PATIENCE_PART: f64 = 0.5;
+/// When to come back after replicas refused: their queues are short.
+const REFUSED_RETRY: Millis = Millis(250);
+
+/// What one dispatch came to.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub flight: Flight,
+    pub answer: Answer,
+    pub sent: Sent,
+}
+
+impl Reply {
+    /// Whether it is a success that carries the replica's signature.
+    pub fn is_signed_success(&self) -> bool {
+        self.answer.sealed && self.sent.response.status().is_success()
+    }
+}
+
+/// Why a dispatch brought no answer that can be used.
+#[derive(Debug)]
+pub(super) struct Miss {
+    pub event: Event,
+    pub cause: String,
+    /// Whether the time of the whole request is up.
+    pub timed_out: bool,
+    /// The replica's own failure, as it would be passed on.
+    pub passed: Option<Response<Body>>,
+}
+
+impl Miss {
+    pub fn new<C>(event: Event, cause: C) -> Self
+    where
+        C: Into<String>,
+    {
+        Self {
+            event,
+            cause: cause.into(),
+            timed_out: false,
+            passed: None,
+        }
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Dispatch {
+    pub shared: Arc<Shared>,
+    pub call: Call,
+    /// Replicas that it was sent to.
+    pub tried: Vec<ReplicaKey>,
+    /// Replicas on which it may have run.
+    pub runs: u32,
+    /// Id of the last replica.
+    pub replica: Arc<str>,
+    /// What went wrong last.
+    pub cause: String,
+    counted: bool,
+    _waiting: Waiting,
+}
+
+impl Dispatch {
+    pub fn new(shared: Arc<Shared>, call: Call) -> Self {
+        Self {
+            _waiting: shared.wait(),
+            shared,
+            call,
+            tried: Vec::new(),
+            runs: 0,
+            replica: Arc::from(""),
+            cause: String::new(),
+            counted: false,
+        }
+    }
+
+    /// The answer to the caller.
+    pub async fn run(mut self) -> Response<Body> {
+        let mut failed: Option<Response<Body>> = None;
+        loop {
+            let miss = match self.once(None).await {
+                Ok(reply) if self.call.route().kind.is_stream() && reply.is_signed_success() => {
+                    return Relay::open(self, reply);
+                }
+                Ok(reply) => match whole::read(&self, reply).await {
+                    Ok(response) => {
+                        self.log_end("answered", response.status().as_u16());
+                        return response;
+                    }
+                    Err(miss) => miss,
+                },
+                Err(Stop::Miss(miss)) => miss,
+                Err(Stop::Refused(refusal)) => return self.refuse(failed, Some(refusal)),
+            };
+            self.cause.clone_from(&miss.cause);
+            if miss.timed_out {
+                return self.finish(Reason::TimedOut);
+            }
+            let may_repeat = self.note(&miss);
+            failed = miss.passed.or(failed);
+            if !may_repeat {
+                return self.refuse(failed, None);
+            }
+        }
+    }
+
+    /// Takes in a miss; whether another replica may be tried.
+    pub fn note(&mut self, miss: &Miss) -> bool {
+        let fate = miss.event.fate(self.call.route().kind.is_idempotent());
+        if fate.verdict != Verdict::NotRun {
+            self.runs += 1;
+        }
+        let has_time = self.call.left(self.shared.now()) > LEAST_LEFT;
+        let is_free = miss.event == Event::NotSent;
+        let may_repeat = fate.may_repeat
+            && has_time
+            && self.tried.len() < MOST_DISPATCHES
+            && self.runs < self.call.route().max_attempts
+            && (is_free || self.shared.take_repeat(&self.call.endpoint));
+        log::repeated(&self.shared, &self.call, &self.replica, &miss.cause, may_repeat);
+        may_repeat
+    }
+
+    /// The final answer when nothing more may be tried.
+    fn refuse(&self, failed: Option<Response<Body>>, refusal: Option<Refusal>) -> Response<Body> {
+        if let Some(failed) = failed {
+            self.log_end("failed", failed.status().as_u16());
+            return failed;
+        }
+        if self.runs > 0 {
+            return self.finish(Reason::Unknown);
+        }
+        self.give_quota_back();
+        self.finish(refusal.map_or(Reason::NotRun(REFUSED_RETRY), Reason::NoPlace))
+    }
+
+    fn finish(&self, reason: Reason) -> Response<Body> {
+        let reason = match reason {
+            // Nothing was sent: say so.
+            Reason::TimedOut if self.runs == 0 && self.tried.is_empty() => Reason::NotRun(REFUSED_RETRY),
+            other => other,
+        };
+        metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label()).increment(1);
+        self.log_end(reason.label(), reason.status().as_u16());
+        reason.response()
+    }
+
+    fn give_quota_back(&self) {
+        if let Some(workspace) = self.call.workspace() {
+            let nodes = self.shared.view().nodes();
+            self.shared.give_quota_back(workspace, self.call.charge(), nodes);
+        }
+    }
+
+    pub fn log_end(&self, outcome: &str, status: u16) {
+        let end = log::End {
+            outcome,
+            status,
+            replica: &self.replica,
+            attempts: self.tried.len(),
+            cause: &self.cause,
+        };
+        log::ended(&self.shared, &self.call, end);
+    }
+
+    /// Chooses a replica and sends the request there, up to the head of its answer.
+    pub async fn once(&mut self, resume_after: Option<u64>) -> Result<Reply, Stop> {
+        let shared = Arc::clone(&self.shared);
+        let now = shared.now();
+        let left = self.call.left(now);
+        if left <= LEAST_LEFT {
+            return Err(Stop::Miss(Miss {
+                timed_out: true,
+                ..Miss::new(Event::NotSent, "no time left")
+            }));
+        }
+        let tried = self.tried.clone();
+        let call = &self.call;
+        let parts = call.ask.parts.clone();
+        let demand = Demand {
+            parts: &parts,
+            output_tokens: call.ask.tokens.map_or(0, |it| it.output),
+            zone: &shared.settings().zone,
+            tried: &tried,
+            version: call.version.as_deref(),
+            left,
+            target: call.route().target_latency,
+        };
+        let choice = shared
+            .with_pool(&call.endpoint, |pool| pool.choose(now, &demand))
+            .map_err(Stop::Refused)?;
+        if !self.counted {
+            shared.count_dispatch(&call.endpoint);
+            self.counted = true;
+        }
+        let flight = Flight::new(&shared, &self.call, choice.clone(), &demand);
+        self.tried.push(choice.replica);
+        self.replica = Arc::clone(&choice.id);
+        match self.exchange(&choice, resume_after).await {
+            Ok(sent) => self.judge(flight, sent),
+            Err(miss) => {
+                flight.end(match miss.event {
+                    Event::NotSent | Event::Lost if !miss.timed_out => End::Failed,
+                    _ => End::Cancelled,
+                });
+                Err(Stop::Miss(miss))
+            }
+        }
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn exchange(&self, choice: &Choice, resume_after: Option<u64>) -> Result<Sent, Miss> {
+        let link = match self.shared.links.take(&choice.id, choice.address) {
+            Some(link) => link,
+            None => Link::connect(choice.address)
+                .await
+                .map_err(|cause| Miss::new(Event::NotSent, cause))?,
+        };
+        let left = self.call.left(self.shared.now());
+        if left <= LEAST_LEFT {
+            return Err(Miss {
+                timed_out: true,
+                ..Miss::new(Event::NotSent, "no time left")
+            });
+        }
+        let request = self.request(choice, left, resume_after);
+        let (patience, is_last) = self.patience(choice, left);
+        match timeout(patience, link.send(request)).await {
+            Ok(Ok(sent)) => Ok(sent),
+            Ok(Err(Failure::NotSent(cause))) => Err(Miss::new(Event::NotSent, cause)),
+            Ok(Err(Failure::Lost(cause))) => Err(Miss::new(Event::Lost, cause)),
+            Err(_elapsed) => Err(Miss {
+                timed_out: is_last,
+                ..Miss::new(Event::Lost, "no answer in time")
+            }),
+        }
+    }
+
+    /// How long to wait for the head of an answer, and whether that is all the time there is.
+    fn patience(&self, choice: &Choice, left: Millis) -> (Duration, bool) {
+        let route = self.call.route();
+        let may_repeat = route.kind.is_idempotent()
+            && self.runs + 1 < route.max_attempts
+            && self.tried.len() < MOST_DISPATCHES;
+        if !may_repeat {
+            return (left.as_duration(), true);
+        }
+        let expected = Millis(choice.expected.0 * PATIENCE_FACTOR) + PATIENCE_MORE;
+        let expected = if route.kind.is_stream() {
+            expected.max(route.target_latency)
+        } else {
+            expected
+        };
+        let most = Millis((left.0 as f64 * PATIENCE_PART) as u64);
+        (expected.min(most).as_duration(), false)
+    }
+
+    fn request(&self, choice: &Choice, left: Millis, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let mut headers = call.headers.clone();
+        let forward = Forward {
+            replica: &choice.id,
+            workspace: call.workspace().map(|it| &*it.name),
+            left,
+            priority: None,
+            resume_after,
+        };
+        self.shared.edge.forward(&mut headers, &forward);
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Whether an answer's head belongs to the request and is a success.
+    fn judge(&self, flight: Flight, sent: Sent) -> Result<Reply, Stop> {
+        let status = sent.response.status();
+        let head = sent.response.headers();
+        let answer = self.shared.edge.answer(&self.call.ask.id, status, head);
+        flight.report(answer.load);
+        if answer.not_run {
+            flight.end(End::NotRun);
+            let cause = format!("replica refused with {status}");
+            return Err(Stop::Miss(Miss::new(Event::NotRun, cause)));
+        }
+        if answer.is_own == Some(false) || (answer.is_own.is_none() && status.is_success()) {
+            flight.end(End::Failed);
+            return Err(Stop::Miss(Miss::new(Event::Lost, "answer to another request")));
+        }
+        Ok(Reply { flight, answer, sent })
+    }
+}
+
+/// Why a dispatch did not get as far as an answer.
+#[derive(Debug)]
+pub(super) enum Stop {
+    /// No replica was chosen.
+    Refused(Refusal),
+    /// The dispatch failed.
+    Miss(Miss),
+}
--- /dev/null
+++ b/crates/entry/src/serve/flight.rs
@@ -0,0 +1,78 @@
+//! A dispatch in flight, as the pool and the usage counts need it.
+
+use std::sync::Arc;
+
+use base::Millis;
+use place::{Choice, Demand, End, FlightKey, Load};
+
+use super::call::Call;
+use crate::Shared;
+
+/// Ends the dispatch in the pool in any case: when dropped, the caller has left or the time was up.
+#[derive(Debug)]
+pub(super) struct Flight {
+    shared: Arc<Shared>,
+    endpoint: Arc<str>,
+    choice: Choice,
+    key: Option<FlightKey>,
+    sent: Millis,
+}
+
+impl Flight {
+    /// A request leaves for a replica.
+    pub fn new(shared: &Arc<Shared>, call: &Call, choice: Choice, demand: &Demand<'_>) -> Self {
+        let sent = shared.now();
+        let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
+        Self {
+            shared: Arc::clone(shared),
+            endpoint: Arc::clone(&call.endpoint),
+            choice,
+            key: Some(key),
+            sent,
+        }
+    }
+
+    /// The replica.
+    pub const fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    /// The replica reported its load.
+    pub fn report(&self, load: Option<Load>) {
+        let Some(load) = load else { return };
+        let now = self.shared.now();
+        let replica = self.choice.replica;
+        self.shared
+            .with_pool(&self.endpoint, |pool| pool.report(now, replica, load));
+    }
+
+    /// The answer, or its first event, has come.
+    pub fn begin(&self) {
+        let Some(key) = self.key else { return };
+        let now = self.shared.now();
+        self.shared.with_pool(&self.endpoint, |pool| pool.begin(now, key));
+    }
+
+    /// The dispatch has ended.
+    pub fn end(mut self, end: End) {
+        self.finish(end);
+    }
+
+    /// When it was sent.
+    pub const fn sent(&self) -> Millis {
+        self.sent
+    }
+
+    fn finish(&mut self, end: End) {
+        let Some(key) = self.key.take() else { return };
+        let now = self.shared.now();
+        self.shared
+            .with_pool(&self.endpoint, |pool| pool.end(now, key, end));
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.finish(End::Cancelled);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/front.rs
@@ -0,0 +1,39 @@
+//! The way of one request.
+
+use std::sync::Arc;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use super::body::Body;
+use super::dispatch::Dispatch;
+use super::{Reason, admit, intake, log};
+use crate::Shared;
+
+/// Answers a caller's request.
+pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let received = shared.now();
+    let (head, incoming) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    let limits = shared.view().table.as_ref().map(|table| table.limits());
+    // The body is read before anything is refused: closing a connection with unread bytes would reset it, and the
+    // caller could lose the answer.
+    let body = intake::read_body(incoming, limits.unwrap_or_default()).await;
+    let ask = match shared.edge.ask(&head) {
+        Ok(ask) => ask,
+        Err(fault) => {
+            ::log::info!(path, fault:% = fault; "head not understood");
+            log::refused(&shared, &[], &path, Reason::BadHead);
+            return Reason::BadHead.response();
+        }
+    };
+    let id = ask.id.clone();
+    let call = body.and_then(|body| admit::admit(&shared, head, ask, body, received));
+    match call {
+        Ok(call) => Dispatch::new(shared, call).run().await,
+        Err(reason) => {
+            log::refused(&shared, &id, &path, reason);
+            reason.response()
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/listener.rs
@@ -0,0 +1,165 @@
+//! Accepts connections and serves them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics_exporter_prometheus::PrometheusHandle;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::body::{self, Body};
+use super::{directory, front};
+use crate::stop::Phase;
+use crate::{Error, Shared};
+
+/// Time after which unacknowledged bytes end a caller's connection.
+const UNACKNOWLEDGED_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
+/// Silence after which a caller's connection is probed, and time between probes.
+const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(5);
+/// Pause after a failure to accept: descriptors may be used up.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// What an address serves.
+#[derive(Clone, Debug)]
+pub enum Service {
+    /// Requests for replicas.
+    Front,
+    /// Questions for addresses.
+    Directory,
+    /// Questions for readiness.
+    Ready,
+    /// Metrics.
+    Metrics(PrometheusHandle),
+}
+
+/// A bound address.
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    service: Service,
+    shared: Arc<Shared>,
+}
+
+impl Listener {
+    /// Binds an address.
+    pub async fn bind(shared: Arc<Shared>, address: SocketAddr, service: Service) -> Result<Self, Error> {
+        let socket = TcpListener::bind(address)
+            .await
+            .map_err(|cause| Error::Listen { address, cause })?;
+        Ok(Self {
+            socket,
+            service,
+            shared,
+        })
+    }
+
+    /// Accepts until the node ends.
+    pub async fn run(self) {
+        loop {
+            tokio::select! {
+                accepted = self.socket.accept() => match accepted {
+                    Ok((stream, _caller)) => self.serve(stream),
+                    Err(error) => {
+                        log::warn!(cause:% = error; "connection not accepted");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                },
+                () = self.shared.stop.reached(Phase::Ended) => return,
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        if let Err(error) = set_options(&stream) {
+            log::debug!(cause:% = error; "socket options not set");
+        }
+        let shared = Arc::clone(&self.shared);
+        let service = self.service.clone();
+        tokio::spawn(serve_connection(shared, service, stream));
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, service: Service, stream: TcpStream) {
+    let limits = shared
+        .view()
+        .table
+        .as_ref()
+        .map(|table| table.limits())
+        .unwrap_or_default();
+    let stop = shared.stop.clone();
+    let answer = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        let service = service.clone();
+        async move { Ok::<_, Infallible>(answer(shared, service, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // NB: the library's timer also runs while the connection is idle between two requests.
+        .header_read_timeout((limits.idle_timeout + limits.head_timeout).as_duration())
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), answer);
+    let mut connection = std::pin::pin!(connection);
+    // A connection that is opened later is closed after its first answer.
+    let was_open = stop.phase() < Phase::Closing;
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.reached(Phase::Closing), if was_open => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(cause:% = error; "caller's connection ended");
+    }
+}
+
+/// Least buffer that the library takes.
+const LEAST_BUFFER_BYTES: usize = 8_192;
+
+async fn answer(shared: Arc<Shared>, service: Service, request: Request<Incoming>) -> Response<Body> {
+    let is_leaving = shared.stop.phase() >= Phase::Leaving;
+    let mut response = match service {
+        Service::Front => front::answer(shared, request).await,
+        Service::Directory => directory::answer(&shared, request.uri()),
+        Service::Ready => ready(&shared, &request),
+        Service::Metrics(handle) => text(StatusCode::OK, handle.render()),
+    };
+    if is_leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+fn ready(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
+    if !shared.edge.is_readiness(request.uri()) {
+        return text(StatusCode::NOT_FOUND, String::new());
+    }
+    if shared.is_ready() {
+        text(StatusCode::OK, String::new())
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, String::new())
+    }
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(body::whole(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/entry/src/serve/whole.rs
@@ -0,0 +1,76 @@
+//! Answers that are read as a whole before the caller gets them.
+
+use base::Millis;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use place::{End, Event, is_promise};
+use tokio::time::timeout;
+
+use super::body::{self, Body};
+use super::dispatch::{Dispatch, Miss, Reply};
+use super::intake::strip_connection;
+
+/// Largest answer that is held in memory.
+const MOST_BYTES: usize = 8 * 1024 * 1024;
+
+/// Reads the answer. One that is broken off is a miss, as is a failure of the replica's own.
+pub(super) async fn read(dispatch: &Dispatch, reply: Reply) -> Result<Response<Body>, Miss> {
+    let shared = &dispatch.shared;
+    let Reply { flight, answer, sent } = reply;
+    let (head, incoming) = sent.response.into_parts();
+    let left = dispatch.call.left(shared.now()).max(Millis(1));
+    let collected = Limited::new(incoming, MOST_BYTES).collect();
+    let bytes = match timeout(left.as_duration(), collected).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            flight.end(End::Failed);
+            return Err(Miss::new(Event::Lost, error.to_string()));
+        }
+        Err(_elapsed) => {
+            return Err(Miss {
+                timed_out: true,
+                ..Miss::new(Event::Lost, "answer not finished in time")
+            });
+        }
+    };
+    if let Some(workspace) = dispatch.call.workspace() {
+        shared.count_usage(&workspace.name, flight.sent());
+    }
+    let choice = flight.choice().clone();
+    let status = head.status;
+    // An error of the replica's own says something about the replica, a caller's mistake does not.
+    flight.begin();
+    flight.end(if status.is_server_error() {
+        End::Failed
+    } else {
+        End::Answered
+    });
+    if !answer.closes {
+        shared
+            .links
+            .put(&choice.id, choice.address, sent.link, answer.idle);
+    }
+    let response = pass_on(status, head.headers, bytes);
+    if status.is_server_error() || is_promise(status.as_u16()) {
+        let event = Event::Failed {
+            status: status.as_u16(),
+        };
+        let passed = (!is_promise(status.as_u16())).then_some(response);
+        return Err(Miss {
+            passed,
+            ..Miss::new(event, format!("replica failed with {status}"))
+        });
+    }
+    if status.is_success() && !answer.sealed {
+        return Err(Miss::new(Event::Lost, "answer without signature"));
+    }
+    Ok(response)
+}
+
+fn pass_on(status: StatusCode, mut headers: HeaderMap, bytes: bytes::Bytes) -> Response<Body> {
+    strip_connection(&mut headers);
+    let mut response = Response::new(body::whole(bytes));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/entry/src/settings/source.rs
@@ -0,0 +1,172 @@
+//! Where settings are read from.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::str::FromStr;
+
+use base::Millis;
+use indexmap::IndexMap;
+
+use super::{Finding, Findings, Settings};
+
+/// Start of the variables' names.
+const PREFIX: &str = "BILBERRYLATCH_";
+/// Milliseconds in a second.
+const SECOND_MS: f64 = 1_000.0;
+
+/// A variable's value and where it stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    text: String,
+    place: String,
+}
+
+/// Variables by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Source {
+    entries: IndexMap<String, Entry>,
+    findings: Vec<Finding>,
+}
+
+impl Source {
+    /// Variables of the environment.
+    pub fn new<V>(variables: V) -> Self
+    where
+        V: IntoIterator<Item = (String, String)>,
+    {
+        let ours = variables.into_iter().filter(|(name, _)| name.starts_with(PREFIX));
+        let entry = |text| Entry {
+            text,
+            place: "environment".to_owned(),
+        };
+        Self {
+            entries: ours.map(|(name, text)| (name, entry(text))).collect(),
+            findings: Vec::new(),
+        }
+    }
+
+    /// With the lines of a settings file, which go before what is there.
+    pub fn with_file(mut self, path: &str, text: &str) -> Self {
+        for (number, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let place = format!("{path}, line {}", number + 1);
+            let Some((name, value)) = line.split_once('=') else {
+                self.findings.push(Finding {
+                    variable: line.to_owned(),
+                    place,
+                    cause: "write NAME=value".to_owned(),
+                });
+                continue;
+            };
+            let text = value.trim().to_owned();
+            self.entries.insert(name.trim().to_owned(), Entry { text, place });
+        }
+        self
+    }
+}
+
+/// Reads settings one by one and collects what is wrong.
+#[derive(Debug)]
+pub(super) struct Reader<'a> {
+    source: &'a Source,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(source: &'a Source) -> Self {
+        Self {
+            source,
+            findings: source.findings.clone(),
+        }
+    }
+
+    /// The settings, if nothing is wrong.
+    pub fn finish(self, settings: Settings) -> Result<Settings, Findings> {
+        if self.findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(Findings(self.findings))
+        }
+    }
+
+    /// A text that must be there.
+    pub fn text(&mut self, name: &str) -> String {
+        if let Some(entry) = self.entry(name) {
+            return entry.text.clone();
+        }
+        self.missing(name);
+        String::new()
+    }
+
+    /// An address that must be there.
+    pub fn address(&mut self, name: &str) -> SocketAddr {
+        let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        if self.entry(name).is_none() {
+            self.missing(name);
+        }
+        self.parsed(name, nowhere)
+    }
+
+    /// Texts separated by commas; none if the variable is missing.
+    pub fn list(&mut self, name: &str) -> Vec<String> {
+        let Some(entry) = self.entry(name) else {
+            return Vec::new();
+        };
+        let items = entry.text.split(',').map(str::trim);
+        items.filter(|item| !item.is_empty()).map(str::to_owned).collect()
+    }
+
+    /// Whole milliseconds.
+    pub fn millis(&mut self, name: &str, default: u64) -> Millis {
+        Millis(self.parsed(name, default))
+    }
+
+    /// Seconds, with fractions.
+    pub fn seconds(&mut self, name: &str, default: f64) -> Millis {
+        Millis((self.parsed(name, default) * SECOND_MS) as u64)
+    }
+
+    /// A value of any type with a textual form.
+    pub fn parsed<T>(&mut self, name: &str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: std::fmt::Display,
+    {
+        let Some(entry) = self.entry(name) else {
+            return default;
+        };
+        match entry.text.parse() {
+            Ok(value) => value,
+            Err(error) => {
+                let cause = format!("\"{}\" can't be read: {error}", entry.text);
+                let place = entry.place.clone();
+                self.add(name, place, cause);
+                default
+            }
+        }
+    }
+
+    /// The variable's entry; one without text counts as missing.
+    fn entry(&self, name: &str) -> Option<&'a Entry> {
+        let entry = self.source.entries.get(&format!("{PREFIX}{name}"))?;
+        (!entry.text.is_empty()).then_some(entry)
+    }
+
+    fn missing(&mut self, name: &str) {
+        self.add(
+            name,
+            "environment and settings file".to_owned(),
+            "missing; set it".to_owned(),
+        );
+    }
+
+    fn add(&mut self, name: &str, place: String, cause: String) {
+        self.findings.push(Finding {
+            variable: format!("{PREFIX}{name}"),
+            place,
+            cause,
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,248 @@
+//! What all tasks of one node share.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use base::{Incarnation, Millis, Seed};
+use clock::Clock;
+use indexmap::IndexMap;
+use place::Pool;
+use quota::{Allowance, Bounds, Bucket, Policy, Share};
+use table::{Table, Workspace};
+
+use crate::counts::Counts;
+use crate::edge::{Cloud, Edge};
+use crate::settings::Settings;
+use crate::stop::Stop;
+use crate::truth::Truth;
+use crate::upstream::Links;
+use crate::view::View;
+
+/// Part of the nodes' common slack for repeats that is used: a restarted node has forgotten what it spent.
+const SLACK_PART: f64 = 0.5;
+/// Part of a replica's connections that all nodes together use.
+const CONNECTION_PART: f64 = 0.8;
+
+/// State and connections of one node.
+#[derive(Debug)]
+pub struct Shared {
+    /// The platform's names and formats.
+    pub edge: Arc<dyn Edge>,
+    /// The platform's store.
+    pub store: store::Client,
+    /// The cloud's API.
+    pub cloud: Arc<dyn Cloud>,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// Seed of all random draws.
+    pub seed: Seed,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// Phases of the stop.
+    pub stop: Stop,
+    /// Free connections to replicas.
+    pub links: Links,
+    settings: ArcSwap<Settings>,
+    /// Requests that callers wait for.
+    waiting: AtomicUsize,
+    view: Mutex<View>,
+    pools: Mutex<IndexMap<Arc<str>, Pool>>,
+    buckets: Mutex<IndexMap<Arc<str>, Bucket>>,
+    allowances: Mutex<IndexMap<Arc<str>, Allowance>>,
+    counts: Mutex<Counts>,
+    truth: Mutex<Truth>,
+}
+
+impl Shared {
+    /// The state of a node that has seen nothing yet.
+    pub fn new(
+        edge: Arc<dyn Edge>,
+        store: store::Client,
+        cloud: Arc<dyn Cloud>,
+        settings: Settings,
+        clock: Clock,
+    ) -> Self {
+        let incarnation = Incarnation(rand::random());
+        Self {
+            edge,
+            store,
+            cloud,
+            settings: ArcSwap::from_pointee(settings),
+            waiting: AtomicUsize::new(0),
+            incarnation,
+            seed: Seed(incarnation.0),
+            clock,
+            stop: Stop::new(),
+            links: Links::new(clock),
+            view: Mutex::default(),
+            pools: Mutex::default(),
+            buckets: Mutex::default(),
+            allowances: Mutex::default(),
+            counts: Mutex::default(),
+            truth: Mutex::default(),
+        }
+    }
+
+    /// The present point of the monotonic clock.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.load_full()
+    }
+
+    /// Puts other settings in force. Addresses stay as they were bound.
+    pub fn set_settings(&self, settings: Settings) {
+        self.settings.store(Arc::new(settings));
+    }
+
+    /// A caller waits for an answer; it is counted until the guard is dropped.
+    pub fn wait(self: &Arc<Self>) -> Waiting {
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        Waiting(Arc::clone(self))
+    }
+
+    /// Requests that callers wait for.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// The view.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        lock(&self.view)
+    }
+
+    /// Counts of usage.
+    pub fn counts(&self) -> MutexGuard<'_, Counts> {
+        lock(&self.counts)
+    }
+
+    /// The estimate of true time.
+    pub fn truth(&self) -> MutexGuard<'_, Truth> {
+        lock(&self.truth)
+    }
+
+    /// Runs `work` on the pool of an endpoint, which is made if there is none.
+    pub fn with_pool<F, T>(&self, endpoint: &Arc<str>, work: F) -> T
+    where
+        F: FnOnce(&mut Pool) -> T,
+    {
+        let mut pools = lock(&self.pools);
+        let seed = self.seed;
+        let pool = pools.entry(Arc::clone(endpoint)).or_insert_with(|| {
+            let label = endpoint.bytes().fold(0, |sum, byte| sum * 31 + u64::from(byte));
+            Pool::new(seed.derive(label), place::Settings::default())
+        });
+        work(pool)
+    }
+
+    /// Runs `work` on all pools.
+    pub fn with_pools<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut IndexMap<Arc<str>, Pool>) -> T,
+    {
+        work(&mut lock(&self.pools))
+    }
+
+    /// Fits the pools to the configuration and to the number of nodes.
+    pub fn fit_pools(&self, table: &Table, nodes: usize) {
+        for endpoint in table.endpoints() {
+            let part = f64::from(endpoint.max_connections) * CONNECTION_PART / nodes as f64;
+            let settings = place::Settings {
+                in_flight: (part as usize).max(1),
+                cache_tokens: endpoint.model.map_or(0, |model| model.cache_tokens),
+                ..place::Settings::default()
+            };
+            self.with_pool(&endpoint.name, |pool| pool.set_settings(settings));
+        }
+    }
+
+    /// Takes tokens of a workspace's limit, or says when there will be enough.
+    pub fn take_quota(&self, workspace: &Workspace, tokens: f64, nodes: usize) -> Result<(), Millis> {
+        if workspace.rate <= 0.0 {
+            return Ok(());
+        }
+        let share = self.share(workspace, nodes);
+        let now = self.now();
+        let mut buckets = lock(&self.buckets);
+        let bucket = buckets
+            .entry(Arc::clone(&workspace.name))
+            .or_insert_with(|| Bucket::new(now, share.cap));
+        bucket.take(now, tokens, share.rate, share.cap)
+    }
+
+    /// Gives tokens back that a request took which was not sent.
+    pub fn give_quota_back(&self, workspace: &Workspace, tokens: f64, nodes: usize) {
+        let share = self.share(workspace, nodes);
+        if let Some(bucket) = lock(&self.buckets).get_mut(&workspace.name) {
+            bucket.give_back(tokens, share.cap);
+        }
+    }
+
+    /// Counts a request's first dispatch to an endpoint.
+    pub fn count_dispatch(&self, endpoint: &Arc<str>) {
+        let policy = self.repeats();
+        let mut allowances = lock(&self.allowances);
+        let allowance = allowances.entry(Arc::clone(endpoint)).or_default();
+        allowance.request(self.now(), &policy);
+    }
+
+    /// Takes one repeated dispatch to an endpoint; whether there was one left.
+    pub fn take_repeat(&self, endpoint: &Arc<str>) -> bool {
+        let policy = self.repeats();
+        let mut allowances = lock(&self.allowances);
+        let allowance = allowances.entry(Arc::clone(endpoint)).or_default();
+        allowance.take(self.now(), &policy)
+    }
+
+    /// Counts a request of a workspace that began to run at this point.
+    pub fn count_usage(&self, workspace: &Arc<str>, began: Millis) {
+        let Some(unix_ms) = self.truth().unix_ms(began) else {
+            return;
+        };
+        let window = unix_ms / self.settings().usage_window.0.max(1);
+        self.counts().add(window, workspace);
+    }
+
+    /// Whether callers should use this node: it knows a configuration that is surely in force, and is not leaving.
+    pub fn is_ready(&self) -> bool {
+        let view = self.view();
+        let is_proved = view.proof.holds(self.now(), self.settings().key_life);
+        view.table.is_some() && is_proved && self.stop.phase() == crate::stop::Phase::Running
+    }
+
+    fn repeats(&self) -> Policy {
+        Policy {
+            window: self.settings().retry_window,
+            ratio: self.settings().retry_ratio,
+            slack: self.settings().retry_slack * SLACK_PART,
+            nodes: self.view().nodes(),
+        }
+    }
+
+    fn share(&self, workspace: &Workspace, nodes: usize) -> Share {
+        let bounds = Bounds {
+            window: self.settings().quota_window,
+            overshoot: self.settings().quota_overshoot,
+            slack: self.settings().quota_slack,
+        };
+        Share::even(workspace.rate, workspace.burst, bounds, nodes)
+    }
+}
+
+/// One request that a caller waits for.
+#[derive(Debug)]
+pub struct Waiting(Arc<Shared>);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/entry/src/upstream/link.rs
@@ -0,0 +1,80 @@
+//! One connection to a replica.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Millis;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Time to set up a connection: several round trips within a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which sent bytes without acknowledgement end a connection: its other side is gone or cut off.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence after which a connection is probed, and time between probes: the least that the kernel takes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A connection that one request at a time uses. Dropped before it is free again, it is closed at once, so that the
+/// replica stops work.
+#[derive(Debug)]
+pub struct Link {
+    pub(super) sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+    /// Whether a request was answered on it before.
+    pub(super) used: bool,
+    /// When its last answer ended.
+    pub(super) free_since: Millis,
+    /// How long it may be idle.
+    pub(super) idle: Millis,
+}
+
+impl Link {
+    /// Connects to a replica.
+    pub async fn connect(address: SocketAddr) -> Result<Self, String> {
+        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(error.to_string()),
+            Err(_elapsed) => return Err("no connection in time".to_owned()),
+        };
+        set_options(&stream).map_err(|error| error.to_string())?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| error.to_string())?;
+        let driver = tokio::spawn(async move {
+            // The request in flight, if any, gets the error too.
+            if let Err(error) = connection.await {
+                log::debug!(replica:% = address, cause:% = error; "replica connection ended");
+            }
+        });
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            used: false,
+            free_since: Millis::ZERO,
+            idle: Millis::ZERO,
+        })
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&probes)
+}
--- /dev/null
+++ b/crates/entry/src/upstream/sent.rs
@@ -0,0 +1,50 @@
+//! One request on a connection.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::Link;
+
+/// An answer whose body is still to come, and the connection that it comes on.
+#[derive(Debug)]
+pub struct Sent {
+    /// The connection.
+    pub link: Link,
+    /// The answer.
+    pub response: Response<Incoming>,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// No byte of the request left.
+    NotSent(String),
+    /// The request may have arrived.
+    Lost(String),
+}
+
+impl Link {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// NB: nothing is sent again here. A connection that the replica has closed hands the request back only if no byte
+    /// of it was written.
+    pub async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Sent, Failure> {
+        if let Err(error) = self.sender.ready().await {
+            return Err(Failure::NotSent(error.to_string()));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(Sent { link: self, response }),
+            Err(mut error) => {
+                let was_written = error.take_message().is_none();
+                let cause = error.into_error().to_string();
+                Err(if was_written {
+                    Failure::Lost(cause)
+                } else {
+                    Failure::NotSent(cause)
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,11 @@
+//! What a node believes: configuration, replicas, other nodes, moves of versions.
+
+mod moves;
+mod peer;
+mod proof;
+mod view;
+
+pub use moves::{Moves, Record, Stage};
+pub use peer::{Peer, Peers};
+pub use proof::Proof;
+pub use view::{Own, View};
--- a/crates/load/src/run/keeper.rs
+++ b/crates/load/src/run/keeper.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use node::clock::Clock;
+use clock::Clock;
 use node::{Error, Node, Settings};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -16,8 +16,8 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::actor::ticker;
-use crate::clock::Clock;
 use crate::shared::Shared;
+use clock::Clock;
 
 /// Span between two ticks; claims are batched to about this precision.
 const TICK: Duration = Duration::from_millis(10);
--- a/crates/node/src/actor/members.rs
+++ b/crates/node/src/actor/members.rs
@@ -22,11 +22,11 @@
 
 use crate::actor::ticker;
 use crate::actor::{Rollouts, Traffic, rollouts, traffic};
-use crate::clock::Clock;
 use crate::heritage::Heritage;
 use crate::serving::Serving;
 use crate::snapshot::Snapshot;
 use crate::stop::{Phase, Stop};
+use clock::Clock;
 pub use message::{
     Bequeath, Goodbye, Gossiped, Head, Leaving, Listed, Mark, Registered, Renewed, Spread, Tick, Veto,
     Whereabouts,
--- a/crates/node/src/actor/rollouts.rs
+++ b/crates/node/src/actor/rollouts.rs
@@ -20,9 +20,9 @@
 
 use crate::actor::Traffic;
 use crate::actor::ticker;
-use crate::clock::Clock;
 use crate::shared::Shared;
 pub use announcement::Announcement;
+use clock::Clock;
 pub use command::{Command, Reply};
 pub use message::{
     Announced, Leased, Report, RoleRead, RoleWritten, RolloutRead, RolloutWritten, Tick, Vetoed,
--- a/crates/node/src/actor/traffic.rs
+++ b/crates/node/src/actor/traffic.rs
@@ -20,10 +20,10 @@
 use route::{Action, CallKey, DispatchId, EndpointKey, Event, ReplicaKey, Router, WorkspaceKey};
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
 use ::catalogue::Catalogue;
 pub use arrive::Arrive;
 pub use catalogue::{Apply, Resize};
+use clock::Clock;
 pub use order::{Order, Target};
 pub use replica::{Replica, Roster};
 pub use report::{Queues, Report, Status};
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -6,11 +6,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::Bilberrylatchd;
-use crate::clock::Clock;
 use crate::exit::Exit;
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::{Error, logs};
+use clock::Clock;
 
 /// Runs the daemon until it is told to stop.
 pub fn run() -> ExitCode {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod actor;
 pub mod app;
 pub mod args;
-pub mod clock;
 pub mod dispatch;
 pub mod edge;
 pub mod error;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,6 @@
 use wire::{Identity, Incoming};
 
 use crate::actor::{Claims, MAILBOX, Members, Rollouts, Traffic, claims, members, rollouts, traffic};
-use crate::clock::Clock;
 use crate::edge;
 use crate::error::Error;
 use crate::heritage::Heritage;
@@ -24,6 +23,7 @@
 use crate::shared::Shared;
 use crate::snapshot::Snapshot;
 use crate::stop::{Phase, Stop};
+use clock::Clock;
 
 /// Questions to the platform that wait at once.
 const WANTS: usize = 16;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -7,11 +7,11 @@
 use tokio::sync::watch;
 
 use crate::actor::{Claims, Members, Rollouts, Traffic};
-use crate::clock::Clock;
 use crate::serving::Serving;
 use crate::settings::Settings;
 use crate::snapshot::Snapshot;
 use crate::stop::Stop;
+use clock::Clock;
 
 /// Handles to the actors, clients and the catalogue in force. Cheap to clone.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/place/src/demand.rs
@@ -0,0 +1,48 @@
+//! What a request asks of a replica.
+
+use base::Millis;
+
+use crate::ReplicaKey;
+
+/// One part of a prompt. Requests that share their first parts can share what a replica has cached of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Id of the part's text.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// A request as far as the choice of its replica goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The prompt in order; the last part belongs to the request itself. Empty for plain requests.
+    pub parts: &'a [Part],
+    /// Most tokens that are generated.
+    pub output_tokens: u32,
+    /// Availability zone of the node.
+    pub zone: &'a str,
+    /// Replicas that this request was sent to before.
+    pub tried: &'a [ReplicaKey],
+    /// Software version that the replica must have, if any.
+    pub version: Option<&'a str>,
+    /// Time until an answer is of no use.
+    pub left: Millis,
+    /// Time until the answer, or its first event, is late.
+    pub target: Millis,
+}
+
+impl Demand<'_> {
+    /// Parts that other requests share.
+    pub fn shared(&self) -> &[Part] {
+        match self.parts {
+            [] => &[],
+            [shared @ .., _own] => shared,
+        }
+    }
+
+    /// Tokens that no other request brings.
+    pub fn own_tokens(&self) -> u32 {
+        self.parts.last().map_or(0, |part| part.tokens)
+    }
+}
--- /dev/null
+++ b/crates/place/src/flight.rs
@@ -0,0 +1,28 @@
+//! One dispatch that has not ended.
+
+use base::Millis;
+
+use crate::ReplicaKey;
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was answered.
+    Answered,
+    /// The replica failed it: an error of its own, a broken or garbled answer, silence.
+    Failed,
+    /// The replica said that it did not run it.
+    NotRun,
+    /// The caller left, or the time was up.
+    Cancelled,
+}
+
+/// A dispatch in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flight {
+    pub replica: ReplicaKey,
+    pub sent: Millis,
+    /// Tokens that the replica has to read before the first event.
+    pub tokens: u32,
+    pub began: bool,
+}
--- /dev/null
+++ b/crates/place/src/pool.rs
@@ -0,0 +1,339 @@
+//! The replicas of one endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::seed::Generator;
+use base::{Millis, Seed};
+use indexmap::IndexMap;
+use rand::RngExt;
+use slotmap::SlotMap;
+
+use crate::flight::Flight;
+use crate::rank;
+use crate::replica::Replica;
+use crate::speed::Speed;
+use crate::{Demand, End, FlightKey, Load, Refusal, ReplicaKey, Settings, Spec, State};
+
+/// Part of the time left that may be spent waiting for the first event: the rest is for the answer itself.
+const WAIT_PART: f64 = 0.6;
+/// Requests that wait at a plain replica for each that runs, beyond which it counts as full.
+const PLAIN_QUEUE: usize = 2;
+/// Time that an answer takes until one was seen, in milliseconds.
+const FIRST_LATENCY_MS: f64 = 20.0;
+/// Cost of each request that runs at an engine, in milliseconds: its tokens slow the others down.
+const RUNNING_COST_MS: f64 = 1.0;
+/// Shortest wait that a refused caller is told.
+const LEAST_WAIT: Millis = Millis(100);
+
+/// A chosen replica.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its key.
+    pub replica: ReplicaKey,
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its version.
+    pub version: Arc<str>,
+    /// Expected time to the answer or its first event.
+    pub expected: Millis,
+    /// Tokens that it is expected to read.
+    pub tokens: u32,
+}
+
+/// Replicas of one endpoint and this node's requests at them.
+#[derive(Debug)]
+pub struct Pool {
+    settings: Settings,
+    generator: Generator,
+    replicas: SlotMap<ReplicaKey, Replica>,
+    ids: IndexMap<Arc<str>, ReplicaKey>,
+    flights: SlotMap<FlightKey, Flight>,
+    speed: Speed,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(seed: Seed, settings: Settings) -> Self {
+        Self {
+            settings,
+            generator: seed.generator(),
+            replicas: SlotMap::with_key(),
+            ids: IndexMap::new(),
+            flights: SlotMap::with_key(),
+            speed: Speed::default(),
+        }
+    }
+
+    /// Replaces the settings.
+    pub const fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Takes in a registration; a new incarnation, version or address makes it a new replica.
+    pub fn register(&mut self, spec: Spec) {
+        if let Some(key) = self.ids.get(&spec.id).copied() {
+            let known = &mut self.replicas[key];
+            let is_same = known.spec.born == spec.born
+                && known.spec.address == spec.address
+                && known.spec.version == spec.version;
+            if is_same {
+                known.spec = spec;
+                return;
+            }
+            self.replicas.remove(key);
+        }
+        let id = Arc::clone(&spec.id);
+        let key = self.replicas.insert(Replica::new(spec));
+        self.ids.insert(id, key);
+    }
+
+    /// The replica of this id is gone.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(key) = self.ids.swap_remove(id) {
+            self.replicas.remove(key);
+        }
+    }
+
+    /// The registrations.
+    pub fn specs(&self) -> impl Iterator<Item = &Spec> {
+        self.ids.values().map(|key| &self.replicas[*key].spec)
+    }
+
+    /// Whether a replica may still be used for what is under way: it has not left.
+    pub fn contains(&self, replica: ReplicaKey) -> bool {
+        self.replicas.contains_key(replica)
+    }
+
+    /// Requests that can run at once on the replicas that take requests.
+    pub fn slots(&self) -> u64 {
+        let ready = self.specs().filter(|spec| spec.state == State::Ready);
+        ready.map(|spec| u64::from(spec.slots)).sum()
+    }
+
+    /// This node's requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// Chooses a replica for a request.
+    pub fn choose(&mut self, now: Millis, demand: &Demand<'_>) -> Result<Choice, Refusal> {
+        let open: Vec<ReplicaKey> = self.open(now, demand);
+        if open.is_empty() {
+            return Err(if demand.tried.is_empty() {
+                Refusal::NoReplica
+            } else {
+                Refusal::AllTried
+            });
+        }
+        let free: Vec<ReplicaKey> = open.into_iter().filter(|key| !self.is_full(now, *key)).collect();
+        let home = self.home(&free, demand);
+        let start = if free.is_empty() {
+            0
+        } else {
+            self.generator.random_range(0..free.len())
+        };
+        // Starts anywhere, so that equal costs do not all go to the first one.
+        let best = (0..free.len())
+            .map(|step| free[(start + step) % free.len()])
+            .map(|key| (self.cost(now, key, home, demand), key))
+            .min_by(|a, b| a.0.total.total_cmp(&b.0.total));
+        let Some((cost, key)) = best else {
+            return Err(Refusal::Full(self.drain(now, demand)));
+        };
+        if cost.wait_ms > demand.left.0 as f64 * WAIT_PART {
+            return Err(Refusal::TooLate(self.drain(now, demand)));
+        }
+        let spec = &self.replicas[key].spec;
+        Ok(Choice {
+            replica: key,
+            id: Arc::clone(&spec.id),
+            address: spec.address,
+            version: Arc::clone(&spec.version),
+            expected: Millis(cost.wait_ms as u64),
+            tokens: cost.tokens,
+        })
+    }
+
+    /// A request leaves for a replica.
+    pub fn send(&mut self, now: Millis, choice: &Choice, demand: &Demand<'_>) -> FlightKey {
+        if let Some(replica) = self.replicas.get_mut(choice.replica) {
+            replica.in_flight += 1;
+            replica.unread_tokens += u64::from(choice.tokens);
+            replica.health.sent();
+            replica.hold(demand.shared(), self.settings.cache_tokens);
+        }
+        self.flights.insert(Flight {
+            replica: choice.replica,
+            sent: now,
+            tokens: choice.tokens,
+            began: false,
+        })
+    }
+
+    /// The replica reported its load with an answer.
+    pub fn report(&mut self, now: Millis, replica: ReplicaKey, load: Load) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.note_load(now, load);
+        }
+    }
+
+    /// The answer, or a stream's first event, has come.
+    pub fn begin(&mut self, now: Millis, flight: FlightKey) {
+        let Some(flight) = self.flights.get_mut(flight).filter(|it| !it.began) else {
+            return;
+        };
+        flight.began = true;
+        let flight = *flight;
+        let Some(replica) = self.replicas.get_mut(flight.replica) else {
+            return;
+        };
+        replica.unread_tokens = replica.unread_tokens.saturating_sub(u64::from(flight.tokens));
+        let latency_ms = now.since(flight.sent).0 as f64;
+        if replica.unread_tokens == 0 {
+            self.speed.note(flight.tokens, latency_ms);
+        }
+        let explained_ms = self.speed.millis(f64::from(flight.tokens));
+        replica.note_latency(now, latency_ms, explained_ms);
+    }
+
+    /// A dispatch has ended.
+    pub fn end(&mut self, now: Millis, flight: FlightKey, end: End) {
+        let Some(flight) = self.flights.remove(flight) else {
+            return;
+        };
+        let usual = self.usual_failing(flight.replica);
+        let Some(replica) = self.replicas.get_mut(flight.replica) else {
+            return;
+        };
+        replica.in_flight -= 1;
+        if !flight.began {
+            replica.unread_tokens = replica.unread_tokens.saturating_sub(u64::from(flight.tokens));
+        }
+        match end {
+            End::Answered => replica.health.succeed(),
+            End::Failed => replica.health.fail(now, usual),
+            End::NotRun | End::Cancelled => replica.health.neutral(),
+        }
+    }
+
+    /// Replicas that may be chosen; ejected ones too if there are no others.
+    fn open(&self, now: Millis, demand: &Demand<'_>) -> Vec<ReplicaKey> {
+        let untried = |key: &ReplicaKey| !demand.tried.contains(key);
+        let keys = self.ids.values().copied().filter(untried);
+        let open: Vec<ReplicaKey> = keys
+            .clone()
+            .filter(|key| self.replicas[*key].is_open(now, demand.version))
+            .collect();
+        if !open.is_empty() {
+            return open;
+        }
+        keys.filter(|key| {
+            let spec = &self.replicas[*key].spec;
+            spec.state == State::Ready && demand.version.is_none_or(|it| it == &*spec.version)
+        })
+        .collect()
+    }
+
+    fn is_full(&self, now: Millis, key: ReplicaKey) -> bool {
+        let replica = &self.replicas[key];
+        let slots = replica.spec.slots.max(1) as usize;
+        let most = if self.is_engine() {
+            slots
+        } else {
+            slots * (1 + PLAIN_QUEUE)
+        };
+        replica.in_flight >= self.settings.in_flight || replica.load(now) >= most
+    }
+
+    const fn is_engine(&self) -> bool {
+        self.settings.cache_tokens > 0
+    }
+
+    /// The replica that every node sends prompts with these shared parts to.
+    fn home(&self, free: &[ReplicaKey], demand: &Demand<'_>) -> Option<ReplicaKey> {
+        let session = demand.shared().last()?.id;
+        let weight = |key: &&ReplicaKey| rank::weight(session, self.replicas[**key].hash);
+        free.iter().max_by_key(weight).copied()
+    }
+
+    fn cost(&self, now: Millis, key: ReplicaKey, home: Option<ReplicaKey>, demand: &Demand<'_>) -> Cost {
+        let replica = &self.replicas[key];
+        let zone_ms = if &*replica.spec.zone == demand.zone {
+            0.0
+        } else {
+            self.settings.zone_cost.0 as f64
+        };
+        let cold_ms = if replica.spec.cold > Millis::ZERO {
+            50.0
+        } else {
+            0.0
+        };
+        if !self.is_engine() {
+            let latency_ms = replica.latency_ms().unwrap_or(FIRST_LATENCY_MS);
+            let slots = f64::from(replica.spec.slots.max(1));
+            let load = replica.load(now) as f64;
+            let rounds = (load / slots).floor();
+            let wait_ms = latency_ms * (1.0 + rounds);
+            return Cost {
+                wait_ms,
+                total: latency_ms.mul_add(load / slots, wait_ms) + zone_ms + cold_ms,
+                tokens: 0,
+            };
+        }
+        let missing = if home == Some(key) {
+            0
+        } else {
+            replica.missing(demand.shared())
+        };
+        let tokens = missing + demand.own_tokens();
+        let queue_ms = self.speed.millis(replica.unread_tokens as f64) + replica.delay_ms(now);
+        let wait_ms = queue_ms + self.speed.millis(f64::from(tokens));
+        let reread_ms = self.speed.millis(f64::from(missing)) * self.settings.reread_weight;
+        let running_ms = RUNNING_COST_MS * replica.load(now) as f64;
+        Cost {
+            wait_ms,
+            total: wait_ms + reread_ms + running_ms + zone_ms + cold_ms,
+            tokens,
+        }
+    }
+
+    /// When there may be room again: as soon as the shortest queue is half as long.
+    fn drain(&self, now: Millis, demand: &Demand<'_>) -> Millis {
+        let queue_ms = |key: &ReplicaKey| {
+            let replica = &self.replicas[*key];
+            let unread_ms = self.speed.millis(replica.unread_tokens as f64) + replica.delay_ms(now);
+            unread_ms.max(replica.latency_ms().unwrap_or(FIRST_LATENCY_MS))
+        };
+        let shortest = self
+            .ids
+            .values()
+            .map(queue_ms)
+            .min_by(f64::total_cmp)
+            .unwrap_or(FIRST_LATENCY_MS);
+        let longest = Millis((demand.left.0 / 3).max(LEAST_WAIT.0));
+        Millis((shortest / 2.0) as u64).clamp(LEAST_WAIT, longest)
+    }
+
+    /// Mean of the moving parts of failures of the other replicas.
+    fn usual_failing(&self, but: ReplicaKey) -> f64 {
+        let others = self.ids.values().filter(|key| **key != but);
+        let (sum, count) = others.fold((0.0, 0_u32), |(sum, count), key| {
+            (sum + self.replicas[*key].health.failing(), count + 1)
+        });
+        if count == 0 { 1.0 } else { sum / f64::from(count) }
+    }
+}
+
+/// What it costs to send a request to a replica.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    /// Expected time to the answer or its first event, in milliseconds.
+    wait_ms: f64,
+    /// The same with the costs for others.
+    total: f64,
+    /// Tokens that the replica has to read.
+    tokens: u32,
+}
--- /dev/null
+++ b/crates/place/src/rank.rs
@@ -0,0 +1,21 @@
+//! Rendezvous hashing: every node orders the replicas for a prompt alike.
+
+/// Mixes a number's bits (the finalizer of SplitMix64).
+const fn mix(mut value: u64) -> u64 {
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Hash of a name, equal on every node (FNV-1a).
+pub(crate) fn name(name: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    name.bytes()
+        .fold(OFFSET, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME))
+}
+
+/// Weight of a replica for a key; the replica with the highest weight is the key's home.
+pub(crate) const fn weight(key: u64, replica: u64) -> u64 {
+    mix(key ^ mix(replica))
+}
--- /dev/null
+++ b/crates/place/src/replica.rs
@@ -0,0 +1,121 @@
+//! One replica as the node sees it.
+
+use base::Millis;
+use indexmap::IndexMap;
+
+use crate::health::Health;
+use crate::{Load, Part, Spec, State};
+
+/// Weight of a new sample in the moving latency.
+const LATENCY_WEIGHT: f64 = 0.2;
+/// Time after which a delay that was seen says half as much.
+const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
+/// Age at which a reported load says nothing any more.
+const LOAD_LIFE: Millis = Millis(1_000);
+/// Most cached parts remembered for one replica.
+const MOST_PARTS: usize = 1_024;
+
+/// A replica, its load and what it holds.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    pub spec: Spec,
+    pub health: Health,
+    /// Hash of its id for rendezvous hashing.
+    pub hash: u64,
+    /// This node's requests in flight.
+    pub in_flight: usize,
+    /// Tokens of this node's prompts that it has yet to read.
+    pub unread_tokens: u64,
+    /// Moving time of an answer, or of a first event, in milliseconds.
+    latency_ms: Option<f64>,
+    /// Delay of the last first event beyond what its prompt explains.
+    delay_ms: f64,
+    delay_at: Millis,
+    load: Option<(Millis, Load)>,
+    /// Shared parts that this node sent here, and their tokens; the latest last.
+    parts: IndexMap<u64, u32>,
+    parts_tokens: u64,
+}
+
+impl Replica {
+    pub fn new(spec: Spec) -> Self {
+        Self {
+            hash: crate::rank::name(&spec.id),
+            spec,
+            health: Health::default(),
+            in_flight: 0,
+            unread_tokens: 0,
+            latency_ms: None,
+            delay_ms: 0.0,
+            delay_at: Millis::ZERO,
+            load: None,
+            parts: IndexMap::new(),
+            parts_tokens: 0,
+        }
+    }
+
+    /// Whether it takes new requests of this version.
+    pub fn is_open(&self, now: Millis, version: Option<&str>) -> bool {
+        self.spec.state == State::Ready
+            && version.is_none_or(|version| version == &*self.spec.version)
+            && self.health.is_open(now)
+    }
+
+    /// Requests there, others' included as far as known.
+    pub fn load(&self, now: Millis) -> usize {
+        let reported = self
+            .load
+            .filter(|(at, _)| now.since(*at) < LOAD_LIFE)
+            .map_or(0, |(_, load)| (load.running + load.waiting) as usize);
+        reported.max(self.in_flight)
+    }
+
+    /// Moving time of an answer, in milliseconds.
+    pub fn latency_ms(&self) -> Option<f64> {
+        self.latency_ms
+    }
+
+    /// Expected delay beyond what this node's own prompts explain.
+    pub fn delay_ms(&self, now: Millis) -> f64 {
+        let age = now.since(self.delay_at).0 as f64;
+        self.delay_ms * (-age / DELAY_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
+    }
+
+    /// Takes in the time of an answer or first event, and the part of it that its prompt explains.
+    pub fn note_latency(&mut self, now: Millis, latency_ms: f64, explained_ms: f64) {
+        let before = self.latency_ms.unwrap_or(latency_ms);
+        self.latency_ms = Some(LATENCY_WEIGHT.mul_add(latency_ms - before, before));
+        self.delay_ms = (latency_ms - explained_ms).max(0.0);
+        self.delay_at = now;
+    }
+
+    pub fn note_load(&mut self, now: Millis, load: Load) {
+        self.load = Some((now, load));
+    }
+
+    /// Tokens of these shared parts that it has to read: all from the first part on that it does not hold.
+    pub fn missing(&self, shared: &[Part]) -> u32 {
+        let held = shared
+            .iter()
+            .take_while(|part| self.parts.contains_key(&part.id))
+            .count();
+        shared[held..].iter().map(|part| part.tokens).sum()
+    }
+
+    /// Notes that it holds these parts now; the ones not used for longest make room.
+    pub fn hold(&mut self, shared: &[Part], capacity: u64) {
+        for part in shared {
+            if let Some(tokens) = self.parts.shift_remove(&part.id) {
+                self.parts_tokens -= u64::from(tokens);
+            }
+            self.parts.insert(part.id, part.tokens);
+            self.parts_tokens += u64::from(part.tokens);
+        }
+        while self.parts_tokens > capacity || self.parts.len() > MOST_PARTS {
+            let Some((_, tokens)) = self.parts.shift_remove_index(0) else {
+                break;
+            };
+            self.parts_tokens -= u64::from(tokens);
+        }
+    }
+}
--- a/crates/store/src/backend.rs
+++ b/crates/store/src/backend.rs
@@ -4,7 +4,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::{Change, Error, Lease, Listing, Record, Write};
+use crate::{Changes, Error, Lease, Listing, Record, Write};
 
 /// One call each, without retries, settlement or budget; [`crate::Client`] adds those.
 ///
@@ -40,5 +40,5 @@
         prefix: &'a str,
         revision: u64,
         timeout: Duration,
-    ) -> BoxFuture<'a, Result<Vec<Change>, Error>>;
+    ) -> BoxFuture<'a, Result<Changes, Error>>;
 }
--- a/crates/store/src/change.rs
+++ b/crates/store/src/change.rs
@@ -1,6 +1,8 @@
-//! A change that a watch reports.
+//! Changes that a watch reports.
 
-/// A key whose record was written or deleted. The value is read apart, so that a watch stays small.
+use bytes::Bytes;
+
+/// A key whose record was written or deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
     /// The key.
@@ -9,4 +11,15 @@
     pub revision: u64,
     /// Whether the record is gone.
     pub deleted: bool,
+    /// The value as written; `None` for a deletion, and where the service's watches carry no values.
+    pub value: Option<Bytes>,
+}
+
+/// What one watch call answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// The changes, in the order of their revisions; empty if there were none in time.
+    pub list: Vec<Change>,
+    /// Revision after which the next watch goes on.
+    pub revision: u64,
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -7,7 +7,7 @@
 
 use crate::budget::{Budget, Kind};
 use crate::retry::Policy;
-use crate::{Backend, Change, Error, Lease, Listing, Record, Write};
+use crate::{Backend, Changes, Error, Lease, Listing, Record, Write};
 
 /// Calls with a deadline, retries, a budget, and settlement of lost answers. Cheap to clone.
 #[derive(Clone, Debug)]
@@ -143,7 +143,7 @@
     }
 
     /// Waits for changes under `prefix` after `revision`, at most `wait`.
-    pub async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Vec<Change>, Error> {
+    pub async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Changes, Error> {
         self.budget.charge(Kind::Read)?;
         metrics::gauge!("bilberrylatch_platform_watches").increment(1.0);
         let bound = wait + self.policy.timeout;
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -11,7 +11,7 @@
 use reqwest::{RequestBuilder, Response};
 use serde::{Deserialize, Serialize};
 
-use crate::{Backend, Change, Condition, Error, Lease, Listing, Record, Write};
+use crate::{Backend, Changes, Condition, Error, Lease, Listing, Record, Write};
 use page::Page;
 
 /// Header that binds a written record to a lease.
@@ -152,7 +152,7 @@
         }
     }
 
-    async fn wait(&self, prefix: &str, revision: u64, timeout: Duration) -> Result<Vec<Change>, Error> {
+    async fn wait(&self, prefix: &str, revision: u64, timeout: Duration) -> Result<Changes, Error> {
         let after = revision.to_string();
         let timeout_ms = timeout.as_millis().to_string();
         let query = [
@@ -211,7 +211,7 @@
         prefix: &'a str,
         revision: u64,
         timeout: Duration,
-    ) -> BoxFuture<'a, Result<Vec<Change>, Error>> {
+    ) -> BoxFuture<'a, Result<Changes, Error>> {
         self.wait(prefix, revision, timeout).boxed()
     }
 }
--- a/crates/store/src/http/page.rs
+++ b/crates/store/src/http/page.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 
 use crate::listing::Entry;
-use crate::{Change, Error, Listing};
+use crate::{Change, Changes, Error, Listing};
 
 #[derive(Debug, Deserialize)]
 struct Head {
@@ -65,13 +65,17 @@
         }
     }
 
-    /// The page as changes.
-    pub fn into_changes(self) -> Vec<Change> {
+    /// The page as changes. This service sends no values with them.
+    pub fn into_changes(self) -> Changes {
         let change = |item: Item| Change {
             key: item.key,
             revision: item.revision,
             deleted: item.deleted,
+            value: None,
         };
-        self.head.items.into_iter().map(change).collect()
+        Changes {
+            list: self.head.items.into_iter().map(change).collect(),
+            revision: self.head.revision,
+        }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use backend::Backend;
 pub use budget::Budget;
-pub use change::Change;
+pub use change::{Change, Changes};
 pub use client::Client;
 pub use condition::Condition;
 pub use error::Error;
--- /dev/null
+++ b/crates/table/src/table.rs
@@ -0,0 +1,135 @@
+//! The whole of one configuration.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+
+use crate::{Access, Endpoint, Limits, Route, Workspace};
+
+/// A route that takes a request, and its place in the table.
+#[derive(Clone, Copy, Debug)]
+pub struct Found<'a> {
+    /// Place among the table's routes.
+    pub index: usize,
+    /// The route.
+    pub route: &'a Route,
+}
+
+/// One configuration, indexed for lookups.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    version: u64,
+    limits: Limits,
+    routes: Vec<Route>,
+    endpoints: IndexMap<Arc<str>, Endpoint>,
+    workspaces: Vec<Workspace>,
+    /// Places of routes by host, longest path prefix first.
+    hosts: IndexMap<String, Vec<usize>>,
+    /// Places of workspaces by API key.
+    keys: IndexMap<Bytes, usize>,
+}
+
+impl Table {
+    /// An empty table of this version.
+    pub fn new(version: u64) -> Self {
+        Self {
+            version,
+            ..Self::default()
+        }
+    }
+
+    /// With bounds on what callers may send.
+    pub fn with_limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// With these routes.
+    pub fn with_routes(mut self, routes: Vec<Route>) -> Self {
+        self.hosts.clear();
+        for (index, route) in routes.iter().enumerate() {
+            let host = route.host.to_ascii_lowercase();
+            self.hosts.entry(host).or_default().push(index);
+        }
+        for places in self.hosts.values_mut() {
+            places.sort_by_key(|index| std::cmp::Reverse(routes[*index].path_prefix.len()));
+        }
+        self.routes = routes;
+        self
+    }
+
+    /// With these endpoints.
+    pub fn with_endpoints(mut self, endpoints: Vec<Endpoint>) -> Self {
+        let named = endpoints.into_iter().map(|it| (Arc::clone(&it.name), it));
+        self.endpoints = named.collect();
+        self
+    }
+
+    /// With these workspaces.
+    pub fn with_workspaces(mut self, workspaces: Vec<Workspace>) -> Self {
+        self.keys.clear();
+        for (index, workspace) in workspaces.iter().enumerate() {
+            let keys = workspace.keys.iter().cloned();
+            self.keys.extend(keys.map(|key| (key, index)));
+        }
+        self.workspaces = workspaces;
+        self
+    }
+
+    /// The configuration's version.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on what callers may send.
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// All workspaces.
+    pub fn workspaces(&self) -> &[Workspace] {
+        &self.workspaces
+    }
+
+    /// The endpoint of this name.
+    pub fn endpoint(&self, name: &str) -> Option<&Endpoint> {
+        self.endpoints.get(name)
+    }
+
+    /// The route with the longest path prefix among those of the host; a port behind the host is ignored.
+    pub fn route(&self, host: &str, path: &str) -> Option<Found<'_>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let places = match self.hosts.get(name) {
+            Some(places) => places,
+            None => self.hosts.get(&name.to_ascii_lowercase())?,
+        };
+        let index = places
+            .iter()
+            .copied()
+            .find(|index| path.starts_with(&self.routes[*index].path_prefix))?;
+        let route = &self.routes[index];
+        Some(Found { index, route })
+    }
+
+    /// What a key opens on a route.
+    pub fn access(&self, route: &Route, key: Option<&[u8]>) -> Access<'_> {
+        if route.public || self.workspaces.is_empty() {
+            return Access::Public;
+        }
+        let Some(index) = key.and_then(|key| self.keys.get(key)) else {
+            return Access::Denied;
+        };
+        Access::Workspace(&self.workspaces[*index])
+    }
+}
--- a/src/bin/bilberrylatchd.rs
+++ b/src/bin/bilberrylatchd.rs
@@ -1,7 +1,15 @@
-//! The daemon.
+//! The daemon. With `platform` as its first argument it runs on the users' platform.
 
+use std::env;
 use std::process::ExitCode;
 
+/// Argument that chooses the users' platform.
+const PLATFORM: &str = "platform";
+
 fn main() -> ExitCode {
-    node::run()
+    if env::args().nth(1).as_deref() == Some(PLATFORM) {
+        platform::run()
+    } else {
+        node::run()
+    }
 }
