Share workspace limits by datagrams, order replicas by kind and zone, report usage

Change: duties by a leased role (usage written before it is sent, orders for replicas that stand the loss of two zones), nodes' reports at common moments, datagrams with totals of limits and requests at replicas.

--- /dev/null
+++ b/crates/entry/src/duty/holder.rs
@@ -0,0 +1,147 @@
+//! The role of the node that does the duties.
+
+use std::sync::Arc;
+
+use base::{Millis, Name, Seed};
+use bytes::Bytes;
+use member::Role;
+use member::role::{Action, Event, Fence, Lease, Observed, Record, Revision, Settings, rank};
+use store::{Condition, Error};
+use tokio::sync::watch;
+
+use crate::Shared;
+use crate::register::Held;
+
+/// Key of the role's record, behind the own prefix.
+const KEY: &str = "role/duties";
+/// Label of the role's seed.
+const SEED_LABEL: u64 = 0x726f_6c65;
+/// Longest time for which a call that has left may still arrive.
+const LONGEST_CALL: Millis = Millis(1_500);
+/// Periods of the role: the lease lasts for two and a half seconds and is renewed every 0.7.
+const SETTINGS: Settings = Settings {
+    margin: Millis(400),
+    poll: Millis(200),
+    stagger: Millis(250),
+    answer_within: Millis(1_200),
+    backoff: Millis(200),
+    longest_backoff: Millis(1_000),
+    candidates: 64,
+    wait_out: Millis(1_500),
+    wait_after_release: LONGEST_CALL,
+};
+
+/// The role as this node sees it.
+#[derive(Debug)]
+pub(super) struct Holder {
+    shared: Arc<Shared>,
+    leases: watch::Receiver<Option<Held>>,
+    role: Role,
+}
+
+impl Holder {
+    pub fn new(shared: Arc<Shared>, leases: watch::Receiver<Option<Held>>) -> Self {
+        let seed: Seed = shared.seed.derive(SEED_LABEL);
+        Self {
+            role: Role::new(shared.incarnation, seed, SETTINGS),
+            shared,
+            leases,
+        }
+    }
+
+    /// The fencing number of a call that leaves now; `None` if none may leave.
+    pub fn fence(&self) -> Option<u64> {
+        self.role.may_act(self.shared.now()).map(|fence| fence.0)
+    }
+
+    /// Takes in time, the lease and the other nodes.
+    pub async fn tick(&mut self) {
+        let lease = *self.leases.borrow_and_update();
+        let event = lease.map_or(Event::Lapsed, |held| Event::Leased {
+            lease: Lease(held.lease),
+            until: held.until,
+        });
+        let place = {
+            let view = self.shared.view();
+            let peers = view.peers.keys().copied();
+            rank(&Name::new(KEY), self.shared.incarnation, peers)
+        };
+        self.step(event).await;
+        self.step(Event::Rank(place)).await;
+        self.step(Event::Tick).await;
+    }
+
+    /// Gives the role up.
+    pub async fn release(&mut self) {
+        self.step(Event::Release).await;
+    }
+
+    async fn step(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let now = self.shared.now();
+            for action in self.role.step(now, event) {
+                if let Some(next) = self.carry_out(action).await {
+                    events.push(next);
+                }
+            }
+        }
+    }
+
+    async fn carry_out(&self, action: Action) -> Option<Event> {
+        match action {
+            Action::Read => Some(Event::Read(self.observe())),
+            Action::Swap { expect, record } => Some(self.swap(expect, record).await),
+            Action::Held { fence, from } => {
+                let wait = from.since(self.shared.now());
+                log::info!(fence = fence.0, wait_ms = wait.0; "duties taken up");
+                None
+            }
+            Action::Ended(Fence(fence)) => {
+                log::info!(fence; "duties given up");
+                None
+            }
+        }
+    }
+
+    /// The record as the view has it. An old view does no harm: a swap checks the revision.
+    fn observe(&self) -> Option<Observed> {
+        let view = self.shared.view();
+        let own = view.own.get(KEY)?;
+        match serde_json::from_slice::<Record>(&own.value) {
+            Ok(record) => Some(Observed {
+                lease_lives: view.peers.values().any(|peer| peer.lease == record.lease.0),
+                record,
+                revision: Revision(own.revision),
+            }),
+            Err(error) => {
+                log::error!(cause:% = error; "unreadable record of the duties' role");
+                None
+            }
+        }
+    }
+
+    async fn swap(&self, expect: Option<Revision>, record: Record) -> Event {
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => Bytes::from(value),
+            Err(error) => {
+                log::error!(cause:% = error; "role not encoded");
+                return Event::Conflict(record.write);
+            }
+        };
+        let key = format!("{}{KEY}", self.shared.edge.own_prefix());
+        let condition = expect.map_or(Condition::Absent, |it| Condition::Revision(it.0));
+        let write = store::Write::new(key, value, condition);
+        match self.shared.store.write_once(&write).await {
+            Ok(_revision) => Event::Swapped(record.write),
+            Err(Error::Unsettled(cause)) => {
+                log::warn!(cause; "answer to the swap of the duties' role lost");
+                Event::Lost(record.write)
+            }
+            Err(error) => {
+                log::info!(cause:% = error; "duties' role not taken");
+                Event::Conflict(record.write)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/duty/usage.rs
@@ -0,0 +1,189 @@
+//! Usage reports: written to the store first, then sent, so that a successor sends the same.
+
+use std::sync::Arc;
+
+use base::{Incarnation, Millis};
+use bytes::Bytes;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use store::{Condition, Error, Write};
+
+use super::Holder;
+use crate::Shared;
+use crate::edge;
+use crate::publish::{REPORTS, Report};
+
+/// Key of the written reports, behind the own prefix.
+const KEY: &str = "usage";
+/// Time after a window's end at which it is summed up: the nodes' last counts of it are in the view then.
+const SETTLED_AFTER: Millis = Millis(2_600);
+/// Time before a report is due at which nothing is sent any more.
+const DUE_MARGIN: Millis = Millis(100);
+/// Pause after a call that failed.
+const RETRY: Millis = Millis(400);
+/// Windows that are kept in the record.
+const KEPT: usize = 8;
+/// Windows after which the counts of a node that is gone are deleted.
+const COUNTS_LIFE: u64 = 8;
+
+/// Reports as written.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Written {
+    /// By number of the window.
+    windows: IndexMap<u64, IndexMap<Arc<str>, u64>>,
+}
+
+/// What this node has done about usage.
+#[derive(Debug)]
+pub(super) struct Usage {
+    shared: Arc<Shared>,
+    /// Windows that this node has reported.
+    sent: Vec<u64>,
+    not_before: Millis,
+}
+
+impl Usage {
+    pub const fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            sent: Vec::new(),
+            not_before: Millis::ZERO,
+        }
+    }
+
+    /// Reports the oldest window that is due.
+    pub async fn tick(&mut self, holder: &Holder) {
+        let now = self.shared.now();
+        if holder.fence().is_none() || now < self.not_before {
+            return;
+        }
+        let Some(window) = self.due(now) else { return };
+        if let Err(cause) = self.report(holder, window).await {
+            log::warn!(window, cause; "usage not reported");
+            self.not_before = self.shared.now() + RETRY;
+        }
+    }
+
+    /// The oldest window that has ended for long enough, is not too late, and was not sent by this node.
+    fn due(&self, now: Millis) -> Option<u64> {
+        let settings = self.shared.settings();
+        let length = settings.usage_window.0.max(1);
+        let unix_ms = self.shared.truth().unix_ms(now)?;
+        let last = unix_ms.checked_sub(SETTLED_AFTER.0)? / length;
+        let first = unix_ms.checked_sub((settings.usage_late - DUE_MARGIN).0)? / length;
+        (first..last).find(|window| !self.sent.contains(window))
+    }
+
+    async fn report(&mut self, holder: &Holder, window: u64) -> Result<(), String> {
+        let counts = self.write(window).await.map_err(|error| error.to_string())?;
+        let Some(counts) = counts else {
+            self.note_sent(window);
+            return Ok(());
+        };
+        let Some(fence) = holder.fence() else {
+            return Err("role lost before the call".to_owned());
+        };
+        let usage = edge::Usage { window, counts };
+        self.shared
+            .cloud
+            .report(fence, &usage)
+            .await
+            .map_err(|error| error.to_string())?;
+        let total: u64 = usage.counts.values().sum();
+        log::info!(window, fence, requests = total; "usage reported");
+        self.note_sent(window);
+        self.clean(window).await;
+        Ok(())
+    }
+
+    /// The counts of a window as they are written, by this node or by one before it; `None` if nobody counted anything.
+    async fn write(&self, window: u64) -> Result<Option<IndexMap<Arc<str>, u64>>, Error> {
+        let key = format!("{}{KEY}", self.shared.edge.own_prefix());
+        let record = self.shared.store.get(&key).await?;
+        let mut written = match &record {
+            None => Written::default(),
+            Some(record) => {
+                serde_json::from_slice(&record.value).map_err(|error| Error::Protocol(error.to_string()))?
+            }
+        };
+        if let Some(counts) = written.windows.get(&window) {
+            return Ok(Some(counts.clone()));
+        }
+        let counts = self.sum(window);
+        if counts.is_empty() {
+            return Ok(None);
+        }
+        written.windows.insert(window, counts.clone());
+        while written.windows.len() > KEPT {
+            written.windows.shift_remove_index(0);
+        }
+        let value = serde_json::to_vec(&written).map_err(|error| Error::Protocol(error.to_string()))?;
+        let condition = record.map_or(Condition::Absent, |it| Condition::Revision(it.revision));
+        let write = Write::new(key, Bytes::from(value), condition);
+        self.shared.store.write(&write).await?;
+        Ok(Some(counts))
+    }
+
+    /// The counts of all nodes as they published them.
+    fn sum(&self, window: u64) -> IndexMap<Arc<str>, u64> {
+        let mut sum = IndexMap::new();
+        for (_node, report) in self.reports() {
+            report.counts.add_to(window, &mut sum);
+        }
+        sum
+    }
+
+    fn reports(&self) -> Vec<(String, Report)> {
+        reports(&self.shared)
+    }
+
+    fn note_sent(&mut self, window: u64) {
+        self.sent.push(window);
+        if self.sent.len() > KEPT {
+            self.sent.remove(0);
+        }
+    }
+
+    /// Deletes what nodes that are gone have published of windows long past.
+    async fn clean(&self, window: u64) {
+        let gone = |name: &str| {
+            let incarnation: Option<Incarnation> = name.parse().ok();
+            let view = self.shared.view();
+            incarnation.is_none_or(|it| !view.peers.contains_key(&it))
+        };
+        for (name, report) in self.reports() {
+            let is_old = report
+                .counts
+                .newest()
+                .is_none_or(|newest| newest + COUNTS_LIFE < window);
+            if !is_old || !gone(&name) {
+                continue;
+            }
+            let key = format!("{}{REPORTS}{name}", self.shared.edge.own_prefix());
+            if let Err(error) = self
+                .shared
+                .store
+                .write_once(&Write::delete(key, Condition::Any))
+                .await
+            {
+                log::warn!(node = name, cause:% = error; "old counts not deleted");
+            }
+        }
+    }
+}
+
+/// What all nodes published, by name of the record.
+pub(super) fn reports(shared: &Shared) -> Vec<(String, Report)> {
+    let view = shared.view();
+    let mut reports = Vec::new();
+    for (key, own) in &view.own {
+        let Some(name) = key.strip_prefix(REPORTS) else {
+            continue;
+        };
+        match serde_json::from_slice(&own.value) {
+            Ok(report) => reports.push((name.to_owned(), report)),
+            Err(error) => log::warn!(node = name, cause:% = error; "unreadable counts"),
+        }
+    }
+    reports
+}
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -127,6 +127,7 @@
         {
             self.shared.with_pool(before, |pool| pool.remove(&id));
         }
+        let now = self.shared.now();
         self.shared.with_pool(&endpoint, |pool| {
             let before = pool.specs().find(|it| it.id == id).map(|it| it.state);
             if before != Some(spec.state) {
@@ -137,7 +138,7 @@
                 log::info!(replica:% = id, endpoint:% = endpoint, zone:% = spec.zone, version:% = spec.version,
                     reclaimable = spec.reclaimable, state; "replica changed");
             }
-            pool.register(spec);
+            pool.register(now, spec);
         });
         Known::Replica { endpoint, id }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`app`] is the program: settings, signals, the order of start and stop.
 //! - [`edge`] is what an adapter to a platform has to supply: its names and formats, its calls.
 //! - [`serve`] takes requests, the directory's and readiness questions; [`upstream`] talks to replicas.
-//! - [`follow`] keeps the node's view of the store; [`register`] its own entry there.
+//! - [`follow`] keeps the node's view of the store; [`register`] its own entry there, [`publish`] what it counted.
+//! - [`peers`] tells the other nodes what changes too fast for the store.
 //! - [`duty`] does what one node at a time does: usage reports, orders for replicas, rollouts.
 
 pub mod app;
@@ -15,6 +16,8 @@
 pub mod logs;
 pub mod metrics;
 pub mod node;
+pub mod peers;
+pub mod publish;
 pub mod register;
 pub mod serve;
 pub mod settings;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -13,7 +13,7 @@
 use crate::edge::{Cloud, Edge};
 use crate::serve::{Listener, Service};
 use crate::stop::Phase;
-use crate::{Error, Settings, Shared, duty, follow, register};
+use crate::{Error, Settings, Shared, duty, follow, peers, publish, register};
 
 /// Time for callers to learn that the node is leaving, before idle connections are closed.
 const LEAVING: Millis = Millis(2_500);
@@ -39,7 +39,8 @@
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
-    registration: JoinHandle<()>,
+    /// Tasks that have something to tell the store at the end.
+    last_tasks: [JoinHandle<()>; 2],
 }
 
 impl Node {
@@ -62,14 +63,19 @@
             let listener = Listener::bind(Arc::clone(&shared), address, service).await?;
             tokio::spawn(listener.run());
         }
+        peers::start(&shared, settings.peer_listen).await?;
         let (held, holds) = watch::channel(None);
         tokio::spawn(follow::run(Arc::clone(&shared)));
         let registration = tokio::spawn(register::run(Arc::clone(&shared), held));
         tokio::spawn(duty::run(Arc::clone(&shared), holds));
+        let publisher = tokio::spawn(publish::run(Arc::clone(&shared)));
         tokio::spawn(keep_house(Arc::clone(&shared)));
         log::info!(node = settings.name, zone = settings.zone, incarnation:% = shared.incarnation,
             address:% = settings.listen; "node started");
-        Ok(Self { shared, registration })
+        Ok(Self {
+            shared,
+            last_tasks: [registration, publisher],
+        })
     }
 
     /// What the tasks share.
@@ -94,10 +100,8 @@
         log::info!(waiting = self.shared.waiting(), took_ms = elapsed().0; "node ends");
         self.shared.stop.enter(Phase::Ended);
         let left = grace - elapsed();
-        if tokio::time::timeout(left.as_duration(), self.registration)
-            .await
-            .is_err()
-        {
+        let last = futures::future::join_all(self.last_tasks);
+        if tokio::time::timeout(left.as_duration(), last).await.is_err() {
             log::warn!("registration not withdrawn in time");
         }
     }
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,114 @@
+//! Datagrams between nodes: what each one lets through of the workspaces' limits, and its requests at each replica.
+//!
+//! The store can't carry them: they change several times a second. All figures are totals or present values, so that a
+//! lost datagram is made up for by the next. Nothing depends on them but how well limits and replicas are used.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Millis;
+use place::PeerLoad;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::stop::Phase;
+use crate::{Error, Shared};
+
+/// Least time between two datagrams to the same node.
+const PACE: Duration = Duration::from_millis(50);
+/// Most datagrams a second that a node sends to all others together; more nodes hear from it less often.
+const MOST_PER_SECOND: u32 = 200;
+/// Longest time between two datagrams while requests are served, so that the others know that nothing has changed.
+const KEEPALIVE: Millis = Millis(300);
+/// Largest datagram: below the least packet size of the networks between nodes.
+const MOST_BYTES: usize = 1_400;
+/// Time without a datagram after which a node counts as not heard.
+pub const SILENCE: Millis = Millis(1_000);
+
+/// One datagram.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Incarnation of the sender.
+    pub from: u64,
+    /// Number of the datagram: older ones that arrive late are dropped.
+    pub number: u64,
+    /// Tokens let through since the sender's start, by workspace.
+    pub used: Vec<(Arc<str>, u64)>,
+    /// The sender's requests at each replica, by endpoint.
+    pub loads: Vec<(Arc<str>, Vec<PeerLoad>)>,
+}
+
+/// Binds the port and exchanges datagrams until the node ends.
+pub async fn start(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Error> {
+    let socket = UdpSocket::bind(address).await;
+    let socket = Arc::new(socket.map_err(|cause| Error::Listen { address, cause })?);
+    tokio::spawn(receive(Arc::clone(shared), Arc::clone(&socket)));
+    tokio::spawn(send(Arc::clone(shared), socket));
+    Ok(())
+}
+
+async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = [0; MOST_BYTES];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buffer) => received,
+            () = shared.stop.reached(Phase::Ended) => return,
+        };
+        match received {
+            Ok((length, _sender)) => match postcard::from_bytes::<Beat>(&buffer[..length]) {
+                Ok(beat) => shared.hear(&beat),
+                Err(error) => log::warn!(cause:% = error; "unreadable datagram of a node"),
+            },
+            // A datagram of ours met a closed port: the node is being restarted.
+            Err(error) => log::debug!(cause:% = error; "datagram not received"),
+        }
+    }
+}
+
+async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut last = Beat::default();
+    let mut sent = Millis::ZERO;
+    let mut number = 0;
+    loop {
+        let peers = shared.peer_addresses();
+        let pace = PACE.max(Duration::from_secs(1) * peers.len() as u32 / MOST_PER_SECOND);
+        tokio::select! {
+            () = sleep(pace) => {}
+            () = shared.stop.reached(Phase::Ended) => return,
+        }
+        let mut beat = shared.beat();
+        let now = shared.now();
+        let is_due = now.since(sent) >= KEEPALIVE && !beat.used.is_empty();
+        if !is_due && beat.used == last.used && beat.loads == last.loads {
+            continue;
+        }
+        number += 1;
+        last.clone_from(&beat);
+        sent = now;
+        beat.number = number;
+        transmit(&socket, &mut beat, &peers).await;
+    }
+}
+
+async fn transmit(socket: &UdpSocket, beat: &mut Beat, peers: &[SocketAddr]) {
+    let mut bytes = match postcard::to_stdvec(beat) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(cause:% = error; "datagram not encoded");
+            return;
+        }
+    };
+    if bytes.len() > MOST_BYTES {
+        // The limits go first.
+        beat.loads.clear();
+        bytes = postcard::to_stdvec(beat).unwrap_or_default();
+        metrics::counter!("bilberrylatch_peer_loads_left_out_total").increment(1);
+    }
+    for peer in peers {
+        if let Err(error) = socket.send_to(&bytes, peer).await {
+            log::debug!(peer:% = peer, cause:% = error; "datagram not sent");
+        }
+    }
+}
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -113,6 +113,7 @@
             name: shared.settings().name.clone(),
             zone: shared.settings().zone.clone(),
             address: shared.settings().listen,
+            peer_address: shared.settings().peer_listen,
             ready: shared.is_ready(),
             lease: number,
         };
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -49,8 +49,7 @@
     let Some(endpoint) = found.route.draw(generator.random()).cloned() else {
         return Err(Reason::NoRoute);
     };
-    let version = view.moves.version(&endpoint, generator.random()).cloned();
-    let nodes = view.nodes();
+    let versions = view.moves.versions(&endpoint, generator.random());
     drop(view);
     let patience = ask.patience.unwrap_or(Millis::NEVER);
     let until = received + patience.min(found.route.timeout);
@@ -67,12 +66,12 @@
         route: index,
         workspace,
         endpoint,
-        version,
+        versions,
         table: Arc::clone(&table),
     };
     if let Some(workspace) = call.workspace() {
         shared
-            .take_quota(workspace, call.charge(), nodes)
+            .take_quota(workspace, call.charge())
             .map_err(Reason::OverLimit)?;
     }
     Ok(call)
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -8,6 +8,7 @@
 use table::{Route, Table, Workspace};
 
 use crate::edge::Ask;
+use crate::view::Versions;
 
 /// A request and what it is bound to: it keeps the configuration that it started with.
 #[derive(Clone, Debug)]
@@ -34,8 +35,8 @@
     pub workspace: Option<usize>,
     /// Endpoint that it goes to.
     pub endpoint: Arc<str>,
-    /// Version that its replica must have, if any.
-    pub version: Option<Arc<str>>,
+    /// Versions that its replica may have.
+    pub versions: Versions,
 }
 
 impl Call {
@@ -66,12 +67,12 @@
     }
 
     /// Tokens that it counts against the workspace's limit.
-    pub fn charge(&self) -> f64 {
+    pub fn charge(&self) -> u64 {
         let plain = self.workspace().map_or(0, |it| it.plain_tokens);
         let counted = self
             .ask
             .tokens
             .map(|it| u64::from(it.input) + u64::from(it.output));
-        counted.unwrap_or(plain) as f64
+        counted.unwrap_or(plain)
     }
 }
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -176,8 +176,7 @@
 
     fn give_quota_back(&self) {
         if let Some(workspace) = self.call.workspace() {
-            let nodes = self.shared.view().nodes();
-            self.shared.give_quota_back(workspace, self.call.charge(), nodes);
+            self.shared.give_quota_back(workspace, self.call.charge());
         }
     }
 
@@ -211,7 +210,7 @@
             output_tokens: call.ask.tokens.map_or(0, |it| it.output),
             zone: &shared.settings().zone,
             tried: &tried,
-            version: call.version.as_deref(),
+            version: call.versions.want(),
             left,
             target: call.route().target_latency,
         };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -27,6 +27,8 @@
     pub ready_listen: SocketAddr,
     /// Address for callers' questions for addresses.
     pub directory_listen: SocketAddr,
+    /// Address for datagrams of other nodes.
+    pub peer_listen: SocketAddr,
     /// Address of the metrics.
     pub metrics_listen: SocketAddr,
     /// Address of the platform's store.
@@ -85,6 +87,7 @@
             listen: reader.address("LISTEN"),
             ready_listen: reader.address("READY_LISTEN"),
             directory_listen: reader.address("DIRECTORY_LISTEN"),
+            peer_listen: reader.address("PEER_LISTEN"),
             metrics_listen: reader.address("METRICS_LISTEN"),
             store: reader.address("STORE"),
             cloud: reader.address("CLOUD"),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of one node share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -8,11 +9,12 @@
 use clock::Clock;
 use indexmap::IndexMap;
 use place::Pool;
-use quota::{Allowance, Bounds, Bucket, Policy, Share};
+use quota::{Allowance, Bounds, Limit, Policy, Terms};
 use table::{Table, Workspace};
 
 use crate::counts::Counts;
 use crate::edge::{Cloud, Edge};
+use crate::peers::{self, Beat};
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::truth::Truth;
@@ -48,7 +50,9 @@
     waiting: AtomicUsize,
     view: Mutex<View>,
     pools: Mutex<IndexMap<Arc<str>, Pool>>,
-    buckets: Mutex<IndexMap<Arc<str>, Bucket>>,
+    limits: Mutex<IndexMap<Arc<str>, Limit>>,
+    /// Nodes that were heard: number of the last datagram and when it came.
+    heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     allowances: Mutex<IndexMap<Arc<str>, Allowance>>,
     counts: Mutex<Counts>,
     truth: Mutex<Truth>,
@@ -77,7 +81,8 @@
             links: Links::new(clock),
             view: Mutex::default(),
             pools: Mutex::default(),
-            buckets: Mutex::default(),
+            limits: Mutex::default(),
+            heard: Mutex::default(),
             allowances: Mutex::default(),
             counts: Mutex::default(),
             truth: Mutex::default(),
@@ -161,27 +166,93 @@
     }
 
     /// Takes tokens of a workspace's limit, or says when there will be enough.
-    pub fn take_quota(&self, workspace: &Workspace, tokens: f64, nodes: usize) -> Result<(), Millis> {
+    pub fn take_quota(&self, workspace: &Workspace, tokens: u64) -> Result<(), Millis> {
         if workspace.rate <= 0.0 {
             return Ok(());
         }
-        let share = self.share(workspace, nodes);
+        let terms = self.terms(workspace);
         let now = self.now();
-        let mut buckets = lock(&self.buckets);
-        let bucket = buckets
+        let mut limits = lock(&self.limits);
+        let limit = limits
             .entry(Arc::clone(&workspace.name))
-            .or_insert_with(|| Bucket::new(now, share.cap));
-        bucket.take(now, tokens, share.rate, share.cap)
+            .or_insert_with(|| Limit::new(now, &terms));
+        limit.take(now, tokens, &terms)
     }
 
     /// Gives tokens back that a request took which was not sent.
-    pub fn give_quota_back(&self, workspace: &Workspace, tokens: f64, nodes: usize) {
-        let share = self.share(workspace, nodes);
-        if let Some(bucket) = lock(&self.buckets).get_mut(&workspace.name) {
-            bucket.give_back(tokens, share.cap);
+    pub fn give_quota_back(&self, workspace: &Workspace, tokens: u64) {
+        if let Some(limit) = lock(&self.limits).get_mut(&workspace.name) {
+            limit.give_back(tokens);
         }
     }
 
+    /// Takes in what another node told.
+    pub fn hear(&self, beat: &Beat) {
+        let now = self.now();
+        {
+            let mut heard = lock(&self.heard);
+            let last = heard.entry(beat.from).or_insert((0, now));
+            if beat.number <= last.0 {
+                return;
+            }
+            *last = (beat.number, now);
+        }
+        let table = self.view().table.clone();
+        for (name, total) in &beat.used {
+            let workspaces = table.iter().flat_map(|table| table.workspaces());
+            let Some(workspace) = workspaces.into_iter().find(|it| it.name == *name) else {
+                continue;
+            };
+            let terms = self.terms(workspace);
+            let mut limits = lock(&self.limits);
+            let limit = limits
+                .entry(Arc::clone(name))
+                .or_insert_with(|| Limit::new(now, &terms));
+            limit.hear(now, beat.from, *total, &terms);
+        }
+        for (endpoint, loads) in &beat.loads {
+            self.with_pool(endpoint, |pool| pool.hear(now, beat.from, loads));
+        }
+    }
+
+    /// What this node tells the others.
+    pub fn beat(&self) -> Beat {
+        let used = lock(&self.limits)
+            .iter()
+            .map(|(name, limit)| (Arc::clone(name), limit.total()))
+            .collect();
+        let loads = self.with_pools(|pools| {
+            let loads = pools.iter().map(|(name, pool)| (Arc::clone(name), pool.own_loads()));
+            loads.filter(|(_, loads)| !loads.is_empty()).collect()
+        });
+        Beat {
+            from: self.incarnation.0,
+            number: 0,
+            used,
+            loads,
+        }
+    }
+
+    /// Where the other nodes are reached.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let view = self.view();
+        let others = view.peers.iter().filter(|(it, _)| **it != self.incarnation);
+        others.map(|(_, peer)| peer.peer_address).collect()
+    }
+
+    /// Whether all other nodes were heard lately.
+    fn is_connected(&self) -> bool {
+        let now = self.now();
+        let heard = lock(&self.heard);
+        let is_heard = |node: &Incarnation| {
+            let last = heard.get(&node.0);
+            last.is_some_and(|(_, at)| now.since(*at) < peers::SILENCE)
+        };
+        let view = self.view();
+        let mut others = view.peers.keys().filter(|it| **it != self.incarnation);
+        others.all(is_heard)
+    }
+
     /// Counts a request's first dispatch to an endpoint.
     pub fn count_dispatch(&self, endpoint: &Arc<str>) {
         let policy = self.repeats();
@@ -215,21 +286,32 @@
     }
 
     fn repeats(&self) -> Policy {
+        let settings = self.settings();
+        let nodes = self.view().nodes();
         Policy {
-            window: self.settings().retry_window,
-            ratio: self.settings().retry_ratio,
-            slack: self.settings().retry_slack * SLACK_PART,
-            nodes: self.view().nodes(),
+            window: settings.retry_window,
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack * SLACK_PART,
+            nodes,
         }
     }
 
-    fn share(&self, workspace: &Workspace, nodes: usize) -> Share {
-        let bounds = Bounds {
-            window: self.settings().quota_window,
-            overshoot: self.settings().quota_overshoot,
-            slack: self.settings().quota_slack,
-        };
-        Share::even(workspace.rate, workspace.burst, bounds, nodes)
+    fn terms(&self, workspace: &Workspace) -> Terms {
+        let settings = self.settings();
+        // NB: a guard within the expression below would live until its end.
+        let nodes = self.view().nodes();
+        let is_connected = self.is_connected();
+        Terms {
+            rate: workspace.rate,
+            burst: workspace.burst,
+            bounds: Bounds {
+                window: settings.quota_window,
+                overshoot: settings.quota_overshoot,
+                slack: settings.quota_slack,
+            },
+            nodes,
+            is_connected,
+        }
     }
 }
 
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -5,7 +5,7 @@
 mod proof;
 mod view;
 
-pub use moves::{Moves, Record, Stage};
+pub use moves::{Moves, Record, Stage, Versions};
 pub use peer::{Peer, Peers};
 pub use proof::Proof;
 pub use view::{Own, View};
--- a/crates/entry/src/view/moves.rs
+++ b/crates/entry/src/view/moves.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use place::Want;
 use serde::{Deserialize, Serialize};
 
 use crate::edge::Move;
@@ -49,40 +50,52 @@
     pub vetoed: IndexMap<Arc<str>, u64>,
 }
 
+/// Versions that a request may go to, kept by the request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Versions {
+    /// Any version.
+    #[default]
+    Any,
+    /// This version only.
+    Only(Arc<str>),
+    /// All versions but this one.
+    But(Arc<str>),
+}
+
+impl Versions {
+    /// The same for a choice of replica.
+    pub fn want(&self) -> Want<'_> {
+        match self {
+            Self::Any => Want::Any,
+            Self::Only(version) => Want::Only(version),
+            Self::But(version) => Want::But(version),
+        }
+    }
+}
+
 impl Moves {
-    /// Version that a request to the endpoint must go to, for a draw from 0 to 1; `None` if any will do.
-    pub fn version(&self, endpoint: &str, draw: f64) -> Option<&Arc<str>> {
-        let record = self.records.get(endpoint);
+    /// Versions that a request to the endpoint may go to, for a draw from 0 to 1.
+    ///
+    /// A version that was ordered and has no record yet gets nothing.
+    pub fn versions(&self, endpoint: &str, draw: f64) -> Versions {
         let order = self.orders.get(endpoint);
-        let is_vetoed = |revision: u64| self.vetoed.get(endpoint) == Some(&revision);
-        let Some(record) = record else {
-            return None;
-        };
-        // An order that no record answers yet: everything stays at the version that is in use.
-        if let Some((_, revision)) = order
-            && *revision > record.order
+        let record = self.records.get(endpoint);
+        if let Some((order, revision)) = order
+            && record.is_none_or(|record| record.order < *revision)
         {
-            return record.settled();
+            return Versions::But(Arc::clone(&order.target));
         }
-        let goes_to_target = match record.stage {
-            Stage::Canary => !is_vetoed(record.order) && draw < record.share,
-            Stage::Moved => !is_vetoed(record.order),
-            Stage::Done => true,
-            Stage::Undone => false,
+        let Some(record) = record else {
+            return Versions::Any;
         };
-        if goes_to_target {
-            return Some(&record.target);
-        }
-        (!record.from.is_empty()).then_some(&record.from)
-    }
-}
-
-impl Record {
-    /// Version in use before any later order.
-    pub fn settled(&self) -> Option<&Arc<str>> {
-        match self.stage {
-            Stage::Done | Stage::Moved => Some(&self.target),
-            Stage::Canary | Stage::Undone => (!self.from.is_empty()).then_some(&self.from),
+        let is_vetoed = self.vetoed.get(endpoint) == Some(&record.order);
+        let target = Arc::clone(&record.target);
+        match record.stage {
+            Stage::Canary if !is_vetoed && draw < record.share => Versions::Only(target),
+            Stage::Moved if !is_vetoed => Versions::Only(target),
+            Stage::Canary | Stage::Moved | Stage::Undone => Versions::But(target),
+            Stage::Done if record.from.is_empty() => Versions::Any,
+            Stage::Done => Versions::But(Arc::clone(&record.from)),
         }
     }
 }
--- a/crates/entry/src/view/peer.rs
+++ b/crates/entry/src/view/peer.rs
@@ -15,6 +15,8 @@
     pub zone: String,
     /// Where callers reach it.
     pub address: SocketAddr,
+    /// Where other nodes reach it.
+    pub peer_address: SocketAddr,
     /// Whether callers should use it.
     pub ready: bool,
     /// The lease that the registration is bound to.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`Marks`] remembers which VMs are leaving; [`Roster`] keeps the replicas, from lists, notices and refusals.
 //! - [`Drain`] says what to do with each running request within the notice.
 //! - [`Planner`] buys the cheapest mix of VMs that keeps the capacity with the worst zone gone.
+//! - [`capacity`] says how many replicas of which kind an endpoint needs in which zones.
 //! - [`Pace`] starts model loads no faster than the weight store serves them.
 
+pub mod capacity;
 pub mod drain;
 pub mod marks;
 pub mod pace;
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -13,6 +13,28 @@
     pub tokens: u32,
 }
 
+/// Which software versions may serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want<'a> {
+    /// Any version.
+    Any,
+    /// This version only.
+    Only(&'a str),
+    /// All versions but this one.
+    But(&'a str),
+}
+
+impl Want<'_> {
+    /// Whether a version may serve.
+    pub fn takes(self, version: &str) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(wanted) => version == wanted,
+            Self::But(excluded) => version != excluded,
+        }
+    }
+}
+
 /// A request as far as the choice of its replica goes.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -24,8 +46,8 @@
     pub zone: &'a str,
     /// Replicas that this request was sent to before.
     pub tried: &'a [ReplicaKey],
-    /// Software version that the replica must have, if any.
-    pub version: Option<&'a str>,
+    /// Software versions that may serve it.
+    pub version: Want<'a>,
     /// Time until an answer is of no use.
     pub left: Millis,
     /// Time until the answer, or its first event, is late.
--- a/crates/place/src/flight.rs
+++ b/crates/place/src/flight.rs
@@ -24,5 +24,7 @@
     pub sent: Millis,
     /// Tokens that the replica has to read before the first event.
     pub tokens: u32,
+    /// Time to the answer, or its first event, that was expected when it was sent.
+    pub expected: Millis,
     pub began: bool,
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,10 +19,10 @@
 mod spec;
 mod speed;
 
-pub use demand::{Demand, Part};
+pub use demand::{Demand, Part, Want};
 pub use flight::End;
 pub use key::{FlightKey, ReplicaKey};
-pub use load::Load;
+pub use load::{Load, PeerLoad};
 pub use outcome::{Event, Fate, Verdict, is_promise};
 pub use pool::{Choice, Pool};
 pub use refusal::Refusal;
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -1,5 +1,7 @@
 //! What a replica says of its load.
 
+use serde::{Deserialize, Serialize};
+
 /// Load as a replica reported it with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -10,3 +12,14 @@
     /// Requests that can run at once.
     pub slots: u32,
 }
+
+/// One node's requests at a replica, as it tells the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerLoad {
+    /// Hash of the replica's id.
+    pub replica: u64,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Tokens of prompts that the replica has yet to read.
+    pub unread_tokens: u64,
+}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::rank;
 use crate::replica::Replica;
 use crate::speed::Speed;
-use crate::{Demand, End, FlightKey, Load, Refusal, ReplicaKey, Settings, Spec, State};
+use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec, State};
 
 /// Part of the time left that may be spent waiting for the first event: the rest is for the answer itself.
 const WAIT_PART: f64 = 0.6;
@@ -23,6 +23,10 @@
 const FIRST_LATENCY_MS: f64 = 20.0;
 /// Cost of each request that runs at an engine, in milliseconds: its tokens slow the others down.
 const RUNNING_COST_MS: f64 = 1.0;
+/// Time of a replica that a generated token takes, in milliseconds: a batch shares the rest of its step.
+const OUTPUT_TOKEN_MS: f64 = 0.15;
+/// Time after which the nodes' requests have filled a replica's cache.
+const WARM_AFTER: Millis = Millis(8_000);
 /// Shortest wait that a refused caller is told.
 const LEAST_WAIT: Millis = Millis(100);
 
@@ -52,6 +56,9 @@
     ids: IndexMap<Arc<str>, ReplicaKey>,
     flights: SlotMap<FlightKey, Flight>,
     speed: Speed,
+    work_ms: f64,
+    /// When the first request was sent.
+    first_sent: Option<Millis>,
 }
 
 impl Pool {
@@ -64,6 +71,8 @@
             ids: IndexMap::new(),
             flights: SlotMap::with_key(),
             speed: Speed::default(),
+            work_ms: 0.0,
+            first_sent: None,
         }
     }
 
@@ -73,7 +82,7 @@
     }
 
     /// Takes in a registration; a new incarnation, version or address makes it a new replica.
-    pub fn register(&mut self, spec: Spec) {
+    pub fn register(&mut self, now: Millis, spec: Spec) {
         if let Some(key) = self.ids.get(&spec.id).copied() {
             let known = &mut self.replicas[key];
             let is_same = known.spec.born == spec.born
@@ -86,7 +95,7 @@
             self.replicas.remove(key);
         }
         let id = Arc::clone(&spec.id);
-        let key = self.replicas.insert(Replica::new(spec));
+        let key = self.replicas.insert(Replica::new(now, spec));
         self.ids.insert(id, key);
     }
 
@@ -113,11 +122,36 @@
         ready.map(|spec| u64::from(spec.slots)).sum()
     }
 
+    /// Time of replicas that this node's requests have taken so far, in milliseconds: what grows in a second, divided
+    /// by 1,000, is the number of replicas that it keeps busy.
+    pub const fn work_ms(&self) -> f64 {
+        self.work_ms
+    }
+
     /// This node's requests in flight.
     pub fn in_flight(&self) -> usize {
         self.flights.len()
     }
 
+    /// This node's requests at each replica that has any.
+    pub fn own_loads(&self) -> Vec<PeerLoad> {
+        let busy = self.ids.values().map(|key| &self.replicas[*key]);
+        let load = |replica: &Replica| PeerLoad {
+            replica: replica.hash,
+            in_flight: replica.in_flight as u32,
+            unread_tokens: replica.unread_tokens,
+        };
+        busy.filter(|replica| replica.in_flight > 0).map(load).collect()
+    }
+
+    /// Another node told its requests at the replicas; it has none at those that are not named.
+    pub fn hear(&mut self, now: Millis, node: u64, loads: &[PeerLoad]) {
+        for replica in self.replicas.values_mut() {
+            let load = loads.iter().find(|load| load.replica == replica.hash);
+            replica.hear(now, node, load.copied());
+        }
+    }
+
     /// Chooses a replica for a request.
     pub fn choose(&mut self, now: Millis, demand: &Demand<'_>) -> Result<Choice, Refusal> {
         let open: Vec<ReplicaKey> = self.open(now, demand);
@@ -159,6 +193,10 @@
 
     /// A request leaves for a replica.
     pub fn send(&mut self, now: Millis, choice: &Choice, demand: &Demand<'_>) -> FlightKey {
+        self.first_sent.get_or_insert(now);
+        // Without the shared parts: they are read again only where something went wrong.
+        self.work_ms += self.speed.millis(f64::from(demand.own_tokens()));
+        self.work_ms += f64::from(demand.output_tokens) * OUTPUT_TOKEN_MS;
         if let Some(replica) = self.replicas.get_mut(choice.replica) {
             replica.in_flight += 1;
             replica.unread_tokens += u64::from(choice.tokens);
@@ -169,6 +207,7 @@
             replica: choice.replica,
             sent: now,
             tokens: choice.tokens,
+            expected: choice.expected,
             began: false,
         })
     }
@@ -195,8 +234,7 @@
         if replica.unread_tokens == 0 {
             self.speed.note(flight.tokens, latency_ms);
         }
-        let explained_ms = self.speed.millis(f64::from(flight.tokens));
-        replica.note_latency(now, latency_ms, explained_ms);
+        replica.note_latency(now, latency_ms, flight.expected.0 as f64);
     }
 
     /// A dispatch has ended.
@@ -230,11 +268,8 @@
         if !open.is_empty() {
             return open;
         }
-        keys.filter(|key| {
-            let spec = &self.replicas[*key].spec;
-            spec.state == State::Ready && demand.version.is_none_or(|it| it == &*spec.version)
-        })
-        .collect()
+        keys.filter(|key| self.replicas[*key].is_ready(demand.version))
+            .collect()
     }
 
     fn is_full(&self, now: Millis, key: ReplicaKey) -> bool {
@@ -283,13 +318,14 @@
                 tokens: 0,
             };
         }
-        let missing = if home == Some(key) {
+        let is_home = home == Some(key) && self.is_warm(now, replica);
+        let missing = if is_home {
             0
         } else {
             replica.missing(demand.shared())
         };
         let tokens = missing + demand.own_tokens();
-        let queue_ms = self.speed.millis(replica.unread_tokens as f64) + replica.delay_ms(now);
+        let queue_ms = self.speed.millis(replica.unread(now) as f64) + replica.delay_ms(now);
         let wait_ms = queue_ms + self.speed.millis(f64::from(tokens));
         let reread_ms = self.speed.millis(f64::from(missing)) * self.settings.reread_weight;
         let running_ms = RUNNING_COST_MS * replica.load(now) as f64;
@@ -300,11 +336,17 @@
         }
     }
 
+    /// Whether other nodes have sent enough to the replica that a prompt's home holds its shared parts.
+    fn is_warm(&self, now: Millis, replica: &Replica) -> bool {
+        let long_ago = |since: Millis| now.since(since) > WARM_AFTER;
+        self.first_sent.is_some_and(long_ago) && long_ago(replica.seen)
+    }
+
     /// When there may be room again: as soon as the shortest queue is half as long.
     fn drain(&self, now: Millis, demand: &Demand<'_>) -> Millis {
         let queue_ms = |key: &ReplicaKey| {
             let replica = &self.replicas[*key];
-            let unread_ms = self.speed.millis(replica.unread_tokens as f64) + replica.delay_ms(now);
+            let unread_ms = self.speed.millis(replica.unread(now) as f64) + replica.delay_ms(now);
             unread_ms.max(replica.latency_ms().unwrap_or(FIRST_LATENCY_MS))
         };
         let shortest = self
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 
 use crate::health::Health;
-use crate::{Load, Part, Spec, State};
+use crate::{Load, Part, PeerLoad, Spec, State, Want};
 
 /// Weight of a new sample in the moving latency.
 const LATENCY_WEIGHT: f64 = 0.2;
@@ -20,6 +20,8 @@
 pub(crate) struct Replica {
     pub spec: Spec,
     pub health: Health,
+    /// When it was first seen.
+    pub seen: Millis,
     /// Hash of its id for rendezvous hashing.
     pub hash: u64,
     /// This node's requests in flight.
@@ -32,14 +34,17 @@
     delay_ms: f64,
     delay_at: Millis,
     load: Option<(Millis, Load)>,
+    /// Other nodes' requests here, and when they said so.
+    peers: IndexMap<u64, (Millis, PeerLoad)>,
     /// Shared parts that this node sent here, and their tokens; the latest last.
     parts: IndexMap<u64, u32>,
     parts_tokens: u64,
 }
 
 impl Replica {
-    pub fn new(spec: Spec) -> Self {
+    pub fn new(now: Millis, spec: Spec) -> Self {
         Self {
+            seen: now,
             hash: crate::rank::name(&spec.id),
             spec,
             health: Health::default(),
@@ -49,16 +54,20 @@
             delay_ms: 0.0,
             delay_at: Millis::ZERO,
             load: None,
+            peers: IndexMap::new(),
             parts: IndexMap::new(),
             parts_tokens: 0,
         }
     }
 
     /// Whether it takes new requests of this version.
-    pub fn is_open(&self, now: Millis, version: Option<&str>) -> bool {
-        self.spec.state == State::Ready
-            && version.is_none_or(|version| version == &*self.spec.version)
-            && self.health.is_open(now)
+    pub fn is_open(&self, now: Millis, version: Want<'_>) -> bool {
+        self.is_ready(version) && self.health.is_open(now)
+    }
+
+    /// Whether it takes new requests of this version, as far as it says itself.
+    pub fn is_ready(&self, version: Want<'_>) -> bool {
+        self.spec.state == State::Ready && version.takes(&self.spec.version)
     }
 
     /// Requests there, others' included as far as known.
@@ -67,7 +76,32 @@
             .load
             .filter(|(at, _)| now.since(*at) < LOAD_LIFE)
             .map_or(0, |(_, load)| (load.running + load.waiting) as usize);
-        reported.max(self.in_flight)
+        let others: usize = self.fresh_peers(now).map(|load| load.in_flight as usize).sum();
+        reported.max(self.in_flight + others)
+    }
+
+    /// Tokens that it has yet to read, others' included as far as known.
+    pub fn unread(&self, now: Millis) -> u64 {
+        let others: u64 = self.fresh_peers(now).map(|load| load.unread_tokens).sum();
+        self.unread_tokens + others
+    }
+
+    /// Another node told its requests here.
+    pub fn hear(&mut self, now: Millis, node: u64, load: Option<PeerLoad>) {
+        match load {
+            Some(load) => {
+                self.peers.insert(node, (now, load));
+            }
+            None => {
+                self.peers.swap_remove(&node);
+            }
+        }
+    }
+
+    fn fresh_peers(&self, now: Millis) -> impl Iterator<Item = &PeerLoad> {
+        let is_fresh = move |at: &Millis| now.since(*at) < LOAD_LIFE;
+        let peers = self.peers.values();
+        peers.filter(move |(at, _)| is_fresh(at)).map(|(_, load)| load)
     }
 
     /// Moving time of an answer, in milliseconds.
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -5,6 +5,15 @@
 /// Milliseconds in a second.
 const SECOND_MS: f64 = 1_000.0;
 
+/// Rate and cap of a bucket.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Flow {
+    /// Tokens a second.
+    pub rate: f64,
+    /// Most tokens that can be saved up.
+    pub cap: f64,
+}
+
 /// Tokens that flow in at a steady rate up to a cap, and are taken by requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bucket {
@@ -15,34 +24,36 @@
 impl Bucket {
     /// A bucket with this many tokens in it.
     pub const fn new(now: Millis, tokens: f64) -> Self {
-        Self {
-            left: tokens,
-            at: now,
-        }
+        Self { left: tokens, at: now }
     }
 
-    /// Takes tokens, or says how long until there are enough. `rate` is in tokens a second, `cap` in tokens.
+    /// How long until so many tokens are there; zero if they are.
     ///
     /// A request larger than the cap passes once the bucket is full.
-    pub fn take(&mut self, now: Millis, tokens: f64, rate: f64, cap: f64) -> Result<(), Millis> {
-        self.fill(now, rate, cap);
-        let needed = tokens.min(cap);
-        if self.left >= needed {
-            self.left -= tokens;
-            return Ok(());
+    pub fn wait(&mut self, now: Millis, tokens: f64, flow: Flow) -> Millis {
+        self.fill(now, flow);
+        let missing = tokens.min(flow.cap) - self.left;
+        if missing <= 0.0 {
+            return Millis::ZERO;
         }
-        let wait = (needed - self.left) / rate.max(f64::MIN_POSITIVE) * SECOND_MS;
-        Err(Millis(wait.ceil() as u64))
+        let wait_ms = missing / flow.rate.max(f64::MIN_POSITIVE) * SECOND_MS;
+        Millis(wait_ms.ceil() as u64)
+    }
+
+    /// Takes tokens, also if there are too few: then they are owed.
+    pub fn take(&mut self, now: Millis, tokens: f64, flow: Flow) {
+        self.fill(now, flow);
+        self.left -= tokens;
     }
 
     /// Gives back tokens of a request that did not run.
-    pub fn give_back(&mut self, tokens: f64, cap: f64) {
-        self.left = (self.left + tokens).min(cap);
+    pub const fn give_back(&mut self, tokens: f64) {
+        self.left += tokens;
     }
 
-    fn fill(&mut self, now: Millis, rate: f64, cap: f64) {
+    fn fill(&mut self, now: Millis, flow: Flow) {
         let span = now.since(self.at).0 as f64 / SECOND_MS;
-        self.left = rate.mul_add(span, self.left).min(cap);
+        self.left = flow.rate.mul_add(span, self.left).min(flow.cap);
         self.at = self.at.max(now);
     }
 }
