Let a request owe tokens of a limit; keep reclaimable replicas that can't be had again

Cause: while a limit was nearly used up small requests slipped in and large ones were refused; on-demand replicas were ordered into places that reclaimable ones held.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -155,15 +155,21 @@
     }
 }
 
-/// Puts on-demand replicas into the cheaper half of the zones in turn, then into the others.
+/// Puts on-demand replicas into the cheaper half of the zones in turn, then into the others. Reclaimable replicas that
+/// can't be had again keep their places.
 fn spread(bounds: &Bounds, counts: &mut [Count], total: u32) {
+    let room = |index: &usize| {
+        let zone = &bounds.zones[*index];
+        let kept = if zone.sold_out { zone.reclaimable } else { 0 };
+        bounds.max.saturating_sub(kept)
+    };
     let mut order: Vec<usize> = (0..counts.len()).collect();
     order.sort_by(|a, b| bounds.zones[*a].price.total_cmp(&bounds.zones[*b].price));
     let (cheap, dear) = order.split_at(order.len().div_ceil(2));
     let mut left = total;
     for group in [cheap, dear] {
-        for _round in 0..bounds.max {
-            for index in group {
+        for round in 0..bounds.max {
+            for index in group.iter().filter(|index| round < room(index)) {
                 let taken = left.min(1);
                 counts[*index].on_demand += taken;
                 left -= taken;
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -27,17 +27,17 @@
         Self { left: tokens, at: now }
     }
 
-    /// How long until so many tokens are there; zero if they are.
+    /// How long until a request may take tokens; zero if it may.
     ///
-    /// A request larger than the cap passes once the bucket is full.
-    pub fn wait(&mut self, now: Millis, tokens: f64, flow: Flow) -> Millis {
+    /// One passes as soon as anything is left and owes what is missing, so that a large request waits no longer than a
+    /// small one.
+    pub fn wait(&mut self, now: Millis, flow: Flow) -> Millis {
         self.fill(now, flow);
-        let missing = tokens.min(flow.cap) - self.left;
-        if missing <= 0.0 {
+        if self.left > 0.0 {
             return Millis::ZERO;
         }
-        let wait_ms = missing / flow.rate.max(f64::MIN_POSITIVE) * SECOND_MS;
-        Millis(wait_ms.ceil() as u64)
+        let wait_ms = -self.left / flow.rate.max(f64::MIN_POSITIVE) * SECOND_MS;
+        Millis(wait_ms.ceil().max(1.0) as u64)
     }
 
     /// Takes tokens, also if there are too few: then they are owed.
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -38,12 +38,13 @@
     pub is_connected: bool,
 }
 
-/// Part of the room above the limit that the whole uses; the rest covers what was not heard yet.
-const WHOLE_ROOM: f64 = 0.4;
+/// Part of the room above the limit that the whole uses; the rest covers what was not heard yet and what the last
+/// requests owe.
+const WHOLE_ROOM: f64 = 0.25;
 /// Part of the room that the nodes' own parts use while they hear each other.
-const PARTS_ROOM: f64 = 0.2;
+const PARTS_ROOM: f64 = 0.15;
 /// Part of the room that they use otherwise.
-const ALONE_ROOM: f64 = 0.5;
+const ALONE_ROOM: f64 = 0.3;
 
 impl Terms {
     /// Tokens above the limit that are allowed in a window.
@@ -100,9 +101,9 @@
     /// Lets a request of so many tokens through, or says when it may come back.
     pub fn take(&mut self, now: Millis, tokens: u64, terms: &Terms) -> Result<(), Millis> {
         let amount = tokens as f64;
-        let mut wait = self.part.wait(now, amount, terms.part());
+        let mut wait = self.part.wait(now, terms.part());
         if terms.is_connected {
-            wait = wait.min(self.whole.wait(now, amount, terms.whole()));
+            wait = wait.min(self.whole.wait(now, terms.whole()));
         }
         if wait > Millis::ZERO {
             return Err(wait);
