--- a/crates/entry/src/duty/orders.rs
+++ b/crates/entry/src/duty/orders.rs
@@ -32,6 +32,12 @@
 /// Time beyond the boot time until an order that shows no effect is given again.
 const EFFECT_MARGIN: Millis = Millis(2_500);
 
+/// Part by which the load must exceed what was ordered for until more is ordered.
+const RAISE: f64 = 0.15;
+/// Part of what was ordered for below which the load must stay until less is ordered: a replica that is dropped takes
+/// cached prompts with it, which cost more to read again than the replica for some seconds.
+const LOWER: f64 = 0.6;
+
 /// Place and kind of replicas.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Slot {
@@ -58,6 +64,8 @@
     shared: Arc<Shared>,
     orders: IndexMap<Slot, Order>,
     loads: IndexMap<Arc<str>, VecDeque<(Millis, f64)>>,
+    /// The load that each endpoint's orders are for.
+    steady: IndexMap<Arc<str>, f64>,
     /// When each endpoint's load was first seen.
     loaded: IndexMap<Arc<str>, Millis>,
     /// Most replicas of each endpoint seen before anything was ordered, and since when.
@@ -70,6 +78,7 @@
             shared,
             orders: IndexMap::new(),
             loads: IndexMap::new(),
+            steady: IndexMap::new(),
             loaded: IndexMap::new(),
             found: IndexMap::new(),
         }
@@ -113,6 +122,7 @@
         let Some(busy) = self.busy(&endpoint.name, &present) else {
             return;
         };
+        let busy = self.steady(&endpoint.name, busy);
         let wanted = capacity::wanted(&self.bounds(endpoint, scale, &present), busy);
         let coming = self.coming(endpoint, &present);
         let steps = steps(&present, &coming, &wanted, scale.max);
@@ -154,6 +164,15 @@
         Some(measured.max(f64::from(*found) * FIRST_UTILIZATION))
     }
 
+    /// The load that orders are for: it follows the measured one by large steps only.
+    fn steady(&mut self, endpoint: &Arc<str>, busy: f64) -> f64 {
+        let steady = self.steady.entry(Arc::clone(endpoint)).or_insert(busy);
+        if busy > *steady * (1.0 + RAISE) || busy < *steady * LOWER {
+            *steady = busy * (1.0 + RAISE);
+        }
+        *steady
+    }
+
     fn bounds(&self, endpoint: &Endpoint, scale: &Scale, present: &[Count]) -> Bounds {
         let zone = |count: &Count| Zone {
             name: Arc::clone(&count.zone),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,8 +19,12 @@
 const LEAVING: Millis = Millis(2_500);
 /// Time before SIGKILL at which the process ends whatever is still in flight.
 const END_MARGIN: Millis = Millis(300);
+/// Time without a request after which a leaving node ends: callers have taken up its successors.
+const QUIET: Millis = Millis(400);
+/// Time without a request after which the last answers are out.
+const LAST_ANSWERS: Millis = Millis(60);
 /// Pace at which the end of the last request is noticed.
-const IDLE_POLL: Duration = Duration::from_millis(50);
+const IDLE_POLL: Duration = Duration::from_millis(20);
 /// Pace of samples of the time of day and of looking through idle connections.
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 
@@ -92,13 +96,11 @@
         self.shared.stop.enter(Phase::Leaving);
         sleep(LEAVING.min(grace).as_duration()).await;
         self.shared.stop.enter(Phase::Closing);
-        while self.shared.waiting() > 0 && elapsed() < grace {
-            sleep(IDLE_POLL).await;
-        }
-        // Answers that were just finished are still on their way out.
-        sleep(IDLE_POLL).await;
+        self.wait_idle(QUIET, || elapsed() < grace).await;
         log::info!(waiting = self.shared.waiting(), took_ms = elapsed().0; "node ends");
         self.shared.stop.enter(Phase::Ended);
+        // Answers to requests that came just before are still on their way out.
+        self.wait_idle(LAST_ANSWERS, || elapsed() < grace).await;
         let left = grace - elapsed();
         let last = futures::future::join_all(self.last_tasks);
         if tokio::time::timeout(left.as_duration(), last).await.is_err() {
@@ -107,6 +109,22 @@
     }
 }
 
+impl Node {
+    /// Waits until no request was waited for during `quiet`, as long as `may_wait` says so.
+    async fn wait_idle<F>(&self, quiet: Millis, may_wait: F)
+    where
+        F: Fn() -> bool,
+    {
+        let mut busy_at = self.shared.now();
+        while may_wait() && self.shared.now().since(busy_at) < quiet {
+            sleep(IDLE_POLL).await;
+            if self.shared.waiting() > 0 {
+                busy_at = self.shared.now();
+            }
+        }
+    }
+}
+
 /// Samples the time of day and closes connections that were idle for too long.
 async fn keep_house(shared: Arc<Shared>) {
     let mut ticks = interval(HOUSEKEEPING);
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to replicas until there is an answer or nothing more may be tried.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,6 +87,8 @@
     /// What went wrong last.
     pub cause: String,
     counted: bool,
+    /// Whether its end was logged.
+    logged: AtomicBool,
     _waiting: Waiting,
 }
 
@@ -100,6 +103,7 @@
             replica: Arc::from(""),
             cause: String::new(),
             counted: false,
+            logged: AtomicBool::new(false),
         }
     }
 
@@ -181,6 +185,7 @@
     }
 
     pub fn log_end(&self, outcome: &str, status: u16) {
+        self.logged.store(true, Ordering::Relaxed);
         let end = log::End {
             outcome,
             status,
@@ -228,8 +233,9 @@
             Ok(sent) => self.judge(flight, sent),
             Err(miss) => {
                 flight.end(match miss.event {
-                    Event::NotSent | Event::Lost if !miss.timed_out => End::Failed,
-                    _ => End::Cancelled,
+                    _ if miss.timed_out => End::Cancelled,
+                    Event::NotSent => End::Unreachable,
+                    _ => End::Failed,
                 });
                 Err(Stop::Miss(miss))
             }
@@ -320,6 +326,14 @@
     }
 }
 
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        if !self.logged.load(Ordering::Relaxed) {
+            self.log_end("caller_left", 0);
+        }
+    }
+}
+
 /// Why a dispatch did not get as far as an answer.
 #[derive(Debug)]
 pub(super) enum Stop {
--- a/crates/entry/src/serve/front.rs
+++ b/crates/entry/src/serve/front.rs
@@ -9,10 +9,12 @@
 use super::dispatch::Dispatch;
 use super::{Reason, admit, intake, log};
 use crate::Shared;
+use crate::stop::Phase;
 
 /// Answers a caller's request.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let received = shared.now();
+    let _waiting = shared.wait();
     let (head, incoming) = request.into_parts();
     let path = head.uri.path().to_owned();
     let limits = shared.view().table.as_ref().map(|table| table.limits());
@@ -28,6 +30,10 @@
         }
     };
     let id = ask.id.clone();
+    if shared.stop.phase() >= Phase::Ended {
+        log::refused(&shared, &id, &path, Reason::Leaving);
+        return Reason::Leaving.response();
+    }
     let call = body.and_then(|body| admit::admit(&shared, head, ask, body, received));
     match call {
         Ok(call) => Dispatch::new(shared, call).run().await,
--- a/crates/entry/src/serve/refusal.rs
+++ b/crates/entry/src/serve/refusal.rs
@@ -14,6 +14,8 @@
     BadHead,
     /// The body is larger than allowed, or was broken off.
     BadBody(StatusCode),
+    /// The node's process is about to end.
+    Leaving,
     /// The node knows no configuration yet.
     NoConfiguration,
     /// The node's view is too old to let API keys in.
@@ -43,6 +45,7 @@
         match self {
             Self::BadHead => "bad_head",
             Self::BadBody(_) => "bad_body",
+            Self::Leaving => "leaving",
             Self::NoConfiguration => "no_configuration",
             Self::StaleView => "stale_view",
             Self::NoRoute => "no_route",
@@ -60,9 +63,11 @@
         match self {
             Self::BadHead => StatusCode::BAD_REQUEST,
             Self::BadBody(status) => status,
-            Self::NoConfiguration | Self::StaleView | Self::NoPlace(_) | Self::NotRun(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Leaving
+            | Self::NoConfiguration
+            | Self::StaleView
+            | Self::NoPlace(_)
+            | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Denied => StatusCode::UNAUTHORIZED,
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -74,6 +79,7 @@
     /// When the caller should come back, if that can help.
     pub const fn retry_after(self) -> Option<Millis> {
         match self {
+            Self::Leaving => Some(Millis::ZERO),
             Self::NoConfiguration | Self::StaleView => Some(VIEW_RETRY),
             Self::OverLimit(wait) | Self::NotRun(wait) => Some(wait),
             Self::NoPlace(refusal) => Some(refusal.retry_after()),
--- a/crates/place/src/flight.rs
+++ b/crates/place/src/flight.rs
@@ -11,6 +11,8 @@
     Answered,
     /// The replica failed it: an error of its own, a broken or garbled answer, silence.
     Failed,
+    /// There was no connection to the replica.
+    Unreachable,
     /// The replica said that it did not run it.
     NotRun,
     /// The caller left, or the time was up.
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -79,7 +79,8 @@
         }
     }
 
-    fn eject(&mut self, now: Millis) {
+    /// Takes the replica out for a while.
+    pub fn eject(&mut self, now: Millis) {
         let doublings = self.ejections.min(MOST_DOUBLINGS);
         self.ejected_until = Some(now + Millis(FIRST_EJECTION.0 << doublings));
         self.ejections += 1;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -253,6 +253,7 @@
         match end {
             End::Answered => replica.health.succeed(),
             End::Failed => replica.health.fail(now, usual),
+            End::Unreachable => replica.health.eject(now),
             End::NotRun | End::Cancelled => replica.health.neutral(),
         }
     }
@@ -318,8 +319,8 @@
                 tokens: 0,
             };
         }
-        let is_home = home == Some(key) && self.is_warm(now, replica);
-        let missing = if is_home {
+        let is_home = home == Some(key);
+        let missing = if is_home && self.is_warm(now, replica) {
             0
         } else {
             replica.missing(demand.shared())
@@ -327,7 +328,12 @@
         let tokens = missing + demand.own_tokens();
         let queue_ms = self.speed.millis(replica.unread(now) as f64) + replica.delay_ms(now);
         let wait_ms = queue_ms + self.speed.millis(f64::from(tokens));
-        let reread_ms = self.speed.millis(f64::from(missing)) * self.settings.reread_weight;
+        // What the home reads serves the other nodes' requests too.
+        let reread_ms = if is_home {
+            0.0
+        } else {
+            self.speed.millis(f64::from(missing)) * self.settings.reread_weight
+        };
         let running_ms = RUNNING_COST_MS * replica.load(now) as f64;
         Cost {
             wait_ms,
