Move endpoints to other versions within seconds, by the store's orders

Cause: orders of operators to move an endpoint were read and nothing was done. Change: rollout::brief decides (small share, comparison of failures and latencies, move, watch, undo); every node vetoes a bad version for itself; the holder of the duties keeps the record and tells the operators.

--- a/crates/entry/src/duty/moves.rs
+++ b/crates/entry/src/duty/moves.rs
@@ -1,22 +1,199 @@
 //! Moves of endpoints to other versions.
+//!
+//! Every node judges the new version by what all nodes published and by its own requests, and sends nothing to one that
+//! it has found bad, whether the store answers or not. The holder of the duties keeps the record of each move and tells
+//! the operators.
 
 use std::sync::Arc;
 
+use base::Millis;
+use bytes::Bytes;
+use indexmap::IndexMap;
+use place::State;
+use rollout::brief::{self, Judgement, Phase, Step, Tally};
+use store::{Condition, Error, Write};
+
 use super::Holder;
+use super::usage::reports;
 use crate::Shared;
+use crate::edge::{self, Move, Progress};
+use crate::follow::MOVES;
+use crate::publish::Compared;
+use crate::view::{Record, Stage};
+
+/// Part of the share that bad versions may get which is used: requests are drawn at random.
+const SHARE_PART: f64 = 0.8;
 
 /// Carries out the operators' orders to move endpoints.
 #[derive(Debug)]
 pub(super) struct Mover {
-    _shared: Arc<Shared>,
+    shared: Arc<Shared>,
+    /// What this node has told the operators, by endpoint, with the order's revision.
+    told: IndexMap<Arc<str>, (u64, edge::State)>,
 }
 
 impl Mover {
-    pub const fn new(shared: Arc<Shared>) -> Self {
-        Self { _shared: shared }
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            told: IndexMap::new(),
+        }
     }
 
     /// Takes the next step of each move.
-    #[expect(clippy::unused_async, reason = "placeholder until moves are carried out")]
-    pub async fn tick(&mut self, _holder: &Holder) {}
+    pub async fn tick(&mut self, holder: &Holder) {
+        let orders: Vec<(Move, u64)> = self.shared.view().moves.orders.values().cloned().collect();
+        for (order, revision) in orders {
+            let record = self.shared.view().moves.records.get(&order.endpoint).cloned();
+            let record = record.filter(|record| record.order >= revision);
+            let judged = self.judge(&order, revision);
+            if holder.fence().is_none() {
+                continue;
+            }
+            let result = match record {
+                None => self.take_up(&order, revision).await,
+                Some(record) => {
+                    let told = self.tell(&order, &record).await;
+                    told.and(self.advance(&order, record, judged).await)
+                }
+            };
+            if let Err(error) = result {
+                log::warn!(endpoint:% = order.endpoint, cause:% = error; "move not advanced");
+            }
+        }
+    }
+
+    /// Compares the versions by all nodes' requests; a version found bad gets nothing more from this node.
+    fn judge(&self, order: &Move, revision: u64) -> (Judgement, Compared) {
+        let mut sum = self.shared.compared().get(&order.endpoint).copied();
+        if sum.is_some_and(|sum| sum.order != revision) {
+            sum = None;
+        }
+        let mut sum = sum.unwrap_or_default();
+        let own = self.shared.incarnation.to_string();
+        for (node, report) in reports(&self.shared) {
+            let Some(compared) = report.moves.get(&order.endpoint) else {
+                continue;
+            };
+            if node != own && compared.order == revision {
+                sum.old.add(&compared.old);
+                sum.new.add(&compared.new);
+                sum.old_in_flight += compared.old_in_flight;
+            }
+        }
+        let judgement = Judgement::of(&sum.old, &sum.new);
+        if judgement.is_bad() {
+            let before = self
+                .shared
+                .view()
+                .moves
+                .vetoed
+                .insert(Arc::clone(&order.endpoint), revision);
+            if before != Some(revision) {
+                log::warn!(endpoint:% = order.endpoint, version:% = order.target, judgement = judgement.label(),
+                    new_ended = sum.new.ended, new_failed = sum.new.failed, old_ended = sum.old.ended,
+                    old_failed = sum.old.failed; "version vetoed");
+            }
+        }
+        (judgement, sum)
+    }
+
+    /// Begins a move: the new version gets its small share.
+    async fn take_up(&self, order: &Move, revision: u64) -> Result<(), Error> {
+        let now_ms = self.unix_ms();
+        let record = Record {
+            from: self.present_version(order),
+            target: Arc::clone(&order.target),
+            order: revision,
+            since_ms: now_ms,
+            stage_since_ms: now_ms,
+            stage: Stage::Canary,
+            share: self.shared.settings().canary_share * SHARE_PART,
+            reason: "ordered".to_owned(),
+        };
+        self.write(&order.endpoint, &record).await
+    }
+
+    async fn advance(
+        &self,
+        order: &Move,
+        record: Record,
+        (judgement, sum): (Judgement, Compared),
+    ) -> Result<(), Error> {
+        let now_ms = self.unix_ms();
+        let phase = match record.stage {
+            Stage::Canary => Phase::Canary,
+            Stage::Moved => Phase::Moved(Millis(now_ms.saturating_sub(record.stage_since_ms))),
+            Stage::Done | Stage::Undone => return Ok(()),
+        };
+        let elapsed = Millis(now_ms.saturating_sub(record.since_ms));
+        let is_drained = sum.old_in_flight == 0;
+        let step = brief::next(phase, elapsed, order.within, judgement, &sum.new, is_drained);
+        let stage = match step {
+            Step::Stay => return Ok(()),
+            Step::Move => Stage::Moved,
+            Step::Finish => Stage::Done,
+            Step::Undo => Stage::Undone,
+        };
+        let Tally { ended, failed, .. } = sum.new;
+        let record = Record {
+            stage,
+            stage_since_ms: now_ms,
+            reason: format!("{}: {failed} of {ended} requests failed", judgement.label()),
+            ..record
+        };
+        self.write(&order.endpoint, &record).await
+    }
+
+    /// Version of most replicas that are not of the version to move to.
+    fn present_version(&self, order: &Move) -> Arc<str> {
+        self.shared.with_pool(&order.endpoint, |pool| {
+            let ready = pool.specs().filter(|spec| spec.state == State::Ready);
+            let mut others = ready.filter(|spec| spec.version != order.target);
+            others.next().map_or_else(|| Arc::from(""), |spec| Arc::clone(&spec.version))
+        })
+    }
+
+    /// Writes the record at the revision that the view has, so that a holder that was superseded changes nothing.
+    async fn write(&self, endpoint: &str, record: &Record) -> Result<(), Error> {
+        let rest = format!("{MOVES}{endpoint}");
+        let known = self.shared.view().own.get(&rest).map(|own| own.revision);
+        let condition = known.map_or(Condition::Absent, Condition::Revision);
+        let value = serde_json::to_vec(record).map_err(|error| Error::Protocol(error.to_string()))?;
+        let key = format!("{}{rest}", self.shared.edge.own_prefix());
+        let write = Write::new(key, Bytes::from(value), condition);
+        self.shared.store.write(&write).await?;
+        log::info!(endpoint, target:% = record.target, stage:? = record.stage, share = record.share,
+            reason = record.reason; "move decided");
+        Ok(())
+    }
+
+    /// Tells the operators what the record says, once for each state. Only what the store has taken is told.
+    async fn tell(&mut self, order: &Move, record: &Record) -> Result<(), Error> {
+        let state = match record.stage {
+            Stage::Canary | Stage::Moved => edge::State::Running,
+            Stage::Done => edge::State::Done,
+            Stage::Undone => edge::State::Undone,
+        };
+        if self.told.get(&order.endpoint) == Some(&(record.order, state)) {
+            return Ok(());
+        }
+        let progress = Progress {
+            endpoint: Arc::clone(&order.endpoint),
+            target: Arc::clone(&order.target),
+            state,
+        };
+        let (key, value) = self.shared.edge.progress(&progress);
+        let write = Write::new(key, value, Condition::Any);
+        self.shared.store.write_once(&write).await?;
+        log::info!(endpoint:% = order.endpoint, state = state.label(); "operators told");
+        self.told
+            .insert(Arc::clone(&order.endpoint), (record.order, state));
+        Ok(())
+    }
+
+    fn unix_ms(&self) -> u64 {
+        let now = self.shared.now();
+        self.shared.truth().unix_ms(now).unwrap_or(0)
+    }
 }
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -6,6 +6,7 @@
 use base::Millis;
 use bytes::Bytes;
 use indexmap::IndexMap;
+use rollout::brief::Tally;
 use serde::{Deserialize, Serialize};
 use store::{Condition, Error, Write};
 use tokio::time::sleep;
@@ -30,6 +31,21 @@
     pub counts: Counts,
     /// Replicas that the node keeps busy, by endpoint.
     pub busy: IndexMap<Arc<str>, f64>,
+    /// Ends of requests at both versions of endpoints that are being moved.
+    pub moves: IndexMap<Arc<str>, Compared>,
+}
+
+/// Ends of requests at two versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Compared {
+    /// Revision of the order to move.
+    pub order: u64,
+    /// At the version before.
+    pub old: Tally,
+    /// At the version that is moved to.
+    pub new: Tally,
+    /// Requests in flight at the version before.
+    pub old_in_flight: u64,
 }
 
 /// Publishes until the node ends, and once more then.
@@ -86,6 +102,7 @@
         let report = Report {
             counts: self.shared.counts().clone(),
             busy: self.busy.clone(),
+            moves: self.shared.compared().clone(),
         };
         if report == self.written {
             return Ok(());
--- a/crates/entry/src/serve/flight.rs
+++ b/crates/entry/src/serve/flight.rs
@@ -7,6 +7,7 @@
 
 use super::call::Call;
 use crate::Shared;
+use crate::shared::Mark;
 
 /// Ends the dispatch in the pool in any case: when dropped, the caller has left or the time was up.
 #[derive(Debug)]
@@ -16,6 +17,7 @@
     choice: Choice,
     key: Option<FlightKey>,
     sent: Millis,
+    began: Option<Millis>,
 }
 
 impl Flight {
@@ -23,7 +25,9 @@
     pub fn new(shared: &Arc<Shared>, call: &Call, choice: Choice, demand: &Demand<'_>) -> Self {
         let sent = shared.now();
         let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
+        shared.compare(&call.endpoint, &choice.version, Mark::Start);
         Self {
+            began: None,
             shared: Arc::clone(shared),
             endpoint: Arc::clone(&call.endpoint),
             choice,
@@ -47,9 +51,10 @@
     }
 
     /// The answer, or its first event, has come.
-    pub fn begin(&self) {
+    pub fn begin(&mut self) {
         let Some(key) = self.key else { return };
         let now = self.shared.now();
+        self.began.get_or_insert(now);
         self.shared.with_pool(&self.endpoint, |pool| pool.begin(now, key));
     }
 
@@ -65,6 +70,14 @@
 
     fn finish(&mut self, end: End) {
         let Some(key) = self.key.take() else { return };
+        let failed = match end {
+            End::Answered => Some(false),
+            End::Failed => Some(true),
+            End::Unreachable | End::NotRun | End::Cancelled => None,
+        };
+        let latency = self.began.map(|began| began.since(self.sent));
+        let mark = Mark::End { failed, latency };
+        self.shared.compare(&self.endpoint, &self.choice.version, mark);
         let now = self.shared.now();
         self.shared
             .with_pool(&self.endpoint, |pool| pool.end(now, key, end));
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -146,7 +146,7 @@
 
     fn begin(&mut self) {
         let shared = &self.dispatch.shared;
-        if let Some(source) = &self.source {
+        if let Some(source) = &mut self.source {
             source.flight.begin();
         }
         if self.began {
--- a/crates/entry/src/serve/whole.rs
+++ b/crates/entry/src/serve/whole.rs
@@ -16,7 +16,11 @@
 /// Reads the answer. One that is broken off is a miss, as is a failure of the replica's own.
 pub(super) async fn read(dispatch: &Dispatch, reply: Reply) -> Result<Response<Body>, Miss> {
     let shared = &dispatch.shared;
-    let Reply { flight, answer, sent } = reply;
+    let Reply {
+        mut flight,
+        answer,
+        sent,
+    } = reply;
     let (head, incoming) = sent.response.into_parts();
     let left = dispatch.call.left(shared.now()).max(Millis(1));
     let collected = Limited::new(incoming, MOST_BYTES).collect();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::counts::Counts;
 use crate::edge::{Cloud, Edge};
 use crate::peers::{self, Beat};
+use crate::publish::Compared;
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::truth::Truth;
@@ -55,6 +56,7 @@
     heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     allowances: Mutex<IndexMap<Arc<str>, Allowance>>,
     counts: Mutex<Counts>,
+    compared: Mutex<IndexMap<Arc<str>, Compared>>,
     truth: Mutex<Truth>,
 }
 
@@ -85,6 +87,7 @@
             heard: Mutex::default(),
             allowances: Mutex::default(),
             counts: Mutex::default(),
+            compared: Mutex::default(),
             truth: Mutex::default(),
         }
     }
@@ -278,6 +281,40 @@
         self.counts().add(window, workspace);
     }
 
+    /// Ends of requests at both versions of endpoints that are being moved.
+    pub fn compared(&self) -> MutexGuard<'_, IndexMap<Arc<str>, Compared>> {
+        lock(&self.compared)
+    }
+
+    /// Counts the start or end of a request at an endpoint that is being moved.
+    pub fn compare(&self, endpoint: &Arc<str>, version: &str, mark: Mark) {
+        let Some((order, target)) = self.view().moves.running(endpoint) else {
+            return;
+        };
+        let mut all = lock(&self.compared);
+        let compared = all.entry(Arc::clone(endpoint)).or_default();
+        if compared.order != order {
+            *compared = Compared {
+                order,
+                ..Compared::default()
+            };
+        }
+        let is_new = version == &*target;
+        match mark {
+            Mark::Start if !is_new => compared.old_in_flight += 1,
+            Mark::Start => {}
+            Mark::End { failed, latency } => {
+                let tally = if is_new { &mut compared.new } else { &mut compared.old };
+                if let Some(failed) = failed {
+                    tally.note(failed, latency);
+                }
+                if !is_new {
+                    compared.old_in_flight = compared.old_in_flight.saturating_sub(1);
+                }
+            }
+        }
+    }
+
     /// Whether callers should use this node: it knows a configuration that is surely in force, and is not leaving.
     pub fn is_ready(&self) -> bool {
         let view = self.view();
@@ -315,6 +352,20 @@
     }
 }
 
+/// What happened to a request at a version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mark {
+    /// It was sent.
+    Start,
+    /// It ended.
+    End {
+        /// Whether it failed; `None` if the end says nothing about the version.
+        failed: Option<bool>,
+        /// Time until the answer or its first event.
+        latency: Option<Millis>,
+    },
+}
+
 /// One request that a caller waits for.
 #[derive(Debug)]
 pub struct Waiting(Arc<Shared>);
--- a/crates/entry/src/view/moves.rs
+++ b/crates/entry/src/view/moves.rs
@@ -31,6 +31,10 @@
     pub target: Arc<str>,
     /// Revision of the order that it answers.
     pub order: u64,
+    /// When it was taken up, in Unix milliseconds.
+    pub since_ms: u64,
+    /// When the stage was entered, in Unix milliseconds.
+    pub stage_since_ms: u64,
     /// How far it has come.
     pub stage: Stage,
     /// Part of the requests that the new version gets in the canary stage.
@@ -74,6 +78,13 @@
 }
 
 impl Moves {
+    /// Revision of the order that an endpoint is being moved by, and the version to move to.
+    pub fn running(&self, endpoint: &str) -> Option<(u64, Arc<str>)> {
+        let record = self.records.get(endpoint)?;
+        let runs = matches!(record.stage, Stage::Canary | Stage::Moved);
+        runs.then(|| (record.order, Arc::clone(&record.target)))
+    }
+
     /// Versions that a request to the endpoint may go to, for a draw from 0 to 1.
     ///
     /// A version that was ordered and has no record yet gets nothing.
