--- a/crates/entry/src/duty/holder.rs
+++ b/crates/entry/src/duty/holder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{Millis, Name, Seed};
+use base::{Millis, Name};
 use bytes::Bytes;
 use member::Role;
 use member::role::{Action, Event, Fence, Lease, Observed, Record, Revision, Settings, rank};
@@ -41,7 +41,7 @@
 
 impl Holder {
     pub fn new(shared: Arc<Shared>, leases: watch::Receiver<Option<Held>>) -> Self {
-        let seed: Seed = shared.seed.derive(SEED_LABEL);
+        let seed = shared.seed.derive(SEED_LABEL);
         Self {
             role: Role::new(shared.incarnation, seed, SETTINGS),
             shared,
--- a/crates/entry/src/duty/moves.rs
+++ b/crates/entry/src/duty/moves.rs
@@ -150,7 +150,9 @@
         self.shared.with_pool(&order.endpoint, |pool| {
             let ready = pool.specs().filter(|spec| spec.state == State::Ready);
             let mut others = ready.filter(|spec| spec.version != order.target);
-            others.next().map_or_else(|| Arc::from(""), |spec| Arc::clone(&spec.version))
+            others
+                .next()
+                .map_or_else(|| Arc::from(""), |spec| Arc::clone(&spec.version))
         })
     }
 
--- a/crates/entry/src/duty/orders.rs
+++ b/crates/entry/src/duty/orders.rs
@@ -62,7 +62,7 @@
 #[derive(Debug)]
 pub(super) struct Orders {
     shared: Arc<Shared>,
-    orders: IndexMap<Slot, Order>,
+    given: IndexMap<Slot, Order>,
     loads: IndexMap<Arc<str>, VecDeque<(Millis, f64)>>,
     /// The load that each endpoint's orders are for.
     steady: IndexMap<Arc<str>, f64>,
@@ -76,7 +76,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            orders: IndexMap::new(),
+            given: IndexMap::new(),
             loads: IndexMap::new(),
             steady: IndexMap::new(),
             loaded: IndexMap::new(),
@@ -155,7 +155,7 @@
         let total = present.iter().map(|it| it.on_demand + it.reclaimable).sum();
         let (found, since) = self.found.entry(Arc::clone(endpoint)).or_insert((0, now));
         // What was ordered on the guess must not raise it.
-        if total > *found && !self.orders.keys().any(|slot| slot.endpoint == *endpoint) {
+        if total > *found && !self.given.keys().any(|slot| slot.endpoint == *endpoint) {
             (*found, *since) = (total, now);
         }
         if *found == 0 || now.since(*since) < FOUND_SETTLED {
@@ -194,7 +194,7 @@
             zone: Arc::clone(zone),
             reclaimable: true,
         };
-        let told = self.orders.get(&slot).and_then(|order| order.sold_out);
+        let told = self.given.get(&slot).and_then(|order| order.sold_out);
         told.is_some_and(|at| self.shared.now().since(at) < SOLD_OUT_LIFE)
     }
 
@@ -225,7 +225,7 @@
                 zone: Arc::clone(&count.zone),
                 reclaimable: false,
             };
-            let accepted = self.orders.get(&slot).and_then(|order| order.accepted);
+            let accepted = self.given.get(&slot).and_then(|order| order.accepted);
             accepted.unwrap_or(0).max(count.on_demand)
         };
         present.iter().map(coming).collect()
@@ -234,7 +234,7 @@
     /// Whether an order differs from what is there and from what is still on its way.
     fn is_due(&self, slot: &Slot, have: u32, want: u32, scale: &Scale) -> bool {
         let now = self.shared.now();
-        let Some(order) = self.orders.get(slot) else {
+        let Some(order) = self.given.get(slot) else {
             return have != want;
         };
         if now < order.not_before {
@@ -266,7 +266,7 @@
         };
         log::info!(endpoint:% = slot.endpoint, zone:% = slot.zone, reclaimable = slot.reclaimable, have, want,
             busy, fence, outcome; "replicas ordered");
-        let before = self.orders.get(&slot).copied();
+        let before = self.given.get(&slot).copied();
         let order = Order {
             accepted: result.is_ok().then_some(want),
             given: now,
@@ -276,7 +276,7 @@
                 _ => before.and_then(|order| order.sold_out),
             },
         };
-        self.orders.insert(slot, order);
+        self.given.insert(slot, order);
     }
 }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -22,7 +22,7 @@
 /// All keys: configuration, replicas, orders and the nodes' own records.
 const EVERYTHING: &str = "";
 /// Longest time that a watch waits. An answer proves the view as of its sending, so this is part of the view's age.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// Pause before the next watch, which gathers changes; part of the time until a change is in force.
 const GATHER: Duration = Duration::from_millis(250);
 /// Pauses before a failed call is made again, with jitter between the half and the whole.
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -86,7 +86,7 @@
     fn put(&mut self, key: &str, value: &Bytes, revision: u64) {
         self.missing.present(key);
         let known = match self.shared.edge.item(key, value) {
-            Item::Table(table) => self.put_table(table),
+            Item::Table(table) => self.put_table(&table),
             Item::Replica(spec) => self.put_replica(key, spec),
             Item::BadReplica { id, cause } => {
                 log::warn!(replica:% = id, revision, cause:% = cause; "unusable registration of a replica");
@@ -104,7 +104,7 @@
         self.known.insert(key.to_owned(), known);
     }
 
-    fn put_table(&self, table: Arc<Table>) -> Known {
+    fn put_table(&self, table: &Arc<Table>) -> Known {
         let mut view = self.shared.view();
         let before = view.table.as_ref().map(|it| it.version());
         // NB: a listing that was answered late may bring an older version.
@@ -113,10 +113,10 @@
         }
         log::info!(version = table.version(), before:? = before, routes = table.routes().len(); "configuration in force");
         metrics::gauge!("bilberrylatch_configuration_version").set(table.version() as f64);
-        view.table = Some(Arc::clone(&table));
+        view.table = Some(Arc::clone(table));
         let nodes = view.nodes();
         drop(view);
-        self.shared.fit_pools(&table, nodes);
+        self.shared.fit_pools(table, nodes);
         Known::Other
     }
 
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -125,7 +125,9 @@
         }
         self.looked = now;
         let work: Vec<(Arc<str>, f64)> = self.shared.with_pools(|pools| {
-            let works = pools.iter().map(|(name, pool)| (Arc::clone(name), pool.work_ms()));
+            let works = pools
+                .iter()
+                .map(|(name, pool)| (Arc::clone(name), pool.work_ms()));
             works.collect()
         });
         for (endpoint, total_ms) in work {
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends a request to replicas until there is an answer or nothing more may be tried.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use base::Millis;
@@ -56,7 +56,7 @@
     /// Whether the time of the whole request is up.
     pub timed_out: bool,
     /// The replica's own failure, as it would be passed on.
-    pub passed: Option<Response<Body>>,
+    pub passed: Option<Box<Response<Body>>>,
 }
 
 impl Miss {
@@ -130,7 +130,7 @@
                 return self.finish(Reason::TimedOut);
             }
             let may_repeat = self.note(&miss);
-            failed = miss.passed.or(failed);
+            failed = miss.passed.map(|passed| *passed).or(failed);
             if !may_repeat {
                 return self.refuse(failed, None);
             }
@@ -296,7 +296,7 @@
             replica: &choice.id,
             workspace: call.workspace().map(|it| &*it.name),
             left,
-            priority: None,
+            priority: (!call.ask.parts.is_empty()).then(|| call.priority()),
             resume_after,
         };
         self.shared.edge.forward(&mut headers, &forward);
--- a/crates/entry/src/serve/refusal.rs
+++ b/crates/entry/src/serve/refusal.rs
@@ -63,11 +63,9 @@
         match self {
             Self::BadHead => StatusCode::BAD_REQUEST,
             Self::BadBody(status) => status,
-            Self::Leaving
-            | Self::NoConfiguration
-            | Self::StaleView
-            | Self::NoPlace(_)
-            | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Leaving | Self::NoConfiguration | Self::StaleView | Self::NoPlace(_) | Self::NotRun(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Denied => StatusCode::UNAUTHORIZED,
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -115,7 +115,7 @@
         let next = match timeout(patience, source.events.next()).await {
             Ok(next) => next,
             Err(_elapsed) if patience >= left.as_duration() => {
-                self.dispatch.cause = "stream not finished in time".to_owned();
+                "stream not finished in time".clone_into(&mut self.dispatch.cause);
                 self.dispatch.log_end("stream_timed_out", self.status);
                 return Some(Step::Broken);
             }
@@ -185,7 +185,7 @@
     /// Goes on at another replica after the last event that the caller has.
     async fn resume(&mut self) -> Option<Step> {
         let stop = match self.dispatch.once(self.last).await {
-            Ok(reply) => match self.reopen(reply) {
+            Ok(reply) => match Self::reopen(reply) {
                 Ok(source) => {
                     self.source = Some(source);
                     return None;
@@ -202,14 +202,14 @@
                 }
             }
             Stop::Miss(miss) => self.dispatch.cause = miss.cause,
-            Stop::Refused(refusal) => self.dispatch.cause = refusal.label().to_owned(),
+            Stop::Refused(refusal) => refusal.label().clone_into(&mut self.dispatch.cause),
         }
         self.dispatch.log_end("stream_broken", self.status);
         Some(Step::Broken)
     }
 
     /// The stream that goes on, or a miss if the replica failed.
-    fn reopen(&self, reply: Reply) -> Result<Source, Miss> {
+    fn reopen(reply: Reply) -> Result<Source, Miss> {
         if reply.is_signed_success() {
             return Ok(Source::open(reply).1);
         }
--- a/crates/entry/src/serve/whole.rs
+++ b/crates/entry/src/serve/whole.rs
@@ -59,7 +59,7 @@
         let event = Event::Failed {
             status: status.as_u16(),
         };
-        let passed = (!is_promise(status.as_u16())).then_some(response);
+        let passed = (!is_promise(status.as_u16())).then(|| Box::new(response));
         return Err(Miss {
             passed,
             ..Miss::new(event, format!("replica failed with {status}"))
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -225,7 +225,9 @@
             .map(|(name, limit)| (Arc::clone(name), limit.total()))
             .collect();
         let loads = self.with_pools(|pools| {
-            let loads = pools.iter().map(|(name, pool)| (Arc::clone(name), pool.own_loads()));
+            let loads = pools
+                .iter()
+                .map(|(name, pool)| (Arc::clone(name), pool.own_loads()));
             loads.filter(|(_, loads)| !loads.is_empty()).collect()
         });
         Beat {
@@ -304,7 +306,11 @@
             Mark::Start if !is_new => compared.old_in_flight += 1,
             Mark::Start => {}
             Mark::End { failed, latency } => {
-                let tally = if is_new { &mut compared.new } else { &mut compared.old };
+                let tally = if is_new {
+                    &mut compared.new
+                } else {
+                    &mut compared.old
+                };
                 if let Some(failed) = failed {
                     tally.note(failed, latency);
                 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -3,9 +3,9 @@
 mod moves;
 mod peer;
 mod proof;
-mod view;
+mod whole;
 
 pub use moves::{Moves, Record, Stage, Versions};
 pub use peer::{Peer, Peers};
 pub use proof::Proof;
-pub use view::{Own, View};
+pub use whole::{Own, View};
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -114,8 +114,9 @@
         spread(bounds, &mut counts, on_demand);
         if bounds.reclaimable.is_some() {
             for (count, zone) in counts.iter_mut().zip(&bounds.zones) {
-                let most = if zone.sold_out { zone.reclaimable } else { level };
-                count.reclaimable = most.min(level).min(bounds.max - count.on_demand);
+                // What can't be had again is not given up.
+                let number = if zone.sold_out { zone.reclaimable } else { level };
+                count.reclaimable = number.min(bounds.max - count.on_demand);
             }
         }
         raise(bounds, &mut counts);
--- /dev/null
+++ b/crates/fleet/tests/capacity.rs
@@ -0,0 +1,99 @@
+//! Replicas wanted for a load, and the loads that they must stand.
+
+use std::sync::Arc;
+
+use fleet::capacity::{Bounds, Count, Zone, wanted};
+
+fn bounds(reclaimable: Option<f64>, sold_out: bool, present: u32) -> Bounds {
+    let zone = |(name, price): (&str, f64)| Zone {
+        name: Arc::from(name),
+        price,
+        reclaimable: present,
+        sold_out,
+    };
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25), ("d", 0.9)];
+    Bounds {
+        zones: prices.into_iter().map(zone).collect(),
+        min: 1,
+        max: 6,
+        reclaimable,
+    }
+}
+
+fn totals(counts: &[Count]) -> (u32, u32) {
+    let on_demand = counts.iter().map(|it| it.on_demand).sum();
+    let reclaimable = counts.iter().map(|it| it.reclaimable).sum();
+    (on_demand, reclaimable)
+}
+
+fn without_worst_two(counts: &[Count]) -> u32 {
+    let (on_demand, reclaimable) = totals(counts);
+    let mut zones: Vec<u32> = counts.iter().map(|it| it.reclaimable).collect();
+    zones.sort_unstable();
+    on_demand + reclaimable - zones.iter().rev().take(2).sum::<u32>()
+}
+
+#[test]
+fn cheap_replicas_carry_a_load_that_stands_two_zones() {
+    for busy in [0.0, 0.5, 1.5, 2.5, 4.0] {
+        let counts = wanted(&bounds(Some(0.15), false, 0), busy);
+        let (on_demand, reclaimable) = totals(&counts);
+        assert_eq!(on_demand, 0, "busy {busy}: {counts:?}");
+        assert!(f64::from(reclaimable) >= busy / 0.25, "busy {busy}: {counts:?}");
+        assert!(
+            f64::from(without_worst_two(&counts)) >= busy / 0.6,
+            "busy {busy}: {counts:?}"
+        );
+        for count in &counts {
+            assert!(
+                (1..=6).contains(&(count.on_demand + count.reclaimable)),
+                "{counts:?}"
+            );
+        }
+    }
+}
+
+/// Zone after zone is reclaimed and nothing reclaimable is to be had: on-demand replicas take their place.
+#[test]
+fn on_demand_replicas_replace_what_is_sold_out() {
+    let busy = 2.4;
+    for present in [3, 2, 1, 0] {
+        let counts = wanted(&bounds(Some(0.15), true, present), busy);
+        let (on_demand, reclaimable) = totals(&counts);
+        assert!(reclaimable <= 4 * present, "{counts:?}");
+        assert!(f64::from(without_worst_two(&counts)) >= busy / 0.6, "{counts:?}");
+        if present == 0 {
+            assert!(on_demand >= 4, "{counts:?}");
+        }
+    }
+}
+
+#[test]
+fn what_is_there_and_sold_out_is_kept() {
+    let counts = wanted(&bounds(Some(0.15), true, 5), 3.0);
+    let (_, reclaimable) = totals(&counts);
+    assert_eq!(reclaimable, 20, "{counts:?}");
+}
+
+#[test]
+fn on_demand_only() {
+    let counts = wanted(&bounds(None, false, 0), 2.0);
+    let (on_demand, reclaimable) = totals(&counts);
+    assert_eq!(reclaimable, 0);
+    assert!((4..=8).contains(&on_demand), "{counts:?}");
+    let cheap: u32 = counts
+        .iter()
+        .filter(|it| matches!(&*it.zone, "b" | "d"))
+        .map(|it| it.on_demand)
+        .sum();
+    assert!(cheap * 2 >= on_demand, "{counts:?}");
+}
+
+#[test]
+fn no_zones() {
+    let none = Bounds {
+        zones: Vec::new(),
+        ..bounds(None, false, 0)
+    };
+    assert_eq!(wanted(&none, 1.0), Vec::new());
+}
--- a/crates/place/src/outcome.rs
+++ b/crates/place/src/outcome.rs
@@ -54,7 +54,7 @@
                 } else {
                     Verdict::Failed
                 },
-                may_repeat: is_idempotent && status >= 500 || is_idempotent && is_promise(status),
+                may_repeat: is_idempotent && (status >= 500 || is_promise(status)),
             },
             Self::Lost => Fate {
                 verdict: Verdict::Unknown,
--- a/crates/place/src/rank.rs
+++ b/crates/place/src/rank.rs
@@ -1,6 +1,6 @@
 //! Rendezvous hashing: every node orders the replicas for a prompt alike.
 
-/// Mixes a number's bits (the finalizer of SplitMix64).
+/// Mixes a number's bits (the finalizer of the generator `SplitMix64`).
 const fn mix(mut value: u64) -> u64 {
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- /dev/null
+++ b/crates/place/tests/placement/main.rs
@@ -0,0 +1,5 @@
+//! Choices of replicas and what follows from the ends of dispatches.
+
+mod outcome;
+mod pool;
+mod support;
--- /dev/null
+++ b/crates/place/tests/placement/pool.rs
@@ -0,0 +1,276 @@
+//! Choices of replicas, replayed with the loads that they answer.
+
+use std::sync::Arc;
+
+use base::{Millis, Seed};
+use place::{Demand, End, Load, Part, Pool, Refusal, Settings, State, Want};
+use rand::RngExt;
+
+use crate::support::{demand, engine, plain, spec};
+
+/// Sessions that share long prompts, sent by six nodes that have just started: each session must be read by about one
+/// replica, not by one for each node.
+#[test]
+fn a_session_is_read_once_though_nothing_is_cached() {
+    const NODES: u64 = 6;
+    const SESSIONS: u64 = 60;
+    let mut pools: Vec<Pool> = (0..NODES).map(|node| engine(Seed(node), 12)).collect();
+    let mut generator = Seed(77).generator();
+    let mut readers: Vec<Vec<Arc<str>>> = vec![Vec::new(); SESSIONS as usize];
+    let mut now = Millis::ZERO;
+    for _request in 0..600 {
+        now = now + Millis(15);
+        let pool = &mut pools[generator.random_range(0..NODES) as usize];
+        let session = generator.random_range(0..SESSIONS);
+        let parts = [
+            Part {
+                id: session,
+                tokens: 13_000,
+            },
+            Part {
+                id: 1_000 + generator.random_range(0..u64::from(u32::MAX)),
+                tokens: 2_000,
+            },
+        ];
+        let demand = demand(&parts);
+        let Ok(choice) = pool.choose(now, &demand) else {
+            continue;
+        };
+        let flight = pool.send(now, &choice, &demand);
+        pool.begin(now + Millis(80), flight);
+        pool.end(now + Millis(300), flight, End::Answered);
+        let seen = &mut readers[session as usize];
+        if !seen.contains(&choice.id) {
+            seen.push(choice.id);
+        }
+    }
+    let reads: usize = readers.iter().map(Vec::len).sum();
+    assert!(
+        reads as u64 <= SESSIONS * 3 / 2,
+        "{reads} reads of {SESSIONS} sessions"
+    );
+}
+
+/// A home with a long queue of prompts is passed over, whether its queue is this node's or another's.
+#[test]
+fn a_long_queue_goes_before_a_cached_prompt() {
+    let parts = [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 500 }];
+    let demand = demand(&parts);
+    let mut pool = engine(Seed(1), 4);
+    let home = pool.choose(Millis(10_000), &demand).expect("a replica").replica;
+    let hash = {
+        let choice = pool.choose(Millis(10_000), &demand).expect("a replica");
+        let flight = pool.send(Millis(10_000), &choice, &demand);
+        let loads = pool.own_loads();
+        pool.end(Millis(10_000), flight, End::Answered);
+        loads[0].replica
+    };
+    let busy = place::PeerLoad {
+        replica: hash,
+        in_flight: 20,
+        unread_tokens: 200_000,
+    };
+    pool.hear(Millis(10_100), 9, &[busy]);
+    let other = pool.choose(Millis(10_100), &demand).expect("a replica").replica;
+    assert_ne!(other, home);
+    // What was told is forgotten when it is old.
+    let later = pool.choose(Millis(12_000), &demand).expect("a replica").replica;
+    assert_eq!(later, home);
+}
+
+#[test]
+fn plain_requests_go_where_least_waits() {
+    let mut pool = plain(Seed(3), 4);
+    let demand = Demand {
+        parts: &[],
+        ..demand(&[])
+    };
+    let mut counts = [0; 4];
+    for _request in 0..20 {
+        let choice = pool.choose(Millis(1), &demand).expect("a replica");
+        let index: usize = choice.id.trim_start_matches("i-").parse().expect("a number");
+        counts[index] += 1;
+        pool.send(Millis(1), &choice, &demand);
+    }
+    assert_eq!(counts, [5; 4]);
+}
+
+#[test]
+fn refusals() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&mut Pool),
+        version: Want<'static>,
+        left: Millis,
+        expected: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "one replica is free",
+            prepare: |_| {},
+            version: Want::Any,
+            left: Millis(1_000),
+            expected: None,
+        },
+        Case {
+            name: "all replicas drain",
+            prepare: |pool| {
+                for number in 0..2 {
+                    let state = State::Draining;
+                    pool.register(
+                        Millis::ZERO,
+                        place::Spec {
+                            state,
+                            ..spec(number, 2)
+                        },
+                    );
+                }
+            },
+            version: Want::Any,
+            left: Millis(1_000),
+            expected: Some("no_replica"),
+        },
+        Case {
+            name: "no replica of the version",
+            prepare: |_| {},
+            version: Want::Only("v9"),
+            left: Millis(1_000),
+            expected: Some("no_replica"),
+        },
+        Case {
+            name: "the only version is excluded",
+            prepare: |_| {},
+            version: Want::But("v1"),
+            left: Millis(1_000),
+            expected: Some("no_replica"),
+        },
+        Case {
+            name: "full",
+            prepare: |pool| {
+                let demand = demand(&[]);
+                for _request in 0..40 {
+                    if let Ok(choice) = pool.choose(Millis(1), &demand) {
+                        pool.send(Millis(1), &choice, &demand);
+                    }
+                }
+            },
+            version: Want::Any,
+            left: Millis(1_000),
+            expected: Some("full"),
+        },
+        Case {
+            name: "no time for an answer",
+            prepare: |_| {},
+            version: Want::Any,
+            left: Millis(10),
+            expected: Some("too_late"),
+        },
+    ];
+    for case in cases {
+        let mut pool = plain(Seed(5), 2);
+        (case.prepare)(&mut pool);
+        let demand = Demand {
+            version: case.version,
+            left: case.left,
+            ..demand(&[])
+        };
+        let refusal = pool.choose(Millis(1), &demand).err();
+        assert_eq!(refusal.map(Refusal::label), case.expected, "{}", case.name);
+        if let Some(refusal) = refusal {
+            assert!(refusal.retry_after() > Millis::ZERO, "{}", case.name);
+        }
+    }
+}
+
+/// A replica that fails is left out for a while, gets one trial, and comes back when that succeeds.
+#[test]
+fn ejection_and_return() {
+    let mut pool = plain(Seed(8), 3);
+    let demand = demand(&[]);
+    let mut now = Millis(1);
+    let mut failed = 0;
+    for _request in 0..200 {
+        if failed == 3 {
+            break;
+        }
+        let choice = pool.choose(now, &demand).expect("a replica");
+        let flight = pool.send(now, &choice, &demand);
+        let is_bad = &*choice.id == "i-0";
+        let answered = now + Millis(20);
+        pool.begin(answered, flight);
+        pool.end(answered, flight, if is_bad { End::Failed } else { End::Answered });
+        failed += u32::from(is_bad);
+        now = answered;
+    }
+    assert_eq!(failed, 3);
+    let chosen = |pool: &mut Pool, now: Millis| -> usize {
+        let choices = (0..60).filter_map(|_| pool.choose(now, &demand).ok());
+        choices.filter(|choice| &*choice.id == "i-0").count()
+    };
+    assert_eq!(chosen(&mut pool, now), 0);
+    now = now + Millis(1_500);
+    assert!(chosen(&mut pool, now) > 0);
+    // One trial at a time.
+    let mut choices = (0..200).filter_map(|_| pool.choose(now, &demand).ok());
+    let choice = choices
+        .find(|choice| &*choice.id == "i-0")
+        .expect("the ejected one");
+    let flight = pool.send(now, &choice, &demand);
+    assert_eq!(chosen(&mut pool, now), 0);
+    pool.end(now, flight, End::Answered);
+    assert!(chosen(&mut pool, now) > 0);
+}
+
+/// A restarted replica under its old id is a new one: its load and failures are forgotten.
+#[test]
+fn a_new_incarnation_starts_anew() {
+    let mut pool = plain(Seed(9), 1);
+    let demand = demand(&[]);
+    for _request in 0..18 {
+        let choice = pool.choose(Millis(1), &demand).expect("a replica");
+        pool.send(Millis(1), &choice, &demand);
+    }
+    let full = pool.choose(Millis(1), &demand);
+    assert!(matches!(full, Err(Refusal::Full(_))), "{full:?}");
+    let born = Some(2);
+    pool.register(Millis(2), place::Spec { born, ..spec(0, 6) });
+    assert!(pool.choose(Millis(2), &demand).is_ok());
+}
+
+/// Load that a replica reports counts until it is old.
+#[test]
+fn reported_load_counts() {
+    let mut pool = plain(Seed(10), 2);
+    let demand = demand(&[]);
+    let choice = pool.choose(Millis(1), &demand).expect("a replica");
+    let load = Load {
+        running: 6,
+        waiting: 20,
+        slots: 6,
+    };
+    pool.report(Millis(1), choice.replica, load);
+    for _request in 0..10 {
+        let other = pool.choose(Millis(1), &demand).expect("a replica");
+        assert_ne!(other.replica, choice.replica);
+    }
+    let later = (0..40).any(|_| {
+        let again = pool.choose(Millis(1_500), &demand);
+        again.is_ok_and(|again| again.replica == choice.replica)
+    });
+    assert!(later);
+}
+
+#[test]
+fn settings_bound_the_connections() {
+    let mut pool = plain(Seed(11), 1);
+    pool.set_settings(Settings {
+        in_flight: 2,
+        ..Settings::default()
+    });
+    let demand = demand(&[]);
+    for _request in 0..2 {
+        let choice = pool.choose(Millis(1), &demand).expect("a replica");
+        pool.send(Millis(1), &choice, &demand);
+    }
+    assert!(matches!(pool.choose(Millis(1), &demand), Err(Refusal::Full(_))));
+}
--- /dev/null
+++ b/crates/place/tests/placement/support.rs
@@ -0,0 +1,62 @@
+//! Pools and requests of the tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{Millis, Seed};
+use place::{Demand, Part, Pool, Settings, Spec, State, Want};
+
+/// A replica with this number.
+pub fn spec(number: u16, slots: u32) -> Spec {
+    Spec {
+        id: Arc::from(format!("i-{number}")),
+        endpoint: Arc::from("endpoint"),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
+        zone: Arc::from(format!("zone-{}", number % 4)),
+        version: Arc::from("v1"),
+        slots,
+        state: State::Ready,
+        reclaimable: false,
+        cold: Millis::ZERO,
+        born: Some(1),
+    }
+}
+
+/// A pool of engines.
+pub fn engine(seed: Seed, replicas: u16) -> Pool {
+    let settings = Settings {
+        cache_tokens: 500_000,
+        ..Settings::default()
+    };
+    pool(seed, settings, replicas, 64)
+}
+
+/// A pool of plain replicas with six slots each.
+pub fn plain(seed: Seed, replicas: u16) -> Pool {
+    let settings = Settings {
+        zone_cost: Millis::ZERO,
+        ..Settings::default()
+    };
+    pool(seed, settings, replicas, 6)
+}
+
+fn pool(seed: Seed, settings: Settings, replicas: u16, slots: u32) -> Pool {
+    let mut pool = Pool::new(seed, settings);
+    for number in 0..replicas {
+        pool.register(Millis::ZERO, spec(number, slots));
+    }
+    pool
+}
+
+/// A request with this prompt.
+pub const fn demand(parts: &[Part]) -> Demand<'_> {
+    Demand {
+        parts,
+        output_tokens: 100,
+        zone: "zone-0",
+        tried: &[],
+        version: Want::Any,
+        left: Millis(8_000),
+        target: Millis(1_000),
+    }
+}
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -24,7 +24,10 @@
 impl Bucket {
     /// A bucket with this many tokens in it.
     pub const fn new(now: Millis, tokens: f64) -> Self {
-        Self { left: tokens, at: now }
+        Self {
+            left: tokens,
+            at: now,
+        }
     }
 
     /// How long until a request may take tokens; zero if it may.
--- a/crates/rollout/src/brief.rs
+++ b/crates/rollout/src/brief.rs
@@ -94,7 +94,11 @@
         {
             return Self::Slow;
         }
-        if new.ended >= ENOUGH { Self::Good } else { Self::Open }
+        if new.ended >= ENOUGH {
+            Self::Good
+        } else {
+            Self::Open
+        }
     }
 
     /// Whether the new version must get nothing more.
@@ -155,8 +159,7 @@
         Phase::Canary if new.ended >= LEAST && part >= LATEST_PART => Step::Move,
         // Its replicas did not come up, or got no requests.
         Phase::Canary if is_last => Step::Undo,
-        Phase::Canary => Step::Stay,
         Phase::Moved(span) if is_last || (span >= WATCH && is_drained) => Step::Finish,
-        Phase::Moved(_) => Step::Stay,
+        Phase::Canary | Phase::Moved(_) => Step::Stay,
     }
 }
--- /dev/null
+++ b/crates/rollout/tests/brief.rs
@@ -0,0 +1,196 @@
+//! Moves that must be done within seconds, against versions that are good, bad at once, later, or slow.
+
+use base::{Millis, Seed};
+use rand::RngExt;
+use rollout::brief::{Judgement, Phase, Step, Tally, next};
+
+const WITHIN: Millis = Millis(12_000);
+const SHARE: f64 = 0.08;
+const PER_SECOND: f64 = 40.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    name: &'static str,
+    /// Part of the requests that fail, from this time on.
+    failing: f64,
+    from: Millis,
+    /// Latency as a multiple of the old version's.
+    slower: f64,
+    /// How the move must end, and most requests that the version may get.
+    done: bool,
+    most: u32,
+}
+
+/// How the move ended, and the requests that the new version got.
+fn play(version: Version, seed: Seed) -> (Step, u32) {
+    let mut generator = seed.generator();
+    let (mut old, mut new) = (Tally::default(), Tally::default());
+    let mut moved: Option<Millis> = None;
+    let mut sent = 0;
+    let mut now = 0.0;
+    loop {
+        now += 1_000.0 / PER_SECOND;
+        let at = Millis(now as u64);
+        let is_new = moved.is_some() || generator.random_bool(SHARE);
+        let usual_ms = generator.random_range(50.0..200.0);
+        if is_new {
+            sent += 1;
+            let failing = if at >= version.from { version.failing } else { 0.01 };
+            let latency = Millis((usual_ms * version.slower) as u64);
+            new.note(generator.random_bool(failing), Some(latency));
+        } else {
+            old.note(generator.random_bool(0.01), Some(Millis(usual_ms as u64)));
+        }
+        let judgement = Judgement::of(&old, &new);
+        let phase = moved.map_or(Phase::Canary, |since| Phase::Moved(at.since(since)));
+        match next(phase, at, WITHIN, judgement, &new, true) {
+            Step::Stay => {}
+            Step::Move => moved = Some(at),
+            end @ (Step::Finish | Step::Undo) => return (end, sent),
+        }
+    }
+}
+
+#[test]
+fn versions() {
+    let good = Version {
+        name: "good",
+        failing: 0.01,
+        from: Millis::ZERO,
+        slower: 1.0,
+        done: true,
+        most: u32::MAX,
+    };
+    let versions = [
+        good,
+        Version {
+            name: "fails half of its requests",
+            failing: 0.5,
+            done: false,
+            most: 30,
+            ..good
+        },
+        Version {
+            name: "fails a third of its requests",
+            failing: 0.33,
+            done: false,
+            most: 45,
+            ..good
+        },
+        Version {
+            name: "fails after four seconds",
+            failing: 0.6,
+            from: Millis(4_000),
+            done: false,
+            most: 60,
+            ..good
+        },
+        Version {
+            name: "four times slower",
+            slower: 4.0,
+            done: false,
+            most: 30,
+            ..good
+        },
+    ];
+    for version in versions {
+        let mut wrong = 0;
+        for seed in 0..100 {
+            let (end, sent) = play(version, Seed(seed));
+            let expected = if version.done { Step::Finish } else { Step::Undo };
+            wrong += u32::from(end != expected || sent > version.most);
+        }
+        assert!(wrong <= 5, "{}: {wrong} of 100 runs", version.name);
+    }
+}
+
+#[test]
+fn steps() {
+    struct Case {
+        name: &'static str,
+        phase: Phase,
+        elapsed: Millis,
+        judgement: Judgement,
+        ended: u64,
+        is_drained: bool,
+        expected: Step,
+    }
+    let base = Case {
+        name: "early",
+        phase: Phase::Canary,
+        elapsed: Millis(2_000),
+        judgement: Judgement::Good,
+        ended: 20,
+        is_drained: true,
+        expected: Step::Stay,
+    };
+    let cases = [
+        Case { ..base },
+        Case {
+            name: "good in the middle",
+            elapsed: Millis(7_000),
+            expected: Step::Move,
+            ..base
+        },
+        Case {
+            name: "bad at any time",
+            judgement: Judgement::Slow,
+            expected: Step::Undo,
+            ..base
+        },
+        Case {
+            name: "few requests, late",
+            elapsed: Millis(9_500),
+            judgement: Judgement::Open,
+            ended: 4,
+            expected: Step::Move,
+            ..base
+        },
+        Case {
+            name: "no requests at the end",
+            elapsed: Millis(11_500),
+            judgement: Judgement::Open,
+            ended: 0,
+            expected: Step::Undo,
+            ..base
+        },
+        Case {
+            name: "moved, old requests in flight",
+            phase: Phase::Moved(Millis(2_000)),
+            elapsed: Millis(9_000),
+            is_drained: false,
+            expected: Step::Stay,
+            ..base
+        },
+        Case {
+            name: "moved and drained",
+            phase: Phase::Moved(Millis(2_000)),
+            elapsed: Millis(9_000),
+            expected: Step::Finish,
+            ..base
+        },
+        Case {
+            name: "moved, bad after all",
+            phase: Phase::Moved(Millis(1_000)),
+            elapsed: Millis(9_000),
+            judgement: Judgement::Failing,
+            expected: Step::Undo,
+            ..base
+        },
+    ];
+    for case in cases {
+        let new = Tally {
+            ended: case.ended,
+            ..Tally::default()
+        };
+        let step = next(
+            case.phase,
+            case.elapsed,
+            WITHIN,
+            case.judgement,
+            &new,
+            case.is_drained,
+        );
+        assert_eq!(step, case.expected, "{}", case.name);
+    }
+}
