--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -6,6 +6,7 @@
 
 use base::{Incarnation, Name, Seed};
 use bytes::Bytes;
+use clock::Clock;
 use kameo::actor::{ActorRef, Spawn};
 use member::frame::{Confirmed, Message};
 use member::generation::{Digest, Head};
@@ -13,7 +14,6 @@
 use member::{Frame, Generation, Node};
 use node::actor::members::{Arguments, Gossiped};
 use node::actor::{Members, Rollouts, Traffic, rollouts, traffic};
-use node::clock::Clock;
 use node::serving::Serving;
 use node::snapshot::Snapshot;
 use node::stop::Stop;
