--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -80,7 +80,7 @@
                 }
             }
             Err(Error::Gap) => {
-                log::warn!(revision:? = self.revision; "store history gone, listing again");
+                log::warn!(revision = self.revision.unwrap_or(0); "store history gone, listing again");
                 self.revision = None;
             }
             Err(error) => self.fail(&error).await,
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -111,7 +111,7 @@
         if before.is_some_and(|before| before >= table.version()) {
             return Known::Other;
         }
-        log::info!(version = table.version(), before:? = before, routes = table.routes().len(); "configuration in force");
+        log::info!(version = table.version(), before = before.unwrap_or(0), routes = table.routes().len(); "configuration in force");
         metrics::gauge!("bilberrylatch_configuration_version").set(table.version() as f64);
         view.table = Some(Arc::clone(table));
         let nodes = view.nodes();
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -8,9 +8,9 @@
 use rand::RngExt;
 use table::Access;
 
-use super::Reason;
 use super::call::Call;
 use super::intake::{origin_form, strip_connection};
+use super::{Reason, log};
 use crate::Shared;
 use crate::edge::Ask;
 
@@ -70,9 +70,10 @@
         table: Arc::clone(&table),
     };
     if let Some(workspace) = call.workspace() {
-        shared
-            .take_quota(workspace, call.charge())
-            .map_err(Reason::OverLimit)?;
+        shared.take_quota(workspace, call.charge()).map_err(|wait| {
+            log::over_limit(&call, wait);
+            Reason::OverLimit(wait)
+        })?;
     }
     Ok(call)
 }
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -86,6 +86,10 @@
     pub replica: Arc<str>,
     /// What went wrong last.
     pub cause: String,
+    /// Time from the request to its first event.
+    pub first_event: Option<Millis>,
+    /// What was expected of the last replica: time, and tokens that it has to read.
+    expected: (Millis, u32),
     counted: bool,
     /// Whether its end was logged.
     logged: AtomicBool,
@@ -102,6 +106,8 @@
             runs: 0,
             replica: Arc::from(""),
             cause: String::new(),
+            first_event: None,
+            expected: (Millis::ZERO, 0),
             counted: false,
             logged: AtomicBool::new(false),
         }
@@ -192,6 +198,9 @@
             replica: &self.replica,
             attempts: self.tried.len(),
             cause: &self.cause,
+            expected: self.expected.0,
+            tokens: self.expected.1,
+            first_event: self.first_event,
         };
         log::ended(&self.shared, &self.call, end);
     }
@@ -229,6 +238,7 @@
         let flight = Flight::new(&shared, &self.call, choice.clone(), &demand);
         self.tried.push(choice.replica);
         self.replica = Arc::clone(&choice.id);
+        self.expected = (choice.expected, choice.tokens);
         match self.exchange(&choice, resume_after).await {
             Ok(sent) => self.judge(flight, sent),
             Err(miss) => {
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -19,6 +19,12 @@
     pub attempts: usize,
     /// What went wrong last, if anything.
     pub cause: &'a str,
+    /// Time to the answer or first event that was expected at the last replica.
+    pub expected: Millis,
+    /// Prompt tokens that the last replica was expected to read.
+    pub tokens: u32,
+    /// Time from the request to its first event, for streams that have begun.
+    pub first_event: Option<Millis>,
 }
 
 /// A request that was not let in.
@@ -34,13 +40,26 @@
         path,
         reason = reason.label(),
         status = reason.status().as_u16(),
-        retry_after_ms:? = reason.retry_after().map(|it| it.0),
-        configuration:? = version,
-        view_age_ms:? = age.map(|it| it.0);
+        retry_after_ms = reason.retry_after().map_or(0, |it| it.0),
+        configuration = version.unwrap_or(0),
+        view_age_ms = age.map_or(-1, |it| it.0 as i64);
         "request refused"
     );
 }
 
+/// A workspace's limit is used up for now.
+pub(super) fn over_limit(call: &Call, wait: Millis) {
+    log::info!(
+        id = call.id(),
+        route:% = call.route().name,
+        workspace = call.workspace().map_or("", |it| &it.name),
+        tokens = call.charge(),
+        rate = call.workspace().map_or(0.0, |it| it.rate),
+        wait_ms = wait.0;
+        "limit used up"
+    );
+}
+
 /// A request that was let in has ended.
 pub(super) fn ended(shared: &Shared, call: &Call, end: End<'_>) {
     let now = shared.now();
@@ -58,6 +77,10 @@
         outcome = end.outcome,
         status = end.status,
         cause = end.cause,
+        expected_ms = end.expected.0,
+        unread_tokens = end.tokens,
+        first_event_ms = end.first_event.map_or(-1, |it| it.0 as i64),
+        target_ms = call.route().target_latency.0,
         took_ms = took.0,
         left_ms = call.left(now).0,
         configuration = call.table.version();
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -153,7 +153,7 @@
             return;
         }
         self.began = true;
-        log::first_event(shared, &self.dispatch.call);
+        self.dispatch.first_event = Some(log::first_event(shared, &self.dispatch.call));
         if let Some(workspace) = self.dispatch.call.workspace() {
             shared.count_usage(&workspace.name, shared.now());
         }
