Read the role's record once a tick, not at once after a conflict

Cause: a swap that met another write was tried again from the same view, 13 times within 80 ms at each start: write calls of the store for nothing.

--- a/crates/entry/src/duty/holder.rs
+++ b/crates/entry/src/duty/holder.rs
@@ -37,6 +37,8 @@
     shared: Arc<Shared>,
     leases: watch::Receiver<Option<Held>>,
     role: Role,
+    /// Whether the role asked for its record; it is read at the next tick, when the view may have moved on.
+    is_reading: bool,
 }
 
 impl Holder {
@@ -46,6 +48,7 @@
             role: Role::new(shared.incarnation, seed, SETTINGS),
             shared,
             leases,
+            is_reading: false,
         }
     }
 
@@ -68,6 +71,10 @@
         };
         self.step(event).await;
         self.step(Event::Rank(place)).await;
+        if std::mem::take(&mut self.is_reading) {
+            let observed = self.observe();
+            self.step(Event::Read(observed)).await;
+        }
         self.step(Event::Tick).await;
     }
 
@@ -88,9 +95,12 @@
         }
     }
 
-    async fn carry_out(&self, action: Action) -> Option<Event> {
+    async fn carry_out(&mut self, action: Action) -> Option<Event> {
         match action {
-            Action::Read => Some(Event::Read(self.observe())),
+            Action::Read => {
+                self.is_reading = true;
+                None
+            }
             Action::Swap { expect, record } => Some(self.swap(expect, record).await),
             Action::Held { fence, from } => {
                 let wait = from.since(self.shared.now());
