--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -25,6 +25,10 @@
 const WAIT: Duration = Duration::from_secs(1);
 /// Pause before the next watch, which gathers changes; part of the time until a change is in force.
 const GATHER: Duration = Duration::from_millis(250);
+/// What the pause grows by for each node: the store's rates grow more slowly than the calls of all nodes.
+const GATHER_PER_NODE: Duration = Duration::from_millis(8);
+/// Longest pause: a third of the time within which a change must be in force on large deployments.
+const GATHER_MOST: Duration = Duration::from_millis(900);
 /// Pauses before a failed call is made again, with jitter between the half and the whole.
 const RETRY: [Duration; 4] = [
     Duration::from_millis(60),
@@ -76,7 +80,8 @@
             Ok(changed) => {
                 self.regained();
                 if changed {
-                    sleep(GATHER).await;
+                    let nodes = self.shared.view().nodes() as u32;
+                    sleep((GATHER + GATHER_PER_NODE * nodes).min(GATHER_MOST)).await;
                 }
             }
             Err(Error::Gap) => {
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -19,6 +19,10 @@
 pub const REPORTS: &str = "reports/";
 /// Reports in each usage window: what a killed node has not told is missing from the usage.
 const REPORTS_IN_WINDOW: u64 = 4;
+/// The same of many nodes, each of which has little to tell.
+const REPORTS_OF_MANY: u64 = 2;
+/// Nodes that count as many.
+const MANY_NODES: usize = 24;
 /// Time after a window's end until its last report: runs that began before have been counted.
 const AFTER_END: Millis = Millis(150);
 /// Weight of the newest load in the moving mean.
@@ -91,7 +95,13 @@
     /// brings them all.
     fn pause(&self) -> Duration {
         let now = self.shared.now();
-        let pace = (self.shared.settings().usage_window.0 / REPORTS_IN_WINDOW).max(1);
+        let is_many = self.shared.view().nodes() >= MANY_NODES;
+        let reports = if is_many {
+            REPORTS_OF_MANY
+        } else {
+            REPORTS_IN_WINDOW
+        };
+        let pace = (self.shared.settings().usage_window.0 / reports).max(1);
         let unix_ms = self.shared.truth().unix_ms(now).unwrap_or(now.0);
         let since = (unix_ms + pace - AFTER_END.0) % pace;
         Millis(pace - since).as_duration()
--- /dev/null
+++ b/crates/entry/tests/settings.rs
@@ -0,0 +1,59 @@
+//! Settings: what is wrong is reported together, each with its place.
+
+use base::Millis;
+use entry::Settings;
+use entry::settings::Source;
+
+const GOOD: &str = "\
+# A comment.
+BILBERRYLATCH_NAME=node-1
+BILBERRYLATCH_ZONE=a
+BILBERRYLATCH_ZONES=a, b,c
+BILBERRYLATCH_LISTEN=10.0.0.1:80
+BILBERRYLATCH_READY_LISTEN=10.0.0.1:81
+BILBERRYLATCH_DIRECTORY_LISTEN=10.0.0.1:82
+BILBERRYLATCH_METRICS_LISTEN=10.0.0.1:83
+BILBERRYLATCH_PEER_LISTEN=10.0.0.1:84
+BILBERRYLATCH_STORE=10.0.0.2:85
+BILBERRYLATCH_CLOUD=10.0.0.2:86
+BILBERRYLATCH_GRACE_S=8.5
+BILBERRYLATCH_KEY_LIFE_MS=
+";
+
+fn read(text: &str) -> Result<Settings, String> {
+    let environment = [("BILBERRYLATCH_ZONE".to_owned(), "from the environment".to_owned())];
+    let source = Source::new(environment).with_file("node.env", text);
+    Settings::read(&source).map_err(|findings| findings.to_string())
+}
+
+#[test]
+fn in_order() {
+    let settings = read(GOOD).expect("in order");
+    assert_eq!(settings.name, "node-1");
+    assert_eq!(settings.zone, "a", "the file goes before the environment");
+    assert_eq!(settings.zones, ["a", "b", "c"]);
+    assert_eq!(settings.grace, Millis(8_500));
+    assert_eq!(
+        settings.key_life,
+        Millis(5_000),
+        "an empty value counts as missing"
+    );
+}
+
+#[test]
+fn all_findings_at_once() {
+    let text = GOOD
+        .replace("10.0.0.1:80", "10.0.0.1")
+        .replace("BILBERRYLATCH_NAME=node-1", "BILBERRYLATCH_NAME node-1")
+        .replace("8.5", "soon");
+    let findings = read(&text).expect_err("not in order");
+    let expected = [
+        "BILBERRYLATCH_NAME node-1 (node.env, line 2): write NAME=value",
+        "BILBERRYLATCH_NAME (environment and settings file): missing; set it",
+        "BILBERRYLATCH_LISTEN (node.env, line 5): \"10.0.0.1\" can't be read",
+        "BILBERRYLATCH_GRACE_S (node.env, line 12): \"soon\" can't be read",
+    ];
+    for finding in expected {
+        assert!(findings.contains(finding), "{finding}\nnot in\n{findings}");
+    }
+}
