--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -39,9 +39,6 @@
     /// Decodes the head of a replica's answer to the request with this id.
     fn answer(&self, id: &Bytes, status: StatusCode, headers: &HeaderMap) -> Answer;
 
-    /// Takes the headers out of a replica's answer that must not go with another status than its own.
-    fn unseal(&self, headers: &mut HeaderMap);
-
     /// Id of a stream's event; `None` if the event has none.
     fn event_id(&self, event: &[u8]) -> Option<u64>;
 
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -226,7 +226,6 @@
             tried: &tried,
             version: call.versions.want(),
             left,
-            target: call.route().target_latency,
         };
         let choice = shared
             .with_pool(&call.endpoint, |pool| pool.choose(now, &demand))
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -67,14 +67,8 @@
     pub usage_late: Millis,
     /// Part of an endpoint's requests that a version may get before it has proved itself.
     pub canary_share: f64,
-    /// Requests that it may get besides.
-    pub canary_slack: f64,
-    /// Time after which a version that has shown itself bad gets no more requests.
-    pub rollback: Millis,
     /// How long callers may keep addresses.
     pub address_ttl: Millis,
-    /// Zones of the deployment.
-    pub zones: Vec<String>,
 }
 
 impl Settings {
@@ -107,10 +101,7 @@
             usage_window: reader.seconds("USAGE_WINDOW_S", 5.0),
             usage_late: reader.seconds("USAGE_LATE_S", 10.0),
             canary_share: reader.parsed("CANARY_SHARE", 0.1),
-            canary_slack: reader.parsed("CANARY_SLACK", 0.0),
-            rollback: reader.millis("ROLLBACK_MS", 5_000),
             address_ttl: reader.seconds("ADDRESS_TTL_S", 2.0),
-            zones: reader.list("ZONES"),
         };
         reader.finish(settings)
     }
--- a/crates/entry/src/settings/source.rs
+++ b/crates/entry/src/settings/source.rs
@@ -109,15 +109,6 @@
         self.parsed(name, nowhere)
     }
 
-    /// Texts separated by commas; none if the variable is missing.
-    pub fn list(&mut self, name: &str) -> Vec<String> {
-        let Some(entry) = self.entry(name) else {
-            return Vec::new();
-        };
-        let items = entry.text.split(',').map(str::trim);
-        items.filter(|item| !item.is_empty()).map(str::to_owned).collect()
-    }
-
     /// Whole milliseconds.
     pub fn millis(&mut self, name: &str, default: u64) -> Millis {
         Millis(self.parsed(name, default))
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -8,7 +8,6 @@
 # A comment.
 BILBERRYLATCH_NAME=node-1
 BILBERRYLATCH_ZONE=a
-BILBERRYLATCH_ZONES=a, b,c
 BILBERRYLATCH_LISTEN=10.0.0.1:80
 BILBERRYLATCH_READY_LISTEN=10.0.0.1:81
 BILBERRYLATCH_DIRECTORY_LISTEN=10.0.0.1:82
@@ -31,7 +30,6 @@
     let settings = read(GOOD).expect("in order");
     assert_eq!(settings.name, "node-1");
     assert_eq!(settings.zone, "a", "the file goes before the environment");
-    assert_eq!(settings.zones, ["a", "b", "c"]);
     assert_eq!(settings.grace, Millis(8_500));
     assert_eq!(
         settings.key_life,
@@ -50,8 +48,8 @@
     let expected = [
         "BILBERRYLATCH_NAME node-1 (node.env, line 2): write NAME=value",
         "BILBERRYLATCH_NAME (environment and settings file): missing; set it",
-        "BILBERRYLATCH_LISTEN (node.env, line 5): \"10.0.0.1\" can't be read",
-        "BILBERRYLATCH_GRACE_S (node.env, line 12): \"soon\" can't be read",
+        "BILBERRYLATCH_LISTEN (node.env, line 4): \"10.0.0.1\" can't be read",
+        "BILBERRYLATCH_GRACE_S (node.env, line 11): \"soon\" can't be read",
     ];
     for finding in expected {
         assert!(findings.contains(finding), "{finding}\nnot in\n{findings}");
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -50,8 +50,6 @@
     pub version: Want<'a>,
     /// Time until an answer is of no use.
     pub left: Millis,
-    /// Time until the answer, or its first event, is late.
-    pub target: Millis,
 }
 
 impl Demand<'_> {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -13,7 +13,7 @@
 use crate::rank;
 use crate::replica::Replica;
 use crate::speed::Speed;
-use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec, State};
+use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec};
 
 /// Part of the time left that may be spent waiting for the first event: the rest is for the answer itself.
 const WAIT_PART: f64 = 0.6;
@@ -111,28 +111,12 @@
         self.ids.values().map(|key| &self.replicas[*key].spec)
     }
 
-    /// Whether a replica may still be used for what is under way: it has not left.
-    pub fn contains(&self, replica: ReplicaKey) -> bool {
-        self.replicas.contains_key(replica)
-    }
-
-    /// Requests that can run at once on the replicas that take requests.
-    pub fn slots(&self) -> u64 {
-        let ready = self.specs().filter(|spec| spec.state == State::Ready);
-        ready.map(|spec| u64::from(spec.slots)).sum()
-    }
-
     /// Time of replicas that this node's requests have taken so far, in milliseconds: what grows in a second, divided
     /// by 1,000, is the number of replicas that it keeps busy.
     pub const fn work_ms(&self) -> f64 {
         self.work_ms
     }
 
-    /// This node's requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.flights.len()
-    }
-
     /// This node's requests at each replica that has any.
     pub fn own_loads(&self) -> Vec<PeerLoad> {
         let busy = self.ids.values().map(|key| &self.replicas[*key]);
--- a/crates/place/tests/placement/support.rs
+++ b/crates/place/tests/placement/support.rs
@@ -57,6 +57,5 @@
         tried: &[],
         version: Want::Any,
         left: Millis(8_000),
-        target: Millis(1_000),
     }
 }
