Pause longer before a watch where there are many nodes, within half of what a change may take; split large files

Change: pause by nodes up to half of the time within which a change must be in force; many nodes report once a window. Options of connections, shared limits, the cost of a choice and the ends of a dispatch stand in files of their own; behaviour is the same.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 pub mod logs;
 pub mod metrics;
+pub mod net;
 pub mod node;
 pub mod peers;
 pub mod publish;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,6 +5,7 @@
 mod call;
 mod directory;
 mod dispatch;
+mod end;
 mod flight;
 mod front;
 mod intake;
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -13,11 +13,12 @@
 
 use super::body::Body;
 use super::call::Call;
+use super::end::{Miss, Reply, Stop};
 use super::flight::Flight;
 use super::relay::Relay;
 use super::{Reason, log, whole};
 use crate::Shared;
-use crate::edge::{Answer, Forward};
+use crate::edge::Forward;
 use crate::shared::Waiting;
 use crate::upstream::{Failure, Link, Sent};
 
@@ -33,46 +34,6 @@
 /// When to come back after replicas refused: their queues are short.
 const REFUSED_RETRY: Millis = Millis(250);
 
-/// What one dispatch came to.
-#[derive(Debug)]
-pub(super) struct Reply {
-    pub flight: Flight,
-    pub answer: Answer,
-    pub sent: Sent,
-}
-
-impl Reply {
-    /// Whether it is a success that carries the replica's signature.
-    pub fn is_signed_success(&self) -> bool {
-        self.answer.sealed && self.sent.response.status().is_success()
-    }
-}
-
-/// Why a dispatch brought no answer that can be used.
-#[derive(Debug)]
-pub(super) struct Miss {
-    pub event: Event,
-    pub cause: String,
-    /// Whether the time of the whole request is up.
-    pub timed_out: bool,
-    /// The replica's own failure, as it would be passed on.
-    pub passed: Option<Box<Response<Body>>>,
-}
-
-impl Miss {
-    pub fn new<C>(event: Event, cause: C) -> Self
-    where
-        C: Into<String>,
-    {
-        Self {
-            event,
-            cause: cause.into(),
-            timed_out: false,
-            passed: None,
-        }
-    }
-}
-
 /// A request under way.
 #[derive(Debug)]
 pub(super) struct Dispatch {
@@ -342,12 +303,3 @@
         }
     }
 }
-
-/// Why a dispatch did not get as far as an answer.
-#[derive(Debug)]
-pub(super) enum Stop {
-    /// No replica was chosen.
-    Refused(Refusal),
-    /// The dispatch failed.
-    Miss(Miss),
-}
--- a/crates/entry/src/serve/listener.rs
+++ b/crates/entry/src/serve/listener.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -10,20 +11,21 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::body::{self, Body};
 use super::{directory, front};
+use crate::net::Liveness;
 use crate::stop::Phase;
 use crate::{Error, Shared};
 
-/// Time after which unacknowledged bytes end a caller's connection.
-const UNACKNOWLEDGED_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(3);
-/// Silence after which a caller's connection is probed, and time between probes.
-const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(5);
+/// Callers are farther away than replicas, and nothing else waits for them.
+const LIVENESS: Liveness = Liveness {
+    unacknowledged: Duration::from_secs(3),
+    probe: Duration::from_secs(5),
+};
 /// Pause after a failure to accept: descriptors may be used up.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What an address serves.
 #[derive(Clone, Debug)]
@@ -76,7 +78,7 @@
     }
 
     fn serve(&self, stream: TcpStream) {
-        if let Err(error) = set_options(&stream) {
+        if let Err(error) = LIVENESS.apply(&stream) {
             log::debug!(cause:% = error; "socket options not set");
         }
         let shared = Arc::clone(&self.shared);
@@ -153,13 +155,3 @@
     *response.status_mut() = status;
     response
 }
-
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL);
-    socket.set_tcp_keepalive(&probes)
-}
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -15,7 +15,8 @@
 
 use self::events::{Events, Next};
 use super::body::{Body, Broken};
-use super::dispatch::{Dispatch, Miss, Reply, Stop};
+use super::dispatch::Dispatch;
+use super::end::{Miss, Reply, Stop};
 use super::flight::Flight;
 use super::intake::strip_connection;
 use super::log;
--- a/crates/entry/src/serve/whole.rs
+++ b/crates/entry/src/serve/whole.rs
@@ -7,7 +7,8 @@
 use tokio::time::timeout;
 
 use super::body::{self, Body};
-use super::dispatch::{Dispatch, Miss, Reply};
+use super::dispatch::Dispatch;
+use super::end::{Miss, Reply};
 use super::intake::strip_connection;
 
 /// Largest answer that is held in memory.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -45,6 +45,8 @@
     pub lease_least: Millis,
     /// Longest time between the removal of an API key and its last use.
     pub key_life: Millis,
+    /// Time within which a change in the store must be in force.
+    pub apply: Millis,
     /// Time from SIGTERM to SIGKILL.
     pub grace: Millis,
     /// Repeated dispatches for each request, over all nodes.
@@ -90,6 +92,7 @@
             store_writes: reader.parsed("STORE_WRITES", 400.0),
             lease_least: reader.millis("LEASE_LEAST_MS", 1_000),
             key_life: reader.millis("KEY_LIFE_MS", 5_000),
+            apply: reader.millis("APPLY_MS", 2_000),
             grace: reader.seconds("GRACE_S", 8.0),
             retry_ratio: reader.parsed("RETRY_RATIO", 0.1),
             retry_slack: reader.parsed("RETRY_SLACK", 10.0),
--- a/crates/entry/src/upstream/link.rs
+++ b/crates/entry/src/upstream/link.rs
@@ -8,17 +8,20 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::net::Liveness;
+
 /// Time to set up a connection: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time after which sent bytes without acknowledgement end a connection: its other side is gone or cut off.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Silence after which a connection is probed, and time between probes: the least that the kernel takes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Within a region: a replica that is gone or cut off is noticed in seconds. The probe interval is the least that the
+/// kernel takes.
+const LIVENESS: Liveness = Liveness {
+    unacknowledged: Duration::from_millis(1_500),
+    probe: Duration::from_secs(1),
+};
 
 /// A connection that one request at a time uses. Dropped before it is free again, it is closed at once, so that the
 /// replica stops work.
@@ -42,7 +45,7 @@
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_elapsed) => return Err("no connection in time".to_owned()),
         };
-        set_options(&stream).map_err(|error| error.to_string())?;
+        LIVENESS.apply(&stream).map_err(|error| error.to_string())?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
@@ -68,13 +71,3 @@
         self.driver.abort();
     }
 }
-
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL);
-    socket.set_tcp_keepalive(&probes)
-}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,5 +1,7 @@
 //! The replicas of one endpoint.
 
+mod cost;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -10,7 +12,6 @@
 use slotmap::SlotMap;
 
 use crate::flight::Flight;
-use crate::rank;
 use crate::replica::Replica;
 use crate::speed::Speed;
 use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec};
@@ -19,16 +20,8 @@
 const WAIT_PART: f64 = 0.6;
 /// Requests that wait at a plain replica for each that runs, beyond which it counts as full.
 const PLAIN_QUEUE: usize = 2;
-/// Time that an answer takes until one was seen, in milliseconds.
-const FIRST_LATENCY_MS: f64 = 20.0;
-/// Cost of each request that runs at an engine, in milliseconds: its tokens slow the others down.
-const RUNNING_COST_MS: f64 = 1.0;
 /// Time of a replica that a generated token takes, in milliseconds: a batch shares the rest of its step.
 const OUTPUT_TOKEN_MS: f64 = 0.15;
-/// Time after which the nodes' requests have filled a replica's cache.
-const WARM_AFTER: Millis = Millis(8_000);
-/// Shortest wait that a refused caller is told.
-const LEAST_WAIT: Millis = Millis(100);
 
 /// A chosen replica.
 #[derive(Clone, Debug, PartialEq)]
@@ -272,83 +265,6 @@
         self.settings.cache_tokens > 0
     }
 
-    /// The replica that every node sends prompts with these shared parts to.
-    fn home(&self, free: &[ReplicaKey], demand: &Demand<'_>) -> Option<ReplicaKey> {
-        let session = demand.shared().last()?.id;
-        let weight = |key: &&ReplicaKey| rank::weight(session, self.replicas[**key].hash);
-        free.iter().max_by_key(weight).copied()
-    }
-
-    fn cost(&self, now: Millis, key: ReplicaKey, home: Option<ReplicaKey>, demand: &Demand<'_>) -> Cost {
-        let replica = &self.replicas[key];
-        let zone_ms = if &*replica.spec.zone == demand.zone {
-            0.0
-        } else {
-            self.settings.zone_cost.0 as f64
-        };
-        let cold_ms = if replica.spec.cold > Millis::ZERO {
-            50.0
-        } else {
-            0.0
-        };
-        if !self.is_engine() {
-            let latency_ms = replica.latency_ms().unwrap_or(FIRST_LATENCY_MS);
-            let slots = f64::from(replica.spec.slots.max(1));
-            let load = replica.load(now) as f64;
-            let rounds = (load / slots).floor();
-            let wait_ms = latency_ms * (1.0 + rounds);
-            return Cost {
-                wait_ms,
-                total: latency_ms.mul_add(load / slots, wait_ms) + zone_ms + cold_ms,
-                tokens: 0,
-            };
-        }
-        let is_home = home == Some(key);
-        let missing = if is_home && self.is_warm(now, replica) {
-            0
-        } else {
-            replica.missing(demand.shared())
-        };
-        let tokens = missing + demand.own_tokens();
-        let queue_ms = self.speed.millis(replica.unread(now) as f64) + replica.delay_ms(now);
-        let wait_ms = queue_ms + self.speed.millis(f64::from(tokens));
-        // What the home reads serves the other nodes' requests too.
-        let reread_ms = if is_home {
-            0.0
-        } else {
-            self.speed.millis(f64::from(missing)) * self.settings.reread_weight
-        };
-        let running_ms = RUNNING_COST_MS * replica.load(now) as f64;
-        Cost {
-            wait_ms,
-            total: wait_ms + reread_ms + running_ms + zone_ms + cold_ms,
-            tokens,
-        }
-    }
-
-    /// Whether other nodes have sent enough to the replica that a prompt's home holds its shared parts.
-    fn is_warm(&self, now: Millis, replica: &Replica) -> bool {
-        let long_ago = |since: Millis| now.since(since) > WARM_AFTER;
-        self.first_sent.is_some_and(long_ago) && long_ago(replica.seen)
-    }
-
-    /// When there may be room again: as soon as the shortest queue is half as long.
-    fn drain(&self, now: Millis, demand: &Demand<'_>) -> Millis {
-        let queue_ms = |key: &ReplicaKey| {
-            let replica = &self.replicas[*key];
-            let unread_ms = self.speed.millis(replica.unread(now) as f64) + replica.delay_ms(now);
-            unread_ms.max(replica.latency_ms().unwrap_or(FIRST_LATENCY_MS))
-        };
-        let shortest = self
-            .ids
-            .values()
-            .map(queue_ms)
-            .min_by(f64::total_cmp)
-            .unwrap_or(FIRST_LATENCY_MS);
-        let longest = Millis((demand.left.0 / 3).max(LEAST_WAIT.0));
-        Millis((shortest / 2.0) as u64).clamp(LEAST_WAIT, longest)
-    }
-
     /// Mean of the moving parts of failures of the other replicas.
     fn usual_failing(&self, but: ReplicaKey) -> f64 {
         let others = self.ids.values().filter(|key| **key != but);
@@ -358,14 +274,3 @@
         if count == 0 { 1.0 } else { sum / f64::from(count) }
     }
 }
-
-/// What it costs to send a request to a replica.
-#[derive(Clone, Copy, Debug)]
-struct Cost {
-    /// Expected time to the answer or its first event, in milliseconds.
-    wait_ms: f64,
-    /// The same with the costs for others.
-    total: f64,
-    /// Tokens that the replica has to read.
-    tokens: u32,
-}
