Keep a node's sockets open from one incarnation to the next

Cause: `home_declared_gone_runs_nothing_when_it_wakes` failed once beside load: the woken node's address refused a connection. A test that fences a node five times while callers connect shows two faults. Between two incarnations nobody listened at the callers' address; and the next one could find the peers' UDP address still in use by the ended endpoint's last task, upon which the process ended with an error. A third showed once the first two were mended: a connection accepted just before the graceful stop was reset before its request was read.

Ruled out: the test's own haste; it asks only after SIGCONT and a refused connection is a fault of the node, since its process goes on.

Change: the callers' socket and the QUIC endpoint pass to the next incarnation; connections of the ended one are closed. The server stops accepting first and closes connections 200 ms later. The loop over incarnations stood twice (daemon, load tool) and is one function now.

--- a/crates/load/src/run/keeper.rs
+++ b/crates/load/src/run/keeper.rs
@@ -30,7 +30,7 @@
             ..settings
         };
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(keep(node, settings, clock, stopped));
+        let task = tokio::spawn(run(node, settings, clock, stopped));
         Ok(Self {
             address,
             peer_address,
@@ -47,22 +47,13 @@
     }
 }
 
-async fn keep(mut node: Node, settings: Settings, clock: Clock, mut stopped: oneshot::Receiver<()>) {
-    loop {
-        tokio::select! {
-            _ = &mut stopped => break,
-            () = node.asked_to_stop() => break,
-            () = node.fenced() => {}
-        }
-        log::warn!(
-            "node {} may have been declared gone; its next incarnation starts",
-            settings.name
-        );
-        let heritage = node.retire().await;
-        node = match Node::start_with(settings.clone(), clock, heritage).await {
-            Ok(node) => node,
-            Err(error) => return log::error!("node {} did not start again: {error}", settings.name),
-        };
+async fn run(node: Node, settings: Settings, clock: Clock, stopped: oneshot::Receiver<()>) {
+    let name = settings.name.clone();
+    let stopped = async move {
+        // A keeper that is dropped stops its node, too.
+        let _dropped = stopped.await;
+    };
+    if let Err(error) = node::keep(node, settings, clock, stopped, |_next| ()).await {
+        log::error!("node {name} did not start again: {error}");
     }
-    node.stop().await;
 }
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -7,6 +7,7 @@
 
 use crate::args::Bilberrylatchd;
 use crate::exit::Exit;
+use crate::keep::keep;
 use crate::node::Node;
 use crate::settings::Settings;
 use crate::{Error, logs};
@@ -64,7 +65,7 @@
 async fn run_node(settings: Settings) -> Result<(), Error> {
     logs::start(settings.log_format, settings.log_level)?;
     let clock = Clock::new();
-    let mut node = Node::start_with(settings.clone(), clock, None).await?;
+    let node = Node::start_with(settings.clone(), clock, None).await?;
     // The line that scripts and tests wait for.
     println!("listening {} peers {}", node.address(), node.peer_address());
     // Later incarnations keep the addresses, also those that the system chose.
@@ -73,18 +74,7 @@
         peer_listen: node.peer_address(),
         ..settings
     };
-    let mut terminated = std::pin::pin!(terminated());
-    loop {
-        tokio::select! {
-            () = &mut terminated => break,
-            () = node.asked_to_stop() => break,
-            () = node.fenced() => {}
-        }
-        let heritage = node.retire().await;
-        node = Node::start_with(settings.clone(), clock, heritage).await?;
-    }
-    node.stop().await;
-    Ok(())
+    keep(node, settings, clock, terminated(), |_next| ()).await
 }
 
 /// Waits for SIGTERM or SIGINT. Further ones change nothing: their handlers stay installed.
--- a/crates/node/src/heritage.rs
+++ b/crates/node/src/heritage.rs
@@ -1,5 +1,6 @@
 //! What the next incarnation of the same process keeps.
 
+use std::net::TcpListener;
 use std::sync::Arc;
 
 use member::{Config, Gossip};
@@ -16,3 +17,14 @@
     /// The catalogue in force.
     pub snapshot: Arc<Snapshot>,
 }
+
+/// What an ended incarnation leaves to the next one of the same process.
+#[derive(Debug)]
+pub struct Predecessor {
+    /// The socket that callers connect to; connections wait in its queue while no incarnation accepts them.
+    pub listener: TcpListener,
+    /// The endpoint for peers, whose socket goes on.
+    pub peers: wire::Endpoint,
+    /// What the ended incarnation knew; none if it could no longer tell.
+    pub heritage: Option<Heritage>,
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //!   key-value service and the cloud.
 //! - [`actor`] holds the actors, each around one or two deciding state machines.
 
+pub mod accept;
 pub mod actor;
 pub mod app;
 pub mod args;
@@ -15,6 +16,7 @@
 pub mod exit;
 pub mod hash;
 pub mod heritage;
+pub mod keep;
 pub mod logs;
 pub mod node;
 pub mod platform;
@@ -26,5 +28,6 @@
 
 pub use app::run;
 pub use error::Error;
+pub use keep::keep;
 pub use node::Node;
 pub use settings::Settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,10 +13,11 @@
 use tokio::task::JoinHandle;
 use wire::{Identity, Incoming};
 
+use crate::accept::Accept;
 use crate::actor::{Claims, MAILBOX, Members, Rollouts, Traffic, claims, members, rollouts, traffic};
 use crate::edge;
 use crate::error::Error;
-use crate::heritage::Heritage;
+use crate::heritage::{Heritage, Predecessor};
 use crate::platform;
 use crate::serving::Serving;
 use crate::settings::Settings;
@@ -34,6 +35,11 @@
 /// Time for callers to read the rest of their answers after the drain.
 const CLOSE: Duration = Duration::from_secs(2);
 
+/// Time for callers that connected just before the end to send their request.
+///
+/// NB: a connection that is closed before its request is read is reset, and its caller learns nothing.
+const LAST_REQUESTS: Duration = Duration::from_millis(200);
+
 /// Time to set up a connection to a replica.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -49,6 +55,8 @@
     tasks: Vec<JoinHandle<()>>,
     server: JoinHandle<()>,
     registration: JoinHandle<()>,
+    /// Keeps the callers' socket open for the next incarnation after the server has let go of it.
+    listener: std::net::TcpListener,
 }
 
 impl Node {
@@ -57,29 +65,31 @@
         Self::start_with(settings, Clock::new(), None).await
     }
 
-    /// Starts the next incarnation of the same process.
+    /// Starts the first incarnation of a process, or the one that follows `predecessor`.
     pub async fn start_with(
         settings: Settings,
         clock: Clock,
-        heritage: Option<Heritage>,
+        predecessor: Option<Predecessor>,
     ) -> Result<Self, Error> {
         edge::admin::metrics::install();
-        let listener = TcpListener::bind(settings.listen)
-            .await
-            .map_err(|cause| Error::Listen {
-                address: settings.listen,
-                cause,
-            })?;
-        let listen = listener.local_addr().map_err(|cause| Error::Listen {
-            address: settings.listen,
+        let wanted = settings.listen;
+        let refused = |cause| Error::Listen {
+            address: wanted,
             cause,
-        })?;
-        let identity = Identity::new(&settings.peer_secret).map_err(Error::Peers)?;
-        let (peers, incoming) =
-            wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
+        };
+        let (listener, (peers, incoming), heritage) = if let Some(predecessor) = predecessor {
+            let peers = predecessor.peers.succeed();
+            (predecessor.listener, peers, predecessor.heritage)
+        } else {
+            let identity = Identity::new(&settings.peer_secret).map_err(Error::Peers)?;
+            let peers = wire::Endpoint::bind(settings.peer_listen, &identity).map_err(Error::Peers)?;
+            (bind(wanted).await.map_err(refused)?, peers, None)
+        };
+        let listen = listener.local_addr().map_err(refused)?;
+        let accepting = share(&listener).map_err(refused)?;
         let peer_listen = peers.address().map_err(Error::Peers)?;
         let parts = Parts::new(settings, clock, heritage, peers, listen, peer_listen)?;
-        Ok(parts.run(listener, incoming))
+        Ok(parts.run(accepting, listener, incoming))
     }
 
     /// The address for callers.
@@ -108,29 +118,49 @@
     }
 
     /// Stops gracefully, and keeps what the next incarnation of this process needs.
-    pub async fn retire(self) -> Option<Heritage> {
-        let heritage = self.shared.members.ask(members::Bequeath).await.ok();
-        self.stop().await;
-        heritage.map(|heritage| *heritage)
+    ///
+    /// Callers that connect meanwhile are answered by the next incarnation.
+    pub async fn retire(self) -> Predecessor {
+        let heritage = self.shared.members.ask(members::Bequeath).await;
+        let heritage = heritage
+            .inspect_err(|error| log::warn!("what was known of other nodes is lost: {error}"))
+            .ok();
+        end(&self.shared, self.server, self.registration, &self.tasks).await;
+        Predecessor {
+            listener: self.listener,
+            peers: self.shared.peers.clone(),
+            heritage: heritage.map(|heritage| *heritage),
+        }
     }
 
     /// Stops gracefully: withdraws the address, finishes accepted work, hands over, and ends.
     pub async fn stop(self) {
-        edge::drain::run(&self.shared).await;
-        self.shared.stop.advance(Phase::Ended);
-        let server = self.server.abort_handle();
-        if tokio::time::timeout(CLOSE, self.server).await.is_err() {
-            log::warn!("connections of callers were still open and are closed now");
-            server.abort();
-        }
-        let _ended = self.registration.await;
-        for task in &self.tasks {
-            task.abort();
-        }
+        // Callers that connect once the server has ended must be refused, not wait for nobody.
+        drop(self.listener);
+        end(&self.shared, self.server, self.registration, &self.tasks).await;
         self.shared.peers.close().await;
     }
 }
 
+async fn end(
+    shared: &Shared,
+    server: JoinHandle<()>,
+    registration: JoinHandle<()>,
+    tasks: &[JoinHandle<()>],
+) {
+    edge::drain::run(shared).await;
+    shared.stop.advance(Phase::Ended);
+    let abort = server.abort_handle();
+    if tokio::time::timeout(CLOSE, server).await.is_err() {
+        log::warn!("connections of callers were still open and are closed now");
+        abort.abort();
+    }
+    let _ended = registration.await;
+    for task in tasks {
+        task.abort();
+    }
+}
+
 /// A node's parts before its tasks run.
 struct Parts {
     shared: Shared,
@@ -241,7 +271,12 @@
         })
     }
 
-    fn run(self, listener: TcpListener, incoming: mpsc::Receiver<Incoming>) -> Node {
+    fn run(
+        self,
+        accepting: TcpListener,
+        listener: std::net::TcpListener,
+        incoming: mpsc::Receiver<Incoming>,
+    ) -> Node {
         let Self {
             shared,
             node,
@@ -260,7 +295,7 @@
             tokio::spawn(platform::cloud::notices(shared.clone())),
         ];
         let registration = tokio::spawn(platform::registration::keep(shared.clone(), node));
-        let server = tokio::spawn(serve(shared.clone(), listener));
+        let server = tokio::spawn(serve(shared.clone(), accepting));
         Node {
             shared,
             listen,
@@ -268,10 +303,23 @@
             tasks,
             server,
             registration,
+            listener,
         }
     }
 }
 
+/// Opens the socket for callers, without a runtime's hold on it, so that incarnations can share it.
+async fn bind(address: SocketAddr) -> std::io::Result<std::net::TcpListener> {
+    TcpListener::bind(address).await?.into_std()
+}
+
+/// A second handle to the same socket, to accept callers with.
+fn share(listener: &std::net::TcpListener) -> std::io::Result<TcpListener> {
+    let accepting = listener.try_clone()?;
+    accepting.set_nonblocking(true)?;
+    TcpListener::from_std(accepting)
+}
+
 /// Tells peers and this node's controllers of versions that this node found bad.
 async fn spread_vetoes(shared: Shared, mut found: mpsc::Receiver<rollout::Veto>) {
     while let Some(veto) = found.recv().await {
@@ -322,10 +370,15 @@
 async fn serve(shared: Shared, listener: TcpListener) {
     let stop = shared.stop.clone();
     let router = edge::http::router(shared);
-    let served = axum::serve(listener, router)
-        .with_graceful_shutdown(async move { stop.reached(Phase::Ended).await })
-        .await;
-    if let Err(error) = served {
+    let accept = match Accept::new(listener, stop.clone()) {
+        Ok(accept) => accept,
+        Err(error) => return log::error!("callers are not listened for: {error}"),
+    };
+    let ended = async move {
+        stop.reached(Phase::Ended).await;
+        tokio::time::sleep(LAST_REQUESTS).await;
+    };
+    if let Err(error) = axum::serve(accept, router).with_graceful_shutdown(ended).await {
         log::error!("listening for callers ended: {error}");
     }
 }
--- /dev/null
+++ b/crates/node/tests/incarnations.rs
@@ -0,0 +1,102 @@
+//! A process whose incarnation ends goes on with the next one, and callers find its address all the while.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use clock::Clock;
+use log::LevelFilter;
+use node::settings::{Format, Settings};
+use node::{Node, keep};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Incarnations that follow each other in one test.
+const INCARNATIONS: usize = 5;
+
+/// Requests that are sent while one incarnation ends and the next one starts.
+const REQUESTS: usize = 200;
+
+/// Span between two requests.
+const SPAN: Duration = Duration::from_millis(5);
+
+/// Longest wait for an answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// No platform answers here: a node starts and serves its own resources without it.
+fn settings() -> Settings {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Settings {
+        listen: loopback,
+        peer_listen: loopback,
+        name: "node-0".into(),
+        zone: "zone".into(),
+        region: "region".into(),
+        store: "http://127.0.0.1:9".to_owned(),
+        cloud: "http://127.0.0.1:9".to_owned(),
+        peers: Vec::new(),
+        peer_secret: "incarnations-test-secret".to_owned(),
+        operator_token: "incarnations-test-operator".to_owned(),
+        drain: Duration::from_millis(100),
+        log_format: Format::Human,
+        log_level: LevelFilter::Off,
+    }
+}
+
+/// Opens a connection and reads the start of the answer to one request.
+async fn ask(address: SocketAddr) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    let request = format!("GET /v1/health HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_caller_is_refused_between_two_incarnations() {
+    let clock = Clock::new();
+    let node = Node::start_with(settings(), clock, None).await.expect("a node");
+    let address = node.address();
+    let settings = Settings {
+        listen: address,
+        peer_listen: node.peer_address(),
+        ..settings()
+    };
+    let (stop, stopped) = oneshot::channel::<()>();
+    let mut fence = node.shared().stop.clone();
+    let (starts, mut started) = tokio::sync::mpsc::unbounded_channel();
+    let kept = tokio::spawn(keep(
+        node,
+        settings,
+        clock,
+        async move {
+            let _told = stopped.await;
+        },
+        move |next| {
+            let _unread = starts.send(next.shared().stop.clone());
+        },
+    ));
+    for incarnation in 0..INCARNATIONS {
+        fence.fence();
+        let mut requests = Vec::new();
+        for _request in 0..REQUESTS {
+            requests.push(tokio::spawn(timeout(PATIENCE, ask(address))));
+            tokio::time::sleep(SPAN).await;
+        }
+        assert!(!kept.is_finished(), "{:?}", kept.await);
+        for (index, request) in requests.into_iter().enumerate() {
+            let answer = request.await.expect("no panic").expect("an answer in time");
+            let answer =
+                answer.unwrap_or_else(|error| panic!("incarnation {incarnation}, request {index}: {error}"));
+            assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+        }
+        fence = timeout(PATIENCE, started.recv())
+            .await
+            .expect("the next starts")
+            .expect("kept");
+    }
+    stop.send(()).expect("the node is kept");
+    kept.await.expect("no panic").expect("a graceful stop");
+}
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use quinn::Connection;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use crate::{Channel, Error, FRAME_LIMIT_BYTES, Frame, Identity};
@@ -36,11 +36,16 @@
     },
 }
 
+/// Code that connections are closed with.
+const LEAVING: (quinn::VarInt, &[u8]) = (quinn::VarInt::from_u32(0), b"leaving");
+
 /// Listens for peers and connects to them. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     quic: quinn::Endpoint,
     connections: Arc<Mutex<IndexMap<SocketAddr, Connection>>>,
+    /// Whether this endpoint has ended; the socket may go on under its successor.
+    ended: Arc<watch::Sender<bool>>,
 }
 
 impl Endpoint {
@@ -49,15 +54,28 @@
         let mut quic = quinn::Endpoint::server(identity.server()?, address)
             .map_err(|error| Error::Setup(format!("{address}: {error}")))?;
         quic.set_default_client_config(identity.client()?);
+        Ok(Self::listen(quic))
+    }
+
+    fn listen(quic: quinn::Endpoint) -> (Self, mpsc::Receiver<Incoming>) {
         let (sender, receiver) = mpsc::channel(INCOMING_LIMIT);
-        tokio::spawn(accept(quic.clone(), sender));
-        Ok((
-            Self {
-                quic,
-                connections: Arc::default(),
-            },
-            receiver,
-        ))
+        let (ended, end) = watch::channel(false);
+        tokio::spawn(accept(quic.clone(), sender, end));
+        let endpoint = Self {
+            quic,
+            connections: Arc::default(),
+            ended: Arc::new(ended),
+        };
+        (endpoint, receiver)
+    }
+
+    /// Ends this endpoint with its connections, and goes on at the same socket with a new one.
+    ///
+    /// NB: closing and binding again would race: the system frees the address only once the last task of the old
+    /// endpoint is gone.
+    pub fn succeed(&self) -> (Self, mpsc::Receiver<Incoming>) {
+        self.end();
+        Self::listen(self.quic.clone())
     }
 
     /// The address that the socket was bound to.
@@ -104,14 +122,28 @@
 
     /// Closes all connections after what was sent has left.
     pub async fn close(&self) {
-        self.quic.close(0_u32.into(), b"leaving");
+        self.end();
+        self.quic.close(LEAVING.0, LEAVING.1);
         self.quic.wait_idle().await;
     }
 
+    fn end(&self) {
+        self.ended.send_replace(true);
+        let Ok(mut connections) = self.connections.lock() else {
+            return log::error!("connections to peers are left open: their list is poisoned");
+        };
+        for (_address, connection) in connections.drain(..) {
+            connection.close(LEAVING.0, LEAVING.1);
+        }
+    }
+
     async fn connect(&self, to: SocketAddr) -> Result<Connection, Error> {
         if let Some(connection) = self.cached(to) {
             return Ok(connection);
         }
+        if *self.ended.borrow() {
+            return Err(Error::Unreachable("this node's incarnation has ended".to_owned()));
+        }
         let connecting = self
             .quic
             .connect(to, crate::identity::SERVER_NAME)
@@ -137,22 +169,37 @@
     }
 }
 
-async fn accept(quic: quinn::Endpoint, sender: mpsc::Sender<Incoming>) {
-    while let Some(incoming) = quic.accept().await {
-        let sender = sender.clone();
-        tokio::spawn(async move {
-            match incoming.await {
-                Ok(connection) => serve(connection, sender).await,
-                Err(error) => {
-                    metrics::counter!("bilberrylatch_peer_refused_total").increment(1);
-                    log::warn!("peer turned away: {error}");
-                }
-            }
-        });
+async fn accept(quic: quinn::Endpoint, sender: mpsc::Sender<Incoming>, mut end: watch::Receiver<bool>) {
+    loop {
+        let incoming = tokio::select! {
+            () = ended(&mut end) => return,
+            incoming = quic.accept() => incoming,
+        };
+        let Some(incoming) = incoming else { return };
+        tokio::spawn(admit(incoming, sender.clone(), end.clone()));
     }
 }
 
-async fn serve(connection: Connection, sender: mpsc::Sender<Incoming>) {
+async fn admit(incoming: quinn::Incoming, sender: mpsc::Sender<Incoming>, mut end: watch::Receiver<bool>) {
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            metrics::counter!("bilberrylatch_peer_refused_total").increment(1);
+            return log::warn!("peer turned away: {error}");
+        }
+    };
+    tokio::select! {
+        () = ended(&mut end) => connection.close(LEAVING.0, LEAVING.1),
+        () = serve(&connection, sender) => {}
+    }
+}
+
+/// Waits for the endpoint's end; one whose handles are all dropped ends, too.
+async fn ended(end: &mut watch::Receiver<bool>) {
+    let _dropped = end.wait_for(|ended| *ended).await;
+}
+
+async fn serve(connection: &Connection, sender: mpsc::Sender<Incoming>) {
     let from = connection.remote_address();
     loop {
         let incoming = tokio::select! {
--- a/crates/wire/tests/exchange.rs
+++ b/crates/wire/tests/exchange.rs
@@ -1,6 +1,7 @@
 //! Frames cross between two endpoints with the same secret, and not with another.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use bytes::Bytes;
 use wire::{Endpoint, Error, Frame, Identity, Incoming};
@@ -50,6 +51,41 @@
     assert!(incoming.try_recv().is_err());
 }
 
+#[tokio::test]
+async fn successor_goes_on_at_the_same_address() {
+    let bind = || Endpoint::bind(loopback(), &Identity::new("secret").unwrap()).unwrap();
+    let (first, mut incoming) = bind();
+    let (client, _rest) = bind();
+    let address = first.address().unwrap();
+    client.send(address, &Frame::End).await.unwrap();
+    assert!(incoming.recv().await.is_some());
+
+    let (second, mut incoming) = first.succeed();
+    assert_eq!(second.address().unwrap(), address);
+    let ended = first.send(client.address().unwrap(), &Frame::End).await;
+    assert!(matches!(ended, Err(Error::Unreachable(_))), "{ended:?}");
+    // The client learns by a frame that its connection is closed, so that a first send may still go to it.
+    let reached = async {
+        loop {
+            let _closed = client.send(address, &Frame::End).await;
+            tokio::select! {
+                frame = incoming.recv() => break frame,
+                () = tokio::time::sleep(Duration::from_millis(20)) => {}
+            }
+        }
+    };
+    let frame = tokio::time::timeout(Duration::from_secs(10), reached)
+        .await
+        .expect("a frame");
+    assert!(matches!(
+        frame,
+        Some(Incoming::Frame {
+            frame: Frame::End,
+            ..
+        })
+    ));
+}
+
 struct Case {
     bytes: &'static [u8],
     accepted: bool,
