A leaving node takes no request that it can't answer before its end

Callers that go on using a node until its process is gone keep it from ever being quiet; at the end of its grace period the process ended with requests in flight, whose callers then could not know whether they had run.

Change: once the node leaves, a request's answer is due at the latest 200 ms before the end, and a request is refused at once with 503 if neither its caller's whole patience nor 2 s are left until then. The decision is pure (`place::last`), with a table of cases.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,6 +19,8 @@
 const LEAVING: Millis = Millis(2_500);
 /// Time before SIGKILL at which the process ends whatever is still in flight.
 const END_MARGIN: Millis = Millis(300);
+/// Time for the last answers to be written before the process ends.
+const WRITTEN: Millis = Millis(200);
 /// Time without a request after which a leaving node ends: callers have taken up its successors.
 const QUIET: Millis = Millis(400);
 /// Time without a request after which the last answers are out.
@@ -93,7 +95,7 @@
         let started = self.shared.now();
         let elapsed = || self.shared.now().since(started);
         log::info!(waiting = self.shared.waiting(); "node leaving");
-        self.shared.stop.enter(Phase::Leaving);
+        self.shared.stop.leave(started + grace - WRITTEN);
         sleep(LEAVING.min(grace).as_duration()).await;
         self.shared.stop.enter(Phase::Closing);
         self.wait_idle(QUIET, || elapsed() < grace).await;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -1,5 +1,8 @@
 //! The phases of a graceful stop.
 
+use std::sync::OnceLock;
+
+use base::Millis;
 use tokio::sync::watch;
 
 /// How far a stop has come.
@@ -19,6 +22,8 @@
 #[derive(Clone, Debug)]
 pub struct Stop {
     sender: watch::Sender<Phase>,
+    /// When the last answers must be on their way, once the node leaves.
+    last_answers: OnceLock<Millis>,
 }
 
 impl Stop {
@@ -26,9 +31,22 @@
     pub fn new() -> Self {
         Self {
             sender: watch::Sender::new(Phase::Running),
+            last_answers: OnceLock::new(),
         }
     }
 
+    /// Begins to leave: the last answers must be on their way at this time.
+    pub fn leave(&self, last_answers: Millis) {
+        // A second order to leave changes nothing.
+        let _first = self.last_answers.set(last_answers);
+        self.enter(Phase::Leaving);
+    }
+
+    /// When the last answers must be on their way; none if the node stays.
+    pub fn last_answers(&self) -> Option<Millis> {
+        self.last_answers.get().copied()
+    }
+
     /// Moves on to a phase.
     pub fn enter(&self, phase: Phase) {
         self.sender.send_replace(phase);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod flight;
 mod health;
 mod key;
+pub mod last;
 mod load;
 mod outcome;
 mod pool;
