Answer a stream that breaks before its first event

The head of the replica's answer was passed on at once, and when the body failed before anything was written the connection was dropped.

Ruled out: a caller that leaves (the node's log says `stream_broken`, 0 ms after the request), and the budget for repeats, which rightly said no.

Change: the head waits for the first event. Until then a break is answered with 502 or 504, and a stream that goes on at another replica bears that replica's head and signature. The time to the first event is the same: a head without an event tells the caller nothing.

--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -80,7 +80,7 @@
         loop {
             let miss = match self.once(None).await {
                 Ok(reply) if self.call.route().kind.is_stream() && reply.is_signed_success() => {
-                    return Relay::open(self, reply);
+                    return Relay::open(self, reply).await;
                 }
                 Ok(reply) => match whole::read(&self, reply).await {
                     Ok(response) => {
@@ -134,7 +134,8 @@
         self.finish(refusal.map_or(Reason::NotRun(REFUSED_RETRY), Reason::NoPlace))
     }
 
-    fn finish(&self, reason: Reason) -> Response<Body> {
+    /// The node's own final answer.
+    pub fn finish(&self, reason: Reason) -> Response<Body> {
         let reason = match reason {
             // Nothing was sent: say so.
             Reason::TimedOut if self.runs == 0 && self.tried.is_empty() => Reason::NotRun(REFUSED_RETRY),
--- a/crates/entry/src/serve/refusal.rs
+++ b/crates/entry/src/serve/refusal.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Label of a stream that ended for this reason after its first event.
+    pub const fn stream_label(self) -> &'static str {
+        match self {
+            Self::TimedOut => "stream_timed_out",
+            _ => "stream_broken",
+        }
+    }
+
     /// Status of the answer. 503 and 429 are given only if the request did not run.
     pub const fn status(self) -> StatusCode {
         match self {
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -1,4 +1,7 @@
 //! Streams: events are passed on as they come, and a stream that breaks goes on at another replica if it may.
+//!
+//! The head of the answer waits for the first event: until then a stream that breaks can still be answered with what
+//! became of it.
 
 mod events;
 
@@ -19,7 +22,7 @@
 use super::end::{Miss, Reply, Stop};
 use super::flight::Flight;
 use super::intake::strip_connection;
-use super::log;
+use super::{Reason, log};
 use crate::edge::Answer;
 use crate::upstream::Link;
 
@@ -34,10 +37,11 @@
     dispatch: Dispatch,
     /// The present source; `None` between two replicas.
     source: Option<Source>,
+    /// Head of the answer: that of the replica whose events came first.
+    head: response::Parts,
     /// Last event that the caller has.
     last: Option<u64>,
     began: bool,
-    status: u16,
 }
 
 /// A replica's stream.
@@ -64,40 +68,55 @@
 }
 
 impl Relay {
-    /// The answer to the caller, with the status, headers and signature of this replica.
-    pub fn open(dispatch: Dispatch, reply: Reply) -> Response<Body> {
+    /// The answer to the caller, with the status, headers and signature of the replica whose events come first.
+    pub async fn open(dispatch: Dispatch, reply: Reply) -> Response<Body> {
         let (head, source) = Source::open(reply);
-        let mut headers = head.headers;
-        strip_connection(&mut headers);
-        let relay = Self {
+        let mut relay = Self {
             last: dispatch.call.ask.resume_after,
             dispatch,
             source: Some(source),
+            head,
             began: false,
-            status: head.status.as_u16(),
         };
-        let mut response = Response::new(relay.into_body());
-        *response.status_mut() = head.status;
+        match relay.next().await {
+            Step::Broken(reason) => relay.dispatch.finish(reason),
+            first => relay.into_response(first),
+        }
+    }
+
+    fn into_response(mut self, first: Step) -> Response<Body> {
+        let status = self.head.status;
+        let mut headers = std::mem::take(&mut self.head.headers);
+        strip_connection(&mut headers);
+        let mut response = Response::new(self.into_body(first));
+        *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
     }
 
-    fn into_body(mut self) -> Body {
+    fn into_body(mut self, first: Step) -> Body {
         let frames = stream! {
+            let mut step = first;
             loop {
-                match self.next().await {
+                match step {
                     Step::Event(event) => yield Ok(Frame::data(event)),
                     Step::End => return,
-                    Step::Broken => {
+                    Step::Broken(reason) => {
+                        self.log_end(reason.stream_label());
                         yield Err(Broken);
                         return;
                     }
                 }
+                step = self.next().await;
             }
         };
         StreamBody::new(frames).boxed_unsync()
     }
 
+    fn log_end(&self, outcome: &str) {
+        self.dispatch.log_end(outcome, self.head.status.as_u16());
+    }
+
     /// The next event for the caller.
     async fn next(&mut self) -> Step {
         loop {
@@ -117,8 +136,7 @@
             Ok(next) => next,
             Err(_elapsed) if patience >= left.as_duration() => {
                 "stream not finished in time".clone_into(&mut self.dispatch.cause);
-                self.dispatch.log_end("stream_timed_out", self.status);
-                return Some(Step::Broken);
+                return Some(Step::Broken(Reason::TimedOut));
             }
             Err(_elapsed) => Next::Broken("silent".to_owned()),
         };
@@ -168,7 +186,7 @@
             let links = &self.dispatch.shared.links;
             links.put(&choice.id, choice.address, source.link, source.answer.idle);
         }
-        self.dispatch.log_end("streamed", self.status);
+        self.log_end("streamed");
     }
 
     fn broken(&mut self, cause: String) -> Option<Step> {
@@ -179,16 +197,18 @@
         if self.dispatch.note(&Miss::new(Event::Lost, cause)) {
             return None;
         }
-        self.dispatch.log_end("stream_broken", self.status);
-        Some(Step::Broken)
+        Some(Step::Broken(Reason::Unknown))
     }
 
     /// Goes on at another replica after the last event that the caller has.
     async fn resume(&mut self) -> Option<Step> {
         let stop = match self.dispatch.once(self.last).await {
             Ok(reply) => match Self::reopen(reply) {
-                Ok(source) => {
+                Ok((head, source)) => {
                     self.source = Some(source);
+                    if !self.began {
+                        self.head = head;
+                    }
                     return None;
                 }
                 Err(miss) => Stop::Miss(miss),
@@ -202,17 +222,19 @@
                     return None;
                 }
             }
-            Stop::Miss(miss) => self.dispatch.cause = miss.cause,
+            Stop::Miss(miss) => {
+                self.dispatch.cause = miss.cause;
+                return Some(Step::Broken(Reason::TimedOut));
+            }
             Stop::Refused(refusal) => refusal.label().clone_into(&mut self.dispatch.cause),
         }
-        self.dispatch.log_end("stream_broken", self.status);
-        Some(Step::Broken)
+        Some(Step::Broken(Reason::Unknown))
     }
 
     /// The stream that goes on, or a miss if the replica failed.
-    fn reopen(reply: Reply) -> Result<Source, Miss> {
+    fn reopen(reply: Reply) -> Result<(response::Parts, Source), Miss> {
         if reply.is_signed_success() {
-            return Ok(Source::open(reply).1);
+            return Ok(Source::open(reply));
         }
         let status = reply.sent.response.status();
         reply.flight.end(End::Failed);
@@ -249,5 +271,6 @@
 enum Step {
     Event(Bytes),
     End,
-    Broken,
+    /// It can't go on, for this reason.
+    Broken(Reason),
 }
