Add a randomized soak of real processes

It checks from what callers and replicas saw: nothing unsafe twice, refusals not run, answers true and in time, no request lost, removed keys closed, processes that end in time, recovery.

Not covered: datagrams between nodes are not troubled, usage reports are not checked, clocks are not changed (that needs rights that we don't have).

--- /dev/null
+++ b/src/bin/bilberrylatch-soak.rs
@@ -0,0 +1,7 @@
+//! The soak: real processes, faults from outside, promises checked.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    soak::main()
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,53 @@
+//! Short seeded runs of the soak. A busy machine alone must not fail them: promises about time are shown, not counted.
+
+use std::process::Command;
+
+/// A short run of few processes, and a whole one that once found a broken promise.
+const RUNS: [&[&str]; 2] = [
+    &[
+        "--seed",
+        "70",
+        "--count",
+        "2",
+        "--seconds",
+        "3",
+        "--nodes",
+        "2",
+        "--replicas",
+        "3",
+        "--callers",
+        "6",
+    ],
+    &["--seed", "1"],
+];
+
+#[test]
+fn no_promise_is_broken() {
+    let logs = env!("CARGO_TARGET_TMPDIR");
+    for run in RUNS {
+        let output = Command::new(env!("CARGO_BIN_EXE_bilberrylatch-soak"))
+            .args([
+                "run",
+                "--untimed",
+                "--logs",
+                logs,
+                "--daemon",
+                env!("CARGO_BIN_EXE_bilberrylatchd"),
+            ])
+            .args(run)
+            .output()
+            .expect("the soak runs");
+        let shown = String::from_utf8_lossy(&output.stdout);
+        let failed = String::from_utf8_lossy(&output.stderr);
+        println!("{shown}");
+        assert!(output.status.success(), "{run:?}: {shown}{failed}");
+        let requests = shown
+            .split_whitespace()
+            .skip_while(|word| !word.starts_with("seed"))
+            .nth(2);
+        let requests: usize = requests
+            .and_then(|word| word.parse().ok())
+            .expect("a count of requests");
+        assert!(requests > 0, "{shown}");
+    }
+}
