--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -38,6 +38,7 @@
         BilberrylatchCmd::Keys(_) => command::keys::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Nodes(_) => command::nodes::run(&client(args.node.as_deref())?, output).await,
         BilberrylatchCmd::Replicas(_) => command::replicas::run(&client(args.node.as_deref())?, output).await,
+        BilberrylatchCmd::Platform(flags) => command::platform::run(flags.metrics.as_deref(), output).await,
         BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
     }
 }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -80,6 +80,11 @@
         cmd nodes {}
         /// List replicas as the asked node sees them.
         cmd replicas {}
+        /// Show nodes on the users' platform, by what their metrics addresses tell.
+        cmd platform {
+            /// Metrics addresses, separated by commas; also BILBERRYLATCH_METRICS.
+            optional --metrics addresses: String
+        }
         /// Run everything in one process, with stand-ins.
         cmd demo {
             /// Requests to send; without it the demo stays up.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -3,5 +3,6 @@
 pub mod catalogue;
 pub mod keys;
 pub mod nodes;
+pub mod platform;
 pub mod replicas;
 pub mod rollout;
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod exit;
 pub mod output;
+pub mod scrape;
 
 pub use app::run;
 pub use client::Client;
