--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -21,8 +21,8 @@
 const REPORTS_IN_WINDOW: u64 = 4;
 /// The same of many nodes, each of which has little to tell.
 const REPORTS_OF_MANY: u64 = 1;
-/// Nodes that count as many: what each of them tells the store is told less often.
-pub const MANY_NODES: usize = 24;
+/// Nodes that count as many.
+const MANY_NODES: usize = 24;
 /// Time after a window's end until its last report: runs that began before have been counted.
 const AFTER_END: Millis = Millis(150);
 /// Weight of the newest load in the moving mean.
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -11,16 +11,13 @@
 
 use crate::Shared;
 use crate::follow::NODES;
-use crate::publish::MANY_NODES;
 use crate::stop::Phase;
 use crate::view::Peer;
 
 /// Life of the lease without renewal: callers are sent to a dead node for that long.
 const LIFE: Millis = Millis(2_500);
-/// Time between renewals: two may fail before the lease lapses.
+/// Time between renewals.
 const RENEW: Duration = Duration::from_millis(700);
-/// The same where there are many nodes, whose calls are dear together: one renewal and its repeats may fail.
-const RENEW_OF_MANY: Duration = Duration::from_millis(1_100);
 /// Time before a failed call is made again.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -43,7 +40,6 @@
     };
     loop {
         let pause = match keeper.keep().await {
-            Ok(()) if keeper.shared.view().nodes() >= MANY_NODES => RENEW_OF_MANY,
             Ok(()) => RENEW,
             Err(error) => {
                 log::warn!(cause:% = error; "registration not renewed");
