Let nodes tell each other of replicas that they can't reach

Each node sends to each replica once in 12 s, so that each found out for itself.

Change: nodes tell in their datagrams which replicas they could not connect to. Once nodes of two availability zones say so, a replica is left out for 3 s, unless that were more than a third; a node that can't reach a third of them tells nothing: it is rather cut off itself.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,4 +1,5 @@
-//! Datagrams between nodes: what each one lets through of the workspaces' limits, and its requests at each replica.
+//! Datagrams between nodes: what each one lets through of the workspaces' limits, its requests at each replica, and the
+//! replicas that it can't reach.
 //!
 //! The store can't carry them: they change several times a second. All figures are totals or present values, so that a
 //! lost datagram is made up for by the next. Nothing depends on them but how well limits and replicas are used.
@@ -38,6 +39,8 @@
     pub used: Vec<(Arc<str>, u64)>,
     /// The sender's requests at each replica, by endpoint.
     pub loads: Vec<(Arc<str>, Vec<PeerLoad>)>,
+    /// Hashes of the ids of replicas that the sender can't reach, by endpoint.
+    pub unreachable: Vec<(Arc<str>, Vec<u64>)>,
 }
 
 /// Binds the port and exchanges datagrams until the node ends.
@@ -80,8 +83,12 @@
         }
         let mut beat = shared.beat();
         let now = shared.now();
-        let is_due = now.since(sent) >= KEEPALIVE && !beat.used.is_empty();
-        if !is_due && beat.used == last.used && beat.loads == last.loads {
+        let is_due = now.since(sent) >= KEEPALIVE && !(beat.used.is_empty() && beat.unreachable.is_empty());
+        if !is_due
+            && beat.used == last.used
+            && beat.loads == last.loads
+            && beat.unreachable == last.unreachable
+        {
             continue;
         }
         number += 1;
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Millis};
+use indexmap::IndexSet;
+use place::Word;
 use quota::{Bounds, Limit, Policy, Terms};
 use table::Workspace;
 
@@ -58,8 +60,30 @@
                 .or_insert_with(|| Limit::new(now, &terms));
             limit.hear(now, beat.from, *total, &terms);
         }
-        for (endpoint, loads) in &beat.loads {
-            self.with_pool(endpoint, |pool| pool.hear(now, beat.from, loads));
+        self.hear_of_replicas(now, beat);
+    }
+
+    fn hear_of_replicas(&self, now: Millis, beat: &Beat) {
+        let zone = {
+            let view = self.view();
+            view.peers
+                .get(&Incarnation(beat.from))
+                .map(|peer| peer.zone.clone())
+        };
+        // What a node says of replicas counts once the store has told which availability zone it is in.
+        let Some(zone) = zone else { return };
+        let named = beat.loads.iter().map(|(endpoint, _)| endpoint);
+        let endpoints: IndexSet<&Arc<str>> = named.chain(beat.unreachable.iter().map(|(it, _)| it)).collect();
+        for endpoint in endpoints {
+            let loads = beat.loads.iter().find(|(it, _)| it == endpoint);
+            let unreachable = beat.unreachable.iter().find(|(it, _)| it == endpoint);
+            let word = Word {
+                node: beat.from,
+                zone: &zone,
+                loads: loads.map_or(&[], |(_, loads)| loads),
+                unreachable: unreachable.map_or(&[], |(_, unreachable)| unreachable),
+            };
+            self.with_pool(endpoint, |pool| pool.hear(now, &word));
         }
     }
 
@@ -75,11 +99,21 @@
                 .map(|(name, pool)| (Arc::clone(name), pool.own_loads()));
             loads.filter(|(_, loads)| !loads.is_empty()).collect()
         });
+        let now = self.now();
+        let unreachable = self.with_pools(|pools| {
+            let unreachable = pools
+                .iter()
+                .map(|(name, pool)| (Arc::clone(name), pool.unreachable(now)));
+            unreachable
+                .filter(|(_, unreachable)| !unreachable.is_empty())
+                .collect()
+        });
         Beat {
             from: self.incarnation.0,
             number: 0,
             used,
             loads,
+            unreachable,
         }
     }
 
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -26,6 +26,8 @@
     ejected_until: Option<Millis>,
     /// Whether a trial dispatch is under way after an ejection.
     on_trial: bool,
+    /// Whether the last ejection was for want of a connection.
+    is_unreachable: bool,
 }
 
 impl Health {
@@ -57,6 +59,7 @@
         self.note(0.0);
         self.in_a_row = 0;
         if self.on_trial || self.ejected_until.is_some() {
+            self.is_unreachable = false;
             self.ejected_until = None;
             self.on_trial = false;
             self.failing = 0.0;
@@ -79,8 +82,19 @@
         }
     }
 
-    /// Takes the replica out for a while.
-    pub fn eject(&mut self, now: Millis) {
+    /// There was no connection: takes the replica out for a while.
+    pub fn lose(&mut self, now: Millis) {
+        self.eject(now);
+        self.is_unreachable = true;
+    }
+
+    /// Whether it is out for want of a connection.
+    pub fn is_unreachable(&self, now: Millis) -> bool {
+        self.is_unreachable && self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    fn eject(&mut self, now: Millis) {
+        self.is_unreachable = false;
         let doublings = self.ejections.min(MOST_DOUBLINGS);
         self.ejected_until = Some(now + Millis(FIRST_EJECTION.0 << doublings));
         self.ejections += 1;
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -23,3 +23,16 @@
     /// Tokens of prompts that the replica has yet to read.
     pub unread_tokens: u64,
 }
+
+/// What another node told.
+#[derive(Clone, Copy, Debug)]
+pub struct Word<'a> {
+    /// The node.
+    pub node: u64,
+    /// Its availability zone.
+    pub zone: &'a str,
+    /// Its requests at replicas.
+    pub loads: &'a [PeerLoad],
+    /// Hashes of the ids of replicas that it can't reach.
+    pub unreachable: &'a [u64],
+}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,6 +1,7 @@
 //! The replicas of one endpoint.
 
 mod cost;
+mod doubt;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use crate::flight::Flight;
 use crate::replica::Replica;
 use crate::speed::Speed;
-use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec};
+use crate::{Demand, End, FlightKey, Load, PeerLoad, Refusal, ReplicaKey, Settings, Spec, Word, rank};
 
 /// Part of the time left that may be spent waiting for the first event: the rest is for the answer itself.
 const WAIT_PART: f64 = 0.6;
@@ -121,11 +122,15 @@
         busy.filter(|replica| replica.in_flight > 0).map(load).collect()
     }
 
-    /// Another node told its requests at the replicas; it has none at those that are not named.
-    pub fn hear(&mut self, now: Millis, node: u64, loads: &[PeerLoad]) {
+    /// Another node told its requests at the replicas and which it can't reach; those that are not named have none and
+    /// can be reached.
+    pub fn hear(&mut self, now: Millis, word: &Word<'_>) {
+        let zone = rank::name(word.zone);
         for replica in self.replicas.values_mut() {
-            let load = loads.iter().find(|load| load.replica == replica.hash);
-            replica.hear(now, node, load.copied());
+            let load = word.loads.iter().find(|load| load.replica == replica.hash);
+            replica.hear(now, word.node, load.copied());
+            let is_unreachable = word.unreachable.contains(&replica.hash);
+            replica.doubt(now, word.node, zone, is_unreachable);
         }
     }
 
@@ -192,6 +197,7 @@
     /// The replica reported its load with an answer.
     pub fn report(&mut self, now: Millis, replica: ReplicaKey, load: Load) {
         if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.heard = now;
             replica.note_load(now, load);
         }
     }
@@ -206,6 +212,7 @@
         let Some(replica) = self.replicas.get_mut(flight.replica) else {
             return;
         };
+        replica.heard = now;
         replica.unread_tokens = replica.unread_tokens.saturating_sub(u64::from(flight.tokens));
         let latency_ms = now.since(flight.sent).0 as f64;
         if replica.unread_tokens == 0 {
@@ -228,26 +235,27 @@
             replica.unread_tokens = replica.unread_tokens.saturating_sub(u64::from(flight.tokens));
         }
         match end {
-            End::Answered => replica.health.succeed(),
+            End::Answered => {
+                replica.heard = now;
+                replica.health.succeed();
+            }
             End::Failed => replica.health.fail(now, usual),
-            End::Unreachable => replica.health.eject(now),
+            End::Unreachable => replica.health.lose(now),
             End::NotRun | End::Cancelled => replica.health.neutral(),
         }
     }
 
-    /// Replicas that may be chosen; ejected ones too if there are no others.
+    /// Replicas that may be chosen; ejected and doubted ones too if there are no others.
     fn open(&self, now: Millis, demand: &Demand<'_>) -> Vec<ReplicaKey> {
         let untried = |key: &ReplicaKey| !demand.tried.contains(key);
         let keys = self.ids.values().copied().filter(untried);
-        let open: Vec<ReplicaKey> = keys
-            .clone()
-            .filter(|key| self.replicas[*key].is_open(now, demand.version))
+        let ready: Vec<ReplicaKey> = keys
+            .filter(|key| self.replicas[*key].is_ready(demand.version))
             .collect();
-        if !open.is_empty() {
-            return open;
-        }
-        keys.filter(|key| self.replicas[*key].is_ready(demand.version))
-            .collect()
+        let doubted = self.doubted(now, &ready);
+        let is_open = |key: &ReplicaKey| self.replicas[*key].health.is_open(now) && !doubted.contains(key);
+        let open: Vec<ReplicaKey> = ready.iter().copied().filter(is_open).collect();
+        if open.is_empty() { ready } else { open }
     }
 
     fn is_full(&self, now: Millis, key: ReplicaKey) -> bool {
--- a/crates/place/src/rank.rs
+++ b/crates/place/src/rank.rs
@@ -8,7 +8,7 @@
 }
 
 /// Hash of a name, equal on every node (FNV-1a).
-pub(crate) fn name(name: &str) -> u64 {
+pub fn name(name: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     name.bytes()
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -12,6 +12,8 @@
 const DELAY_HALF_LIFE_MS: f64 = 1_000.0;
 /// Age at which a reported load says nothing any more.
 const LOAD_LIFE: Millis = Millis(1_000);
+/// Time for which others' doubts hold: until those who doubt have tried again and told what came of it.
+const DOUBT_LIFE: Millis = Millis(3_000);
 /// Most cached parts remembered for one replica.
 const MOST_PARTS: usize = 1_024;
 
@@ -36,6 +38,12 @@
     load: Option<(Millis, Load)>,
     /// Other nodes' requests here, and when they said so.
     peers: IndexMap<u64, (Millis, PeerLoad)>,
+    /// When it last gave a sign of life to this node.
+    pub heard: Millis,
+    /// Other nodes that can't reach it, their availability zones, and when they said so.
+    doubts: IndexMap<u64, (Millis, u64)>,
+    /// When nodes of two availability zones last could not reach it.
+    doubted: Option<Millis>,
     /// Shared parts that this node sent here, and their tokens; the latest last.
     parts: IndexMap<u64, u32>,
     parts_tokens: u64,
@@ -55,16 +63,14 @@
             delay_at: Millis::ZERO,
             load: None,
             peers: IndexMap::new(),
+            heard: Millis::ZERO,
+            doubts: IndexMap::new(),
+            doubted: None,
             parts: IndexMap::new(),
             parts_tokens: 0,
         }
     }
 
-    /// Whether it takes new requests of this version.
-    pub fn is_open(&self, now: Millis, version: Want<'_>) -> bool {
-        self.is_ready(version) && self.health.is_open(now)
-    }
-
     /// Whether it takes new requests of this version, as far as it says itself.
     pub fn is_ready(&self, version: Want<'_>) -> bool {
         self.spec.state == State::Ready && version.takes(&self.spec.version)
@@ -98,6 +104,28 @@
         }
     }
 
+    /// Another node of this availability zone can't reach it, or can.
+    ///
+    /// It is doubted once nodes of two availability zones say so: one zone alone may be cut off itself.
+    pub fn doubt(&mut self, now: Millis, node: u64, zone: u64, is_unreachable: bool) {
+        if !is_unreachable {
+            self.doubts.swap_remove(&node);
+            return;
+        }
+        self.doubts.insert(node, (now, zone));
+        let fresh = self.doubts.values().filter(|(at, _)| now.since(*at) < LOAD_LIFE);
+        let mut zones = fresh.map(|(_, zone)| *zone);
+        if zones.any(|other| other != zone) {
+            self.doubted = Some(now);
+        }
+    }
+
+    /// Whether others' doubts hold, and it has given this node no sign of life since.
+    pub fn is_doubted(&self, now: Millis) -> bool {
+        let holds = |at: Millis| now.since(at) < DOUBT_LIFE && self.heard <= at;
+        self.doubted.is_some_and(holds)
+    }
+
     fn fresh_peers(&self, now: Millis) -> impl Iterator<Item = &PeerLoad> {
         let is_fresh = move |at: &Millis| now.since(*at) < LOAD_LIFE;
         let peers = self.peers.values();
--- a/crates/place/tests/placement/pool.rs
+++ b/crates/place/tests/placement/pool.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::{Millis, Seed};
-use place::{Demand, End, Load, Part, Pool, Refusal, Settings, State, Want};
+use place::{Demand, End, Load, Part, Pool, Refusal, Settings, State, Want, Word};
 use rand::RngExt;
 
 use crate::support::{demand, engine, plain, spec};
@@ -70,7 +70,15 @@
         in_flight: 20,
         unread_tokens: 200_000,
     };
-    pool.hear(Millis(10_100), 9, &[busy]);
+    pool.hear(
+        Millis(10_100),
+        &Word {
+            node: 9,
+            zone: "zone-1",
+            loads: &[busy],
+            unreachable: &[],
+        },
+    );
     let other = pool.choose(Millis(10_100), &demand).expect("a replica").replica;
     assert_ne!(other, home);
     // What was told is forgotten when it is old.
