Pause for 0.9 s at most before a watch, and report twice a window again

Shorter pauses still were not tried.

Change: 250 ms and 8 ms a node, at most 0.3 of `apply`; two reports.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -26,9 +26,10 @@
 /// Pause before the next watch, which gathers changes; part of the time until a change is in force.
 const GATHER: Duration = Duration::from_millis(250);
 /// What the pause grows by for each node: the store's rates grow more slowly than the calls of all nodes.
-const GATHER_PER_NODE: Duration = Duration::from_millis(16);
-/// Longest pause, as a part of the time within which a change must be in force.
-const GATHER_PART: f64 = 0.5;
+const GATHER_PER_NODE: Duration = Duration::from_millis(8);
+/// Longest pause, as a part of the time within which a change must be in force: replicas that come and go are known
+/// later by as much.
+const GATHER_PART: f64 = 0.3;
 /// Pauses before a failed call is made again, with jitter between the half and the whole.
 const RETRY: [Duration; 4] = [
     Duration::from_millis(60),
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -20,7 +20,7 @@
 /// Reports in each usage window: what a killed node has not told is missing from the usage.
 const REPORTS_IN_WINDOW: u64 = 4;
 /// The same of many nodes, each of which has little to tell.
-const REPORTS_OF_MANY: u64 = 1;
+const REPORTS_OF_MANY: u64 = 2;
 /// Nodes that count as many.
 const MANY_NODES: usize = 24;
 /// Time after a window's end until its last report: runs that began before have been counted.
