Take nothing late in a stop that may not be finished

A stream taken 3.1 s after SIGTERM began to run 1.2 s later and was cut at the node's end, 3.2 s into its run.

Ruled out: the replica (it was at work) and the caller's deadline (8 s).

Change: once callers have had 2.5 s to learn that the node leaves, it takes only what has the whole of its caller's patience left; until then 2 s are enough as before.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,6 +6,7 @@
 use base::Millis;
 use clock::Clock;
 use metrics_exporter_prometheus::PrometheusHandle;
+use place::last::{LEARN, Leave};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep};
@@ -15,8 +16,6 @@
 use crate::stop::Phase;
 use crate::{Error, Settings, Shared, duty, follow, peers, publish, register};
 
-/// Time for callers to learn that the node is leaving, before idle connections are closed.
-const LEAVING: Millis = Millis(2_500);
 /// Time before SIGKILL at which the process ends whatever is still in flight.
 const END_MARGIN: Millis = Millis(300);
 /// Time for the last answers to be written before the process ends.
@@ -95,8 +94,12 @@
         let started = self.shared.now();
         let elapsed = || self.shared.now().since(started);
         log::info!(waiting = self.shared.waiting(); "node leaving");
-        self.shared.stop.leave(started + grace - WRITTEN);
-        sleep(LEAVING.min(grace).as_duration()).await;
+        self.shared.stop.begin(Leave {
+            since: started,
+            end: started + grace - WRITTEN,
+        });
+        // Then idle connections are closed.
+        sleep(LEARN.min(grace).as_duration()).await;
         self.shared.stop.enter(Phase::Closing);
         self.wait_idle(QUIET, || elapsed() < grace).await;
         log::info!(waiting = self.shared.waiting(), took_ms = elapsed().0; "node ends");
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -2,7 +2,7 @@
 
 use std::sync::OnceLock;
 
-use base::Millis;
+use place::last::Leave;
 use tokio::sync::watch;
 
 /// How far a stop has come.
@@ -22,8 +22,8 @@
 #[derive(Clone, Debug)]
 pub struct Stop {
     sender: watch::Sender<Phase>,
-    /// When the last answers must be on their way, once the node leaves.
-    last_answers: OnceLock<Millis>,
+    /// The node's end, once it leaves.
+    leave: OnceLock<Leave>,
 }
 
 impl Stop {
@@ -31,20 +31,20 @@
     pub fn new() -> Self {
         Self {
             sender: watch::Sender::new(Phase::Running),
-            last_answers: OnceLock::new(),
+            leave: OnceLock::new(),
         }
     }
 
-    /// Begins to leave: the last answers must be on their way at this time.
-    pub fn leave(&self, last_answers: Millis) {
+    /// Begins to leave.
+    pub fn begin(&self, leave: Leave) {
         // A second order to leave changes nothing.
-        let _first = self.last_answers.set(last_answers);
+        let _first = self.leave.set(leave);
         self.enter(Phase::Leaving);
     }
 
-    /// When the last answers must be on their way; none if the node stays.
-    pub fn last_answers(&self) -> Option<Millis> {
-        self.last_answers.get().copied()
+    /// The node's end; none if it stays.
+    pub fn leave(&self) -> Option<Leave> {
+        self.leave.get().copied()
     }
 
     /// Moves on to a phase.
--- a/crates/place/src/last.rs
+++ b/crates/place/src/last.rs
@@ -5,15 +5,30 @@
 
 use base::Millis;
 
-/// Time that a request needs at most if it is to be taken whatever its caller's patience: longer than the aims of all
-/// routes of both sites.
+/// Time for callers to learn that a node leaves. What is sent later is sent by callers that don't learn.
+pub const LEARN: Millis = Millis(2_500);
+/// Time that a request needs at most, while callers learn, to be taken whatever its caller's patience: longer than the
+/// aims of all routes of both sites.
 const WORK: Millis = Millis(2_000);
 
-/// When the answer to a request is due that arrives now at a node that ends at `end`; none if it must be refused.
+/// The end of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leave {
+    /// When it was told to end.
+    pub since: Millis,
+    /// When its last answers must be on their way.
+    pub end: Millis,
+}
+
+/// When the answer to a request is due that arrives now; none if it must be refused, since the node is about to end.
 ///
-/// A request is taken if it can use all of the time that its caller gives it, or enough to be answered as a rule.
-pub fn due(now: Millis, due: Millis, end: Option<Millis>) -> Option<Millis> {
-    let Some(end) = end else { return Some(due) };
-    let needed = due.since(now).min(WORK);
-    (end.since(now) >= needed && now < end).then(|| due.min(end))
+/// A request is taken if it can use all of the time that its caller gives it. While callers learn that the node leaves,
+/// it is enough that it can be answered as a rule.
+pub fn due(now: Millis, due: Millis, leave: Option<Leave>) -> Option<Millis> {
+    let Some(leave) = leave else { return Some(due) };
+    let mut needed = due.since(now);
+    if now.since(leave.since) < LEARN {
+        needed = needed.min(WORK);
+    }
+    (leave.end.since(now) >= needed && now < leave.end).then(|| due.min(leave.end))
 }
