Move the soak out of the adapter's folder, and split its long files

`platform/` is for names, formats and calls: the soak decides a lot and is now the crate `crates/soak`; the stand-ins, which speak the platform's names, stand among the adapter's tests. The soak's caller leaves the names of headers to the stand-in's. No behaviour, bound or assertion changes, and nothing of the daemon.

--- a/platform/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -137,14 +137,8 @@
     }
 
     async fn send(&self, mut caller: Caller) -> (End, Option<Caller>) {
-        let patience = self.patience.as_millis().to_string();
-        let headers = [
-            ("attempt-id", self.id.as_str()),
-            ("credential", self.key.text()),
-            ("deadline-ms", &patience),
-        ];
         let path = format!("{}{}", self.kind.path(), self.id);
-        let call = caller.call(&path, &headers, "body");
+        let call = caller.ask(&path, &self.id, self.key.text(), self.patience);
         match timeout(self.patience + GIVE_UP, call).await {
             Err(_elapsed) => (End::Silent, None),
             Ok(None) => (End::Cut, None),
@@ -160,7 +154,7 @@
     Told {
         status: answer.status.as_u16(),
         has_retry_after: answer.header("retry-after").is_some(),
-        seal: answer.header("response-seal").map(str::to_owned),
+        seal: answer.seal().map(str::to_owned),
         body: answer.body,
     }
 }
--- a/platform/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,10 +1,12 @@
 //! One run: start, faults and load together, recovery, graceful end, checks.
 
+mod notes;
+mod steps;
+
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::os::unix::process::ExitStatusExt;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base::{Millis, Seed};
@@ -16,18 +18,15 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
+use self::notes::Notes;
 use crate::attempt::{Attempt, Key, Kind};
 use crate::caller::{Load, Request};
 use crate::check::{History, check};
 use crate::deployment::{Deployment, Programs, has_panicked};
-use crate::disturbance::{Disturbance, Removal, What};
+use crate::disturbance::What;
 use crate::finding::{Finding, Rule};
-use crate::member::{Ended, Member};
-use crate::plan::{Fault, Plan, Process, Size, Step};
-use crate::proxy::Trouble;
+use crate::plan::{Plan, Process, Size};
 
-/// Time from SIGTERM to SIGKILL: `grace-s` of both sites and the daemon's default.
-const GRACE: Duration = Duration::from_secs(8);
 /// Time after the last fault within which all nodes serve again: `recovery-s` of both sites.
 const RECOVERY: Duration = Duration::from_secs(15);
 /// Time for all processes to be ready at the start.
@@ -96,13 +95,6 @@
     key: Arc<tokio::sync::Mutex<()>>,
 }
 
-#[derive(Debug, Default)]
-struct Notes {
-    disturbances: Vec<Disturbance>,
-    removals: Vec<Removal>,
-    findings: Vec<Finding>,
-}
-
 impl Run {
     async fn start(options: &Options) -> io::Result<Self> {
         let deployment = Deployment::start(&options.programs, options.size, options.seed).await?;
@@ -154,145 +146,6 @@
         }
     }
 
-    async fn step(&self, step: Step) -> io::Result<()> {
-        let span = step.span.as_duration();
-        match step.fault {
-            Fault::Kill(process) => {
-                let from = self.load.now();
-                self.deployment.member(process).kill();
-                sleep(span).await;
-                self.start_again(process, What::Killed, from).await?;
-            }
-            Fault::Pause(process) => self.pause(process, span).await,
-            Fault::Leave(process) => self.leave(process, span).await?,
-            Fault::LeavePaused(process) => {
-                let from = self.load.now();
-                self.announce_pause(process, from, span);
-                self.deployment.member(process).signal(Signal::SIGSTOP);
-                self.deployment.member(process).signal(Signal::SIGTERM);
-                sleep(span).await;
-                self.deployment.member(process).signal(Signal::SIGCONT);
-                self.disturb(process, What::Paused, from);
-                self.leave(process, Duration::ZERO).await?;
-                self.disturb(process, What::Left, from);
-            }
-            Fault::Roll => {
-                for number in 0..self.deployment.nodes.len() {
-                    self.leave(Process::Node(number), Duration::ZERO).await?;
-                }
-            }
-            Fault::PauseStore => {
-                self.deployment.store.signal(Signal::SIGSTOP);
-                sleep(span).await;
-                self.deployment.store.signal(Signal::SIGCONT);
-            }
-            Fault::Store(faults) => {
-                self.deployment.set_faults(faults).await;
-                sleep(span).await;
-                self.deployment.set_faults(Faults::default()).await;
-            }
-            Fault::Link(link, trouble) => {
-                let from = self.load.now();
-                self.deployment.trouble(link, trouble);
-                sleep(span).await;
-                self.deployment.trouble(link, Trouble::None);
-                if let crate::plan::Link::Callers(number) = link {
-                    self.disturb(Process::Node(number), What::Troubled, from);
-                }
-            }
-            Fault::Key => self.take_key(span).await,
-        }
-        Ok(())
-    }
-
-    async fn pause(&self, process: Process, span: Duration) {
-        let from = self.load.now();
-        self.announce_pause(process, from, span);
-        self.deployment.member(process).signal(Signal::SIGSTOP);
-        sleep(span).await;
-        self.deployment.member(process).signal(Signal::SIGCONT);
-        self.disturb(process, What::Paused, from);
-    }
-
-    /// Whether a node was paused at some time since then.
-    fn was_paused(&self, node: usize, since: Millis) -> bool {
-        let to = self.load.now();
-        let notes = self.notes();
-        let mut pauses = notes.disturbances.iter().filter(|it| it.what == What::Paused);
-        pauses.any(|it| it.node == node && it.meets(since, to))
-    }
-
-    /// Tells a process to end, sees how it does, and starts it again.
-    async fn leave(&self, process: Process, span: Duration) -> io::Result<()> {
-        let from = self.load.now();
-        let member = self.deployment.member(process);
-        let generation = member.generation();
-        member.signal(Signal::SIGTERM);
-        self.see_end(process, member, generation, from).await?;
-        let over = Millis(self.load.now().since(from).0).as_duration();
-        sleep(span.saturating_sub(over)).await;
-        self.start_again(process, What::Left, from).await
-    }
-
-    /// Waits for the end of a process that was told to; one that does not end is killed, as the platform would.
-    async fn see_end(
-        &self,
-        process: Process,
-        member: &Member,
-        generation: u64,
-        from: Millis,
-    ) -> io::Result<()> {
-        let ended = member.wait(generation, GRACE).await?;
-        let Process::Node(node) = process else {
-            if ended == Ended::Running {
-                member.kill();
-            }
-            return Ok(());
-        };
-        match ended {
-            // One that is told to end before it listens need not clean up.
-            Ended::Exited(status) if status.signal() == Some(Signal::SIGTERM as i32) && member.is_young() => {
-            }
-            Ended::Exited(status) if !status.success() => {
-                self.find(Rule::Exit, format!("node {node} ended with {status}"));
-            }
-            Ended::Exited(_) | Ended::Replaced => {}
-            Ended::Running => {
-                let to = self.load.now();
-                if !self.was_paused(node, from) {
-                    let seen = format!("node {node} was told to end at {from:?} and still ran at {to:?}");
-                    self.find(Rule::Exit, seen);
-                }
-                member.kill();
-                self.disturb(process, What::Killed, to);
-            }
-        }
-        Ok(())
-    }
-
-    async fn start_again(&self, process: Process, what: What, from: Millis) -> io::Result<()> {
-        self.deployment.member(process).start()?;
-        if let Process::Node(number) = process {
-            let address = self.deployment.listens[number];
-            // One that does not come back is found when the nodes are asked whether they serve.
-            let _is_back = timeout(RECOVERY, listening(address)).await;
-        }
-        self.disturb(process, what, from);
-        Ok(())
-    }
-
-    async fn take_key(&self, span: Duration) {
-        let _one = self.key.lock().await;
-        let is_away = self.deployment.take_key().await;
-        let from = self.load.now();
-        sleep(span).await;
-        if is_away {
-            let to = self.load.now();
-            self.notes().removals.push(Removal { from, to });
-        }
-        self.deployment.give_key().await;
-    }
-
     /// Ends all that still goes wrong, and starts what does not run.
     async fn calm(&self) -> io::Result<()> {
         self.deployment.calm();
@@ -333,12 +186,7 @@
                 member.signal(Signal::SIGTERM);
                 run.see_end(process, member, member.generation(), from).await?;
                 // It is not started again: callers find nobody until the run is over.
-                run.notes().disturbances.push(Disturbance {
-                    node: number,
-                    what: What::Left,
-                    from,
-                    to: Millis::NEVER,
-                });
+                run.note(process, What::Left, from, Millis::NEVER);
                 Ok(())
             });
         }
@@ -381,32 +229,6 @@
             runs: history.runs.values().sum(),
         }
     }
-
-    /// Notes that a node will be paused from now on: other faults ask meanwhile whether it is.
-    fn announce_pause(&self, process: Process, from: Millis, span: Duration) {
-        let to = from + Millis(span.as_millis() as u64);
-        self.note(process, What::Paused, from, to);
-    }
-
-    /// Notes that something was done to a node from then until now.
-    fn disturb(&self, process: Process, what: What, from: Millis) {
-        self.note(process, what, from, self.load.now());
-    }
-
-    fn note(&self, process: Process, what: What, from: Millis, to: Millis) {
-        let Process::Node(node) = process else { return };
-        self.notes()
-            .disturbances
-            .push(Disturbance { node, what, from, to });
-    }
-
-    fn find(&self, rule: Rule, seen: String) {
-        self.notes().findings.push(Finding::new(rule, seen));
-    }
-
-    fn notes(&self) -> MutexGuard<'_, Notes> {
-        self.notes.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Ends once an address takes connections.
