--- a/crates/claim/src/handover.rs
+++ b/crates/claim/src/handover.rs
@@ -21,7 +21,7 @@
     pub pieces: u32,
     /// Low-water mark: whether keys below it ran is no longer known.
     pub low: u64,
-    /// First number that was never issued.
+    /// End of the certified numbers: the first number that was never issued, or `low` if the home node certifies none.
     pub next: u64,
     /// Keys that ran or may have run.
     pub entries: Vec<Entry>,
--- a/crates/claim/src/table.rs
+++ b/crates/claim/src/table.rs
@@ -44,6 +44,8 @@
     bytes: usize,
     imports: IndexMap<Incarnation, Import>,
     phase: Phase,
+    /// Whether other nodes may have declared this node gone.
+    fenced: bool,
     exports: u64,
     actions: Actions,
 }
@@ -87,6 +89,7 @@
             bytes: 0,
             imports: IndexMap::new(),
             phase: Phase::Open,
+            fenced: false,
             exports: 0,
             actions: Actions::new(),
         }
@@ -120,6 +123,7 @@
             Event::Finish { call, key, result } => self.finish(call, key, result),
             Event::Disconnect { call, key } => self.disconnect(call, key),
             Event::Drain => self.phase = self.phase.max(Phase::Draining),
+            Event::Fenced => self.fenced = true,
             Event::Import(piece) => self.import(now, piece),
             Event::Tick => {}
         }
--- a/crates/claim/src/table/event.rs
+++ b/crates/claim/src/table/event.rs
@@ -53,6 +53,8 @@
     },
     /// The node is stopping: no key is issued and no run starts from now on.
     Drain,
+    /// Other nodes may have declared this node gone, and told callers that its keys may have run.
+    Fenced,
     /// A stopping peer hands over its keys.
     Import(Handover),
     /// Time passed.
--- a/crates/claim/src/table/export.rs
+++ b/crates/claim/src/table/export.rs
@@ -16,12 +16,17 @@
     ///
     /// After an export no undispatched run may start sending. Runs that were dispatched are exported as `unknown`, so
     /// call this once `usage().running` is zero if possible.
+    ///
+    /// After [`Event::Fenced`](super::Event::Fenced) the export certifies none of this node's keys as not run, since
+    /// callers may have been told that they may have run.
     pub fn export(&mut self, piece_bytes: usize) -> Vec<Handover> {
         self.phase = Phase::Exported;
         self.exports += 1;
         let mut pieces = Vec::new();
         let own = self.own_entries();
-        let empty = self.empty_piece(self.home, self.window.low(), self.window.next());
+        let low = self.window.low();
+        let next = if self.fenced { low } else { self.window.next() };
+        let empty = self.empty_piece(self.home, low, next);
         split(&mut pieces, &empty, own, piece_bytes, true);
         for (home, import) in &self.imports {
             let empty = self.empty_piece(*home, import.low(), import.next());
--- a/crates/claim/tests/handover.rs
+++ b/crates/claim/tests/handover.rs
@@ -88,6 +88,27 @@
     }
 }
 
+#[test]
+fn a_fenced_home_certifies_no_key_as_not_run() {
+    let mut home = StoppedHome::new();
+    home.answer_first();
+    home.table.step(Millis::ZERO, Event::Fenced);
+    let pieces = home.table.export(PIECE_BYTES);
+    let mut successor = import(pieces.iter());
+    let again = successor.export(PIECE_BYTES);
+    let mut second_successor = import(again.iter());
+    for table in [&mut successor, &mut second_successor] {
+        let replies: Vec<_> = home.keys.iter().map(|key| ask(table, *key)).collect();
+        let expected = [
+            None,
+            Some(Reason::Interrupted),
+            Some(Reason::Interrupted),
+            Some(Reason::HomeGone),
+        ];
+        assert_eq!(replies, expected);
+    }
+}
+
 #[test]
 fn a_second_handover_keeps_what_the_first_certified() {
     let mut home = StoppedHome::new();
--- a/crates/fake/src/cloud/fleet.rs
+++ b/crates/fake/src/cloud/fleet.rs
@@ -21,6 +21,13 @@
     deadline: Option<Millis>,
 }
 
+impl Entry {
+    fn new(now: Millis, vm: Vm) -> Self {
+        let deadline = vm.deadline_ms.map(|remaining_ms| now + Millis(remaining_ms));
+        Self { vm, deadline }
+    }
+}
+
 #[derive(Debug)]
 struct IssuedNotice {
     issued_at: Millis,
@@ -29,12 +36,19 @@
 }
 
 impl Fleet {
-    /// Creates an empty fleet whose list shows changes after `lag`.
-    pub fn new(lag: Millis) -> Self {
+    /// Creates a fleet of these VMs, which its list shows at once. Changes are listed after `lag`.
+    pub fn new<I>(lag: Millis, vms: I) -> Self
+    where
+        I: IntoIterator<Item = Vm>,
+    {
+        let vms: IndexMap<String, Entry> = vms
+            .into_iter()
+            .map(|vm| (vm.id.clone(), Entry::new(Millis::ZERO, vm)))
+            .collect();
         Self {
-            vms: IndexMap::new(),
+            listed: Lagged::new(lag, vms.clone()),
+            vms,
             notices: Vec::new(),
-            listed: Lagged::new(lag, IndexMap::new()),
         }
     }
 
@@ -45,8 +59,7 @@
 
     /// Adds a VM, replacing any VM with the same id.
     pub fn insert(&mut self, now: Millis, vm: Vm) {
-        let deadline = vm.deadline_ms.map(|remaining_ms| now + Millis(remaining_ms));
-        self.vms.insert(vm.id.clone(), Entry { vm, deadline });
+        self.vms.insert(vm.id.clone(), Entry::new(now, vm));
         self.publish(now);
     }
 
--- a/crates/fake/src/cloud/shared.rs
+++ b/crates/fake/src/cloud/shared.rs
@@ -38,10 +38,7 @@
 
 impl Shared {
     pub fn new(server: Server, ip: IpAddr) -> Self {
-        let mut fleet = Fleet::new(server.lag);
-        for vm in server.vms {
-            fleet.insert(Millis::ZERO, vm);
-        }
+        let fleet = Fleet::new(server.lag, server.vms);
         Self {
             gate: Arc::default(),
             clock: Clock::new(),
--- a/crates/fake/src/lagged.rs
+++ b/crates/fake/src/lagged.rs
@@ -18,7 +18,7 @@
 }
 
 impl<T> Lagged<T> {
-    /// Creates a value that readers see with a delay of `lag`.
+    /// Creates a value whose changes readers see with a delay of `lag`. Its initial state is visible at once.
     pub fn new(lag: Millis, value: T) -> Self {
         let since = Millis::ZERO;
         Self {
@@ -39,8 +39,7 @@
 
     /// Returns the value that readers see at `now`, and drops older states.
     pub fn visible_at(&mut self, now: Millis) -> &T {
-        let horizon = now - self.lag;
-        while self.states.get(1).is_some_and(|next| next.since <= horizon) {
+        while self.states.get(1).is_some_and(|next| next.since + self.lag <= now) {
             self.states.pop_front();
         }
         &self.states[0].value
--- a/crates/node/src/actor/claims.rs
+++ b/crates/node/src/actor/claims.rs
@@ -11,6 +11,7 @@
 use kameo::Actor;
 use kameo::actor::{ActorRef, WeakActorRef};
 use kameo::message::{Context, Message};
+use member::config::Refusal;
 use serde::Serialize;
 use slotmap::SlotMap;
 use tokio::sync::{mpsc, watch};
@@ -99,6 +100,15 @@
         self.clock.now()
     }
 
+    /// Whether runs of issued keys may start. After a pause, requests that peers forwarded before it are still in the
+    /// socket's buffer, while other nodes may have declared this one gone and told callers that the key won't run.
+    fn may_dispatch(&self) -> bool {
+        let now = self.now();
+        let shared = self.shared.borrow();
+        let serving = shared.as_ref().map(|shared| shared.serving.borrow().at(now));
+        !matches!(serving, None | Some(Err(Refusal::Fenced | Refusal::Syncing)))
+    }
+
     fn open(&mut self) -> OpenCall {
         let (sender, directives) = mpsc::channel(DIRECTIVE_QUEUE);
         let call = self.calls.insert(sender);
@@ -239,7 +249,13 @@
         self.dispatch_granted = false;
         let call = dispatch.call;
         match dispatch.key {
-            IdempotencyKey::Issued(key) => self.step(Event::Dispatch { call, key }),
+            IdempotencyKey::Issued(key) => {
+                if !self.may_dispatch() {
+                    let result = Finish::NotRun;
+                    self.step(Event::Finish { call, key, result });
+                }
+                self.step(Event::Dispatch { call, key });
+            }
             IdempotencyKey::Chosen(key) => self.step_ledger(ledger::Event::Dispatch { call, key }),
         }
         self.dispatch_granted
@@ -326,15 +342,23 @@
     }
 }
 
-/// Closes the table and exports its contents for a peer, in pieces of about this many bytes.
+/// Closes the table and exports its contents for a peer.
 #[derive(Clone, Copy, Debug)]
-pub struct Export(pub usize);
+pub struct Export {
+    /// Approximate size of a piece, in bytes.
+    pub piece_bytes: usize,
+    /// Whether other nodes may have declared this node gone.
+    pub fenced: bool,
+}
 
 impl Message<Export> for Claims {
     type Reply = Vec<Handover>;
 
     async fn handle(&mut self, export: Export, _context: &mut Context<Self, Self::Reply>) -> Self::Reply {
-        self.table.export(export.0)
+        if export.fenced {
+            self.step(Event::Fenced);
+        }
+        self.table.export(export.piece_bytes)
     }
 }
 
--- a/crates/node/src/edge/handover.rs
+++ b/crates/node/src/edge/handover.rs
@@ -38,7 +38,11 @@
 
 /// Hands over all keys to the first peer that accepts them, and announces it to all nodes.
 pub async fn run(shared: &Shared) {
-    let Ok(pieces) = shared.claims.ask(Export(PIECE_BYTES)).await else {
+    let export = Export {
+        piece_bytes: PIECE_BYTES,
+        fenced: shared.lifecycle.is_fenced(),
+    };
+    let Ok(pieces) = shared.claims.ask(export).await else {
         return;
     };
     for successor in successors(shared).await {
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -97,6 +97,11 @@
         self.fenced.send_replace(true);
     }
 
+    /// Whether this incarnation may have been declared gone.
+    pub fn is_fenced(&self) -> bool {
+        *self.fenced.borrow()
+    }
+
     /// Waits until this incarnation may have been declared gone.
     pub async fn fenced(&self) {
         let mut receiver = self.fenced.subscribe();
