Follow the store through readers in large zones, and write reports by zone

Ruled out: longer pauses (views grow older, worst windows pay); datagrams (1,400 bytes, no order, no proof); gossip of the records (no proof that a removed key is known).

Change: in a zone of more than three ready nodes, one node for every 48 reads the store and the others ask it. The pure crate `relay` decides who asks whom (`Path`), keeps the latest changes (`History`) and says what an answer proves (`Desk`): a view counts from when its node asked, and only if the reader sent a call to the store after the question arrived. A node that is asked reads, so nodes need not agree. A reader that does not answer is replaced after one call to the store; one that is turned away by the store too, if the store serves the asker. Reports go to the reader, which writes those of its askers in one record; they hold totals and a number, so each counts once whoever wrote it. Large machines read first: the settings take the machine's share of a core.

Also: after an outage of the store, registrations that lapsed meanwhile are kept for two seconds from the first answer on; before, the deletions in that first answer took effect at once.

Tests: random schedules of delays, losses, freezes, restarts, cuts, an unreachable store and forgotten history against an oracle of the store's log.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -3,6 +3,9 @@
 //! A single watch covers all keys. The next watch starts after a short delay, so that a burst of changes costs one
 //! call. If the watch fails, it is retried from the last revision; if its history is no longer available, all records
 //! are listed again. The view keeps its contents in the meantime.
+//!
+//! In a large availability zone, most nodes ask another node for the changes instead (see [`relay`]). Revisions are
+//! the store's in either case, so a node continues from any source where another one left off.
 
 mod apply;
 mod pending;
@@ -10,8 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Millis;
+use base::{Incarnation, Millis};
 use rand::RngExt;
+use relay::{Answer, Candidate, Change, Failure, Pace, Path, Query, Source};
 use store::Error;
 use tokio::time::sleep;
 
@@ -25,6 +29,11 @@
 /// Maximum time that a watch waits for changes. A response confirms the view as of the time the request was sent, so
 /// this adds to the age of the view.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum delay before a node calls the store because the node that it asked gave no changes, so that not all of a
+/// reader's askers call at once.
+const MAX_FALLBACK_DELAY: Duration = Duration::from_millis(150);
+/// Delay before a node asks again after an answer that the store is unavailable.
+const UNAVAILABLE_DELAY: Duration = Duration::from_millis(300);
 /// Delay before the next watch, which batches changes. It adds to the time until a change takes effect.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
 /// Additional delay per node: the store's rate limits grow more slowly than the combined calls of all nodes.
@@ -56,8 +65,12 @@
 struct Follower {
     shared: Arc<Shared>,
     applier: Applier,
-    /// Revision to continue from; `None` if the records must be listed.
+    path: Path,
+    source: Source,
+    /// Revision up to which the view is complete; `None` before the first listing.
     revision: Option<u64>,
+    /// Whether the records must be listed, since the changes since the revision are not available.
+    needs_listing: bool,
     failures: usize,
 }
 
@@ -65,69 +78,191 @@
     fn new(shared: Arc<Shared>) -> Self {
         Self {
             applier: Applier::new(Arc::clone(&shared)),
+            path: Path::new(shared.incarnation),
             shared,
+            source: Source::Store,
             revision: None,
+            needs_listing: true,
             failures: 0,
         }
     }
 
     /// Makes one call and handles its result.
     async fn step(&mut self) {
+        self.applier.apply_expired();
+        let revision = self.revision.filter(|_| !self.needs_listing);
+        match (self.choose_source(), revision) {
+            (Source::Peer(node), Some(revision)) => self.ask(node, revision).await,
+            (Source::Store | Source::Peer(_), revision) => self.read_store(revision).await,
+        }
+    }
+
+    fn choose_source(&mut self) -> Source {
+        let now = self.shared.now();
+        let is_asked = self.shared.is_asked();
+        let candidates = self.candidates();
+        let source = self.path.source(now, &candidates, is_asked);
+        if source != self.source {
+            let age = self.shared.view().freshness.age(now);
+            log::info!(source:? = source, before:? = self.source, is_asked, candidates = candidates.len(),
+                view_age_ms = age.map_or(u64::MAX, |age| age.0); "source of the view changed");
+            self.source = source;
+            self.shared.set_followed(match source {
+                Source::Store => None,
+                Source::Peer(node) => Some(node),
+            });
+        }
+        source
+    }
+
+    /// Ready nodes of the own zone.
+    fn candidates(&self) -> Vec<Candidate> {
+        let zone = self.shared.settings().zone.clone();
+        let view = self.shared.view();
+        let ready = view.peers.iter().filter(|(_, it)| it.ready && it.zone == zone);
+        ready
+            .map(|(node, peer)| Candidate {
+                node: *node,
+                capacity: peer.capacity,
+            })
+            .collect()
+    }
+
+    async fn read_store(&mut self, revision: Option<u64>) {
+        metrics::counter!("bilberrylatch_view_reads_total", "source" => "store").increment(1);
         let sent = self.shared.now();
-        let result = match self.revision {
+        let result = match revision {
             None => self.list(sent).await,
             Some(revision) => self.watch(sent, revision).await,
         };
-        self.applier.apply_expired();
         match result {
-            Ok(changed) => {
-                self.handle_success();
-                if changed {
-                    let nodes = self.shared.view().nodes() as u32;
-                    let max_delay = self
-                        .shared
-                        .settings()
-                        .apply_time
-                        .as_duration()
-                        .mul_f64(MAX_BATCH_DELAY_RATIO);
-                    sleep((BATCH_DELAY + BATCH_DELAY_PER_NODE * nodes).min(max_delay)).await;
-                }
-            }
+            Ok(has_changes) => sleep(self.call_delay(has_changes)).await,
             Err(Error::HistoryGone) => {
                 log::warn!(revision = self.revision.unwrap_or(0); "store history gone, listing again");
-                self.revision = None;
+                self.needs_listing = true;
             }
             Err(error) => self.handle_failure(&error).await,
         }
     }
 
+    /// Delay before the next call to the store.
+    fn call_delay(&self, has_changes: bool) -> Duration {
+        if self.shared.is_asked() {
+            return self.pace().call_delay(has_changes).as_duration();
+        }
+        if !has_changes {
+            return Duration::ZERO;
+        }
+        let nodes = self.shared.view().nodes() as u32;
+        let apply_time = self.shared.settings().apply_time.as_duration();
+        let max_delay = apply_time.mul_f64(MAX_BATCH_DELAY_RATIO);
+        (BATCH_DELAY + BATCH_DELAY_PER_NODE * nodes).min(max_delay)
+    }
+
+    fn pace(&self) -> Pace {
+        Pace::new(self.shared.settings().apply_time)
+    }
+
     async fn list(&mut self, sent: Millis) -> Result<bool, Error> {
+        let call = self.shared.questions().begin_call();
         let listing = self.shared.store.list(ALL_KEYS).await?;
-        self.revision = Some(listing.revision);
+        self.handle_success(Source::Store);
+        let changes = self
+            .revision
+            .map(|revision| self.applier.changes_since(revision, &listing));
         self.applier.apply_listing(&listing);
+        self.advance(listing.revision);
+        self.needs_listing = false;
         self.confirm_freshness(sent);
+        let mut questions = self.shared.questions();
+        match changes {
+            Some(changes) => questions.end_listing(call, &changes, listing.revision),
+            None => questions.reset(listing.revision),
+        }
         log::info!(records = listing.entries.len(), revision = listing.revision; "store listed");
         Ok(false)
     }
 
     async fn watch(&mut self, sent: Millis, revision: u64) -> Result<bool, Error> {
-        let changes = self.shared.store.watch(ALL_KEYS, revision, WATCH_TIMEOUT).await?;
-        for change in &changes.list {
+        let wait = if self.shared.is_asked() {
+            self.pace().watch_timeout().as_duration()
+        } else {
+            WATCH_TIMEOUT
+        };
+        let call = self.shared.questions().begin_call();
+        let watched = self.shared.store.watch(ALL_KEYS, revision, wait).await?;
+        self.handle_success(Source::Store);
+        let changes: Vec<Change> = watched.list.into_iter().map(convert).collect();
+        let end = self.apply(&changes, watched.revision);
+        self.confirm_freshness(sent);
+        self.shared.questions().end_call(call, &changes, end);
+        Ok(!changes.is_empty())
+    }
+
+    /// Asks another node for the changes since `revision`.
+    async fn ask(&mut self, node: Incarnation, revision: u64) {
+        metrics::counter!("bilberrylatch_view_reads_total", "source" => "peer").increment(1);
+        let Some(address) = self.shared.followed_peer() else {
+            return self
+                .handle_peer_failure(node, Failure::Unreachable, "no longer registered")
+                .await;
+        };
+        let sent = self.shared.now();
+        let query = Query { after: revision };
+        let limit = self.pace().answer_timeout().as_duration();
+        match self.shared.ask_peer(address, query, limit).await {
+            Ok(Answer::Changes {
+                changes,
+                revision,
+                is_difference,
+                is_confirmed,
+            }) => {
+                self.handle_success(Source::Peer(node));
+                let end = self.apply(&changes, revision);
+                if is_confirmed {
+                    self.confirm_freshness(sent);
+                }
+                self.shared
+                    .questions()
+                    .record_answer(&changes, end, is_difference);
+            }
+            Ok(Answer::HistoryGone) => {
+                log::info!(revision, reader:% = node; "changes not known to the reader");
+                let now = self.shared.now();
+                self.path.record_peer_failure(now, node, Failure::HistoryGone);
+            }
+            Ok(Answer::Unavailable) => {
+                self.handle_peer_failure(node, Failure::Unavailable, "store unavailable")
+                    .await;
+            }
+            Err(cause) => self.handle_peer_failure(node, Failure::Unreachable, &cause).await,
+        }
+    }
+
+    /// Applies changes that complete the view up to `revision`. Returns the revision up to which it is complete.
+    fn apply(&mut self, changes: &[Change], revision: u64) -> u64 {
+        for change in changes {
             self.applier.apply_change(change);
         }
-        let last = changes.list.iter().map(|change| change.revision).max();
-        self.revision = Some(changes.revision.max(last.unwrap_or(0)).max(revision));
-        self.confirm_freshness(sent);
-        Ok(!changes.list.is_empty())
+        let last = changes.iter().map(|change| change.revision).max();
+        let end = revision.max(last.unwrap_or(0));
+        self.advance(end);
+        end
+    }
+
+    fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(Some(revision));
     }
 
     fn confirm_freshness(&self, sent: Millis) {
         self.shared.view().freshness.confirm(sent);
     }
 
-    fn handle_success(&mut self) {
+    /// Notes that a source answered, before its changes are applied.
+    fn handle_success(&mut self, source: Source) {
+        let now = self.shared.now();
+        self.path.record_success(now, source);
         if self.failures > 0 {
-            let now = self.shared.now();
             self.applier.store_recovered(now);
             log::info!(failures = self.failures; "store regained");
         }
@@ -135,15 +270,51 @@
     }
 
     async fn handle_failure(&mut self, error: &Error) {
+        self.path.record_store_failure(self.shared.now());
+        self.shared.questions().fail_call();
+        self.record_outage(error);
+        let delay = RETRY_DELAYS[(self.failures - 1).min(RETRY_DELAYS.len() - 1)];
+        let jitter: f64 = rand::rng().random_range(0.5..1.0);
+        sleep(delay.mul_f64(jitter)).await;
+    }
+
+    async fn handle_peer_failure(&mut self, node: Incarnation, failure: Failure, cause: &str) {
+        let now = self.shared.now();
+        let age = self.shared.view().freshness.age(now);
+        log::warn!(reader:% = node, failure:? = failure, cause, view_age_ms = age.map_or(u64::MAX, |age| age.0);
+            "no changes from the reader");
+        metrics::counter!("bilberrylatch_reader_failures_total").increment(1);
+        self.path.record_peer_failure(now, node, failure);
+        let jitter: f64 = rand::rng().random_range(0.0..1.0);
+        let delay = match failure {
+            Failure::Unreachable | Failure::HistoryGone => MAX_FALLBACK_DELAY.mul_f64(jitter),
+            Failure::Unavailable => {
+                self.record_outage(&cause);
+                UNAVAILABLE_DELAY.mul_f64(f64::midpoint(1.0, jitter))
+            }
+        };
+        sleep(delay).await;
+    }
+
+    /// Counts a failure of the store, which keeps deleted registrations for a while.
+    fn record_outage<E>(&mut self, error: &E)
+    where
+        E: std::fmt::Display,
+    {
         if self.failures == 0 {
             log::warn!(cause:% = error; "store lost");
         }
-        let delay = RETRY_DELAYS[self.failures.min(RETRY_DELAYS.len() - 1)];
         self.failures += 1;
         let now = self.shared.now();
         self.shared.view().store_failed_at = Some(now);
         metrics::counter!("bilberrylatch_store_failures_total").increment(1);
-        let jitter: f64 = rand::rng().random_range(0.5..1.0);
-        sleep(delay.mul_f64(jitter)).await;
+    }
+}
+
+fn convert(change: store::Change) -> Change {
+    Change {
+        value: change.value.filter(|_| !change.deleted),
+        key: change.key,
+        revision: change.revision,
     }
 }
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -6,12 +6,14 @@
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use place::{Spec, State};
-use store::{Change, Listing};
+use relay::Change;
+use store::{Listing, listing};
 use table::Table;
 
 use super::pending::PendingDeletions;
 use crate::Shared;
 use crate::edge::{RolloutOrder, StoredRecord};
+use crate::publish::{REPORTS_PREFIX, Summary};
 use crate::view::{InternalRecord, Peer, Rollout};
 
 /// Key prefix of the nodes' registrations, after the internal prefix.
@@ -25,6 +27,7 @@
     Replica { endpoint: Arc<str>, id: Arc<str> },
     Node(Incarnation),
     RolloutOrder(Arc<str>),
+    Reports(String),
     Internal(String),
     Other,
 }
@@ -63,11 +66,33 @@
         }
     }
 
+    /// The changes from the records known at `revision` to a listing, in revision order.
+    ///
+    /// A page of the listing may be later than its revision. Those changes are left to the next watch.
+    pub fn changes_since(&self, revision: u64, listing: &Listing) -> Vec<Change> {
+        let present: IndexSet<&str> = listing.entries.iter().map(|it| it.key.as_str()).collect();
+        let is_new = |it: &&listing::Entry| it.revision > revision && it.revision <= listing.revision;
+        let written = listing.entries.iter().filter(is_new).map(|entry| Change {
+            key: entry.key.clone(),
+            revision: entry.revision,
+            value: Some(entry.value.clone()),
+        });
+        let mut changes: Vec<Change> = written.collect();
+        changes.sort_by_key(|change| change.revision);
+        let deleted = self.known.keys().filter(|key| !present.contains(key.as_str()));
+        changes.extend(deleted.map(|key| Change {
+            key: key.clone(),
+            revision: listing.revision,
+            value: None,
+        }));
+        changes
+    }
+
     /// Applies a change.
     pub fn apply_change(&mut self, change: &Change) {
         match &change.value {
-            Some(value) if !change.deleted => self.put(&change.key, value, change.revision),
-            _ => self.handle_deletion(&change.key),
+            Some(value) => self.put(&change.key, value, change.revision),
+            None => self.handle_deletion(&change.key),
         }
     }
 
@@ -160,6 +185,9 @@
         if let Some(name) = rest.strip_prefix(NODES_PREFIX) {
             return self.put_node(name, value);
         }
+        if let Some(writer) = rest.strip_prefix(REPORTS_PREFIX) {
+            return self.put_reports(writer, value, revision);
+        }
         let mut view = self.shared.view();
         if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
             match serde_json::from_slice::<Rollout>(value) {
@@ -181,6 +209,17 @@
         RecordKind::Internal(rest)
     }
 
+    fn put_reports(&self, writer: &str, value: &Bytes, revision: u64) -> RecordKind {
+        match Summary::decode(value) {
+            Ok(summary) => {
+                let mut view = self.shared.view();
+                view.summaries.insert(writer.to_owned(), Arc::new(summary));
+            }
+            Err(error) => log::warn!(node = writer, revision, cause:% = error; "invalid reports"),
+        }
+        RecordKind::Reports(writer.to_owned())
+    }
+
     fn put_node(&self, name: &str, value: &Bytes) -> RecordKind {
         let decoded = name
             .parse::<Incarnation>()
@@ -222,6 +261,9 @@
             Some(RecordKind::RolloutOrder(endpoint)) => {
                 self.shared.view().rollouts.orders.swap_remove(&endpoint);
             }
+            Some(RecordKind::Reports(writer)) => {
+                self.shared.view().summaries.swap_remove(&writer);
+            }
             Some(RecordKind::Internal(rest)) => {
                 let mut view = self.shared.view();
                 view.internal.swap_remove(&rest);
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -18,6 +18,7 @@
 use self::rollouts::RolloutController;
 use self::scaler::Scaler;
 use self::usage::UsageReporter;
+pub use self::usage::newest_recorded_window;
 use crate::Shared;
 use crate::lifecycle::Phase;
 use crate::register::HeldLease;
--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -71,7 +71,7 @@
             sum = None;
         }
         let mut sum = sum.unwrap_or_default();
-        let own = self.shared.incarnation.to_string();
+        let own = self.shared.incarnation;
         for (node, report) in reports(&self.shared) {
             let Some(compared) = report.rollouts.get(&order.endpoint) else {
                 continue;
--- a/crates/entry/src/leader/scaler.rs
+++ b/crates/entry/src/leader/scaler.rs
@@ -102,10 +102,9 @@
     fn record_load(&mut self, endpoint: &Arc<str>) {
         let now = self.shared.now();
         let live: Vec<Incarnation> = self.shared.view().peers.keys().copied().collect();
-        let is_live = |name: &str| name.parse().is_ok_and(|it| live.contains(&it));
         let busy = reports(&self.shared)
             .into_iter()
-            .filter(|(name, _)| is_live(name))
+            .filter(|(node, _)| live.contains(node))
             .filter_map(|(_, report)| report.busy.get(endpoint).copied())
             .sum();
         if busy > 0.0 {
--- a/crates/entry/src/leader/usage.rs
+++ b/crates/entry/src/leader/usage.rs
@@ -11,7 +11,7 @@
 use super::Election;
 use crate::Shared;
 use crate::edge;
-use crate::publish::{REPORTS_PREFIX, Report};
+use crate::publish::{REPORTS_PREFIX, Report, Summary};
 
 /// Key of the record of usage reports, after the internal prefix.
 const KEY: &str = "usage";
@@ -131,16 +131,12 @@
     /// Sums the published counts of all nodes.
     fn sum(&self, window: u64) -> IndexMap<Arc<str>, u64> {
         let mut sum = IndexMap::new();
-        for (_node, report) in self.reports() {
+        for report in reports(&self.shared).values() {
             report.counts.add_to(window, &mut sum);
         }
         sum
     }
 
-    fn reports(&self) -> Vec<(String, Report)> {
-        reports(&self.shared)
-    }
-
     fn mark_reported(&mut self, window: u64) {
         self.reported.push(window);
         if self.reported.len() > KEPT_WINDOWS {
@@ -155,12 +151,18 @@
             let view = self.shared.view();
             incarnation.is_none_or(|it| !view.peers.contains_key(&it))
         };
-        for (name, report) in self.reports() {
-            let is_old = report
-                .counts
-                .newest()
-                .is_none_or(|newest| newest + STALE_AFTER_WINDOWS < window);
-            if !is_old || !is_gone(&name) {
+        let is_old = |summary: &Summary| {
+            let windows = summary
+                .reports
+                .values()
+                .filter_map(|report| report.counts.newest());
+            windows
+                .max()
+                .is_none_or(|newest| newest + STALE_AFTER_WINDOWS < window)
+        };
+        let summaries = self.shared.view().summaries.clone();
+        for (name, summary) in summaries {
+            if !is_old(&summary) || !is_gone(&name) {
                 continue;
             }
             let key = format!("{}{REPORTS_PREFIX}{name}", self.shared.edge.internal_prefix());
@@ -176,18 +178,20 @@
     }
 }
 
-/// The published reports of all nodes, by record name.
-pub(super) fn reports(shared: &Shared) -> Vec<(String, Report)> {
-    let view = shared.view();
-    let mut reports = Vec::new();
-    for (key, own) in &view.internal {
-        let Some(name) = key.strip_prefix(REPORTS_PREFIX) else {
-            continue;
-        };
-        match serde_json::from_slice(&own.value) {
-            Ok(report) => reports.push((name.to_owned(), report)),
-            Err(error) => log::warn!(node = name, cause:% = error; "invalid report of a node"),
+/// The latest published report of each node.
+pub(super) fn reports(shared: &Shared) -> IndexMap<Incarnation, Arc<Report>> {
+    let mut latest = Summary::default();
+    for summary in shared.view().summaries.values() {
+        for (node, report) in &summary.reports {
+            latest.insert(*node, Arc::clone(report));
         }
     }
-    reports
+    latest.reports
+}
+
+/// Newest usage window whose counts are recorded, after which counts of earlier ones have no effect.
+pub fn newest_recorded_window(shared: &Shared) -> Option<u64> {
+    let value = shared.view().internal.get(KEY)?.value.clone();
+    let record: Record = serde_json::from_slice(&value).ok()?;
+    record.windows.keys().copied().max()
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`serve`] handles requests, directory lookups and readiness checks; [`upstream`] connects to replicas.
 //! - [`follow`] maintains the node's view of the store; [`register`] maintains the node's registration there, and
 //!   [`publish`] writes its counts.
+//! - [`exchange`] lets nodes read the store and write to it through others.
 //! - [`peers`] exchanges data that changes too fast for the store with the other nodes.
 //! - [`leader`] runs the tasks of the elected node: usage reports, replica scaling, rollouts.
 
@@ -13,6 +14,7 @@
 pub mod counts;
 pub mod edge;
 pub mod error;
+pub mod exchange;
 pub mod follow;
 pub mod leader;
 pub mod lifecycle;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -62,6 +62,7 @@
             (settings.listen, Service::Proxy),
             (settings.directory_listen, Service::Directory),
             (settings.ready_listen, Service::Ready),
+            (settings.peer_listen, Service::Peers),
         ];
         services.extend(metrics.map(|handle| (settings.metrics_listen, Service::Metrics(handle))));
         for (address, service) in services {
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -1,13 +1,20 @@
-//! Publishes the node's counts to the store, where the leader reads them.
+//! Publishes the nodes' counts to the store, where the leader reads them.
+//!
+//! A node that reads the store through another one sends it its report, and that node writes the reports of all its
+//! askers in one record. Reports hold totals, so a report that is written twice or by two nodes counts once, and the
+//! next report makes up for one that a node took and did not write before it died.
 
+mod collector;
+mod report;
+mod summary;
+
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::Millis;
 use bytes::Bytes;
 use indexmap::IndexMap;
-use rollout::fast::Tally;
-use serde::{Deserialize, Serialize};
 use store::{Condition, Error, Write};
 use tokio::time::sleep;
 
@@ -15,6 +22,10 @@
 use crate::counts::Counts;
 use crate::lifecycle::Phase;
 
+pub use collector::{COLLECT_DELAY, Collector};
+pub use report::{Comparison, Report};
+pub use summary::Summary;
+
 /// Key prefix of the nodes' reports, after the internal prefix.
 pub const REPORTS_PREFIX: &str = "reports/";
 /// Reports per usage window. If a node is killed, the counts since its last report are missing from the usage.
@@ -29,45 +40,25 @@
 /// Weight of the latest sample in the moving average of the load.
 const LOAD_SMOOTHING: f64 = 0.3;
 
-/// A node's report.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Requests that began to run, by usage window and workspace.
-    pub counts: Counts,
-    /// Number of replicas that the node's requests keep busy, by endpoint.
-    pub busy: IndexMap<Arc<str>, f64>,
-    /// Outcomes of requests at both versions of endpoints with a running rollout.
-    #[serde(rename = "moves")]
-    pub rollouts: IndexMap<Arc<str>, Comparison>,
-}
-
-/// Outcomes of requests at the two versions of a rollout.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Comparison {
-    /// Revision of the rollout order.
-    pub order: u64,
-    /// Outcomes at the old version.
-    pub old: Tally,
-    /// Outcomes at the new version.
-    pub new: Tally,
-    /// Requests in flight at the old version.
-    pub old_in_flight: u64,
-}
+/// Number of usage windows after which a report that was not replaced is no longer written.
+const KEPT_WINDOWS: u64 = 3;
 
 /// Publishes reports until the node stops, and a final one then.
 pub async fn run(shared: Arc<Shared>) {
     let mut publisher = Publisher::new(shared);
     loop {
         let next_report_in = publisher.next_report_in();
-        let is_final = tokio::select! {
-            () = sleep(next_report_in) => false,
-            () = publisher.shared.lifecycle.reached(Phase::Ended) => true,
-        };
-        if let Err(error) = publisher.publish().await {
-            log::warn!(cause:% = error; "failed to publish a report");
-        }
-        if is_final {
-            return;
+        let shared = Arc::clone(&publisher.shared);
+        tokio::select! {
+            () = sleep(next_report_in) => publisher.publish().await,
+            () = shared.collected() => publisher.write().await,
+            () = shared.lifecycle.reached(Phase::Ended) => {
+                publisher.publish().await;
+                if shared.collector().due_at().is_some() {
+                    publisher.write().await;
+                }
+                return;
+            }
         }
     }
 }
@@ -75,7 +66,9 @@
 #[derive(Debug)]
 struct Publisher {
     shared: Arc<Shared>,
-    last_written: Report,
+    last_report: Arc<Report>,
+    /// Where the last report was sent; `None` if this node wrote it.
+    last_target: Option<SocketAddr>,
     /// Accumulated work of each endpoint's replicas at the last measurement.
     work_ms: IndexMap<Arc<str>, f64>,
     measured_at: Millis,
@@ -87,7 +80,8 @@
         Self {
             measured_at: shared.now(),
             shared,
-            last_written: Report::default(),
+            last_report: Arc::default(),
+            last_target: None,
             work_ms: IndexMap::new(),
             busy: IndexMap::new(),
         }
@@ -109,18 +103,58 @@
         Millis(interval - since).as_duration()
     }
 
-    async fn publish(&mut self) -> Result<(), Error> {
+    /// Publishes this node's report if it changed: through the node that it follows, or else in its own record.
+    async fn publish(&mut self) {
         self.measure();
-        let report = Report {
-            counts: self.shared.counts().clone(),
+        let followed = self.shared.followed_peer();
+        let mut report = Report {
+            number: self.last_report.number,
+            counts: self.unsettled_counts(),
             busy: self.busy.clone(),
             rollouts: self.shared.comparisons().clone(),
         };
-        if report == self.last_written {
-            return Ok(());
+        if report == *self.last_report && followed == self.last_target {
+            return;
+        }
+        report.number += 1;
+        let report = Arc::new(report);
+        self.last_report = Arc::clone(&report);
+        self.last_target = followed;
+        let node = self.shared.incarnation;
+        if let Some(address) = followed {
+            let mut summary = Summary::default();
+            summary.insert(node, Arc::clone(&report));
+            match self.shared.submit_reports(address, &summary).await {
+                Ok(()) => return,
+                Err(cause) => log::warn!(peer:% = address, cause; "report not taken, writing it"),
+            }
+        }
+        let now = self.shared.now();
+        self.shared.collector().insert(now, node, report);
+        if !self.shared.is_asked() {
+            self.write().await;
         }
-        let value = serde_json::to_vec(&report).map_err(|error| Error::Protocol(error.to_string()))?;
+    }
+
+    /// Writes the collected reports.
+    async fn write(&self) {
         let shared = &self.shared;
+        let max_age = Millis(shared.settings().usage_window.0 * KEPT_WINDOWS);
+        let summary = shared.collector().take(shared.now(), max_age);
+        if summary.reports.is_empty() {
+            return;
+        }
+        if let Err(error) = self.write_summary(&summary).await {
+            log::warn!(cause:% = error, reports = summary.reports.len(); "failed to publish reports");
+            shared.collector().restore(shared.now());
+        }
+    }
+
+    async fn write_summary(&self, summary: &Summary) -> Result<(), Error> {
+        let shared = &self.shared;
+        let value = summary
+            .encode()
+            .map_err(|error| Error::Protocol(error.to_string()))?;
         let key = format!(
             "{}{REPORTS_PREFIX}{}",
             shared.edge.internal_prefix(),
@@ -128,10 +162,19 @@
         );
         let write = Write::new(key, Bytes::from(value), Condition::Any);
         shared.store.write_once(&write).await?;
-        self.last_written = report;
         Ok(())
     }
 
+    /// Counts of the windows whose usage has not been recorded.
+    fn unsettled_counts(&self) -> Counts {
+        let settled = crate::leader::newest_recorded_window(&self.shared);
+        let mut counts = self.shared.counts().clone();
+        counts
+            .windows
+            .retain(|window, _| settled.is_none_or(|settled| *window > settled));
+        counts
+    }
+
     /// Updates the load averages with the work since the last measurement.
     fn measure(&mut self) {
         let now = self.shared.now();
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -115,6 +115,7 @@
             address: shared.settings().listen,
             peer_address: shared.settings().peer_listen,
             ready: shared.is_ready(),
+            capacity: shared.settings().capacity(),
             lease: lease_id,
         };
         if self.last_written.as_ref() == Some(&peer) {
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -15,6 +15,7 @@
 mod reason;
 mod relay;
 
+pub(crate) use body::full as full_body;
 pub use body::{Aborted, Body};
 pub use listener::{Listener, Service};
 pub use reason::Reason;
--- a/crates/entry/src/serve/body.rs
+++ b/crates/entry/src/serve/body.rs
@@ -22,6 +22,6 @@
 impl std::error::Error for Aborted {}
 
 /// A body whose bytes are all available.
-pub(super) fn full(bytes: Bytes) -> Body {
+pub(crate) fn full(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
--- a/crates/entry/src/serve/listener.rs
+++ b/crates/entry/src/serve/listener.rs
@@ -17,7 +17,7 @@
 use super::{directory, proxy};
 use crate::lifecycle::Phase;
 use crate::net::Liveness;
-use crate::{Error, Shared};
+use crate::{Error, Shared, exchange};
 
 /// Callers are farther away than replicas, and a slow detection delays nothing else.
 const LIVENESS: Liveness = Liveness {
@@ -36,6 +36,8 @@
     Directory,
     /// Readiness checks.
     Ready,
+    /// Calls of other nodes.
+    Peers,
     /// Metrics.
     Metrics(PrometheusHandle),
 }
@@ -130,6 +132,7 @@
         Service::Proxy => proxy::handle_request(shared, request).await,
         Service::Directory => directory::handle_request(&shared, request.uri()),
         Service::Ready => ready(&shared, &request),
+        Service::Peers => exchange::handle_request(shared, request).await,
         Service::Metrics(handle) => text(StatusCode::OK, handle.render()),
     };
     if is_leaving {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -35,6 +35,8 @@
     pub store: SocketAddr,
     /// Address of the cloud's API.
     pub cloud: SocketAddr,
+    /// Share of a core that the VM has.
+    pub cpu_share: f64,
     /// Minimum level of log lines.
     pub log_level: LevelFilter,
     /// Read calls per second that the store accepts from all nodes combined.
@@ -87,6 +89,7 @@
             metrics_listen: reader.address("METRICS_LISTEN"),
             store: reader.address("STORE"),
             cloud: reader.address("CLOUD"),
+            cpu_share: reader.parse_or("CPU_SHARE", 1.0),
             log_level: reader.parse_or("LOG_LEVEL", LevelFilter::Info),
             store_reads: reader.parse_or("STORE_READS", 2_000.0),
             store_writes: reader.parse_or("STORE_WRITES", 400.0),
@@ -108,4 +111,9 @@
         };
         reader.finish(settings)
     }
+
+    /// The VM's share of a core, in thousandths.
+    pub fn capacity(&self) -> u32 {
+        (self.cpu_share * 1_000.0) as u32
+    }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a node.
 
 mod comparison;
+mod exchange;
 mod limits;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -13,11 +14,13 @@
 use place::Pool;
 use quota::{Limiter, RetryBudget};
 use table::Table;
+use tokio::sync::Notify;
 
 use crate::counts::Counts;
 use crate::edge::{Cloud, Edge};
+use crate::exchange::Questions;
 use crate::lifecycle::Lifecycle;
-use crate::publish::Comparison;
+use crate::publish::{Collector, Comparison};
 use crate::settings::Settings;
 use crate::upstream::Connections;
 use crate::view::View;
@@ -59,6 +62,12 @@
     counts: Mutex<Counts>,
     comparisons: Mutex<IndexMap<Arc<str>, Comparison>>,
     wall_clock: Mutex<WallClock>,
+    questions: Mutex<Questions>,
+    /// The node through which this one reads the store.
+    followed: Mutex<Option<Incarnation>>,
+    collector: Mutex<Collector>,
+    /// Notified when another node's reports arrive.
+    reports_arrived: Notify,
 }
 
 impl Shared {
@@ -90,6 +99,10 @@
             counts: Mutex::default(),
             comparisons: Mutex::default(),
             wall_clock: Mutex::default(),
+            questions: Mutex::default(),
+            followed: Mutex::default(),
+            collector: Mutex::default(),
+            reports_arrived: Notify::new(),
         }
     }
 
--- /dev/null
+++ b/crates/entry/src/upstream/call.rs
@@ -0,0 +1,47 @@
+//! Calls whose responses are read completely.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::Millis;
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+
+use super::{Connection, Connections, SendError};
+
+/// A complete response.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Makes a call on an idle or new connection to the server `name` and reads the whole response. Nothing is retried.
+pub async fn call(
+    connections: &Connections,
+    name: &Arc<str>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Reply, SendError> {
+    let connection = match connections.take(name, address, Millis::NEVER) {
+        Some(connection) => connection,
+        None => Connection::connect(address).await.map_err(SendError::NotSent)?,
+    };
+    let pending = connection.send(request).await?;
+    let (head, incoming) = pending.response.into_parts();
+    let collected = incoming.collect().await;
+    let body = collected
+        .map_err(|error| SendError::Lost(error.to_string()))?
+        .to_bytes();
+    let closes = head.headers.get(header::CONNECTION);
+    if closes.is_none_or(|value| !value.as_bytes().eq_ignore_ascii_case(b"close")) {
+        connections.put(name, address, pending.connection, None);
+    }
+    Ok(Reply {
+        status: head.status,
+        body,
+    })
+}
--- a/crates/entry/src/view/peer.rs
+++ b/crates/entry/src/view/peer.rs
@@ -19,6 +19,9 @@
     pub peer_address: SocketAddr,
     /// Whether callers should use the node.
     pub ready: bool,
+    /// Its share of a core, in thousandths.
+    #[serde(default)]
+    pub capacity: u32,
     /// The lease that the registration is bound to.
     pub lease: u64,
 }
--- a/crates/entry/src/view/state.rs
+++ b/crates/entry/src/view/state.rs
@@ -8,6 +8,7 @@
 use table::Table;
 
 use super::{Freshness, Peers, Rollouts};
+use crate::publish::Summary;
 
 /// An internal record of the nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +32,8 @@
     pub rollouts: Rollouts,
     /// The nodes' internal records, by key without the prefix.
     pub internal: IndexMap<String, InternalRecord>,
+    /// Published reports, by the incarnation of the node that wrote them, as text.
+    pub summaries: IndexMap<String, Arc<Summary>>,
     /// When the node's last call to the store failed.
     pub store_failed_at: Option<Millis>,
 }
--- a/crates/fake/src/lagged.rs
+++ b/crates/fake/src/lagged.rs
@@ -39,7 +39,11 @@
 
     /// Returns the value that readers see at `now`, and drops older states.
     pub fn visible_at(&mut self, now: Millis) -> &T {
-        while self.states.get(1).is_some_and(|next| next.since + self.lag <= now) {
+        while self
+            .states
+            .get(1)
+            .is_some_and(|next| next.since + self.lag <= now)
+        {
             self.states.pop_front();
         }
         &self.states[0].value
--- /dev/null
+++ b/crates/relay/src/rank.rs
@@ -0,0 +1,15 @@
+//! Ranking of nodes, the same on all nodes that know the same nodes.
+
+use base::Incarnation;
+
+/// Mixes the bits of a number with the finalizer of the `SplitMix64` generator.
+const fn mix_bits(mut value: u64) -> u64 {
+    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
+
+/// Weight of a node for a key, by rendezvous hashing.
+pub(crate) const fn weight(key: u64, node: Incarnation) -> u64 {
+    mix_bits(key ^ mix_bits(node.0))
+}
