Order replicas by what own parts, shared parts and lost caches need

On sites with long shared parts that error stood in for something real: once zones are lost, so are the caches, and shared parts are computed again. Besides, at 24 of 24 replicas the plan swapped reclaimable replicas for on-demand ones in whole zones to stand two lost zones that were not lost, and after one was lost it still allowed for two more.

Change: pools count work of own and of shared parts apart; `fleet::capacity` plans for the shared parts that are lost with two zones, and a fifth of them otherwise. Zones that are lost count among the two; one more is always allowed for. On-demand replicas for a second lost zone only once reclaimable ones are sold out somewhere. The leader records the loads it plans with, and a later one starts from them.

--- a/crates/entry/src/leader/scaler.rs
+++ b/crates/entry/src/leader/scaler.rs
@@ -4,9 +4,12 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Millis};
-use fleet::capacity::{self, Bounds, Count, Zone};
+use bytes::Bytes;
+use fleet::capacity::{self, Bounds, Count, Load, Zone};
 use indexmap::IndexMap;
 use place::State;
+use serde::{Deserialize, Serialize};
+use store::{Condition, Write};
 use table::{Endpoint, Scale};
 
 use super::Election;
@@ -39,6 +42,18 @@
 /// loses its cached prompts, and computing them again costs more than keeping the replica for some seconds.
 const SCALE_DOWN_THRESHOLD: f64 = 0.6;
 
+/// Key of the record of planned loads, after the internal prefix.
+const PLAN_KEY: &str = "plan";
+/// Minimum interval between writes of that record.
+const PLAN_RECORD_INTERVAL: Millis = Millis(2_000);
+
+/// The loads that orders are based on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Plan {
+    /// Load by endpoint.
+    loads: IndexMap<Arc<str>, Load>,
+}
+
 /// Replicas of one kind in a zone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Slot {
@@ -64,9 +79,13 @@
 pub(super) struct Scaler {
     shared: Arc<Shared>,
     orders: IndexMap<Slot, Order>,
-    loads: IndexMap<Arc<str>, VecDeque<(Millis, f64)>>,
+    loads: IndexMap<Arc<str>, VecDeque<(Millis, Load)>>,
+    /// The planned loads as last recorded in the store.
+    recorded: IndexMap<Arc<str>, Load>,
+    /// Earliest time of the next attempt to record them.
+    record_not_before: Millis,
     /// The load that each endpoint's orders are based on.
-    planned_load: IndexMap<Arc<str>, f64>,
+    planned_load: IndexMap<Arc<str>, Load>,
     /// When load was first seen at each endpoint.
     load_since: IndexMap<Arc<str>, Millis>,
     /// Largest number of replicas seen at each endpoint before anything was ordered, and since when.
@@ -80,6 +99,8 @@
             orders: IndexMap::new(),
             loads: IndexMap::new(),
             planned_load: IndexMap::new(),
+            recorded: IndexMap::new(),
+            record_not_before: Millis::ZERO,
             load_since: IndexMap::new(),
             discovered: IndexMap::new(),
         }
@@ -97,6 +118,9 @@
                 self.scale_endpoint(election, endpoint, scale).await;
             }
         }
+        if election.fence().is_some() {
+            self.record_plan().await;
+        }
     }
 
     fn record_load(&mut self, endpoint: &Arc<str>) {
@@ -106,8 +130,8 @@
             .into_iter()
             .filter(|(node, _)| live.contains(node))
             .filter_map(|(_, report)| report.busy.get(endpoint).copied())
-            .sum();
-        if busy > 0.0 {
+            .fold(Load::default(), |sum, load| sum + load);
+        if busy.total() > 0.0 {
             self.load_since.entry(Arc::clone(endpoint)).or_insert(now);
         }
         let loads = self.loads.entry(Arc::clone(endpoint)).or_default();
@@ -117,6 +141,43 @@
         }
     }
 
+    /// Load on which an earlier leader based its orders.
+    fn recorded_plan(&self, endpoint: &Arc<str>) -> Option<Load> {
+        let value = self.shared.view().internal.get(PLAN_KEY)?.value.clone();
+        let plan: Plan = serde_json::from_slice(&value)
+            .inspect_err(|error| log::warn!(cause:% = error; "invalid record of planned loads"))
+            .ok()?;
+        plan.loads.get(endpoint).copied()
+    }
+
+    /// Records the planned loads, so that a later leader does not start from an estimate.
+    async fn record_plan(&mut self) {
+        if self.recorded == self.planned_load || self.shared.now() < self.record_not_before {
+            return;
+        }
+        self.record_not_before = self.shared.now() + PLAN_RECORD_INTERVAL;
+        let plan = Plan {
+            loads: self.planned_load.clone(),
+        };
+        let key = format!("{}{PLAN_KEY}", self.shared.edge.internal_prefix());
+        let value = match serde_json::to_vec(&plan) {
+            Ok(value) => Bytes::from(value),
+            Err(error) => {
+                log::error!(cause:% = error; "failed to encode the planned loads");
+                return;
+            }
+        };
+        match self
+            .shared
+            .store
+            .write_once(&Write::new(key, value, Condition::Any))
+            .await
+        {
+            Ok(_revision) => self.recorded = plan.loads,
+            Err(error) => log::warn!(cause:% = error; "planned loads not recorded"),
+        }
+    }
+
     async fn scale_endpoint(&mut self, election: &Election, endpoint: &Endpoint, scale: &Scale) {
         let ready = self.ready_counts(endpoint, scale);
         let Some(busy) = self.estimate_load(&endpoint.name, &ready) else {
@@ -143,12 +204,11 @@
         }
     }
 
-    /// Number of replicas that the load keeps busy. An estimate until the load is known, and `None` until replicas have
-    /// been discovered.
-    fn estimate_load(&mut self, endpoint: &Arc<str>, ready: &[Count]) -> Option<f64> {
+    /// The highest recent load. An estimate until the load is known, and `None` until replicas have been discovered.
+    fn estimate_load(&mut self, endpoint: &Arc<str>, ready: &[Count]) -> Option<Load> {
         let now = self.shared.now();
         let highest = self.loads.get(endpoint).into_iter().flatten();
-        let measured = highest.map(|(_, busy)| *busy).fold(0.0, f64::max);
+        let measured = highest.map(|(_, load)| *load).fold(Load::default(), higher);
         let load_since = self.load_since.get(endpoint);
         if load_since.is_some_and(|at| now.since(*at) >= LOAD_WARMUP) {
             return Some(measured);
@@ -159,16 +219,22 @@
         if total > *found && !self.orders.keys().any(|slot| slot.endpoint == *endpoint) {
             (*found, *since) = (total, now);
         }
-        if *found == 0 || now.since(*since) < DISCOVERY_SETTLED {
+        let found = *found;
+        if found == 0 || now.since(*since) < DISCOVERY_SETTLED {
             return None;
         }
-        Some(measured.max(f64::from(*found) * INITIAL_UTILIZATION))
+        let estimate = self.recorded_plan(endpoint).unwrap_or(Load {
+            own: f64::from(found) * INITIAL_UTILIZATION,
+            shared: 0.0,
+        });
+        Some(higher(measured, estimate))
     }
 
     /// The load to base orders on. It changes only if the measured load crosses a threshold.
-    fn smoothed_load(&mut self, endpoint: &Arc<str>, busy: f64) -> f64 {
+    fn smoothed_load(&mut self, endpoint: &Arc<str>, busy: Load) -> Load {
         let planned_load = self.planned_load.entry(Arc::clone(endpoint)).or_insert(busy);
-        if busy > *planned_load * (1.0 + SCALE_UP_THRESHOLD) || busy < *planned_load * SCALE_DOWN_THRESHOLD {
+        let (total, planned) = (busy.total(), planned_load.total());
+        if total > planned * (1.0 + SCALE_UP_THRESHOLD) || total < planned * SCALE_DOWN_THRESHOLD {
             *planned_load = busy * (1.0 + SCALE_UP_THRESHOLD);
         }
         *planned_load
@@ -250,7 +316,7 @@
         }
     }
 
-    async fn send_order(&mut self, election: &Election, slot: Slot, have: u32, want: u32, busy: f64) {
+    async fn send_order(&mut self, election: &Election, slot: Slot, have: u32, want: u32, busy: Load) {
         let Some(fence) = election.fence() else { return };
         let replicas = Replicas {
             endpoint: Arc::clone(&slot.endpoint),
@@ -266,7 +332,7 @@
             Err(error) => (error.to_string(), RETRY_DELAY),
         };
         log::info!(endpoint:% = slot.endpoint, zone:% = slot.zone, reclaimable = slot.reclaimable, have, want,
-            busy, fence, outcome; "replicas ordered");
+            busy = busy.own, busy_shared = busy.shared, fence, outcome; "replicas ordered");
         let before = self.orders.get(&slot).copied();
         let order = Order {
             accepted: result.is_ok().then_some(want),
@@ -281,6 +347,10 @@
     }
 }
 
+fn higher(a: Load, b: Load) -> Load {
+    if b.total() > a.total() { b } else { a }
+}
+
 /// The next counts to order on the way to the wanted ones. No on-demand replica is dropped before its replacements are
 /// ready, as far as the zone has room for both.
 fn next_counts(ready: &[Count], expected: &[u32], wanted: &[Count], max: u32) -> Vec<Count> {
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -14,7 +14,9 @@
 
 use base::Millis;
 use bytes::Bytes;
+use fleet::capacity::Load;
 use indexmap::IndexMap;
+use place::Work;
 use store::{Condition, Error, Write};
 use tokio::time::sleep;
 
@@ -70,9 +72,9 @@
     /// Where the last report was sent; `None` if this node wrote it.
     last_target: Option<SocketAddr>,
     /// Accumulated work of each endpoint's replicas at the last measurement.
-    work_ms: IndexMap<Arc<str>, f64>,
+    work: IndexMap<Arc<str>, Work>,
     measured_at: Millis,
-    busy: IndexMap<Arc<str>, f64>,
+    busy: IndexMap<Arc<str>, Load>,
 }
 
 impl Publisher {
@@ -82,7 +84,7 @@
             shared,
             last_report: Arc::default(),
             last_target: None,
-            work_ms: IndexMap::new(),
+            work: IndexMap::new(),
             busy: IndexMap::new(),
         }
     }
@@ -183,19 +185,27 @@
             return;
         }
         self.measured_at = now;
-        let work: Vec<(Arc<str>, f64)> = self.shared.with_pools(|pools| {
-            let totals = pools
-                .iter()
-                .map(|(name, pool)| (Arc::clone(name), pool.work_ms()));
+        let work: Vec<(Arc<str>, Work)> = self.shared.with_pools(|pools| {
+            let totals = pools.iter().map(|(name, pool)| (Arc::clone(name), pool.work()));
             totals.collect()
         });
-        for (endpoint, total_ms) in work {
-            let before = self.work_ms.insert(Arc::clone(&endpoint), total_ms);
-            let newest = (total_ms - before.unwrap_or(total_ms)) / span_ms;
+        for (endpoint, total) in work {
+            let before = self.work.insert(Arc::clone(&endpoint), total);
+            let done = total - before.unwrap_or(total);
+            let newest = Load {
+                own: done.own_ms / span_ms,
+                shared: done.shared_ms / span_ms,
+            };
             let mean = self.busy.entry(endpoint).or_insert(newest);
-            *mean += LOAD_SMOOTHING * (newest - *mean);
-            // Rounding keeps a steady load from changing the report, which would be written again.
-            *mean = (*mean * 1_000.0).round() / 1_000.0;
+            mean.own = smooth(mean.own, newest.own);
+            mean.shared = smooth(mean.shared, newest.shared);
         }
     }
 }
+
+/// Moves an average towards a sample. Rounding keeps a steady load from changing the report, which would be written
+/// again.
+fn smooth(mean: f64, sample: f64) -> f64 {
+    let next = LOAD_SMOOTHING.mul_add(sample - mean, mean);
+    (next * 1_000.0).round() / 1_000.0
+}
--- a/crates/entry/src/publish/report.rs
+++ b/crates/entry/src/publish/report.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fleet::capacity::Load;
 use indexmap::IndexMap;
 use rollout::fast::Tally;
 use serde::{Deserialize, Serialize};
@@ -15,8 +16,8 @@
     pub number: u64,
     /// Requests that began to run, by usage window and workspace.
     pub counts: Counts,
-    /// Number of replicas that the node's requests keep busy, by endpoint.
-    pub busy: IndexMap<Arc<str>, f64>,
+    /// Load of the node's requests, by endpoint.
+    pub busy: IndexMap<Arc<str>, Load>,
     /// Outcomes of requests at both versions of endpoints with a running rollout.
     pub rollouts: IndexMap<Arc<str>, Comparison>,
 }
--- a/crates/entry/src/publish/summary.rs
+++ b/crates/entry/src/publish/summary.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::Incarnation;
+use fleet::capacity::Load;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
@@ -30,7 +31,7 @@
     node: u64,
     number: u64,
     windows: Vec<(u64, Vec<(NameIndex, u64)>)>,
-    busy: Vec<(NameIndex, f64)>,
+    busy: Vec<(NameIndex, Load)>,
     rollouts: Vec<(NameIndex, Comparison)>,
 }
 
--- a/crates/entry/tests/reports.rs
+++ b/crates/entry/tests/reports.rs
@@ -5,6 +5,7 @@
 use base::{Incarnation, Millis};
 use entry::counts::Counts;
 use entry::publish::{COLLECT_DELAY, Collector, Comparison, Report, Summary};
+use fleet::capacity::Load;
 
 const MAX_AGE: Millis = Millis(15_000);
 
@@ -18,10 +19,14 @@
         old_in_flight: 2,
         ..Comparison::default()
     };
+    let busy = Load {
+        own: 0.25,
+        shared: 1.5,
+    };
     Arc::new(Report {
         number,
         counts,
-        busy: [(Arc::from("ledger"), 0.25)].into_iter().collect(),
+        busy: [(Arc::from("ledger"), busy)].into_iter().collect(),
         rollouts: [(Arc::from("ledger"), comparison)].into_iter().collect(),
     })
 }
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -3,23 +3,34 @@
 //! Load pattern: the cloud reclaims the reclaimable replicas of one zone after another with seconds of notice, which is
 //! less than replacements take to boot, and then sells no reclaimable replicas in any zone until after the next zone is
 //! reclaimed. The remaining replicas must therefore carry the load, at high utilization, when the two zones with the
-//! most reclaimable replicas are lost. Where reclaimable replicas are sold out, on-demand replicas replace them.
+//! most reclaimable replicas are lost, or one more zone if some are lost already. Where reclaimable replicas are sold
+//! out, on-demand replicas replace them. While nothing is sold out, on-demand replicas are ordered for the loss of one
+//! zone only: they boot before the next one is lost.
+
+mod load;
 
 use std::sync::Arc;
 
+pub use load::Load;
+
 /// Maximum utilization of the remaining replicas when two zones of reclaimable replicas are lost.
 const DEGRADED_UTILIZATION: f64 = 0.6;
 /// Maximum utilization of all replicas otherwise.
 const NORMAL_UTILIZATION: f64 = 0.25;
 /// Minimum number of remaining replicas when two zones are lost, so that one of them may crash.
 const MIN_SURVIVING: u32 = 2;
-/// Cost of each replica missing when two zones are lost, as a multiple of the on-demand price.
+/// Cost of each replica missing when zones are lost, as a multiple of the on-demand price.
 const DEGRADED_SHORTAGE_COST: f64 = 4.0;
-/// Cost of each replica missing for the normal utilization. It is less than any on-demand price and more than the price
-/// of a reclaimable replica, so that only reclaimable replicas are ordered for it.
+/// Cost of each replica missing for the normal utilization, or for the loss of a second zone while nothing is sold out.
+/// It is less than any on-demand price and more than the price of a reclaimable replica, so that only reclaimable
+/// replicas are ordered for it.
 const NORMAL_SHORTAGE_COST: f64 = 0.5;
-/// Zones that may be lost before replacements serve.
+/// Fraction of the shared parts that replicas have not cached in normal operation, as some come and go.
+const NORMAL_UNCACHED: f64 = 0.2;
+/// Zones that may be lost before replacements serve, including those that are lost already.
 const LOST_ZONES: usize = 2;
+/// Further zones that may be lost in any case.
+const MIN_FURTHER_LOST_ZONES: usize = 1;
 
 /// An availability zone, its price and its reclaimable replicas.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,12 +69,11 @@
     pub reclaimable: u32,
 }
 
-/// Returns the replicas to run for a load, given as the number of replicas that it keeps busy: the mix with the lowest
-/// price, including the cost of missing replicas.
+/// Returns the replicas to run for a load: the mix with the lowest price, including the cost of missing replicas.
 ///
 /// The result has one count per zone, in the order of `bounds.zones`.
-pub fn desired_counts(bounds: &Bounds, busy_replicas: f64) -> Vec<Count> {
-    let need = Need::new(busy_replicas);
+pub fn desired_counts(bounds: &Bounds, load: Load) -> Vec<Count> {
+    let need = Need::new(bounds, load);
     let max_total = bounds.max * bounds.zones.len() as u32;
     let mut best: Option<Mix> = None;
     for on_demand in 0..=max_total {
@@ -87,9 +97,11 @@
 }
 
 impl Need {
-    fn new(busy_replicas: f64) -> Self {
-        let degraded = (busy_replicas / DEGRADED_UTILIZATION).ceil() as u32;
-        let normal = (busy_replicas / NORMAL_UTILIZATION).ceil() as u32;
+    fn new(bounds: &Bounds, load: Load) -> Self {
+        // With the replicas of a zone, what they had cached is lost.
+        let lost_fraction = LOST_ZONES as f64 / bounds.zones.len().max(LOST_ZONES) as f64;
+        let degraded = (load.with_uncached(lost_fraction) / DEGRADED_UTILIZATION).ceil() as u32;
+        let normal = (load.with_uncached(NORMAL_UNCACHED) / NORMAL_UTILIZATION).ceil() as u32;
         Self {
             degraded: degraded.max(MIN_SURVIVING),
             normal,
@@ -102,8 +114,12 @@
 struct Mix {
     counts: Vec<Count>,
     total: u32,
-    /// Replicas that remain when the zones with the most reclaimable replicas are lost.
-    surviving: u32,
+    /// Replicas that remain when the zone with the most reclaimable replicas is lost.
+    surviving_one: u32,
+    /// Replicas that remain when all zones that may be lost from now on are lost.
+    surviving_all: u32,
+    /// Cost of each replica missing then.
+    shortage_cost: f64,
     price: f64,
 }
 
@@ -132,7 +148,7 @@
         let total = counts.iter().map(|it| it.on_demand + it.reclaimable).sum();
         let mut reclaimable: Vec<u32> = counts.iter().map(|it| it.reclaimable).collect();
         reclaimable.sort_unstable_by_key(|count| std::cmp::Reverse(*count));
-        let lost: u32 = reclaimable.iter().take(LOST_ZONES).sum();
+        let lost = |zones: usize| -> u32 { reclaimable.iter().take(zones).sum() };
         let price_ratio = bounds.reclaimable_price.unwrap_or(1.0);
         let price = counts.iter().zip(&bounds.zones).map(|(count, zone)| {
             zone.on_demand_price
@@ -141,19 +157,37 @@
         Self {
             price: price.sum(),
             total,
-            surviving: total - lost,
+            surviving_one: total - lost(MIN_FURTHER_LOST_ZONES),
+            surviving_all: total - lost(further_lost_zones(bounds)),
+            shortage_cost: if bounds.zones.iter().any(|zone| zone.sold_out) {
+                DEGRADED_SHORTAGE_COST
+            } else {
+                NORMAL_SHORTAGE_COST
+            },
             counts,
         }
     }
 
     /// Returns the price of the replicas plus the cost of missing ones.
     fn cost(&self, need: Need) -> f64 {
-        let degraded = f64::from(need.degraded.saturating_sub(self.surviving));
-        let normal = f64::from(need.normal.saturating_sub(self.total));
-        DEGRADED_SHORTAGE_COST.mul_add(degraded, NORMAL_SHORTAGE_COST.mul_add(normal, self.price))
+        let missing = |need: u32, have: u32| f64::from(need.saturating_sub(have));
+        let after_one = missing(need.degraded, self.surviving_one);
+        let after_all = missing(need.degraded, self.surviving_all) - after_one;
+        let normal = missing(need.normal, self.total);
+        self.price
+            + DEGRADED_SHORTAGE_COST * after_one
+            + self.shortage_cost * after_all
+            + NORMAL_SHORTAGE_COST * normal
     }
 }
 
+/// Number of zones whose reclaimable replicas may be lost from now on.
+fn further_lost_zones(bounds: &Bounds) -> usize {
+    let is_lost = |zone: &&Zone| zone.sold_out && zone.reclaimable == 0;
+    let lost = bounds.zones.iter().filter(is_lost).count();
+    LOST_ZONES.saturating_sub(lost).max(MIN_FURTHER_LOST_ZONES)
+}
+
 fn zero_count(zone: &Zone) -> Count {
     Count {
         zone: Arc::clone(&zone.name),
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fleet::capacity::{Bounds, Count, Zone, desired_counts};
+use fleet::capacity::{Bounds, Count, Load, Zone, desired_counts};
 
 fn bounds(reclaimable_price: Option<f64>, sold_out: bool, present: u32) -> Bounds {
     let zone = |(name, price): (&str, f64)| Zone {
@@ -20,6 +20,13 @@
     }
 }
 
+fn own(busy_replicas: f64) -> Load {
+    Load {
+        own: busy_replicas,
+        shared: 0.0,
+    }
+}
+
 fn totals(counts: &[Count]) -> (u32, u32) {
     let on_demand = counts.iter().map(|it| it.on_demand).sum();
     let reclaimable = counts.iter().map(|it| it.reclaimable).sum();
@@ -36,7 +43,7 @@
 #[test]
 fn reclaimable_replicas_survive_the_loss_of_two_zones() {
     for busy_replicas in [0.0, 0.5, 1.5, 2.5, 4.0] {
-        let counts = desired_counts(&bounds(Some(0.15), false, 0), busy_replicas);
+        let counts = desired_counts(&bounds(Some(0.15), false, 0), own(busy_replicas));
         let (on_demand, reclaimable) = totals(&counts);
         assert_eq!(on_demand, 0, "busy {busy_replicas}: {counts:?}");
         assert!(
@@ -61,7 +68,7 @@
 fn on_demand_replicas_replace_sold_out_reclaimable_ones() {
     let busy_replicas = 2.4;
     for present in [3, 2, 1, 0] {
-        let counts = desired_counts(&bounds(Some(0.15), true, present), busy_replicas);
+        let counts = desired_counts(&bounds(Some(0.15), true, present), own(busy_replicas));
         let (on_demand, reclaimable) = totals(&counts);
         assert!(reclaimable <= 4 * present, "{counts:?}");
         assert!(
@@ -76,14 +83,14 @@
 
 #[test]
 fn sold_out_replicas_that_serve_are_kept() {
-    let counts = desired_counts(&bounds(Some(0.15), true, 5), 3.0);
+    let counts = desired_counts(&bounds(Some(0.15), true, 5), own(3.0));
     let (_, reclaimable) = totals(&counts);
     assert_eq!(reclaimable, 20, "{counts:?}");
 }
 
 #[test]
 fn on_demand_replicas_prefer_cheap_zones() {
-    let counts = desired_counts(&bounds(None, false, 0), 2.0);
+    let counts = desired_counts(&bounds(None, false, 0), own(2.0));
     let (on_demand, reclaimable) = totals(&counts);
     assert_eq!(reclaimable, 0);
     assert!((4..=8).contains(&on_demand), "{counts:?}");
@@ -101,5 +108,100 @@
         zones: Vec::new(),
         ..bounds(None, false, 0)
     };
-    assert_eq!(desired_counts(&none, 1.0), Vec::new());
+    assert_eq!(desired_counts(&none, own(1.0)), Vec::new());
+}
+
+/// Two zones are reclaimed one after the other while nothing reclaimable is to be had. The rest must stand the loss of
+/// one more zone; to stand two more would need about as many on-demand replicas as were lost.
+#[test]
+fn zones_that_are_lost_already_count_as_lost() {
+    struct Case {
+        present: [u32; 4],
+        /// Largest number of reclaimable replicas that may still be lost.
+        further_loss: u32,
+    }
+    let cases = [
+        Case {
+            present: [5, 5, 5, 5],
+            further_loss: 10,
+        },
+        Case {
+            present: [0, 5, 5, 5],
+            further_loss: 5,
+        },
+        Case {
+            present: [0, 0, 5, 5],
+            further_loss: 5,
+        },
+        Case {
+            present: [0, 0, 0, 5],
+            further_loss: 5,
+        },
+    ];
+    let busy_replicas = 6.0;
+    let degraded = 10;
+    for case in &cases {
+        let mut bounds = bounds(Some(0.15), true, 0);
+        for (zone, present) in bounds.zones.iter_mut().zip(case.present) {
+            zone.reclaimable = present;
+        }
+        let (on_demand, reclaimable) = totals(&desired_counts(&bounds, own(busy_replicas)));
+        let missing = degraded - (reclaimable - case.further_loss).min(degraded);
+        // Each zone keeps its minimum of one replica.
+        let empty_zones = case.present.iter().filter(|it| **it == 0).count() as u32;
+        assert_eq!(on_demand, missing.max(empty_zones), "{:?}", case.present);
+    }
+}
+
+/// Long shared parts: once the caches of two zones are lost, much of what was shared is computed again. Output and own
+/// parts alone would leave too few replicas.
+#[test]
+fn lost_caches_need_replicas() {
+    struct Case {
+        load: Load,
+        surviving: u32,
+    }
+    let cases = [
+        Case {
+            load: Load {
+                own: 3.0,
+                shared: 0.0,
+            },
+            surviving: 5,
+        },
+        Case {
+            load: Load {
+                own: 3.0,
+                shared: 1.2,
+            },
+            surviving: 6,
+        },
+        Case {
+            load: Load {
+                own: 3.0,
+                shared: 6.0,
+            },
+            surviving: 10,
+        },
+    ];
+    for case in &cases {
+        let counts = desired_counts(&bounds(Some(0.15), false, 0), case.load);
+        let surviving = without_two_worst_zones(&counts);
+        assert!(surviving >= case.surviving, "{:?}: {counts:?}", case.load);
+    }
+}
+
+/// A load near the limit of what the zones hold: two lost zones could only be stood with on-demand replicas in place of
+/// reclaimable ones, all the time. They are ordered once a zone is lost, into the room that it leaves.
+#[test]
+fn on_demand_replicas_are_not_ordered_before_a_zone_is_lost() {
+    let load = own(9.0);
+    let before = desired_counts(&bounds(Some(0.15), false, 6), load);
+    assert_eq!(totals(&before), (0, 24), "{before:?}");
+    let mut bounds = bounds(Some(0.15), true, 6);
+    bounds.zones[0].reclaimable = 0;
+    let after = desired_counts(&bounds, load);
+    let (on_demand, reclaimable) = totals(&after);
+    assert!(reclaimable >= 17, "{after:?}");
+    assert!(on_demand + reclaimable - 6 >= 15, "{after:?}");
 }
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Returns the number of tokens in the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u64 {
+        self.shared().iter().map(|part| u64::from(part.tokens)).sum()
+    }
+
     /// Returns the number of tokens in the part that is specific to the request.
     pub fn own_tokens(&self) -> u32 {
         self.parts.last().map_or(0, |part| part.tokens)
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,6 +19,7 @@
 mod settings;
 pub mod shutdown;
 mod spec;
+mod work;
 
 pub use demand::{Demand, Part, VersionFilter};
 pub use dispatch::DispatchOutcome;
@@ -30,3 +31,4 @@
 pub use rendezvous::hash;
 pub use settings::Settings;
 pub use spec::{Spec, State};
+pub use work::Work;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -17,15 +17,16 @@
 use crate::replica::Replica;
 use crate::{
     Demand, DispatchKey, DispatchOutcome, Load, PeerLoad, PeerReport, Refusal, ReplicaKey, Settings, Spec,
-    rendezvous,
+    Work, rendezvous,
 };
 
 /// Maximum fraction of the remaining time to wait for the first event; the rest is reserved for the answer itself.
 const MAX_WAIT_FRACTION: f64 = 0.6;
 /// Queued requests per slot at which a replica without a prompt cache counts as full.
 const PLAIN_QUEUE_PER_SLOT: usize = 2;
-/// Replica time per generated token. The requests of a batch share the rest of each decoding step.
-const OUTPUT_TOKEN_MS: f64 = 0.15;
+/// Replica time per token that may be generated. The requests of a batch share most of each decoding step, and most
+/// generate fewer tokens than they may.
+const OUTPUT_TOKEN_MS: f64 = 0.04;
 
 /// A chosen replica.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,7 +54,7 @@
     ids: IndexMap<Arc<str>, ReplicaKey>,
     dispatches: SlotMap<DispatchKey, Dispatch>,
     prefill_rate: PrefillRate,
-    work_ms: f64,
+    work: Work,
     /// When this node sent its first request.
     first_sent_at: Option<Millis>,
 }
@@ -68,7 +69,7 @@
             ids: IndexMap::new(),
             dispatches: SlotMap::with_key(),
             prefill_rate: PrefillRate::default(),
-            work_ms: 0.0,
+            work: Work::default(),
             first_sent_at: None,
         }
     }
@@ -108,10 +109,10 @@
         self.ids.values().map(|key| &self.replicas[*key].spec)
     }
 
-    /// Returns the total replica time that this node's requests have used, in milliseconds. The increase per second,
-    /// divided by 1,000, is the number of replicas that the node keeps busy.
-    pub const fn work_ms(&self) -> f64 {
-        self.work_ms
+    /// Returns the work of all requests that this node has sent. The increase per second, divided by 1,000, is the number
+    /// of replicas that the node keeps busy.
+    pub const fn work(&self) -> Work {
+        self.work
     }
 
     /// Returns the load that this node puts on each replica at which it has requests.
@@ -185,9 +186,11 @@
     /// Records that a request is sent to the chosen replica.
     pub fn send(&mut self, now: Millis, choice: &Choice, demand: &Demand<'_>) -> DispatchKey {
         self.first_sent_at.get_or_insert(now);
-        // Shared parts are not counted: in normal operation they are cached.
-        self.work_ms += self.prefill_rate.millis(f64::from(demand.own_tokens()));
-        self.work_ms += f64::from(demand.output_tokens) * OUTPUT_TOKEN_MS;
+        let own_ms = self.prefill_rate.millis(f64::from(demand.own_tokens()));
+        self.work += Work {
+            own_ms: OUTPUT_TOKEN_MS.mul_add(f64::from(demand.output_tokens), own_ms),
+            shared_ms: self.prefill_rate.millis(demand.shared_tokens() as f64),
+        };
         if let Some(replica) = self.replicas.get_mut(choice.replica) {
             replica.in_flight += 1;
             replica.unread_tokens += u64::from(choice.prefill_tokens);
