--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -262,6 +262,7 @@
     fn handle_success(&mut self, source: Source) {
         let now = self.shared.now();
         self.path.record_success(now, source);
+        self.set_reachable(true);
         if self.failures > 0 {
             self.applier.store_recovered(now);
             log::info!(failures = self.failures; "store regained");
@@ -269,6 +270,14 @@
         self.failures = 0;
     }
 
+    fn set_reachable(&self, is_reachable: bool) {
+        self.shared.store_reachable.send_if_modified(|reachable| {
+            let is_change = *reachable != is_reachable;
+            *reachable = is_reachable;
+            is_change
+        });
+    }
+
     async fn handle_failure(&mut self, error: &Error) {
         self.path.record_store_failure(self.shared.now());
         self.shared.questions().fail_call();
@@ -304,6 +313,7 @@
         if self.failures == 0 {
             log::warn!(cause:% = error; "store lost");
         }
+        self.set_reachable(false);
         self.failures += 1;
         let now = self.shared.now();
         self.shared.view().store_failed_at = Some(now);
--- a/crates/entry/src/leader/scaler.rs
+++ b/crates/entry/src/leader/scaler.rs
@@ -18,10 +18,8 @@
 use crate::edge::{CloudError, Replicas};
 
 /// Time over which the highest load counts, so that a trough in a periodic load does not drop replicas that its next
-/// peak needs.
+/// peak needs. Until the load is known for as long, replicas are not dropped below the estimate.
 const LOAD_WINDOW: Millis = Millis(20_000);
-/// Time after the first load from which the measured load replaces the estimate.
-const LOAD_WARMUP: Millis = Millis(8_000);
 /// Estimated utilization of the replicas that exist at startup, until the load is known. Caches are cold then, so more
 /// prompt tokens are computed than later.
 const INITIAL_UTILIZATION: f64 = 0.4;
@@ -67,6 +65,8 @@
 struct Order {
     /// Accepted count; `None` if the order was rejected or received no response.
     accepted: Option<u32>,
+    /// Highest number of ready replicas seen since it was sent.
+    seen: u32,
     sent_at: Millis,
     /// Earliest time of the next order.
     not_before: Millis,
@@ -152,13 +152,19 @@
 
     /// Records the planned loads, so that a later leader does not start from an estimate.
     async fn record_plan(&mut self) {
-        if self.recorded == self.planned_load || self.shared.now() < self.record_not_before {
-            return;
-        }
-        self.record_not_before = self.shared.now() + PLAN_RECORD_INTERVAL;
+        let now = self.shared.now();
+        let is_measured = |endpoint: &Arc<str>| {
+            let since = self.load_since.get(endpoint);
+            since.is_some_and(|since| now.since(*since) >= LOAD_WINDOW)
+        };
+        let loads = self.planned_load.iter().filter(|(it, _)| is_measured(it));
         let plan = Plan {
-            loads: self.planned_load.clone(),
+            loads: loads.map(|(it, load)| (Arc::clone(it), *load)).collect(),
         };
+        if plan.loads.is_empty() || plan.loads == self.recorded || now < self.record_not_before {
+            return;
+        }
+        self.record_not_before = now + PLAN_RECORD_INTERVAL;
         let key = format!("{}{PLAN_KEY}", self.shared.edge.internal_prefix());
         let value = match serde_json::to_vec(&plan) {
             Ok(value) => Bytes::from(value),
@@ -197,6 +203,9 @@
                     zone: Arc::clone(&count.zone),
                     reclaimable,
                 };
+                if let Some(order) = self.orders.get_mut(&slot) {
+                    order.seen = order.seen.max(have);
+                }
                 if self.is_due(&slot, have, want, scale) {
                     self.send_order(election, slot, have, want, busy).await;
                 }
@@ -209,8 +218,9 @@
         let now = self.shared.now();
         let highest = self.loads.get(endpoint).into_iter().flatten();
         let measured = highest.map(|(_, load)| *load).fold(Load::default(), higher);
-        let load_since = self.load_since.get(endpoint);
-        if load_since.is_some_and(|at| now.since(*at) >= LOAD_WARMUP) {
+        let known_for = self.load_since.get(endpoint).map(|at| now.since(*at));
+        let plan = self.recorded_plan(endpoint);
+        if known_for.is_some_and(|known_for| known_for >= LOAD_WINDOW) {
             return Some(measured);
         }
         let total = ready.iter().map(|it| it.on_demand + it.reclaimable).sum();
@@ -223,9 +233,9 @@
         if found == 0 || now.since(*since) < DISCOVERY_SETTLED {
             return None;
         }
-        let estimate = self.recorded_plan(endpoint).unwrap_or(Load {
+        let estimate = plan.unwrap_or(Load {
             own: f64::from(found) * INITIAL_UTILIZATION,
-            shared: 0.0,
+            ..Load::default()
         });
         Some(higher(measured, estimate))
     }
@@ -309,7 +319,9 @@
         }
         match order.accepted {
             Some(accepted) if accepted == want => {
-                have != want && now.since(order.sent_at) > scale.boot_time + EFFECT_MARGIN
+                let is_lost = have < order.seen;
+                let is_overdue = now.since(order.sent_at) > scale.boot_time + EFFECT_MARGIN;
+                have != want && (is_lost || is_overdue)
             }
             Some(_other) => true,
             None => have != want,
@@ -332,10 +344,11 @@
             Err(error) => (error.to_string(), RETRY_DELAY),
         };
         log::info!(endpoint:% = slot.endpoint, zone:% = slot.zone, reclaimable = slot.reclaimable, have, want,
-            busy = busy.own, busy_shared = busy.shared, fence, outcome; "replicas ordered");
+            busy = busy.own, busy_shared = busy.shared, busy_slots = busy.slots, fence, outcome; "replicas ordered");
         let before = self.orders.get(&slot).copied();
         let order = Order {
             accepted: result.is_ok().then_some(want),
+            seen: 0,
             sent_at: now,
             not_before: now + delay,
             sold_out_at: match result {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,53 +3,45 @@
 //!
 //! These values change several times per second, which is too often for the store. All of them are totals or current
 //! values, so the next datagram makes up for a lost one. They only affect how well limits and replicas are used.
+//!
+//! In a large cluster, nodes send them to the nodes of their availability zone only, and the zones' hubs exchange sums.
+
+mod datagram;
+mod hub;
+mod topology;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::Millis;
-use place::PeerLoad;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::lifecycle::Phase;
 use crate::{Error, Shared};
 
+pub use datagram::{Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
+pub use hub::{Hub, Use};
+pub use topology::Topology;
+
 /// Minimum interval between datagrams to the same node.
-const SEND_INTERVAL: Duration = Duration::from_millis(50);
+pub(crate) const SEND_INTERVAL: Millis = Millis(50);
 /// Maximum number of datagrams per second that a node sends to all others combined. With more nodes, each receives
 /// datagrams less often.
-const MAX_PER_SECOND: u32 = 200;
-/// Maximum interval between datagrams while there is something to report, so that the other nodes know that the values
-/// are unchanged.
+pub(crate) const MAX_PER_SECOND: u32 = 200;
+/// Maximum interval between datagrams, so that the other nodes know that the values are unchanged.
 const KEEPALIVE_INTERVAL: Millis = Millis(300);
-/// Maximum datagram size, below the smallest MTU of the networks between nodes.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Interval between the sums that a hub sends.
+pub(crate) const DIGEST_INTERVAL: Millis = Millis(200);
 /// Time without a datagram after which a node counts as disconnected.
 pub const PEER_TIMEOUT: Millis = Millis(1_000);
 
-/// A datagram.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Datagram {
-    /// Incarnation of the sender.
-    pub from: u64,
-    /// Sequence number. Older datagrams that arrive late are dropped.
-    pub number: u64,
-    /// Tokens admitted since the sender started, by workspace.
-    pub used: Vec<(Arc<str>, u64)>,
-    /// The sender's requests in flight at each replica, by endpoint.
-    pub loads: Vec<(Arc<str>, Vec<PeerLoad>)>,
-    /// Hashes of the ids of the replicas that the sender cannot reach, by endpoint.
-    pub unreachable: Vec<(Arc<str>, Vec<u64>)>,
-}
-
 /// Binds the port and exchanges datagrams until the node stops.
 pub async fn start(shared: &Arc<Shared>, address: SocketAddr) -> Result<(), Error> {
     let socket = UdpSocket::bind(address).await;
     let socket = Arc::new(socket.map_err(|cause| Error::Listen { address, cause })?);
     tokio::spawn(receive(Arc::clone(shared), Arc::clone(&socket)));
+    tokio::spawn(send_digests(Arc::clone(shared), Arc::clone(&socket)));
     tokio::spawn(send(Arc::clone(shared), socket));
     Ok(())
 }
@@ -77,45 +69,53 @@
     let mut sent = Millis::ZERO;
     let mut number = 0;
     loop {
-        let peers = shared.peer_addresses();
-        let interval = SEND_INTERVAL.max(Duration::from_secs(1) * peers.len() as u32 / MAX_PER_SECOND);
+        let topology = shared.update_topology();
         tokio::select! {
-            () = sleep(interval) => {}
+            () = sleep(topology.send_interval().as_duration()) => {}
             () = shared.lifecycle.reached(Phase::Ended) => return,
         }
         let mut datagram = shared.datagram();
         let now = shared.now();
-        let is_due = now.since(sent) >= KEEPALIVE_INTERVAL
-            && !(datagram.used.is_empty() && datagram.unreachable.is_empty());
-        if !is_due
-            && datagram.used == last.used
-            && datagram.loads == last.loads
-            && datagram.unreachable == last.unreachable
-        {
+        if now.since(sent) < KEEPALIVE_INTERVAL && datagram.is_same(&last) {
             continue;
         }
         number += 1;
         last.clone_from(&datagram);
         sent = now;
         datagram.number = number;
-        transmit(&socket, &mut datagram, &peers).await;
+        transmit(&socket, &mut datagram, &topology.direct).await;
+    }
+}
+
+/// Sends the sums of zones while this node is the hub of its zone.
+async fn send_digests(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut number = 0;
+    loop {
+        tokio::select! {
+            () = sleep(DIGEST_INTERVAL.as_duration()) => {}
+            () = shared.lifecycle.reached(Phase::Ended) => return,
+        }
+        let topology = shared.topology();
+        if !topology.is_hub {
+            continue;
+        }
+        number += 1;
+        let [mut zone, mut outside] = shared.digests(&topology);
+        zone.number = number;
+        outside.number = number;
+        transmit(&socket, &mut zone, &topology.other_hubs).await;
+        transmit(&socket, &mut outside, &topology.direct).await;
     }
 }
 
 async fn transmit(socket: &UdpSocket, datagram: &mut Datagram, peers: &[SocketAddr]) {
-    let mut bytes = match postcard::to_stdvec(datagram) {
+    let bytes = match datagram.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(cause:% = error; "failed to encode a datagram");
             return;
         }
     };
-    if bytes.len() > MAX_DATAGRAM_BYTES {
-        // The limits take precedence over the loads.
-        datagram.loads.clear();
-        bytes = postcard::to_stdvec(datagram).unwrap_or_default();
-        metrics::counter!("bilberrylatch_peer_loads_left_out_total").increment(1);
-    }
     for peer in peers {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             log::debug!(peer:% = peer, cause:% = error; "failed to send a datagram");
--- /dev/null
+++ b/crates/entry/src/peers/hub.rs
@@ -0,0 +1,198 @@
+//! Sums of datagrams, by which the availability zones of a large cluster hear of each other.
+//!
+//! The nodes of a zone send each other datagrams. One node of each zone, its hub, sends their sums to the hubs of the
+//! other zones, and the sums of the other zones to its own. Every node keeps the state of a hub, so that another can
+//! take over at once.
+
+use std::sync::Arc;
+
+use base::{Incarnation, Millis};
+use indexmap::IndexMap;
+use place::PeerLoad;
+use quota::Totals;
+
+use super::datagram::{Datagram, Scope, Unreachable};
+
+/// Time without a datagram after which a zone counts as disconnected.
+pub const DIGEST_TIMEOUT: Millis = Millis(800);
+/// Time without a datagram after which a node's loads are left out.
+const LOAD_TTL: Millis = Millis(1_000);
+
+/// How the totals of a datagram are applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Not at all.
+    Nothing,
+    /// As a baseline, of which nothing is counted.
+    Baseline,
+    /// By their growth since the last datagram of the sender.
+    Difference,
+}
+
+/// The latest datagram of a sender.
+#[derive(Clone, Debug)]
+struct Heard {
+    at: Millis,
+    datagram: Datagram,
+}
+
+/// Datagrams of the nodes of the own zone and of the hubs of other zones.
+#[derive(Debug, Default)]
+pub struct Hub {
+    nodes: IndexMap<u64, Heard>,
+    node_totals: Totals,
+    /// The latest sums of each other zone.
+    zones: IndexMap<Arc<str>, Heard>,
+    zone_totals: Totals,
+    /// The latest sums of the other zones from the hub of the own zone.
+    outside: Option<Heard>,
+}
+
+impl Hub {
+    /// Takes a datagram, and returns how it is to be applied: a zone's sums count once, also while two nodes take
+    /// themselves for its hub, and when a node becomes the hub again.
+    pub fn record(&mut self, now: Millis, datagram: &Datagram) -> Use {
+        let heard = Heard {
+            at: now,
+            datagram: datagram.clone(),
+        };
+        match &datagram.scope {
+            Scope::Node => {
+                self.node_totals.record(datagram.from, &datagram.used);
+                match self.nodes.insert(datagram.from, heard) {
+                    Some(_) => Use::Difference,
+                    None => Use::Baseline,
+                }
+            }
+            Scope::Zone(zone) => {
+                let how = use_of_sums(now, self.zones.get(zone), datagram.from);
+                if how == Use::Nothing {
+                    return how;
+                }
+                if how == Use::Baseline {
+                    self.zone_totals.forget(datagram.from);
+                }
+                self.zone_totals.record(datagram.from, &datagram.used);
+                self.zones.insert(Arc::clone(zone), heard);
+                how
+            }
+            Scope::Outside { .. } => {
+                let how = use_of_sums(now, self.outside.as_ref(), datagram.from);
+                if how != Use::Nothing {
+                    self.outside = Some(heard);
+                }
+                how
+            }
+        }
+    }
+
+    /// Forgets nodes and zones that are gone.
+    pub fn retain<N, Z>(&mut self, is_live: N, is_zone: Z)
+    where
+        N: Fn(Incarnation) -> bool,
+        Z: Fn(&str) -> bool,
+    {
+        self.nodes.retain(|node, _| is_live(Incarnation(*node)));
+        self.node_totals.retain(|node| is_live(Incarnation(node)));
+        self.zones.retain(|zone, _| is_zone(zone));
+        self.zone_totals.retain(|node| is_live(Incarnation(node)));
+    }
+
+    /// The sums of the own zone; `own` is this node's datagram.
+    pub fn zone_digest(&self, now: Millis, zone: &Arc<str>, own: &Datagram) -> Datagram {
+        let fresh = self.nodes.values().filter(|it| now.since(it.at) < LOAD_TTL);
+        let members: Vec<&Datagram> = fresh.map(|it| &it.datagram).chain([own]).collect();
+        let mut used = self.node_totals.sums();
+        for (workspace, total) in &own.used {
+            match used.iter_mut().find(|(name, _)| name == workspace) {
+                Some((_, sum)) => *sum += total,
+                None => used.push((Arc::clone(workspace), *total)),
+            }
+        }
+        Datagram {
+            scope: Scope::Zone(Arc::clone(zone)),
+            used,
+            loads: sum_loads(&members),
+            unreachable: merge_unreachable(&members),
+            ..Datagram::default()
+        }
+    }
+
+    /// The sums of the other zones, of which there are `zones`.
+    pub fn outside_digest(&self, now: Millis, zones: usize) -> Datagram {
+        let fresh = self.zones.values().filter(|it| now.since(it.at) < DIGEST_TIMEOUT);
+        let digests: Vec<&Datagram> = fresh.map(|it| &it.datagram).collect();
+        Datagram {
+            scope: Scope::Outside {
+                is_complete: digests.len() >= zones,
+            },
+            used: self.zone_totals.sums(),
+            loads: sum_loads(&digests),
+            unreachable: merge_unreachable(&digests),
+            ..Datagram::default()
+        }
+    }
+
+    /// Whether all other zones, of which there are `zones`, were heard from recently: by way of the own zone's hub, or
+    /// directly if this node is the hub.
+    pub fn hears_other_zones(&self, now: Millis, is_hub: bool, zones: usize) -> bool {
+        if is_hub {
+            let is_fresh = |it: &&Heard| now.since(it.at) < DIGEST_TIMEOUT;
+            return self.zones.values().filter(is_fresh).count() >= zones;
+        }
+        self.outside.as_ref().is_some_and(|outside| {
+            let is_complete = outside.datagram.scope == Scope::Outside { is_complete: true };
+            is_complete && now.since(outside.at) < DIGEST_TIMEOUT
+        })
+    }
+}
+
+/// How sums from a sender are applied.
+///
+/// NB: a sender that was silent goes on with its old sums. What it counted meanwhile, another hub has sent as well.
+fn use_of_sums(now: Millis, heard: Option<&Heard>, from: u64) -> Use {
+    let fresh = heard.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT);
+    match fresh {
+        Some(heard) if heard.datagram.from == from => Use::Difference,
+        Some(_other) => Use::Nothing,
+        None => Use::Baseline,
+    }
+}
+
+fn sum_loads(datagrams: &[&Datagram]) -> Vec<(Arc<str>, Vec<PeerLoad>)> {
+    let mut sums: IndexMap<Arc<str>, IndexMap<u64, PeerLoad>> = IndexMap::new();
+    for (endpoint, loads) in datagrams.iter().flat_map(|it| &it.loads) {
+        let sums = sums.entry(Arc::clone(endpoint)).or_default();
+        for load in loads {
+            let sum = sums.entry(load.replica).or_insert(PeerLoad {
+                replica: load.replica,
+                in_flight: 0,
+                unread_tokens: 0,
+            });
+            sum.in_flight += load.in_flight;
+            sum.unread_tokens += load.unread_tokens;
+        }
+    }
+    let list = |loads: IndexMap<u64, PeerLoad>| loads.into_values().collect();
+    sums.into_iter()
+        .map(|(endpoint, loads)| (endpoint, list(loads)))
+        .collect()
+}
+
+fn merge_unreachable(datagrams: &[&Datagram]) -> Vec<Unreachable> {
+    let mut merged: Vec<Unreachable> = Vec::new();
+    for entry in datagrams.iter().flat_map(|it| &it.unreachable) {
+        let known = merged
+            .iter_mut()
+            .find(|it| it.zone == entry.zone && it.endpoint == entry.endpoint);
+        match known {
+            Some(known) => {
+                known.replicas.extend(&entry.replicas);
+                known.replicas.sort_unstable();
+                known.replicas.dedup();
+            }
+            None => merged.push(entry.clone()),
+        }
+    }
+    merged
+}
--- /dev/null
+++ b/crates/entry/src/peers/topology.rs
@@ -0,0 +1,91 @@
+//! Which nodes send each other datagrams.
+
+use std::net::SocketAddr;
+
+use base::{Incarnation, Millis};
+use indexmap::IndexMap;
+use relay::{Candidate, lead};
+
+use super::{DIGEST_INTERVAL, MAX_PER_SECOND, PEER_TIMEOUT, SEND_INTERVAL};
+use crate::view::{Peer, Peers};
+
+/// Datagrams that may be lost in a row before a node counts as disconnected.
+const TOLERATED_LOSSES: u32 = 3;
+
+/// Time for a datagram to arrive and to be read.
+const TRANSIT_TIME: Millis = Millis(20);
+
+/// The nodes that this node exchanges datagrams with.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Topology {
+    /// Addresses of the nodes that receive this node's own values: all, or those of its zone in a large cluster.
+    pub direct: Vec<SocketAddr>,
+    /// These nodes.
+    pub direct_nodes: Vec<Incarnation>,
+    /// Whether the zones' hubs exchange sums.
+    pub is_layered: bool,
+    /// Whether this node is the hub of its zone.
+    pub is_hub: bool,
+    /// Addresses of the hubs of the other zones.
+    pub other_hubs: Vec<SocketAddr>,
+    /// Number of other zones with a hub.
+    pub other_zones: usize,
+}
+
+impl Topology {
+    /// The topology of the node `own` in `zone`.
+    pub fn new(peers: &Peers, own: Incarnation, zone: &str) -> Self {
+        let others = peers.len().saturating_sub(1) as u32;
+        // Otherwise a node would be heard too rarely to tell a lost datagram from a lost node.
+        let is_layered = others * 1_000 * (TOLERATED_LOSSES + 1) > MAX_PER_SECOND * PEER_TIMEOUT.0 as u32;
+        let is_direct =
+            |(node, peer): &(&Incarnation, &Peer)| **node != own && (!is_layered || peer.zone == zone);
+        let direct: Vec<(&Incarnation, &Peer)> = peers.iter().filter(is_direct).collect();
+        let mut topology = Self {
+            direct: direct.iter().map(|(_, peer)| peer.peer_address).collect(),
+            direct_nodes: direct.iter().map(|(node, _)| **node).collect(),
+            is_layered,
+            ..Self::default()
+        };
+        if is_layered {
+            topology.add_hubs(peers, own, zone);
+        }
+        topology
+    }
+
+    /// Interval between datagrams to the same node.
+    pub fn send_interval(&self) -> Millis {
+        let shared_rate = Millis(self.direct.len() as u64 * 1_000 / u64::from(MAX_PER_SECOND));
+        SEND_INTERVAL.max(shared_rate)
+    }
+
+    /// Time until a node has heard what another one admitted.
+    pub fn report_delay(&self) -> Millis {
+        let direct = self.send_interval() + TRANSIT_TIME;
+        if self.is_layered {
+            direct + DIGEST_INTERVAL + DIGEST_INTERVAL
+        } else {
+            direct
+        }
+    }
+
+    fn add_hubs(&mut self, peers: &Peers, own: Incarnation, zone: &str) {
+        let mut zones: IndexMap<&str, Vec<Candidate>> = IndexMap::new();
+        for (node, peer) in peers.iter().filter(|(_, peer)| peer.ready) {
+            zones.entry(&peer.zone).or_default().push(Candidate {
+                node: *node,
+                capacity: peer.capacity,
+            });
+        }
+        for (name, nodes) in zones {
+            let Some(hub) = lead(nodes) else { continue };
+            if name == zone {
+                self.is_hub = hub == own;
+            } else {
+                self.other_zones += 1;
+                self.other_hubs
+                    .extend(peers.get(&hub).map(|peer| peer.peer_address));
+            }
+        }
+    }
+}
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -195,10 +195,12 @@
             let newest = Load {
                 own: done.own_ms / span_ms,
                 shared: done.shared_ms / span_ms,
+                slots: done.slot_ms / span_ms,
             };
             let mean = self.busy.entry(endpoint).or_insert(newest);
             mean.own = smooth(mean.own, newest.own);
             mean.shared = smooth(mean.shared, newest.shared);
+            mean.slots = smooth(mean.slots, newest.slots);
         }
     }
 }
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -5,9 +5,10 @@
 
 use base::Millis;
 use bytes::Bytes;
+use rand::RngExt;
 use store::{Condition, Error, Lease, Write};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::Shared;
 use crate::follow::NODES_PREFIX;
@@ -20,6 +21,11 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(700);
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Maximum delay before a failed call is retried while the store is unreachable. Otherwise all nodes together would
+/// call it hundreds of times per second.
+const OUTAGE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
+/// Maximum delay of the first call after an outage, so that not all nodes call at once.
+const RECOVERY_JITTER: Duration = Duration::from_millis(200);
 
 /// The lease's id and its expiry on the node's own clock, for the leader election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,20 +45,18 @@
         last_written: None,
     };
     loop {
-        let delay = match registrar.renew().await {
-            Ok(()) => RENEW_INTERVAL,
-            Err(error) => {
-                log::warn!(cause:% = error; "registration not renewed");
-                RETRY_DELAY
-            }
-        };
+        let result = registrar.renew().await;
+        if let Err(error) = &result {
+            log::warn!(cause:% = error; "registration not renewed");
+        }
+        let pause = registrar.pause(result.is_ok());
         let next = if registrar.shared.lifecycle.phase() < Phase::Leaving {
             Phase::Leaving
         } else {
             Phase::Ended
         };
         tokio::select! {
-            () = sleep(delay) => {}
+            () = pause => {}
             () = registrar.shared.lifecycle.reached(next) => {}
         }
         if registrar.shared.lifecycle.phase() == Phase::Ended {
@@ -71,6 +75,24 @@
 }
 
 impl Registrar {
+    /// Waits until the next call. While the store is unreachable, the call that finds it reachable again is usually that
+    /// of the node or its reader for the view.
+    fn pause(&self, is_renewed: bool) -> impl Future<Output = ()> + use<> {
+        let mut reachable = self.shared.store_reachable.subscribe();
+        let jitter: f64 = rand::rng().random_range(0.0..1.0);
+        async move {
+            if is_renewed {
+                return sleep(RENEW_INTERVAL).await;
+            }
+            sleep(RETRY_DELAY).await;
+            if !*reachable.borrow_and_update() {
+                // Both ends lead to another call.
+                let _recovered = timeout(OUTAGE_RETRY_DELAY, reachable.changed()).await;
+                sleep(RECOVERY_JITTER.mul_f64(jitter)).await;
+            }
+        }
+    }
+
     async fn renew(&mut self) -> Result<(), Error> {
         let ttl = LEASE_TTL.max(self.shared.settings().min_lease_ttl);
         let sent = self.shared.now();
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,12 +14,13 @@
 use place::Pool;
 use quota::{Limiter, RetryBudget};
 use table::Table;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::counts::Counts;
 use crate::edge::{Cloud, Edge};
 use crate::exchange::Questions;
 use crate::lifecycle::Lifecycle;
+use crate::peers::{Hub, Topology};
 use crate::publish::{Collector, Comparison};
 use crate::settings::Settings;
 use crate::upstream::Connections;
@@ -42,12 +43,16 @@
     pub cloud: Arc<dyn Cloud>,
     /// Identifies this run of the process.
     pub incarnation: Incarnation,
+    /// When the process started.
+    pub started_at: Millis,
     /// Seed of the replica pools and of the leader election.
     pub seed: Seed,
     /// The monotonic clock.
     pub clock: Clock,
     /// Lifecycle phase of the node.
     pub lifecycle: Lifecycle,
+    /// Whether the last call for the view reached the store, at this node or the one that it asked.
+    pub store_reachable: watch::Sender<bool>,
     /// Idle connections to replicas.
     pub connections: Connections,
     settings: ArcSwap<Settings>,
@@ -56,7 +61,9 @@
     view: Mutex<View>,
     pools: Mutex<IndexMap<Arc<str>, Pool>>,
     limits: Mutex<IndexMap<Arc<str>, Limiter>>,
-    /// Sequence number and arrival time of the last datagram from each node.
+    topology: ArcSwap<Topology>,
+    hub: Mutex<Hub>,
+    /// Sequence number and arrival time of the last datagram from each sender.
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
     counts: Mutex<Counts>,
@@ -87,13 +94,17 @@
             settings: ArcSwap::from_pointee(settings),
             waiting: AtomicUsize::new(0),
             incarnation,
+            started_at: clock.now(),
             seed: Seed(incarnation.0),
             clock,
             lifecycle: Lifecycle::new(),
+            store_reachable: watch::Sender::new(true),
             connections: Connections::new(clock),
             view: Mutex::default(),
             pools: Mutex::default(),
             limits: Mutex::default(),
+            topology: ArcSwap::default(),
+            hub: Mutex::default(),
             last_heard: Mutex::default(),
             retry_budgets: Mutex::default(),
             counts: Mutex::default(),
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -1,32 +1,40 @@
 //! Limits shared by all nodes: workspace tokens and retries.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
-use base::{Incarnation, Millis};
-use indexmap::IndexSet;
+use base::{Incarnation, Millis, Seed};
 use place::PeerReport;
-use quota::{LimitSettings, Limiter, RetryPolicy, Tolerance};
+use quota::{LimitSettings, Limiter, PeerTotal, RetryPolicy, Tolerance};
 use table::Workspace;
 
 use super::{Shared, lock};
-use crate::peers::{self, Datagram};
+use crate::peers::{self, Datagram, Scope, Topology, Unreachable, Use};
 
 /// Fraction of the nodes' common retry slack that is used, since a restarted node has lost its count of spent retries.
 const RETRY_SLACK_SHARE: f64 = 0.5;
 
+/// Inverse of the maximum fraction of nodes that may be missing while the others count as connected.
+const MISSING_NODES_DIVISOR: usize = 20;
+
 impl Shared {
     /// Takes tokens from a workspace's limit, or returns the time until enough are available.
     pub fn acquire_quota(&self, workspace: &Workspace, tokens: u64) -> Result<(), Millis> {
         if workspace.rate <= 0.0 {
             return Ok(());
         }
-        let limit_settings = self.limit_settings(workspace);
+        // Separate statements, since a guard in an expression would be held until its end.
+        let nodes = self.view().nodes();
+        let is_connected = self.is_connected();
+        let limit_settings = self.limit_settings(workspace, nodes, is_connected);
         let now = self.now();
         let mut limits = lock(&self.limits);
-        let limit = limits
-            .entry(Arc::clone(&workspace.name))
-            .or_insert_with(|| Limiter::new(now, &limit_settings));
+        let limit = limits.entry(Arc::clone(&workspace.name)).or_insert_with(|| {
+            Limiter::new(
+                self.started_at,
+                self.limiter_seed(&workspace.name),
+                &limit_settings,
+            )
+        });
         limit.try_acquire(now, tokens, &limit_settings)
     }
 
@@ -40,54 +48,82 @@
     /// Applies a datagram from another node.
     pub fn apply_datagram(&self, datagram: &Datagram) {
         let now = self.now();
+        let sender = sender(datagram);
         {
             let mut last_heard = lock(&self.last_heard);
-            let last = last_heard.entry(datagram.from).or_insert((0, now));
+            let last = last_heard.entry(sender).or_insert((0, now));
             if datagram.number <= last.0 {
                 return;
             }
             *last = (datagram.number, now);
         }
-        let table = self.view().table.clone();
-        for (name, total) in &datagram.used {
-            let workspaces = table.iter().flat_map(|table| table.workspaces());
-            let Some(workspace) = workspaces.into_iter().find(|it| it.name == *name) else {
+        let is_hub = self.topology().is_hub;
+        let is_used = match datagram.scope {
+            Scope::Node => true,
+            Scope::Zone(_) => is_hub,
+            Scope::Outside { .. } => !is_hub,
+        };
+        let how = lock(&self.hub).record(now, datagram);
+        if how == Use::Nothing || !is_used {
+            return;
+        }
+        let is_new = how == Use::Baseline;
+        self.apply_totals(now, sender, is_new, &datagram.used);
+        self.apply_replica_reports(now, sender, datagram);
+    }
+
+    fn apply_totals(&self, now: Millis, sender: u64, is_new: bool, totals: &[(Arc<str>, u64)]) {
+        let Some(table) = self.view().table.clone() else {
+            return;
+        };
+        let (nodes, is_connected) = (self.view().nodes(), self.is_connected());
+        for (name, total) in totals {
+            let Some(workspace) = table.workspaces().iter().find(|it| it.name == *name) else {
                 continue;
             };
-            let limit_settings = self.limit_settings(workspace);
+            let limit_settings = self.limit_settings(workspace, nodes, is_connected);
             let mut limits = lock(&self.limits);
-            let limit = limits
-                .entry(Arc::clone(name))
-                .or_insert_with(|| Limiter::new(now, &limit_settings));
-            limit.record_peer_total(now, datagram.from, *total, &limit_settings);
+            let limit = limits.entry(Arc::clone(name)).or_insert_with(|| {
+                Limiter::new(
+                    self.started_at,
+                    self.limiter_seed(&workspace.name),
+                    &limit_settings,
+                )
+            });
+            let report = PeerTotal {
+                node: sender,
+                total: *total,
+                is_new,
+            };
+            limit.record_peer_total(now, report, &limit_settings);
         }
-        self.apply_replica_reports(now, datagram);
     }
 
-    fn apply_replica_reports(&self, now: Millis, datagram: &Datagram) {
-        let zone = {
-            let view = self.view();
-            view.peers
-                .get(&Incarnation(datagram.from))
-                .map(|peer| peer.zone.clone())
-        };
+    fn apply_replica_reports(&self, now: Millis, sender: u64, datagram: &Datagram) {
         // Reports about replicas are used only once the store has provided the sender's availability zone.
-        let Some(zone) = zone else { return };
-        let named = datagram.loads.iter().map(|(endpoint, _)| endpoint);
-        let endpoints: IndexSet<&Arc<str>> = named
-            .chain(datagram.unreachable.iter().map(|(it, _)| it))
-            .collect();
-        for endpoint in endpoints {
-            let loads = datagram.loads.iter().find(|(it, _)| it == endpoint);
-            let unreachable = datagram.unreachable.iter().find(|(it, _)| it == endpoint);
+        let from = Incarnation(datagram.from);
+        let Some(zone) = self.view().peers.get(&from).map(|peer| peer.zone.clone()) else {
+            return;
+        };
+        for (endpoint, loads) in &datagram.loads {
             let report = PeerReport {
-                node: datagram.from,
+                node: sender,
                 zone: &zone,
-                loads: loads.map_or(&[], |(_, loads)| loads),
-                unreachable: unreachable.map_or(&[], |(_, unreachable)| unreachable),
+                loads,
+                unreachable: &[],
             };
             self.with_pool(endpoint, |pool| pool.record_peer_report(now, &report));
         }
+        for entry in &datagram.unreachable {
+            let report = PeerReport {
+                // A digest names the replicas that several zones cannot reach.
+                node: sender ^ place::hash(&entry.zone),
+                zone: &entry.zone,
+                loads: &[],
+                unreachable: &entry.replicas,
+            };
+            self.with_pool(&entry.endpoint, |pool| pool.record_peer_report(now, &report));
+        }
     }
 
     /// Creates the datagram to send to the other nodes.
@@ -100,44 +136,83 @@
             let loads = pools
                 .iter()
                 .map(|(name, pool)| (Arc::clone(name), pool.own_loads()));
-            loads.filter(|(_, loads)| !loads.is_empty()).collect()
+            loads.collect()
         });
         let now = self.now();
+        let zone: Arc<str> = Arc::from(self.settings().zone.as_str());
         let unreachable = self.with_pools(|pools| {
-            let unreachable = pools
-                .iter()
-                .map(|(name, pool)| (Arc::clone(name), pool.unreachable(now)));
-            unreachable
-                .filter(|(_, unreachable)| !unreachable.is_empty())
-                .collect()
+            let unreachable = pools.iter().map(|(name, pool)| Unreachable {
+                zone: Arc::clone(&zone),
+                endpoint: Arc::clone(name),
+                replicas: pool.unreachable(now),
+            });
+            unreachable.filter(|it| !it.replicas.is_empty()).collect()
         });
         Datagram {
             from: self.incarnation.0,
-            number: 0,
             used,
             loads,
             unreachable,
+            ..Datagram::default()
         }
     }
 
-    /// Datagram addresses of the other nodes.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let view = self.view();
-        let others = view.peers.iter().filter(|(it, _)| **it != self.incarnation);
-        others.map(|(_, peer)| peer.peer_address).collect()
+    /// The sums that the hub sends: of its zone for the other zones, and of the other zones for its own.
+    pub fn digests(&self, topology: &Topology) -> [Datagram; 2] {
+        let now = self.now();
+        let own = self.datagram();
+        let zone: Arc<str> = Arc::from(self.settings().zone.as_str());
+        let mut hub = lock(&self.hub);
+        {
+            let view = self.view();
+            let is_live = |node: Incarnation| view.peers.contains_key(&node);
+            let is_zone = |zone: &str| view.peers.values().any(|peer| peer.zone == zone);
+            hub.retain(is_live, is_zone);
+        }
+        let mut digests = [
+            hub.zone_digest(now, &zone, &own),
+            hub.outside_digest(now, topology.other_zones),
+        ];
+        for digest in &mut digests {
+            digest.from = self.incarnation.0;
+        }
+        digests
+    }
+
+    /// The nodes that this node exchanges datagrams with.
+    pub fn topology(&self) -> Arc<Topology> {
+        self.topology.load_full()
+    }
+
+    /// Updates these nodes from the view.
+    pub fn update_topology(&self) -> Arc<Topology> {
+        let settings = self.settings();
+        let topology = Arc::new(Topology::new(
+            &self.view().peers,
+            self.incarnation,
+            &settings.zone,
+        ));
+        self.topology.store(Arc::clone(&topology));
+        topology
     }
 
-    /// Whether all other nodes were heard from recently.
+    /// Whether the other nodes were heard from recently, in person or in sums. Of many nodes, a few may be missing: what
+    /// they admit is within the tolerance of the limits.
     fn is_connected(&self) -> bool {
         let now = self.now();
-        let last_heard = lock(&self.last_heard);
-        let is_heard = |node: &Incarnation| {
-            let last = last_heard.get(&node.0);
-            last.is_some_and(|(_, at)| now.since(*at) < peers::PEER_TIMEOUT)
+        let topology = self.topology();
+        let is_heard = {
+            let last_heard = lock(&self.last_heard);
+            let is_missing = |node: &&Incarnation| {
+                let last = last_heard.get(&node.0);
+                last.is_none_or(|(_, at)| now.since(*at) >= peers::PEER_TIMEOUT)
+            };
+            let missing = topology.direct_nodes.iter().filter(is_missing).count();
+            missing * MISSING_NODES_DIVISOR <= topology.direct_nodes.len()
         };
-        let view = self.view();
-        let mut others = view.peers.keys().filter(|it| **it != self.incarnation);
-        others.all(is_heard)
+        is_heard
+            && (!topology.is_layered
+                || lock(&self.hub).hears_other_zones(now, topology.is_hub, topology.other_zones))
     }
 
     /// Counts the first dispatch of a request to an endpoint.
@@ -167,11 +242,8 @@
         }
     }
 
-    fn limit_settings(&self, workspace: &Workspace) -> LimitSettings {
+    fn limit_settings(&self, workspace: &Workspace, nodes: usize, is_connected: bool) -> LimitSettings {
         let settings = self.settings();
-        // A separate statement, since a guard in the expression below would be held until its end.
-        let nodes = self.view().nodes();
-        let is_connected = self.is_connected();
         LimitSettings {
             rate: workspace.rate,
             burst: workspace.burst,
@@ -181,7 +253,24 @@
                 slack: settings.quota_slack,
             },
             nodes,
+            report_delay: self.topology().report_delay(),
             is_connected,
         }
     }
+
+    fn limiter_seed(&self, workspace: &str) -> Seed {
+        self.seed.derive(place::hash(workspace))
+    }
+}
+
+/// Identifies the sender of a datagram and what it describes: a hub's own values and the sums that it sends are counted
+/// apart.
+const fn sender(datagram: &Datagram) -> u64 {
+    const ZONE: u64 = 1;
+    const OUTSIDE: u64 = 2;
+    match datagram.scope {
+        Scope::Node => datagram.from,
+        Scope::Zone(_) => datagram.from ^ ZONE,
+        Scope::Outside { .. } => datagram.from ^ OUTSIDE,
+    }
 }
--- /dev/null
+++ b/crates/entry/tests/hub.rs
@@ -0,0 +1,266 @@
+//! Sums of datagrams by zone: what each node hears of all others, also while hubs change.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{Incarnation, Millis};
+use entry::peers::{Datagram, Hub, MAX_DATAGRAM_BYTES, Scope, Topology, Unreachable, Use};
+use entry::view::{Peer, Peers};
+use indexmap::IndexMap;
+use place::PeerLoad;
+
+const ZONES: usize = 3;
+const ROUND: Millis = Millis(200);
+
+fn peers(nodes: usize) -> Peers {
+    let address = |port: usize| SocketAddr::from(([127, 0, 0, 1], port as u16));
+    let peer = |index: usize| Peer {
+        name: format!("node-{index}"),
+        zone: format!("zone-{}", index % ZONES),
+        address: address(1_000 + index),
+        peer_address: address(2_000 + index),
+        ready: true,
+        capacity: 120,
+        lease: index as u64,
+    };
+    (0..nodes)
+        .map(|index| (Incarnation(index as u64 * 16 + 16), peer(index)))
+        .collect()
+}
+
+#[test]
+fn datagrams_stay_in_the_zone_of_a_large_cluster() {
+    struct Case {
+        nodes: usize,
+        is_layered: bool,
+        direct: usize,
+    }
+    let cases = [
+        Case {
+            nodes: 1,
+            is_layered: false,
+            direct: 0,
+        },
+        Case {
+            nodes: 9,
+            is_layered: false,
+            direct: 8,
+        },
+        Case {
+            nodes: 51,
+            is_layered: false,
+            direct: 50,
+        },
+        Case {
+            nodes: 60,
+            is_layered: true,
+            direct: 19,
+        },
+        Case {
+            nodes: 195,
+            is_layered: true,
+            direct: 64,
+        },
+    ];
+    for case in &cases {
+        let peers = peers(case.nodes);
+        let topologies: Vec<Topology> = peers
+            .iter()
+            .map(|(node, peer)| Topology::new(&peers, *node, &peer.zone))
+            .collect();
+        for topology in &topologies {
+            assert_eq!(topology.is_layered, case.is_layered, "{} nodes", case.nodes);
+            assert_eq!(topology.direct.len(), case.direct, "{} nodes", case.nodes);
+        }
+        let hubs: Vec<&Topology> = topologies.iter().filter(|it| it.is_hub).collect();
+        assert_eq!(hubs.len(), if case.is_layered { ZONES } else { 0 });
+        assert!(hubs.iter().all(|it| it.other_hubs.len() == ZONES - 1));
+    }
+}
+
+/// One node: what it admitted, its hub state, and what it heard that others admitted.
+#[derive(Default)]
+struct Node {
+    admitted: u64,
+    hub: Hub,
+    heard: IndexMap<(u64, bool), u64>,
+    heard_growth: i64,
+}
+
+impl Node {
+    /// Takes a datagram, and counts the growth as a limiter does.
+    fn receive(&mut self, now: Millis, datagram: &Datagram, is_hub: bool) {
+        let is_used = match datagram.scope {
+            Scope::Node => true,
+            Scope::Zone(_) => is_hub,
+            Scope::Outside { .. } => !is_hub,
+        };
+        let how = self.hub.record(now, datagram);
+        if how == Use::Nothing || !is_used {
+            return;
+        }
+        let key = (datagram.from, datagram.scope == Scope::Node);
+        for (_, total) in &datagram.used {
+            let before = self.heard.insert(key, *total).unwrap_or(0);
+            if how == Use::Difference {
+                self.heard_growth += *total as i64 - before as i64;
+            }
+        }
+    }
+}
+
+struct Cluster {
+    now: Millis,
+    nodes: Vec<Node>,
+    hubs: [usize; ZONES],
+}
+
+impl Cluster {
+    fn new(nodes: usize) -> Self {
+        Self {
+            now: Millis(1_000),
+            nodes: (0..nodes).map(|_| Node::default()).collect(),
+            hubs: [0, 1, 2],
+        }
+    }
+
+    fn own(&self, node: usize) -> Datagram {
+        Datagram {
+            from: node as u64 + 1,
+            used: vec![(Arc::from("tills"), self.nodes[node].admitted)],
+            ..Datagram::default()
+        }
+    }
+
+    /// All nodes admit tokens, then send what they owe; a hub that is `down` sends nothing.
+    fn round(&mut self, tokens: u64, down: Option<usize>) {
+        self.now = self.now + ROUND;
+        for node in &mut self.nodes {
+            node.admitted += tokens;
+        }
+        for from in 0..self.nodes.len() {
+            let datagram = self.own(from);
+            for to in (0..self.nodes.len()).filter(|to| to % ZONES == from % ZONES && *to != from) {
+                let is_hub = self.hubs.contains(&to);
+                self.nodes[to].receive(self.now, &datagram, is_hub);
+            }
+        }
+        for (zone, hub) in self.hubs.into_iter().enumerate() {
+            if down == Some(hub) {
+                continue;
+            }
+            let (own, name) = (self.own(hub), Arc::from(format!("zone-{zone}")));
+            let mut digest = self.nodes[hub].hub.zone_digest(self.now, &name, &own);
+            digest.from = hub as u64 + 1;
+            for to in self.hubs.into_iter().filter(|to| *to != hub) {
+                self.nodes[to].receive(self.now, &digest, true);
+            }
+        }
+        for (zone, hub) in self.hubs.into_iter().enumerate() {
+            if down == Some(hub) {
+                continue;
+            }
+            let mut digest = self.nodes[hub].hub.outside_digest(self.now, ZONES - 1);
+            digest.from = hub as u64 + 1;
+            for to in (0..self.nodes.len()).filter(|to| to % ZONES == zone && *to != hub) {
+                self.nodes[to].receive(self.now, &digest, false);
+            }
+        }
+    }
+}
+
+#[test]
+fn every_node_hears_the_growth_of_all_others_once() {
+    let mut cluster = Cluster::new(60);
+    cluster.round(0, None);
+    for node in &mut cluster.nodes {
+        node.heard_growth = 0;
+    }
+    for _ in 0..10 {
+        cluster.round(7, None);
+    }
+    for (index, node) in cluster.nodes.iter().enumerate() {
+        assert_eq!(node.heard_growth, 59 * 70, "node {index}");
+        assert!(
+            node.hub
+                .hears_other_zones(cluster.now, cluster.hubs.contains(&index), ZONES - 1)
+        );
+    }
+}
+
+/// A hub is gone, its zone's nodes know that they don't hear the others, and nothing is counted twice once another
+/// node has taken over.
+#[test]
+fn change_of_hub_counts_nothing_twice() {
+    let mut cluster = Cluster::new(60);
+    cluster.round(0, None);
+    for node in &mut cluster.nodes {
+        node.heard_growth = 0;
+    }
+    for _ in 0..5 {
+        cluster.round(7, None);
+    }
+    for _ in 0..5 {
+        cluster.round(7, Some(0));
+    }
+    for (index, node) in cluster.nodes.iter().enumerate() {
+        let hears = node
+            .hub
+            .hears_other_zones(cluster.now, cluster.hubs.contains(&index), ZONES - 1);
+        assert!(!hears || index == 0, "node {index}");
+    }
+    cluster.hubs[0] = 3;
+    for _ in 0..10 {
+        cluster.round(7, None);
+    }
+    // The first hub is back, and goes on with its old sums.
+    cluster.round(7, Some(3));
+    cluster.hubs[0] = 0;
+    for _ in 0..10 {
+        cluster.round(7, None);
+    }
+    let growth = 31 * 7 * 59;
+    for (index, node) in cluster.nodes.iter().enumerate() {
+        assert!(node.heard_growth <= growth, "node {index}: {}", node.heard_growth);
+        assert!(
+            node.heard_growth >= growth / 2,
+            "node {index}: {}",
+            node.heard_growth
+        );
+        assert!(
+            node.hub
+                .hears_other_zones(cluster.now, cluster.hubs.contains(&index), ZONES - 1)
+        );
+    }
+}
+
+#[test]
+fn large_digest_fits_into_a_datagram() {
+    let loads = (0..200).map(|replica| PeerLoad {
+        replica: u64::MAX - replica,
+        in_flight: 3,
+        unread_tokens: replica * 100,
+    });
+    let mut datagram = Datagram {
+        used: (0..19)
+            .map(|it| (Arc::from(format!("workspace{it}")), 1_000_000))
+            .collect(),
+        loads: vec![(Arc::from("models"), loads.collect())],
+        unreachable: vec![Unreachable {
+            zone: Arc::from("zone-1"),
+            endpoint: Arc::from("models"),
+            replicas: vec![7; 10],
+        }],
+        ..Datagram::default()
+    };
+    let bytes = datagram.encode().unwrap();
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+    let decoded: Datagram = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(decoded, datagram);
+    // The replicas with the most unread tokens are kept.
+    let kept = &decoded.loads[0].1;
+    assert!(kept.len() > 50, "{} loads kept", kept.len());
+    assert_eq!(kept[0].unread_tokens, 19_900);
+    assert_eq!(decoded.used.len(), 19);
+    assert_eq!(decoded.unreachable.len(), 1);
+}
--- a/crates/entry/tests/reports.rs
+++ b/crates/entry/tests/reports.rs
@@ -22,6 +22,7 @@
     let busy = Load {
         own: 0.25,
         shared: 1.5,
+        slots: 0.5,
     };
     Arc::new(Report {
         number,
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -15,6 +15,8 @@
 
 /// Maximum utilization of the remaining replicas when two zones of reclaimable replicas are lost.
 const DEGRADED_UTILIZATION: f64 = 0.6;
+/// Maximum utilization of the slots that they have left beside computing.
+const DEGRADED_SLOT_UTILIZATION: f64 = 0.8;
 /// Maximum utilization of all replicas otherwise.
 const NORMAL_UTILIZATION: f64 = 0.25;
 /// Minimum number of remaining replicas when two zones are lost, so that one of them may crash.
@@ -100,7 +102,10 @@
     fn new(bounds: &Bounds, load: Load) -> Self {
         // With the replicas of a zone, what they had cached is lost.
         let lost_fraction = LOST_ZONES as f64 / bounds.zones.len().max(LOST_ZONES) as f64;
-        let degraded = (load.with_uncached(lost_fraction) / DEGRADED_UTILIZATION).ceil() as u32;
+        let computing = load.with_uncached(lost_fraction);
+        // A request holds its slot for longer the busier the engines are.
+        let holding = computing + load.slots / DEGRADED_SLOT_UTILIZATION;
+        let degraded = (computing / DEGRADED_UTILIZATION).max(holding).ceil() as u32;
         let normal = (load.with_uncached(NORMAL_UNCACHED) / NORMAL_UTILIZATION).ceil() as u32;
         Self {
             degraded: degraded.max(MIN_SURVIVING),
--- a/crates/fleet/src/capacity/load.rs
+++ b/crates/fleet/src/capacity/load.rs
@@ -11,17 +11,20 @@
     pub own: f64,
     /// By the shared parts of prompts, if replicas had none of them cached.
     pub shared: f64,
+    /// By the slots that requests occupy.
+    pub slots: f64,
 }
 
 impl Load {
-    /// Replicas kept busy while this fraction of the shared parts is not cached.
+    /// Replicas kept busy while this fraction of the shared parts is not cached. A replica computes and holds slots at
+    /// the same time, so the scarcer of the two counts.
     pub fn with_uncached(self, uncached: f64) -> f64 {
-        uncached.mul_add(self.shared, self.own)
+        uncached.mul_add(self.shared, self.own).max(self.slots)
     }
 
     /// Replicas kept busy with cold caches.
     pub fn total(self) -> f64 {
-        self.own + self.shared
+        self.with_uncached(1.0)
     }
 }
 
@@ -32,6 +35,7 @@
         Self {
             own: self.own + rhs.own,
             shared: self.shared + rhs.shared,
+            slots: self.slots + rhs.slots,
         }
     }
 }
@@ -43,6 +47,7 @@
         Self {
             own: self.own * rhs,
             shared: self.shared * rhs,
+            slots: self.slots * rhs,
         }
     }
 }
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -23,7 +23,7 @@
 fn own(busy_replicas: f64) -> Load {
     Load {
         own: busy_replicas,
-        shared: 0.0,
+        ..Load::default()
     }
 }
 
@@ -166,6 +166,7 @@
             load: Load {
                 own: 3.0,
                 shared: 0.0,
+                slots: 0.0,
             },
             surviving: 5,
         },
@@ -173,6 +174,7 @@
             load: Load {
                 own: 3.0,
                 shared: 1.2,
+                slots: 0.0,
             },
             surviving: 6,
         },
@@ -180,6 +182,7 @@
             load: Load {
                 own: 3.0,
                 shared: 6.0,
+                slots: 0.0,
             },
             surviving: 10,
         },
@@ -205,3 +208,17 @@
     assert!(reclaimable >= 17, "{after:?}");
     assert!(on_demand + reclaimable - 6 >= 15, "{after:?}");
 }
+
+/// Replicas with few slots and long answers: the slots are used up while the engines have little to compute.
+#[test]
+fn slots_need_replicas() {
+    let load = Load {
+        own: 1.0,
+        shared: 0.5,
+        slots: 4.0,
+    };
+    let counts = desired_counts(&bounds(Some(0.15), false, 0), load);
+    let (_, reclaimable) = totals(&counts);
+    assert!(reclaimable >= 16, "{counts:?}");
+    assert!(without_two_worst_zones(&counts) >= 7, "{counts:?}");
+}
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -29,4 +29,6 @@
     /// Expected time to the answer or its first event, estimated when the request was sent.
     pub expected_wait: Millis,
     pub answer_began: bool,
+    /// When the answer or its first event arrived.
+    pub began_at: Millis,
 }
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -190,6 +190,7 @@
         self.work += Work {
             own_ms: OUTPUT_TOKEN_MS.mul_add(f64::from(demand.output_tokens), own_ms),
             shared_ms: self.prefill_rate.millis(demand.shared_tokens() as f64),
+            slot_ms: 0.0,
         };
         if let Some(replica) = self.replicas.get_mut(choice.replica) {
             replica.in_flight += 1;
@@ -203,6 +204,7 @@
             prefill_tokens: choice.prefill_tokens,
             expected_wait: choice.expected_wait,
             answer_began: false,
+            began_at: now,
         })
     }
 
@@ -220,6 +222,7 @@
             return;
         };
         dispatch.answer_began = true;
+        dispatch.began_at = now;
         let dispatch = *dispatch;
         let Some(replica) = self.replicas.get_mut(dispatch.replica) else {
             return;
@@ -245,6 +248,9 @@
             return;
         };
         replica.in_flight -= 1;
+        // Queues are left out: they are the effect of too few replicas, and would order too many.
+        let held_ms = (now.since(dispatch.began_at) + dispatch.expected_wait).0 as f64;
+        self.work.slot_ms += held_ms / f64::from(replica.spec.slots.max(1));
         if !dispatch.answer_began {
             replica.unread_tokens = replica
                 .unread_tokens
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -42,6 +42,11 @@
         Millis(wait_ms.ceil().max(1.0) as u64)
     }
 
+    /// The balance as of the last call.
+    pub const fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// Takes tokens; the balance becomes negative if there are too few.
     pub fn debit(&mut self, now: Millis, tokens: f64, refill: Refill) {
         self.add_refill(now, refill);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -5,8 +5,11 @@
 
 mod bucket;
 mod limit;
+mod rate;
 mod retry_budget;
+mod totals;
 
 pub use bucket::{Bucket, Refill};
-pub use limit::{LimitSettings, Limiter, Tolerance};
+pub use limit::{LimitSettings, Limiter, PeerTotal, Tolerance};
 pub use retry_budget::{RetryBudget, RetryPolicy};
+pub use totals::Totals;
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -5,9 +5,12 @@
 //! that the other nodes report. The tolerance above the limit covers tokens that are not reported yet. A node that
 //! does not hear from all others falls back to its even share of the limit.
 
-use base::Millis;
+use base::seed::Generator;
+use base::{Millis, Seed};
 use indexmap::IndexMap;
+use rand::RngExt;
 
+use crate::rate::Rate;
 use crate::{Bucket, Refill};
 
 /// How far all nodes together may exceed a workspace's limit.
@@ -34,10 +37,23 @@
     pub tolerance: Tolerance,
     /// Number of nodes that share the limit.
     pub nodes: usize,
+    /// Time until a node has heard what another one admitted.
+    pub report_delay: Millis,
     /// Whether this node receives reports from all others.
     pub is_connected: bool,
 }
 
+/// Tokens that another node has admitted since it started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerTotal {
+    /// The node.
+    pub node: u64,
+    /// The tokens.
+    pub total: u64,
+    /// Whether what it admitted before is unknown, or was counted otherwise.
+    pub is_new: bool,
+}
+
 /// Fraction of the headroom that the global bucket uses. The rest covers tokens that are not reported yet and the
 /// negative balance after the last requests.
 const GLOBAL_HEADROOM: f64 = 0.25;
@@ -76,24 +92,47 @@
     }
 }
 
+/// Maximum time until a refused request may be tried again, in multiples of the time that reports take.
+const MAX_WAIT_DELAYS: f64 = 4.0;
+/// Time over which the tokens admitted by all nodes are averaged, in milliseconds.
+const ADMITTED_WINDOW_MS: f64 = 4_000.0;
+/// Time over which this node's own tokens are averaged, of which there are few.
+const OWN_WINDOW_MS: f64 = 10_000.0;
+
 /// Enforces a workspace's limit on one node.
+///
+/// Load pattern: many times the limit, spread over many nodes that hear of each other's admissions late. If each node
+/// admitted whenever the balance is positive, all would, until the first reports arrive: the limit would be exceeded by
+/// the load of that time, again and again. So a node admits a part of its requests only, such that all nodes together
+/// admit about the balance in the time that reports take.
 #[derive(Clone, Debug)]
 pub struct Limiter {
     global: Bucket,
     local: Bucket,
+    generator: Generator,
     /// Tokens that this node has admitted since it started.
     admitted: u64,
+    /// Tokens admitted by all nodes, as far as heard.
+    all_admitted: Rate,
+    /// Tokens that callers offered to this node, and those of them that were admitted.
+    own_offered: Rate,
+    own_admitted: Rate,
     /// The last reported totals of the other nodes, by node.
     peer_totals: IndexMap<u64, u64>,
 }
 
 impl Limiter {
-    /// Creates a limiter. The global bucket starts empty, as the other nodes may have used up the limit.
-    pub fn new(now: Millis, settings: &LimitSettings) -> Self {
+    /// Creates a limiter of a node that has heard from the others since `since`. The global bucket was empty then, as the
+    /// other nodes may have used up the limit.
+    pub fn new(since: Millis, seed: Seed, settings: &LimitSettings) -> Self {
         Self {
-            global: Bucket::new(now, 0.0),
-            local: Bucket::new(now, settings.local_refill().capacity),
+            global: Bucket::new(since, 0.0),
+            local: Bucket::new(since, settings.local_refill().capacity),
+            generator: seed.generator(),
             admitted: 0,
+            all_admitted: Rate::new(since, ADMITTED_WINDOW_MS),
+            own_offered: Rate::new(since, OWN_WINDOW_MS),
+            own_admitted: Rate::new(since, OWN_WINDOW_MS),
             peer_totals: IndexMap::new(),
         }
     }
@@ -101,19 +140,80 @@
     /// Admits a request of `tokens` tokens, or returns the time after which it may be tried again.
     pub fn try_acquire(&mut self, now: Millis, tokens: u64, settings: &LimitSettings) -> Result<(), Millis> {
         let amount = tokens as f64;
-        let mut wait = self.local.wait_time(now, settings.local_refill());
-        if settings.is_connected {
-            wait = wait.min(self.global.wait_time(now, settings.global_refill()));
+        let mut wait = self.local_wait(now, amount, settings);
+        if settings.is_connected && wait > Millis::ZERO {
+            wait = wait.min(self.global_wait(now, settings));
         }
+        self.own_offered.add(now, amount);
         if wait > Millis::ZERO {
             return Err(wait);
         }
+        self.own_admitted.add(now, amount);
+        self.all_admitted.add(now, amount);
         self.local.debit(now, amount, settings.local_refill());
         self.global.debit(now, amount, settings.global_refill());
         self.admitted += tokens;
         Ok(())
     }
 
+    /// Estimated tokens per millisecond that callers offer to all nodes: what these admit, scaled by this node's own
+    /// refusals.
+    fn demand(&self, now: Millis) -> f64 {
+        let (offered, admitted) = (self.own_offered.get(now), self.own_admitted.get(now));
+        let refused_ratio = if admitted > 0.0 { offered / admitted } else { 1.0 };
+        self.all_admitted.get(now) * refused_ratio.max(1.0)
+    }
+
+    /// Time until a request may pass the global bucket.
+    fn global_wait(&mut self, now: Millis, settings: &LimitSettings) -> Millis {
+        let refill = settings.global_refill();
+        let wait = self.global.wait_time(now, refill);
+        if wait > Millis::ZERO {
+            return wait;
+        }
+        // Tokens that the other nodes would admit before they hear of each other.
+        let delay = settings.report_delay.0 as f64;
+        let others = settings.nodes.saturating_sub(1) as f64 / settings.nodes.max(1) as f64;
+        let others_demand = self.demand(now) * others;
+        if others_demand * 1_000.0 <= settings.rate {
+            return Millis::ZERO;
+        }
+        let unheard = others_demand * delay;
+        let part = self.global.tokens() / unheard.max(f64::MIN_POSITIVE);
+        let draw: f64 = self.generator.random_range(0.0..1.0);
+        if draw < part {
+            return Millis::ZERO;
+        }
+        let max_wait = delay * MAX_WAIT_DELAYS;
+        Millis((delay / part.max(f64::MIN_POSITIVE)).min(max_wait) as u64)
+    }
+
+    /// Time until a request may pass the local bucket.
+    ///
+    /// With many nodes, the even share is less than one request, and a request may overdraw it. If each node admitted one
+    /// at once, they would exceed the limit by that. So a request passes with the probability that makes up for what it
+    /// takes beyond the balance and, if there is no common bucket, the share of a window.
+    fn local_wait(&mut self, now: Millis, amount: f64, settings: &LimitSettings) -> Millis {
+        let refill = settings.local_refill();
+        let wait = self.local.wait_time(now, refill);
+        if wait > Millis::ZERO {
+            return wait;
+        }
+        let window = settings.tolerance.window;
+        let refilled = if settings.is_connected {
+            0.0
+        } else {
+            refill.rate * window.0 as f64 / 1_000.0
+        };
+        let share = self.local.tokens() + refilled;
+        let draw: f64 = self.generator.random_range(0.0..1.0);
+        if draw * amount < share {
+            Millis::ZERO
+        } else {
+            window
+        }
+    }
+
     /// Returns the tokens of a request that did not run.
     pub const fn refund(&mut self, tokens: u64) {
         self.local.refund(tokens as f64);
@@ -122,9 +222,14 @@
     }
 
     /// Records the total that another node reports as admitted since it started.
-    pub fn record_peer_total(&mut self, now: Millis, node: u64, total: u64, settings: &LimitSettings) {
-        let previous = self.peer_totals.insert(node, total).unwrap_or(total);
+    ///
+    /// Of a new node's total, nothing is counted. A known node without a total had admitted nothing before.
+    pub fn record_peer_total(&mut self, now: Millis, report: PeerTotal, settings: &LimitSettings) {
+        let PeerTotal { node, total, is_new } = report;
+        let previous = self.peer_totals.insert(node, total);
+        let previous = if is_new { total } else { previous.unwrap_or(0) };
         let newly_admitted = total as f64 - previous as f64;
+        self.all_admitted.add(now, newly_admitted.max(0.0));
         self.global.debit(now, newly_admitted, settings.global_refill());
     }
 
--- a/crates/quota/tests/limit.rs
+++ b/crates/quota/tests/limit.rs
@@ -2,10 +2,9 @@
 
 use base::seed::Generator;
 use base::{Millis, Seed};
-use quota::{LimitSettings, Limiter, Tolerance};
+use quota::{LimitSettings, Limiter, PeerTotal, Tolerance};
 use rand::RngExt;
 
-const NODES: usize = 6;
 const RATE: f64 = 100_000.0;
 const BURST: f64 = 100_000.0;
 const TOLERANCE: Tolerance = Tolerance {
@@ -13,13 +12,16 @@
     overshoot: 0.1,
     slack: 190_000.0,
 };
-/// Time until a node receives what another node admitted.
-const REPORT_DELAY: Millis = Millis(70);
 const DURATION: Millis = Millis(60_000);
 
 #[derive(Clone, Copy, Debug)]
 struct Load {
     name: &'static str,
+    nodes: usize,
+    /// Time until a node receives what another node admitted.
+    report_delay: Millis,
+    /// Time from the start of the nodes to the first request.
+    uptime: Millis,
     /// Requests per second over all nodes.
     requests_per_second: f64,
     /// Fraction of the requests that are sent to the first node.
@@ -37,14 +39,17 @@
         rate: RATE,
         burst: BURST,
         tolerance: TOLERANCE,
-        nodes: NODES,
+        nodes: load.nodes,
+        report_delay: load.report_delay,
         is_connected: load.is_connected,
     };
-    let mut limiters = vec![Limiter::new(Millis::ZERO, &settings); NODES];
+    let limiter = |node: usize| Limiter::new(Millis::ZERO, seed.derive(node as u64), &settings);
+    let mut limiters: Vec<Limiter> = (0..load.nodes).map(limiter).collect();
     let mut in_transit: Vec<(Millis, usize, u64)> = Vec::new();
     let mut requests = Vec::new();
-    let mut now = 0.0;
-    while now < DURATION.0 as f64 {
+    let start = load.uptime.0 as f64;
+    let mut now = start;
+    while now < start + DURATION.0 as f64 {
         now += -generator.random_range(f64::EPSILON..1.0_f64).ln() / load.requests_per_second * 1_000.0;
         let at = Millis(now as u64);
         in_transit.retain(|(due, from, total)| {
@@ -53,7 +58,12 @@
             }
             for (index, limiter) in limiters.iter_mut().enumerate() {
                 if index != *from && load.is_connected {
-                    limiter.record_peer_total(at, *from as u64, *total, &settings);
+                    let report = PeerTotal {
+                        node: *from as u64,
+                        total: *total,
+                        is_new: false,
+                    };
+                    limiter.record_peer_total(at, report, &settings);
                 }
             }
             false
@@ -61,12 +71,12 @@
         let node = if generator.random_bool(load.first_node_fraction) {
             0
         } else {
-            generator.random_range(0..NODES)
+            generator.random_range(0..load.nodes)
         };
         let tokens = request_tokens(&mut generator);
         let admitted = limiters[node].try_acquire(at, tokens, &settings).is_ok();
         if admitted {
-            in_transit.push((at + REPORT_DELAY, node, limiters[node].admitted()));
+            in_transit.push((at + load.report_delay, node, limiters[node].admitted()));
         }
         requests.push((at, tokens, admitted));
     }
@@ -103,6 +113,9 @@
     let loads = [
         Load {
             name: "half of the limit",
+            nodes: 6,
+            report_delay: Millis(70),
+            uptime: Millis::ZERO,
             requests_per_second: 6.0,
             first_node_fraction: 0.0,
             is_connected: true,
@@ -110,6 +123,9 @@
         },
         Load {
             name: "half of the limit, most requests at one node",
+            nodes: 6,
+            report_delay: Millis(70),
+            uptime: Millis::ZERO,
             requests_per_second: 6.0,
             first_node_fraction: 0.7,
             is_connected: true,
@@ -117,6 +133,9 @@
         },
         Load {
             name: "seven times the limit",
+            nodes: 6,
+            report_delay: Millis(70),
+            uptime: Millis::ZERO,
             requests_per_second: 90.0,
             first_node_fraction: 0.0,
             is_connected: true,
@@ -124,11 +143,44 @@
         },
         Load {
             name: "seven times the limit, nodes not connected",
+            nodes: 6,
+            report_delay: Millis(70),
+            uptime: Millis::ZERO,
             requests_per_second: 90.0,
             first_node_fraction: 0.3,
             is_connected: false,
             min_used: 0.8,
         },
+        Load {
+            name: "half of the limit, many nodes that hear each other through hubs",
+            nodes: 195,
+            report_delay: Millis(600),
+            uptime: Millis(10_000),
+            requests_per_second: 6.0,
+            first_node_fraction: 0.0,
+            is_connected: true,
+            min_used: 0.97,
+        },
+        Load {
+            name: "seven times the limit, many nodes that hear each other through hubs",
+            nodes: 195,
+            report_delay: Millis(600),
+            uptime: Millis(10_000),
+            requests_per_second: 90.0,
+            first_node_fraction: 0.0,
+            is_connected: true,
+            min_used: 0.9,
+        },
+        Load {
+            name: "seven times the limit, many nodes that are not connected",
+            nodes: 195,
+            report_delay: Millis(600),
+            uptime: Millis(10_000),
+            requests_per_second: 90.0,
+            first_node_fraction: 0.0,
+            is_connected: false,
+            min_used: 0.8,
+        },
     ];
     for load in loads {
         for seed in 0..8 {
@@ -157,6 +209,9 @@
 fn request_size_does_not_affect_refusals() {
     let load = Load {
         name: "twice the limit",
+        nodes: 6,
+        report_delay: Millis(70),
+        uptime: Millis::ZERO,
         requests_per_second: 26.0,
         first_node_fraction: 0.0,
         is_connected: true,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,3 +25,4 @@
 pub use message::{Answer, Query};
 pub use pace::Pace;
 pub use path::{Candidate, Failure, Path, Source};
+pub use rank::lead;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -3,7 +3,7 @@
 use base::{Incarnation, Millis};
 use indexmap::IndexMap;
 
-use crate::rank::weight;
+use crate::rank::{position, weight};
 
 /// Number of askers that one reader answers.
 const ASKERS_PER_READER: usize = 48;
@@ -155,7 +155,7 @@
             it.node == self.own || suspicion.is_none_or(|it| now >= it.until)
         };
         let mut ranked: Vec<&Candidate> = zone.iter().filter(is_usable).collect();
-        ranked.sort_by_key(|it| (std::cmp::Reverse(it.capacity), weight(0, it.node)));
+        ranked.sort_by_key(|it| position(it));
         ranked.truncate(zone.len().div_ceil(ASKERS_PER_READER));
         if ranked.iter().any(|it| it.node == self.own) {
             return Some(self.own);
