Order lost replicas by a pure rule, and compute orders only when something changed

Cause: the rule that repeats an order stood in the daemon without a test, and would have repeated orders for fewer replicas while the surplus drains. The counts to order were computed five times a second by the leader: thousands of mixes with six zones, on a part of a core.

Change: `fleet::Order` with its cases; the leader keeps the last result with its inputs; `scaler` is split into the orders, their slots and the record of planned loads. The log names the source of a view as text.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -104,7 +104,7 @@
         let source = self.path.source(now, &candidates, is_asked);
         if source != self.source {
             let age = self.shared.view().freshness.age(now);
-            log::info!(source:? = source, before:? = self.source, is_asked, candidates = candidates.len(),
+            log::info!(source:% = source, before:% = self.source, is_asked, candidates = candidates.len(),
                 view_age_ms = age.map_or(u64::MAX, |age| age.0); "source of the view changed");
             self.source = source;
             self.shared.set_followed(match source {
@@ -290,7 +290,7 @@
     async fn handle_peer_failure(&mut self, node: Incarnation, failure: Failure, cause: &str) {
         let now = self.shared.now();
         let age = self.shared.view().freshness.age(now);
-        log::warn!(reader:% = node, failure:? = failure, cause, view_age_ms = age.map_or(u64::MAX, |age| age.0);
+        log::warn!(reader:% = node, failure = failure.label(), cause, view_age_ms = age.map_or(u64::MAX, |age| age.0);
             "no changes from the reader");
         metrics::counter!("bilberrylatch_reader_failures_total").increment(1);
         self.path.record_peer_failure(now, node, failure);
--- a/crates/entry/src/leader/scaler.rs
+++ b/crates/entry/src/leader/scaler.rs
@@ -1,17 +1,19 @@
 //! Orders replicas from the cloud according to load.
 
+mod plan;
+mod slot;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 
 use base::{Incarnation, Millis};
-use bytes::Bytes;
+use fleet::Order;
 use fleet::capacity::{self, Bounds, Count, Load, Zone};
 use indexmap::IndexMap;
 use place::State;
-use serde::{Deserialize, Serialize};
-use store::{Condition, Write};
 use table::{Endpoint, Scale};
 
+use self::slot::Slot;
 use super::Election;
 use super::usage::reports;
 use crate::Shared;
@@ -31,8 +33,6 @@
 const SOLD_OUT_TTL: Millis = Millis(4_000);
 /// Delay after a failed call.
 const RETRY_DELAY: Millis = Millis(500);
-/// Time beyond the boot time after which an order without effect is sent again.
-const EFFECT_MARGIN: Millis = Millis(2_500);
 
 /// Fraction by which the load must exceed the planned load before more replicas are ordered.
 const SCALE_UP_THRESHOLD: f64 = 0.15;
@@ -40,38 +40,12 @@
 /// loses its cached prompts, and computing them again costs more than keeping the replica for some seconds.
 const SCALE_DOWN_THRESHOLD: f64 = 0.6;
 
-/// Key of the record of planned loads, after the internal prefix.
-const PLAN_KEY: &str = "plan";
-/// Minimum interval between writes of that record.
-const PLAN_RECORD_INTERVAL: Millis = Millis(2_000);
-
-/// The loads that orders are based on.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Plan {
-    /// Load by endpoint.
-    loads: IndexMap<Arc<str>, Load>,
-}
-
-/// Replicas of one kind in a zone.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Slot {
-    endpoint: Arc<str>,
-    zone: Arc<str>,
-    reclaimable: bool,
-}
-
-/// The last order for a slot.
-#[derive(Clone, Copy, Debug)]
-struct Order {
-    /// Accepted count; `None` if the order was rejected or received no response.
-    accepted: Option<u32>,
-    /// Highest number of ready replicas seen since it was sent.
-    seen: u32,
-    sent_at: Millis,
-    /// Earliest time of the next order.
-    not_before: Millis,
-    /// When the cloud last reported that the zone is sold out.
-    sold_out_at: Option<Millis>,
+/// The counts for these bounds and this load.
+#[derive(Clone, Debug)]
+struct Desired {
+    bounds: Bounds,
+    load: Load,
+    counts: Vec<Count>,
 }
 
 /// Scales endpoints, with the state of the orders sent by this node.
@@ -79,11 +53,10 @@
 pub(super) struct Scaler {
     shared: Arc<Shared>,
     orders: IndexMap<Slot, Order>,
+    /// The last result by endpoint.
+    desired: IndexMap<Arc<str>, Desired>,
     loads: IndexMap<Arc<str>, VecDeque<(Millis, Load)>>,
-    /// The planned loads as last recorded in the store.
-    recorded: IndexMap<Arc<str>, Load>,
-    /// Earliest time of the next attempt to record them.
-    record_not_before: Millis,
+    plan_writer: plan::Writer,
     /// The load that each endpoint's orders are based on.
     planned_load: IndexMap<Arc<str>, Load>,
     /// When load was first seen at each endpoint.
@@ -97,10 +70,10 @@
         Self {
             shared,
             orders: IndexMap::new(),
+            desired: IndexMap::new(),
             loads: IndexMap::new(),
             planned_load: IndexMap::new(),
-            recorded: IndexMap::new(),
-            record_not_before: Millis::ZERO,
+            plan_writer: plan::Writer::default(),
             load_since: IndexMap::new(),
             discovered: IndexMap::new(),
         }
@@ -119,7 +92,8 @@
             }
         }
         if election.fence().is_some() {
-            self.record_plan().await;
+            let loads = self.measured_loads();
+            self.plan_writer.write(&self.shared, loads).await;
         }
     }
 
@@ -141,47 +115,15 @@
         }
     }
 
-    /// Load on which an earlier leader based its orders.
-    fn recorded_plan(&self, endpoint: &Arc<str>) -> Option<Load> {
-        let value = self.shared.view().internal.get(PLAN_KEY)?.value.clone();
-        let plan: Plan = serde_json::from_slice(&value)
-            .inspect_err(|error| log::warn!(cause:% = error; "invalid record of planned loads"))
-            .ok()?;
-        plan.loads.get(endpoint).copied()
-    }
-
-    /// Records the planned loads, so that a later leader does not start from an estimate.
-    async fn record_plan(&mut self) {
+    /// The planned loads of endpoints whose load is known, not estimated.
+    fn measured_loads(&self) -> IndexMap<Arc<str>, Load> {
         let now = self.shared.now();
         let is_measured = |endpoint: &Arc<str>| {
             let since = self.load_since.get(endpoint);
             since.is_some_and(|since| now.since(*since) >= LOAD_WINDOW)
         };
         let loads = self.planned_load.iter().filter(|(it, _)| is_measured(it));
-        let plan = Plan {
-            loads: loads.map(|(it, load)| (Arc::clone(it), *load)).collect(),
-        };
-        if plan.loads.is_empty() || plan.loads == self.recorded || now < self.record_not_before {
-            return;
-        }
-        self.record_not_before = now + PLAN_RECORD_INTERVAL;
-        let key = format!("{}{PLAN_KEY}", self.shared.edge.internal_prefix());
-        let value = match serde_json::to_vec(&plan) {
-            Ok(value) => Bytes::from(value),
-            Err(error) => {
-                log::error!(cause:% = error; "failed to encode the planned loads");
-                return;
-            }
-        };
-        match self
-            .shared
-            .store
-            .write_once(&Write::new(key, value, Condition::Any))
-            .await
-        {
-            Ok(_revision) => self.recorded = plan.loads,
-            Err(error) => log::warn!(cause:% = error; "planned loads not recorded"),
-        }
+        loads.map(|(it, load)| (Arc::clone(it), *load)).collect()
     }
 
     async fn scale_endpoint(&mut self, election: &Election, endpoint: &Endpoint, scale: &Scale) {
@@ -190,7 +132,7 @@
             return;
         };
         let busy = self.smoothed_load(&endpoint.name, busy);
-        let wanted = capacity::desired_counts(&self.bounds(endpoint, scale, &ready), busy);
+        let wanted = self.desired_counts(&endpoint.name, self.bounds(endpoint, scale, &ready), busy);
         let expected = self.expected_on_demand(endpoint, &ready);
         let steps = next_counts(&ready, &expected, &wanted, scale.max);
         for (count, step) in ready.iter().zip(steps) {
@@ -203,10 +145,15 @@
                     zone: Arc::clone(&count.zone),
                     reclaimable,
                 };
-                if let Some(order) = self.orders.get_mut(&slot) {
-                    order.seen = order.seen.max(have);
-                }
-                if self.is_due(&slot, have, want, scale) {
+                let now = self.shared.now();
+                let is_due = match self.orders.get_mut(&slot) {
+                    None => have != want,
+                    Some(order) => {
+                        order.seen = order.seen.max(have);
+                        order.is_due(now, have, want, scale.boot_time)
+                    }
+                };
+                if is_due {
                     self.send_order(election, slot, have, want, busy).await;
                 }
             }
@@ -219,7 +166,7 @@
         let highest = self.loads.get(endpoint).into_iter().flatten();
         let measured = highest.map(|(_, load)| *load).fold(Load::default(), higher);
         let known_for = self.load_since.get(endpoint).map(|at| now.since(*at));
-        let plan = self.recorded_plan(endpoint);
+        let plan = plan::read(&self.shared, endpoint);
         if known_for.is_some_and(|known_for| known_for >= LOAD_WINDOW) {
             return Some(measured);
         }
@@ -250,6 +197,22 @@
         *planned_load
     }
 
+    /// The counts to order, computed again only if something changed: it takes milliseconds with many zones and replicas.
+    fn desired_counts(&mut self, endpoint: &Arc<str>, bounds: Bounds, load: Load) -> Vec<Count> {
+        let known = self.desired.get(endpoint);
+        if let Some(known) = known.filter(|it| it.bounds == bounds && it.load == load) {
+            return known.counts.clone();
+        }
+        let counts = capacity::desired_counts(&bounds, load);
+        let desired = Desired {
+            bounds,
+            load,
+            counts: counts.clone(),
+        };
+        self.desired.insert(Arc::clone(endpoint), desired);
+        counts
+    }
+
     fn bounds(&self, endpoint: &Endpoint, scale: &Scale, ready: &[Count]) -> Bounds {
         let zone = |count: &Count| Zone {
             name: Arc::clone(&count.zone),
@@ -308,26 +271,6 @@
         ready.iter().map(expected).collect()
     }
 
-    /// Whether a new order is needed, given the ready replicas and the last order.
-    fn is_due(&self, slot: &Slot, have: u32, want: u32, scale: &Scale) -> bool {
-        let now = self.shared.now();
-        let Some(order) = self.orders.get(slot) else {
-            return have != want;
-        };
-        if now < order.not_before {
-            return false;
-        }
-        match order.accepted {
-            Some(accepted) if accepted == want => {
-                let is_lost = have < order.seen;
-                let is_overdue = now.since(order.sent_at) > scale.boot_time + EFFECT_MARGIN;
-                have != want && (is_lost || is_overdue)
-            }
-            Some(_other) => true,
-            None => have != want,
-        }
-    }
-
     async fn send_order(&mut self, election: &Election, slot: Slot, have: u32, want: u32, busy: Load) {
         let Some(fence) = election.fence() else { return };
         let replicas = Replicas {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`Drain`] decides what happens to each running request within the notice period.
 //! - [`Planner`] buys the cheapest mix of VMs that keeps enough capacity after the loss of any one zone.
 //! - [`capacity`] computes how many on-demand and reclaimable replicas an endpoint needs in each zone.
+//! - [`Order`] decides when replicas are ordered again.
 //! - [`Throttle`] starts model loads no faster than the weight store serves them.
 
 pub mod capacity;
 pub mod departures;
 pub mod drain;
 pub mod inventory;
+pub mod order;
 pub mod planner;
 pub mod throttle;
 
@@ -20,5 +22,6 @@
 pub use drain::Drain;
 pub use inventory::Inventory;
 pub use member::item::Vm;
+pub use order::Order;
 pub use planner::Planner;
 pub use throttle::Throttle;
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -1,5 +1,7 @@
 //! Whether a node reads the store itself or asks another node.
 
+use std::fmt;
+
 use base::{Incarnation, Millis};
 use indexmap::IndexMap;
 
@@ -30,6 +32,15 @@
     Peer(Incarnation),
 }
 
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Peer(node) => write!(f, "node {node}"),
+        }
+    }
+}
+
 /// A ready node of the own zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
@@ -50,6 +61,17 @@
     HistoryGone,
 }
 
+impl Failure {
+    /// Label in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Unavailable => "unavailable",
+            Self::HistoryGone => "history-gone",
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
     failed_at: Millis,
