--- a/crates/relay/tests/cluster/world.rs
+++ b/crates/relay/tests/cluster/world.rs
@@ -6,10 +6,11 @@
 use base::seed::Generator;
 use base::{Incarnation, Millis, Seed};
 use rand::RngExt;
-use relay::{Answer, Candidate, Change, Failure, Pace, Query, Source};
+use relay::{Answer, Candidate, Failure, Pace, Query, Source};
 
+use crate::message::{Message, StoreResult, changes_between};
 use crate::node::{Node, Waiting};
-use crate::store::{State, Store};
+use crate::store::Store;
 
 const NODES: usize = 8;
 const KEYS: u64 = 6;
@@ -17,44 +18,6 @@
 /// Timeout of a call to the store beyond its wait, in milliseconds.
 const STORE_TIMEOUT: u64 = 1_000;
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Message {
-    Ask {
-        from: usize,
-        to: usize,
-        call: u64,
-        after: u64,
-    },
-    Answer {
-        to: usize,
-        from: usize,
-        call: u64,
-        answer: usize,
-    },
-    /// The store answers a watch or a listing with its state at this time.
-    Watch {
-        node: usize,
-        call: u64,
-        until: u64,
-    },
-    Watched {
-        node: usize,
-        call: u64,
-        result: usize,
-    },
-    Wake {
-        node: usize,
-    },
-}
-
-#[derive(Clone, Debug)]
-enum StoreResult {
-    Changes(Vec<Change>, u64),
-    Listing(State, u64),
-    HistoryGone,
-    Failed,
-}
-
 #[derive(Debug)]
 pub struct World {
     now: u64,
@@ -494,23 +457,3 @@
         );
     }
 }
-
-/// The changes that lead from one state to another.
-fn changes_between(before: &State, after: &State, revision: u64) -> Vec<Change> {
-    let written = after.iter().filter(|(key, at)| before.get(*key) != Some(*at));
-    let mut changes: Vec<Change> = written
-        .map(|(key, at)| Change {
-            key: key.clone(),
-            revision: *at,
-            value: Some(bytes::Bytes::new()),
-        })
-        .collect();
-    changes.sort_by_key(|change| change.revision);
-    let deleted = before.keys().filter(|key| !after.contains_key(*key));
-    changes.extend(deleted.map(|key| Change {
-        key: key.clone(),
-        revision,
-        value: None,
-    }));
-    changes
-}
--- a/crates/relay/tests/oracle.rs
+++ b/crates/relay/tests/oracle.rs
@@ -4,6 +4,8 @@
 //! forgets its history. Whenever a node counts its view as confirmed, the view must contain every change that the store
 //! had accepted when the node sent the question.
 
+#[path = "cluster/message.rs"]
+mod message;
 #[path = "cluster/node.rs"]
 mod node;
 #[path = "cluster/store.rs"]
