Choose the loads of a digest before encoding it

Cause: a hub encoded the loads of all replicas and dropped a quarter until they fitted into a datagram.

Change: the 128 largest loads are chosen first. Which loads a datagram ends up with is the same.

--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -15,6 +15,8 @@
 
 /// Time without a datagram after which a zone counts as disconnected.
 pub const DIGEST_TIMEOUT: Millis = Millis(800);
+/// Maximum number of loads of an endpoint in a datagram.
+const MAX_LOADS: usize = 128;
 /// Time without a datagram after which a node's loads are left out.
 const LOAD_TTL: Millis = Millis(1_000);
 
@@ -173,12 +175,19 @@
             sum.unread_tokens += load.unread_tokens;
         }
     }
-    let list = |loads: IndexMap<u64, PeerLoad>| loads.into_values().collect();
-    sums.into_iter()
-        .map(|(endpoint, loads)| (endpoint, list(loads)))
+    let sums = sums.into_iter();
+    sums.map(|(endpoint, loads)| (endpoint, largest(loads.into_values().collect())))
         .collect()
 }
 
+/// The largest loads, about as many as fit into a datagram. With thousands of replicas, encoding all of them to find out
+/// which fit takes most of a small VM's processor.
+fn largest(mut loads: Vec<PeerLoad>) -> Vec<PeerLoad> {
+    loads.sort_unstable_by_key(|load| std::cmp::Reverse((load.unread_tokens, load.in_flight)));
+    loads.truncate(MAX_LOADS);
+    loads
+}
+
 fn merge_unreachable(datagrams: &[&Datagram]) -> Vec<Unreachable> {
     let mut merged: Vec<Unreachable> = Vec::new();
     for entry in datagrams.iter().flat_map(|it| &it.unreachable) {
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -264,3 +264,28 @@
     assert_eq!(decoded.used.len(), 19);
     assert_eq!(decoded.unreachable.len(), 1);
 }
+
+/// Thousands of replicas: a digest names the ones with the most unread tokens, without encoding all of them.
+#[test]
+fn digest_keeps_the_largest_loads() {
+    let mut hub = Hub::default();
+    let now = Millis(1_000);
+    for node in 0..10 {
+        let loads = (0..300).map(|replica| PeerLoad {
+            replica: node * 300 + replica,
+            in_flight: 1,
+            unread_tokens: node * 300 + replica,
+        });
+        let datagram = Datagram {
+            from: node + 1,
+            loads: vec![(Arc::from("models"), loads.collect())],
+            ..Datagram::default()
+        };
+        hub.record(now, &datagram);
+    }
+    let digest = hub.zone_digest(now, &Arc::from("zone-1"), &Datagram::default());
+    let loads = &digest.loads[0].1;
+    assert_eq!(loads.len(), 128);
+    assert_eq!(loads[0].unread_tokens, 2_999);
+    assert_eq!(loads[127].unread_tokens, 2_872);
+}
