--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -10,7 +10,7 @@
 use store::{Listing, listing};
 use table::Table;
 
-use super::pending::PendingDeletions;
+use super::pending::{Deletion, PendingDeletions};
 use crate::Shared;
 use crate::edge::{RolloutOrder, StoredRecord};
 use crate::publish::{REPORTS_PREFIX, Summary};
@@ -242,8 +242,13 @@
 
     fn handle_deletion(&mut self, key: &str) {
         let now = self.shared.now();
-        if self.pending.record_deletion(now, key) {
-            self.forget(key, "registration deleted");
+        match self.pending.record_deletion(now, key) {
+            Deletion::Effective => self.forget(key, "registration deleted"),
+            Deletion::Deferred { recovered_at, due } => {
+                metrics::counter!("bilberrylatch_deletions_deferred_total").increment(1);
+                log::info!(key, since_recovery_ms = now.since(recovered_at).0, due_in_ms = due.since(now).0;
+                    "deletion deferred");
+            }
         }
     }
 
--- a/crates/entry/src/follow/pending.rs
+++ b/crates/entry/src/follow/pending.rs
@@ -16,21 +16,34 @@
     due: IndexMap<String, Millis>,
 }
 
+/// Whether a deletion takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Deletion {
+    /// It takes effect immediately.
+    Effective,
+    /// It may be due to a lease that expired during the outage.
+    Deferred {
+        /// When the store was found to have recovered.
+        recovered_at: Millis,
+        /// When the deletion takes effect.
+        due: Millis,
+    },
+}
+
 impl PendingDeletions {
     /// Notes that the store is reachable again.
     pub fn store_recovered(&mut self, now: Millis) {
         self.recovered_at = Some(now);
     }
 
-    /// Records a deletion; returns whether it takes effect immediately.
-    pub fn record_deletion(&mut self, now: Millis, key: &str) -> bool {
+    /// Records a deletion; returns whether it takes effect.
+    pub fn record_deletion(&mut self, now: Millis, key: &str) -> Deletion {
         let Some(recovered_at) = self.recovered_at.filter(|at| now.since(*at) < OUTAGE_WINDOW) else {
-            return true;
+            return Deletion::Effective;
         };
-        self.due
-            .entry(key.to_owned())
-            .or_insert(recovered_at + REAPPEAR_TIMEOUT);
-        false
+        let due = recovered_at + REAPPEAR_TIMEOUT;
+        let due = *self.due.entry(key.to_owned()).or_insert(due);
+        Deletion::Deferred { recovered_at, due }
     }
 
     /// Cancels the deletion of a record that exists again.
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -54,6 +54,10 @@
     pub first_event: Option<Millis>,
     /// Expected wait and prompt tokens to compute at the last replica.
     expected: (Millis, u32),
+    /// Age of the view when the last replica was chosen; `None` if it was never confirmed.
+    view_age: Option<Millis>,
+    /// Time from the choice of the last replica until the request was sent to it.
+    send_delay: Millis,
     is_counted: bool,
     /// Whether the end of the request was logged.
     is_logged: AtomicBool,
@@ -72,6 +76,8 @@
             cause: String::new(),
             first_event: None,
             expected: (Millis::ZERO, 0),
+            view_age: None,
+            send_delay: Millis::ZERO,
             is_counted: false,
             is_logged: AtomicBool::new(false),
         }
@@ -167,6 +173,8 @@
             cause: &self.cause,
             expected: self.expected.0,
             tokens: self.expected.1,
+            view_age: self.view_age,
+            send_delay: self.send_delay,
             first_event: self.first_event,
         };
         log::ended(&self.shared, &self.call, end);
@@ -205,6 +213,7 @@
         self.tried.push(choice.replica);
         self.replica = Arc::clone(&choice.id);
         self.expected = (choice.expected_wait, choice.prefill_tokens);
+        self.view_age = shared.view().freshness.age(now);
         match self.exchange(&choice, resume_after).await {
             Ok(pending) => self.check_head(in_flight, pending),
             Err(failure) => {
@@ -219,7 +228,12 @@
     }
 
     /// Sends the request and waits for the head of the response.
-    async fn exchange(&self, choice: &Choice, resume_after: Option<u64>) -> Result<PendingResponse, Failure> {
+    async fn exchange(
+        &mut self,
+        choice: &Choice,
+        resume_after: Option<u64>,
+    ) -> Result<PendingResponse, Failure> {
+        let chosen = self.shared.now();
         let tolerates_loss = self.call.route().kind.is_idempotent() && self.tried.len() == 1;
         let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
         let connection = match self.shared.connections.take(&choice.id, choice.address, max_idle) {
@@ -228,7 +242,9 @@
                 .await
                 .map_err(|cause| Failure::new(DispatchError::NotSent, cause))?,
         };
-        let left = self.call.time_left(self.shared.now());
+        let now = self.shared.now();
+        self.send_delay = now.since(chosen);
+        let left = self.call.time_left(now);
         if left <= MIN_TIME_LEFT {
             return Err(Failure {
                 timed_out: true,
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -23,6 +23,10 @@
     pub expected: Millis,
     /// Prompt tokens that the last replica was expected to compute.
     pub tokens: u32,
+    /// Age of the view when the last replica was chosen; `None` if it was never confirmed.
+    pub view_age: Option<Millis>,
+    /// Time from the choice of the last replica until the request was sent to it.
+    pub send_delay: Millis,
     /// Time from the request to its first event, for streams that started.
     pub first_event: Option<Millis>,
 }
@@ -79,6 +83,8 @@
         cause = end.cause,
         expected_ms = end.expected.0,
         unread_tokens = end.tokens,
+        view_age_ms = end.view_age.map_or(-1, |it| it.0 as i64),
+        send_delay_ms = end.send_delay.0,
         first_event_ms = end.first_event.map_or(-1, |it| it.0 as i64),
         target_ms = call.route().target_latency.0,
         took_ms = took.0,
