Keep deleted registrations only after an outage that no node was spared

Cause: a node took every failed call of its own for an outage of the store, in which leases of live replicas expire, and kept deleted registrations in use until 2 s after its calls worked again. Change: datagrams carry how long the store has answered the sender; a node that is cut off still receives them. Deletions are deferred only after a gap, at all nodes together, in which a lease can expire (relay::Availability, relay::Deletions). Why it works: the other nodes' answers prove that nothing expired; if there are none, or they had the gap as well, deletions are deferred as before, from the moment at which the first node was answered. Ruled out: shorter deferral (drops live replicas after an outage).

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -8,7 +8,6 @@
 //! the store's in either case, so a node continues from any source where another one left off.
 
 mod apply;
-mod pending;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -89,7 +88,7 @@
 
     /// Makes one call and handles its result.
     async fn step(&mut self) {
-        self.applier.apply_expired();
+        self.applier.apply_due_deletions();
         let revision = self.revision.filter(|_| !self.needs_listing);
         match (self.choose_source(), revision) {
             (Source::Peer(node), Some(revision)) => self.ask(node, revision).await,
@@ -218,6 +217,9 @@
                 is_confirmed,
             }) => {
                 self.handle_success(Source::Peer(node));
+                if is_confirmed || !changes.is_empty() {
+                    self.shared.record_store_answer();
+                }
                 let end = self.apply(&changes, revision);
                 if is_confirmed {
                     self.confirm_freshness(sent);
@@ -262,9 +264,11 @@
     fn handle_success(&mut self, source: Source) {
         let now = self.shared.now();
         self.path.record_success(now, source);
+        if source == Source::Store {
+            self.shared.record_store_answer();
+        }
         self.set_reachable(true);
         if self.failures > 0 {
-            self.applier.store_recovered(now);
             log::info!(failures = self.failures; "store regained");
         }
         self.failures = 0;
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -2,15 +2,14 @@
 
 use std::sync::Arc;
 
-use base::{Incarnation, Millis};
+use base::Incarnation;
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use place::{Spec, State};
-use relay::Change;
+use relay::{Change, Deletions};
 use store::{Listing, listing};
 use table::Table;
 
-use super::pending::{Deletion, PendingDeletions};
 use crate::Shared;
 use crate::edge::{RolloutOrder, StoredRecord};
 use crate::publish::{REPORTS_PREFIX, Summary};
@@ -37,7 +36,7 @@
 pub(super) struct Applier {
     shared: Arc<Shared>,
     known: IndexMap<String, RecordKind>,
-    pending: PendingDeletions,
+    deletions: Deletions,
 }
 
 impl Applier {
@@ -45,7 +44,7 @@
         Self {
             shared,
             known: IndexMap::new(),
-            pending: PendingDeletions::default(),
+            deletions: Deletions::default(),
         }
     }
 
@@ -96,20 +95,16 @@
         }
     }
 
-    /// Notes that the store is reachable again after an outage.
-    pub fn store_recovered(&mut self, now: Millis) {
-        self.pending.store_recovered(now);
-    }
-
     /// Removes the records that did not reappear after an outage.
-    pub fn apply_expired(&mut self) {
-        for key in self.pending.take_expired(self.shared.now()) {
+    pub fn apply_due_deletions(&mut self) {
+        let up_since = self.shared.availability().up_since();
+        for key in self.deletions.take_due(self.shared.now(), up_since) {
             self.forget(&key, "did not reappear after a store outage");
         }
     }
 
     fn put(&mut self, key: &str, value: &Bytes, revision: u64) {
-        self.pending.cancel(key);
+        self.deletions.cancel(key);
         let known = match self.shared.edge.decode_record(key, value) {
             StoredRecord::Table(table) => self.put_configuration(&table),
             StoredRecord::Replica(spec) => self.put_replica(key, spec),
@@ -242,14 +237,13 @@
 
     fn handle_deletion(&mut self, key: &str) {
         let now = self.shared.now();
-        match self.pending.record_deletion(now, key) {
-            Deletion::Effective => self.forget(key, "registration deleted"),
-            Deletion::Deferred { recovered_at, due } => {
-                metrics::counter!("bilberrylatch_deletions_deferred_total").increment(1);
-                log::info!(key, since_recovery_ms = now.since(recovered_at).0, due_in_ms = due.since(now).0;
-                    "deletion deferred");
-            }
-        }
+        let up_since = self.shared.availability().up_since();
+        let Some(due) = self.deletions.record(now, up_since, key) else {
+            return self.forget(key, "registration deleted");
+        };
+        metrics::counter!("bilberrylatch_deletions_deferred_total").increment(1);
+        log::info!(key, up_ms = up_since.map_or(0, |since| now.since(since).0), due_in_ms = due.since(now).0;
+            "deletion deferred");
     }
 
     fn forget(&mut self, key: &str, reason: &str) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,5 @@
 //! Datagrams between nodes. They carry the tokens that a node admitted against the workspaces' limits, its requests at
-//! each replica, and the replicas that it cannot reach.
+//! each replica, the replicas that it cannot reach, and how long the store has answered it.
 //!
 //! These values change several times per second, which is too often for the store. All of them are totals or current
 //! values, so the next datagram makes up for a lost one. They only affect how well limits and replicas are used.
@@ -7,6 +7,7 @@
 //! In a large cluster, nodes send them to the nodes of their availability zone only, and the zones' hubs exchange sums.
 
 mod datagram;
+mod heard;
 mod hub;
 mod topology;
 
@@ -21,6 +22,7 @@
 use crate::{Error, Shared};
 
 pub use datagram::{Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
+pub use heard::HeardNodes;
 pub use hub::{Hub, Use};
 pub use topology::Topology;
 
@@ -54,8 +56,11 @@
             () = shared.lifecycle.reached(Phase::Ended) => return,
         };
         match received {
-            Ok((length, _sender)) => match postcard::from_bytes::<Datagram>(&buffer[..length]) {
-                Ok(datagram) => shared.apply_datagram(&datagram),
+            Ok((length, sender)) => match Datagram::decode(&buffer[..length]) {
+                Ok(datagram) => {
+                    shared.record_sender(&datagram, sender);
+                    shared.apply_datagram(&datagram);
+                }
                 Err(error) => log::warn!(cause:% = error; "invalid datagram from a node"),
             },
             // An earlier datagram reached a closed port, since a node is restarting.
@@ -69,9 +74,10 @@
     let mut sent = Millis::ZERO;
     let mut number = 0;
     loop {
-        let topology = shared.update_topology();
+        let mut receivers = shared.update_topology().direct.clone();
+        receivers.extend(shared.unregistered_nodes());
         tokio::select! {
-            () = sleep(topology.send_interval().as_duration()) => {}
+            () = sleep(topology::send_interval(receivers.len()).as_duration()) => {}
             () = shared.lifecycle.reached(Phase::Ended) => return,
         }
         let mut datagram = shared.datagram();
@@ -83,7 +89,7 @@
         last.clone_from(&datagram);
         sent = now;
         datagram.number = number;
-        transmit(&socket, &mut datagram, &topology.direct).await;
+        transmit(&socket, &mut datagram, &receivers).await;
     }
 }
 
--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use place::PeerLoad;
+use relay::Uptime;
 use serde::{Deserialize, Serialize};
 
 /// Maximum datagram size, below the smallest MTU of the networks between nodes.
@@ -49,9 +50,23 @@
     pub loads: Vec<(Arc<str>, Vec<PeerLoad>)>,
     /// Replicas that cannot be reached.
     pub unreachable: Vec<Unreachable>,
+    /// How long the store has answered the sender; `None` in sums, and before its first answer.
+    pub uptime: Option<Uptime>,
 }
 
+/// An absent uptime, which earlier builds do not send.
+const NO_UPTIME: u8 = 0;
+
 impl Datagram {
+    /// Decodes a datagram, also of a build that does not send the last field.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let mut extended = bytes.to_vec();
+            extended.push(NO_UPTIME);
+            postcard::from_bytes(&extended)
+        })
+    }
+
     /// Encodes the datagram. If it is too large, the smallest loads are left out: limits and unreachable replicas take
     /// precedence.
     pub fn encode(&mut self) -> Result<Vec<u8>, postcard::Error> {
@@ -71,7 +86,7 @@
         Ok(bytes)
     }
 
-    /// Whether it says the same as another, apart from its number.
+    /// Whether it says the same as another, apart from its number and the time that passed.
     pub fn is_same(&self, other: &Self) -> bool {
         self.used == other.used && self.loads == other.loads && self.unreachable == other.unreachable
     }
--- a/crates/entry/src/peers/topology.rs
+++ b/crates/entry/src/peers/topology.rs
@@ -15,6 +15,12 @@
 /// Time for a datagram to arrive and to be read.
 const TRANSIT_TIME: Millis = Millis(20);
 
+/// Interval between datagrams to the same one of this many receivers.
+pub(super) fn send_interval(receivers: usize) -> Millis {
+    let shared_rate = Millis(receivers as u64 * 1_000 / u64::from(MAX_PER_SECOND));
+    SEND_INTERVAL.max(shared_rate)
+}
+
 /// The nodes that this node exchanges datagrams with.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Topology {
@@ -55,8 +61,7 @@
 
     /// Interval between datagrams to the same node.
     pub fn send_interval(&self) -> Millis {
-        let shared_rate = Millis(self.direct.len() as u64 * 1_000 / u64::from(MAX_PER_SECOND));
-        SEND_INTERVAL.max(shared_rate)
+        send_interval(self.direct.len())
     }
 
     /// Time until a node has heard what another one admitted.
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -15,6 +15,8 @@
 use crate::lifecycle::Phase;
 use crate::view::Peer;
 
+/// Minimum duration of an outage of the store in which a node's lease may expire.
+pub const MIN_EXPIRY_OUTAGE: Millis = Millis(LEASE_TTL.0 - RENEW_INTERVAL.as_millis() as u64);
 /// Time to live of the lease. Callers may be directed to a dead node for this long.
 const LEASE_TTL: Millis = Millis(2_500);
 /// Interval between renewals.
@@ -106,6 +108,7 @@
                 Ok(()) => {}
                 Err(Error::LeaseExpired) => {
                     log::warn!("lease lapsed");
+                    self.shared.record_store_answer();
                     self.lease = None;
                     self.lease_sender.send_replace(None);
                     return Err(Error::LeaseExpired);
@@ -113,6 +116,7 @@
                 Err(error) => return Err(error),
             },
         }
+        self.shared.record_store_answer();
         let Some(lease) = self.lease.clone() else {
             return Ok(());
         };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -45,6 +45,8 @@
     pub store_writes: f64,
     /// Minimum time to live of a lease in the store.
     pub min_lease_ttl: Millis,
+    /// Interval at which replicas renew their registrations. Registrations expire after three of them.
+    pub replica_heartbeat: Millis,
     /// Maximum time between the removal of an API key and its last use.
     pub key_revocation_time: Millis,
     /// Time within which a change in the store must take effect.
@@ -94,6 +96,7 @@
             store_reads: reader.parse_or("STORE_READS", 2_000.0),
             store_writes: reader.parse_or("STORE_WRITES", 400.0),
             min_lease_ttl: reader.millis("LEASE_LEAST_MS", 1_000),
+            replica_heartbeat: reader.millis("REPLICA_HEARTBEAT_MS", 1_000),
             key_revocation_time: reader.millis("KEY_LIFE_MS", 5_000),
             apply_time: reader.millis("APPLY_MS", 2_000),
             grace: reader.seconds("GRACE_S", 8.0),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of a node.
 
+mod availability;
 mod comparison;
 mod exchange;
 mod limits;
@@ -13,6 +14,7 @@
 use indexmap::IndexMap;
 use place::Pool;
 use quota::{Limiter, RetryBudget};
+use relay::Availability;
 use table::Table;
 use tokio::sync::{Notify, watch};
 
@@ -20,7 +22,7 @@
 use crate::edge::{Cloud, Edge};
 use crate::exchange::Questions;
 use crate::lifecycle::Lifecycle;
-use crate::peers::{Hub, Topology};
+use crate::peers::{HeardNodes, Hub, Topology};
 use crate::publish::{Collector, Comparison};
 use crate::settings::Settings;
 use crate::upstream::Connections;
@@ -63,6 +65,9 @@
     limits: Mutex<IndexMap<Arc<str>, Limiter>>,
     topology: ArcSwap<Topology>,
     hub: Mutex<Hub>,
+    availability: Mutex<Availability>,
+    /// Nodes that were heard from, by incarnation.
+    heard_nodes: Mutex<HeardNodes>,
     /// Sequence number and arrival time of the last datagram from each sender.
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
@@ -87,10 +92,13 @@
         clock: Clock,
     ) -> Self {
         let incarnation = Incarnation(rand::random());
+        let min_outage = availability::min_outage(&settings);
         Self {
             edge,
             store,
             cloud,
+            availability: Mutex::new(Availability::new(clock.now(), min_outage)),
+            heard_nodes: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             waiting: AtomicUsize::new(0),
             incarnation,
--- /dev/null
+++ b/crates/entry/src/shared/availability.rs
@@ -0,0 +1,75 @@
+//! When the store has been up, by the answers to this node and to others.
+
+use std::cmp::Ordering;
+use std::net::SocketAddr;
+use std::sync::MutexGuard;
+
+use base::Millis;
+use relay::Availability;
+
+use super::{Shared, lock};
+use crate::peers::{Datagram, Scope};
+use crate::register::MIN_EXPIRY_OUTAGE;
+use crate::settings::Settings;
+
+/// Minimum duration of an outage in which a replica's registration may expire, in its renewal intervals: the last renewal
+/// may be one interval old when the outage begins.
+const MIN_EXPIRY_INTERVALS: u64 = 2;
+
+/// Minimum duration of an outage of the store in which a registration may expire.
+pub(super) fn min_outage(settings: &Settings) -> Millis {
+    Millis(settings.replica_heartbeat.0 * MIN_EXPIRY_INTERVALS).min(MIN_EXPIRY_OUTAGE)
+}
+
+impl Shared {
+    /// When the store has been up.
+    pub fn availability(&self) -> MutexGuard<'_, Availability> {
+        lock(&self.availability)
+    }
+
+    /// Records that the store answered this node, or the node that it asked.
+    pub fn record_store_answer(&self) {
+        self.update_availability("answer", Availability::record_answer);
+    }
+
+    /// Records where a datagram came from and what its sender knows of the store.
+    pub fn record_sender(&self, datagram: &Datagram, address: SocketAddr) {
+        if datagram.scope == Scope::Node {
+            lock(&self.heard_nodes).record(self.now(), datagram.from, address);
+        }
+        if let Some(uptime) = datagram.uptime {
+            self.update_availability("report", |it, now| it.record_report(now, uptime));
+        }
+    }
+
+    /// Records evidence of a kind, and logs what it says about outages of the store.
+    fn update_availability<F>(&self, evidence: &str, record: F)
+    where
+        F: FnOnce(&mut Availability, Millis),
+    {
+        let now = self.now();
+        let mut availability = self.availability();
+        let before = availability.up_since();
+        record(&mut availability, now);
+        let after = availability.up_since();
+        drop(availability);
+        let up_ms = after.map_or(-1, |since| now.since(since).0 as i64);
+        match after.cmp(&before) {
+            Ordering::Equal => {}
+            Ordering::Greater => log::warn!(evidence, up_ms; "store outage ended"),
+            Ordering::Less => log::info!(evidence, up_ms; "store was up for other nodes"),
+        }
+    }
+
+    /// Addresses of the nodes that were heard from recently and are not registered: those that are cut off from the store.
+    /// They receive datagrams, too, so that they keep to the common limits and know whether the store is up.
+    pub fn unregistered_nodes(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let heard = lock(&self.heard_nodes).fresh(now);
+        let view = self.view();
+        let unregistered = heard
+            .into_iter()
+            .filter(|(node, _)| !view.peers.contains_key(node));
+        unregistered.map(|(_, address)| address).collect()
+    }
+}
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -153,6 +153,7 @@
             used,
             loads,
             unreachable,
+            uptime: self.availability().report(now),
             ..Datagram::default()
         }
     }
--- /dev/null
+++ b/crates/relay/src/availability.rs
@@ -0,0 +1,90 @@
+//! Whether the store had an outage, or only some nodes were cut off from it.
+
+use base::Millis;
+
+use crate::Uptime;
+
+/// A span without an outage, on the node's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Span {
+    first: Millis,
+    last: Millis,
+}
+
+impl Span {
+    /// Returns the latest span without an outage, of which an outage of at least `min_outage` is noticed.
+    fn join(self, other: Self, min_outage: Millis) -> Self {
+        let (earlier, later) = if self.first <= other.first {
+            (self, other)
+        } else {
+            (other, self)
+        };
+        if later.first.since(earlier.last) >= min_outage {
+            return later;
+        }
+        Self {
+            first: earlier.first,
+            last: earlier.last.max(later.last),
+        }
+    }
+}
+
+/// When the store has been up, by the answers to this node and to others.
+///
+/// Load pattern: single nodes are cut off from the store while replicas come and go. A node that only knows of its own
+/// calls can't tell this from an outage of the store, in which leases of live replicas expire. The other nodes can.
+#[derive(Clone, Copy, Debug)]
+pub struct Availability {
+    /// Shortest outage in which a lease may expire.
+    min_outage: Millis,
+    /// By answers to this node.
+    own: Option<Span>,
+    /// By answers to any node.
+    known: Span,
+}
+
+impl Availability {
+    /// Creates the state of a node that knows of no outage. Leases do not expire in outages shorter than `min_outage`.
+    pub const fn new(now: Millis, min_outage: Millis) -> Self {
+        Self {
+            min_outage,
+            own: None,
+            known: Span {
+                first: Millis::ZERO,
+                last: now,
+            },
+        }
+    }
+
+    /// Records that the store answered this node.
+    pub fn record_answer(&mut self, now: Millis) {
+        let answer = Span {
+            first: now,
+            last: now,
+        };
+        self.own = Some(self.own.map_or(answer, |own| own.join(answer, self.min_outage)));
+        self.known = self.known.join(answer, self.min_outage);
+    }
+
+    /// Records the uptime that another node reports from its own calls.
+    pub fn record_report(&mut self, now: Millis, report: Uptime) {
+        let span = Span {
+            first: now - report.first,
+            last: now - report.last,
+        };
+        self.known = self.known.join(span, self.min_outage);
+    }
+
+    /// The uptime by this node's own calls. What others report is left out, so that no report is passed on in circles.
+    pub fn report(&self, now: Millis) -> Option<Uptime> {
+        self.own.map(|own| Uptime {
+            first: now.since(own.first),
+            last: now.since(own.last),
+        })
+    }
+
+    /// When the last outage of the store ended, if one is known.
+    pub fn up_since(&self) -> Option<Millis> {
+        Some(self.known.first).filter(|first| *first > Millis::ZERO)
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,22 +7,30 @@
 //! - [`History`] keeps the latest changes of the store.
 //! - [`Desk`] holds the questions of other nodes until they can be answered.
 //! - [`Path`] decides whether a node reads the store itself or asks another node.
+//! - [`Availability`] tells an outage of the store from a node's own cut, and [`Deletions`] decides when a deleted record
+//!   means that its writer is gone.
 //! - [`Pace`] derives the waits and timeouts from the time within which a change must take effect.
 //!
 //! Nodes need not agree on who reads: a node that is asked reads. Views that differ cost calls, never correctness.
 
+mod availability;
 mod change;
+mod deletions;
 mod desk;
 mod history;
 mod message;
 mod pace;
 mod path;
 mod rank;
+mod uptime;
 
+pub use availability::Availability;
 pub use change::Change;
+pub use deletions::Deletions;
 pub use desk::{Call, Desk, Question};
 pub use history::{Gone, History};
 pub use message::{Answer, Query};
 pub use pace::Pace;
 pub use path::{Candidate, Failure, Path, Source};
 pub use rank::lead;
+pub use uptime::Uptime;
