Apply deferred deletions when they are due, also while a call hangs

Cause: deletions deferred after an outage were looked at between two calls to the store only. A watch that waits or hangs kept a replica that did not register again in use for up to a second and a half longer, beyond the 2 s that count from when the store told the node. Change: a task of its own waits for the next due deletion, or for news of the store's outages.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -8,8 +8,9 @@
 //! the store's in either case, so a node continues from any source where another one left off.
 
 mod apply;
+mod expiry;
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use base::{Incarnation, Millis};
@@ -51,7 +52,8 @@
 /// Follows the store until the node stops.
 pub async fn run(shared: Arc<Shared>) {
     let lifecycle = shared.lifecycle.clone();
-    let mut follower = Follower::new(shared);
+    let mut follower = Follower::new(Arc::clone(&shared));
+    tokio::spawn(expiry::run(shared, Arc::clone(&follower.applier)));
     loop {
         tokio::select! {
             () = follower.step() => {}
@@ -63,7 +65,7 @@
 #[derive(Debug)]
 struct Follower {
     shared: Arc<Shared>,
-    applier: Applier,
+    applier: Arc<Mutex<Applier>>,
     path: Path,
     source: Source,
     /// Revision up to which the view is complete; `None` before the first listing.
@@ -76,7 +78,7 @@
 impl Follower {
     fn new(shared: Arc<Shared>) -> Self {
         Self {
-            applier: Applier::new(Arc::clone(&shared)),
+            applier: Arc::new(Mutex::new(Applier::new(Arc::clone(&shared)))),
             path: Path::new(shared.incarnation),
             shared,
             source: Source::Store,
@@ -88,7 +90,6 @@
 
     /// Makes one call and handles its result.
     async fn step(&mut self) {
-        self.applier.apply_due_deletions();
         let revision = self.revision.filter(|_| !self.needs_listing);
         match (self.choose_source(), revision) {
             (Source::Peer(node), Some(revision)) => self.ask(node, revision).await,
@@ -166,10 +167,14 @@
         let call = self.shared.questions().begin_call();
         let listing = self.shared.store.list(ALL_KEYS).await?;
         self.handle_success(Source::Store);
-        let changes = self
-            .revision
-            .map(|revision| self.applier.changes_since(revision, &listing));
-        self.applier.apply_listing(&listing);
+        let changes = {
+            let mut applier = lock(&self.applier);
+            let changes = self
+                .revision
+                .map(|revision| applier.changes_since(revision, &listing));
+            applier.apply_listing(&listing);
+            changes
+        };
         self.advance(listing.revision);
         self.needs_listing = false;
         self.confirm_freshness(sent);
@@ -243,8 +248,11 @@
 
     /// Applies changes that complete the view up to `revision`. Returns the revision up to which it is complete.
     fn apply(&mut self, changes: &[Change], revision: u64) -> u64 {
-        for change in changes {
-            self.applier.apply_change(change);
+        {
+            let mut applier = lock(&self.applier);
+            for change in changes {
+                applier.apply_change(change);
+            }
         }
         let last = changes.iter().map(|change| change.revision).max();
         let end = revision.max(last.unwrap_or(0));
@@ -325,6 +333,10 @@
     }
 }
 
+fn lock(applier: &Mutex<Applier>) -> MutexGuard<'_, Applier> {
+    applier.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn convert(change: store::Change) -> Change {
     Change {
         value: change.value.filter(|_| !change.deleted),
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::Incarnation;
+use base::{Incarnation, Millis};
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use place::{Spec, State};
@@ -95,12 +95,13 @@
         }
     }
 
-    /// Removes the records that did not reappear after an outage.
-    pub fn apply_due_deletions(&mut self) {
+    /// Removes the records that did not reappear after an outage. Returns when the next deletion is due.
+    pub fn apply_due_deletions(&mut self) -> Option<Millis> {
         let up_since = self.shared.availability().up_since();
         for key in self.deletions.take_due(self.shared.now(), up_since) {
             self.forget(&key, "did not reappear after a store outage");
         }
+        self.deletions.next_due(up_since)
     }
 
     fn put(&mut self, key: &str, value: &Bytes, revision: u64) {
@@ -244,6 +245,7 @@
         metrics::counter!("bilberrylatch_deletions_deferred_total").increment(1);
         log::info!(key, up_ms = up_since.map_or(0, |since| now.since(since).0), due_in_ms = due.since(now).0;
             "deletion deferred");
+        self.shared.notify_deletions_changed();
     }
 
     fn forget(&mut self, key: &str, reason: &str) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -66,6 +66,8 @@
     topology: ArcSwap<Topology>,
     hub: Mutex<Hub>,
     availability: Mutex<Availability>,
+    /// Notified when a deletion is deferred, or more is known of the store's outages.
+    deletions_changed: Notify,
     /// Nodes that were heard from, by incarnation.
     heard_nodes: Mutex<HeardNodes>,
     /// Sequence number and arrival time of the last datagram from each sender.
@@ -98,6 +100,7 @@
             store,
             cloud,
             availability: Mutex::new(Availability::new(clock.now(), min_outage)),
+            deletions_changed: Notify::new(),
             heard_nodes: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             waiting: AtomicUsize::new(0),
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -1,6 +1,5 @@
 //! When the store has been up, by the answers to this node and to others.
 
-use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::MutexGuard;
 
@@ -16,6 +15,9 @@
 /// may be one interval old when the outage begins.
 const MIN_EXPIRY_INTERVALS: u64 = 2;
 
+/// Minimum shift of an outage's end that is logged. Nodes notice the end one after the other.
+const MIN_LOGGED_SHIFT: Millis = Millis(1_000);
+
 /// Minimum duration of an outage of the store in which a registration may expire.
 pub(super) fn min_outage(settings: &Settings) -> Millis {
     Millis(settings.replica_heartbeat.0 * MIN_EXPIRY_INTERVALS).min(MIN_EXPIRY_OUTAGE)
@@ -42,6 +44,16 @@
         }
     }
 
+    /// Waits until a deletion is deferred, or until more is known of the store's outages.
+    pub async fn deletions_changed(&self) {
+        self.deletions_changed.notified().await;
+    }
+
+    /// Ends the wait for [`Self::deletions_changed`].
+    pub fn notify_deletions_changed(&self) {
+        self.deletions_changed.notify_one();
+    }
+
     /// Records evidence of a kind, and logs what it says about outages of the store.
     fn update_availability<F>(&self, evidence: &str, record: F)
     where
@@ -53,11 +65,15 @@
         record(&mut availability, now);
         let after = availability.up_since();
         drop(availability);
+        if before != after {
+            self.notify_deletions_changed();
+        }
         let up_ms = after.map_or(-1, |since| now.since(since).0 as i64);
-        match after.cmp(&before) {
-            Ordering::Equal => {}
-            Ordering::Greater => log::warn!(evidence, up_ms; "store outage ended"),
-            Ordering::Less => log::info!(evidence, up_ms; "store was up for other nodes"),
+        let shift = before.unwrap_or_default().since(after.unwrap_or_default());
+        if after > before {
+            log::warn!(evidence, up_ms; "store outage ended");
+        } else if shift >= MIN_LOGGED_SHIFT {
+            log::info!(evidence, up_ms; "store was up for other nodes");
         }
     }
 
--- a/crates/relay/src/deletions.rs
+++ b/crates/relay/src/deletions.rs
@@ -29,6 +29,13 @@
         self.due.swap_remove(key);
     }
 
+    /// When the next deletion takes effect unless its record reappears; `None` if none is deferred.
+    pub fn next_due(&self, up_since: Option<Millis>) -> Option<Millis> {
+        let settled_at = up_since.map_or(Millis::ZERO, |since| since + REAPPEAR_TIMEOUT);
+        let first = self.due.values().copied().min()?;
+        Some(first.min(settled_at))
+    }
+
     /// Removes and returns the keys whose deletions take effect: their records did not reappear in time, or there was no
     /// outage.
     pub fn take_due(&mut self, now: Millis, up_since: Option<Millis>) -> Vec<String> {
--- a/crates/relay/tests/availability.rs
+++ b/crates/relay/tests/availability.rs
@@ -108,8 +108,14 @@
                 }
             }
             let up_since = availability.up_since();
+            let next_due = deletions.next_due(up_since);
             let is_effective = (now.0 == case.deleted_at && deletions.record(now, up_since, KEY).is_none())
                 || !deletions.take_due(now, up_since).is_empty();
+            assert!(
+                !is_effective || now.0 == case.deleted_at || next_due.is_some_and(|due| due <= now),
+                "{}: effective at {now}, due {next_due:?}",
+                case.name
+            );
             if is_effective {
                 effective_at.get_or_insert(now);
             }
