Log the rate limits that replicas name, and each request sent to such a replica

Cause: nothing shows what a replica asked for: the header was passed on unread. No decision changes.

--- a/crates/entry/src/edge/response_head.rs
+++ b/crates/entry/src/edge/response_head.rs
@@ -5,7 +5,7 @@
 use place::Load;
 
 /// The decoded head of a replica's response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Whether the replica reports that it did not run the request.
     pub not_run: bool,
@@ -15,6 +15,8 @@
     pub signed: bool,
     /// The load that the replica reports.
     pub load: Option<Load>,
+    /// Requests per second that the replica takes from all nodes combined, if it names a limit.
+    pub rate_limit: Option<f64>,
     /// How long the replica keeps the connection idle, if it says so.
     pub idle_timeout: Option<Duration>,
     /// Whether the replica closes the connection after the response.
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -214,6 +214,10 @@
         self.replica = Arc::clone(&choice.id);
         self.expected = (choice.expected_wait, choice.prefill_tokens);
         self.view_age = shared.view().freshness.age(now);
+        if let Some((named_at, per_s)) = choice.rate_limit {
+            let limit_age = now.since(named_at);
+            log::sent_to_limited_replica(&self.call, &choice.id, per_s, limit_age, self.tried.len());
+        }
         match self.exchange(&choice, resume_after).await {
             Ok(pending) => self.check_head(in_flight, pending),
             Err(failure) => {
@@ -311,6 +315,9 @@
             .decode_response(&self.call.request_head.id, status, head);
         in_flight.report(response_head.load);
         if response_head.not_run {
+            if response_head.matches_request == Some(true) {
+                in_flight.report_rate_limit(response_head.rate_limit);
+            }
             in_flight.end(DispatchOutcome::NotRun);
             let cause = format!("replica refused with {status}");
             return Err(AttemptError::Failed(Failure::new(DispatchError::NotRun, cause)));
@@ -324,6 +331,7 @@
                 "response to another request",
             )));
         }
+        in_flight.report_rate_limit(response_head.rate_limit);
         Ok(Reply {
             in_flight,
             response_head,
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -50,6 +50,19 @@
             .with_pool(&self.endpoint, |pool| pool.record_load(now, replica, load));
     }
 
+    /// Records the rate limit that the replica named, or that it named none.
+    pub fn report_rate_limit(&self, limit: Option<f64>) {
+        let now = self.shared.now();
+        let replica = self.choice.replica;
+        let before = self
+            .shared
+            .with_pool(&self.endpoint, |pool| pool.record_rate_limit(now, replica, limit));
+        if let Some(before) = before {
+            log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint, per_s = limit.unwrap_or(-1.0),
+                before_per_s = before.unwrap_or(-1.0); "rate limit of a replica changed");
+        }
+    }
+
     /// Records that the response or its first event has arrived.
     pub fn begin(&mut self) {
         let Some(key) = self.key else { return };
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -108,6 +108,13 @@
     );
 }
 
+/// Logs that a request is sent to a replica that named a rate limit.
+pub(super) fn sent_to_limited_replica(call: &Call, replica: &str, per_s: f64, age: Millis, attempt: usize) {
+    metrics::counter!("bilberrylatch_limited_replica_sends_total").increment(1);
+    log::info!(id = call.id(), endpoint:% = call.endpoint, replica, per_s, limit_age_ms = age.0, attempt;
+        "sent to a replica with a rate limit");
+}
+
 fn kind(call: &Call) -> &'static str {
     match call.route().kind {
         table::Kind::Safe => "safe",
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -43,6 +43,8 @@
     pub expected_wait: Millis,
     /// Prompt tokens that the replica is expected to process.
     pub prefill_tokens: u32,
+    /// Requests per second that the replica takes from all nodes combined, and when it said so.
+    pub rate_limit: Option<(Millis, f64)>,
 }
 
 /// The replicas of one endpoint and this node's dispatches to them.
@@ -172,7 +174,7 @@
         if cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION {
             return Err(Refusal::TooLate(self.retry_wait(now, demand)));
         }
-        let spec = &self.replicas[key].spec;
+        let Replica { spec, rate_limit, .. } = &self.replicas[key];
         Ok(Choice {
             replica: key,
             id: Arc::clone(&spec.id),
@@ -180,6 +182,7 @@
             version: Arc::clone(&spec.version),
             expected_wait: Millis(cost.wait_ms as u64),
             prefill_tokens: cost.prefill_tokens,
+            rate_limit: *rate_limit,
         })
     }
 
@@ -216,6 +219,20 @@
         }
     }
 
+    /// Records the rate limit that a replica named with an answer, or that it named none. Returns the previous one if it
+    /// differs.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Millis,
+        replica: ReplicaKey,
+        limit: Option<f64>,
+    ) -> Option<Option<f64>> {
+        let replica = self.replicas.get_mut(replica)?;
+        let before = replica.rate_limit.map(|(_, limit)| limit);
+        replica.rate_limit = limit.map(|limit| (now, limit));
+        (before != limit).then_some(before)
+    }
+
     /// Records that the answer, or the first event of a stream, has arrived.
     pub fn begin_answer(&mut self, now: Millis, dispatch: DispatchKey) {
         let Some(dispatch) = self.dispatches.get_mut(dispatch).filter(|it| !it.answer_began) else {
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -36,6 +36,8 @@
     delay_ms: f64,
     delay_recorded_at: Millis,
     load: Option<(Millis, Load)>,
+    /// Requests per second that the replica takes from all nodes combined, and when it said so.
+    pub rate_limit: Option<(Millis, f64)>,
     /// Load from other nodes by node, with the time of the report.
     peer_loads: IndexMap<u64, (Millis, PeerLoad)>,
     /// When this node last received a response from the replica.
@@ -62,6 +64,7 @@
             delay_ms: 0.0,
             delay_recorded_at: Millis::ZERO,
             load: None,
+            rate_limit: None,
             peer_loads: IndexMap::new(),
             last_heard: Millis::ZERO,
             unreachable_reports: IndexMap::new(),
