Keep the rate limits that replicas name, by all nodes together

Cause: no code read the limit; replicas were chosen by load and cache as before. Change: quota::Throttle counts the requests of all nodes to such a replica in a common bucket, which the nodes feed by their datagrams; a request passes with the probability by which all nodes use up the balance until they hear of each other. The pool leaves limited replicas out, and refuses at once, with the shortest wait, what only they could take. The latest statement of a replica to any node counts; it ends with the replica's run, or with an answer that names none. Hubs pass on statements and sums. Why it works: the sum of what is sent is what the rule bounds; even parts would allow each node a request at once, more than the bound for nine nodes and a limit of one. The test fails if the probability, or what others sent, is left out.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -76,6 +76,7 @@
     loop {
         let mut receivers = shared.update_topology().direct.clone();
         receivers.extend(shared.unregistered_nodes());
+        shared.update_groups();
         tokio::select! {
             () = sleep(topology::send_interval(receivers.len()).as_duration()) => {}
             () = shared.lifecycle.reached(Phase::Ended) => return,
--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use place::PeerLoad;
+use base::Millis;
+use place::{PeerLimit, PeerLoad};
 use relay::Uptime;
 use serde::{Deserialize, Serialize};
 
@@ -52,23 +53,25 @@
     pub unreachable: Vec<Unreachable>,
     /// How long the store has answered the sender; `None` in sums, and before its first answer.
     pub uptime: Option<Uptime>,
+    /// Rate limits that replicas named, by endpoint.
+    pub limits: Vec<(Arc<str>, Vec<PeerLimit>)>,
 }
 
-/// An absent uptime, which earlier builds do not send.
-const NO_UPTIME: u8 = 0;
+/// The encoding of the last fields where they are absent or empty; earlier builds do not send them.
+const EMPTY_LAST_FIELDS: [u8; 2] = [0, 0];
 
 impl Datagram {
-    /// Decodes a datagram, also of a build that does not send the last field.
+    /// Decodes a datagram, also of a build that does not send the last fields.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         postcard::from_bytes(bytes).or_else(|_| {
             let mut extended = bytes.to_vec();
-            extended.push(NO_UPTIME);
+            extended.extend(EMPTY_LAST_FIELDS);
             postcard::from_bytes(&extended)
         })
     }
 
-    /// Encodes the datagram. If it is too large, the smallest loads are left out: limits and unreachable replicas take
-    /// precedence.
+    /// Encodes the datagram. If it is too large, the smallest loads are left out, then unreachable replicas, then the oldest
+    /// rate limits.
     pub fn encode(&mut self) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = postcard::to_stdvec(self)?;
         while bytes.len() > MAX_DATAGRAM_BYTES && self.loads.iter().any(|(_, loads)| !loads.is_empty()) {
@@ -83,11 +86,31 @@
             self.unreachable.clear();
             bytes = postcard::to_stdvec(self)?;
         }
+        while bytes.len() > MAX_DATAGRAM_BYTES && self.limits.iter().any(|(_, limits)| !limits.is_empty()) {
+            for (_, limits) in &mut self.limits {
+                limits.sort_by_key(|limit| limit.age);
+                limits.truncate(limits.len() / 2);
+            }
+            bytes = postcard::to_stdvec(self)?;
+        }
         Ok(bytes)
     }
 
     /// Whether it says the same as another, apart from its number and the time that passed.
     pub fn is_same(&self, other: &Self) -> bool {
-        self.used == other.used && self.loads == other.loads && self.unreachable == other.unreachable
+        self.used == other.used
+            && self.loads == other.loads
+            && self.unreachable == other.unreachable
+            && self.has_same_limits(other)
+    }
+
+    /// Whether the limits are the same, apart from their ages.
+    fn has_same_limits(&self, other: &Self) -> bool {
+        let without_age = |datagram: &Self| -> Vec<PeerLimit> {
+            let limits = datagram.limits.iter().flat_map(|(_, limits)| limits);
+            let age = Millis::ZERO;
+            limits.map(|limit| PeerLimit { age, ..*limit }).collect()
+        };
+        without_age(self) == without_age(other)
     }
 }
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -8,7 +8,7 @@
 
 use base::{Incarnation, Millis};
 use indexmap::IndexMap;
-use place::PeerLoad;
+use place::{PeerLimit, PeerLoad};
 use quota::Totals;
 
 use super::datagram::{Datagram, Scope, Unreachable};
@@ -17,6 +17,9 @@
 pub const DIGEST_TIMEOUT: Millis = Millis(800);
 /// Maximum number of loads of an endpoint in a datagram.
 const MAX_LOADS: usize = 128;
+/// Endpoint and hash of a replica's id.
+type ReplicaKey = (Arc<str>, u64);
+
 /// Time without a datagram after which a node's loads are left out.
 const LOAD_TTL: Millis = Millis(1_000);
 
@@ -42,10 +45,12 @@
 #[derive(Debug, Default)]
 pub struct Hub {
     nodes: IndexMap<u64, Heard>,
-    node_totals: Totals,
+    node_totals: Totals<Arc<str>>,
+    node_sent: Totals<ReplicaKey>,
     /// The latest sums of each other zone.
     zones: IndexMap<Arc<str>, Heard>,
-    zone_totals: Totals,
+    zone_totals: Totals<Arc<str>>,
+    zone_sent: Totals<ReplicaKey>,
     /// The latest sums of the other zones from the hub of the own zone.
     outside: Option<Heard>,
 }
@@ -61,6 +66,7 @@
         match &datagram.scope {
             Scope::Node => {
                 self.node_totals.record(datagram.from, &datagram.used);
+                self.node_sent.record(datagram.from, &sent_totals(datagram));
                 match self.nodes.insert(datagram.from, heard) {
                     Some(_) => Use::Difference,
                     None => Use::Baseline,
@@ -73,8 +79,10 @@
                 }
                 if how == Use::Baseline {
                     self.zone_totals.forget(datagram.from);
+                    self.zone_sent.forget(datagram.from);
                 }
                 self.zone_totals.record(datagram.from, &datagram.used);
+                self.zone_sent.record(datagram.from, &sent_totals(datagram));
                 self.zones.insert(Arc::clone(zone), heard);
                 how
             }
@@ -96,14 +104,20 @@
     {
         self.nodes.retain(|node, _| is_live(Incarnation(*node)));
         self.node_totals.retain(|node| is_live(Incarnation(node)));
+        self.node_sent.retain(|node| is_live(Incarnation(node)));
         self.zones.retain(|zone, _| is_zone(zone));
         self.zone_totals.retain(|node| is_live(Incarnation(node)));
+        self.zone_sent.retain(|node| is_live(Incarnation(node)));
     }
 
     /// The sums of the own zone; `own` is this node's datagram.
     pub fn zone_digest(&self, now: Millis, zone: &Arc<str>, own: &Datagram) -> Datagram {
-        let fresh = self.nodes.values().filter(|it| now.since(it.at) < LOAD_TTL);
-        let members: Vec<&Datagram> = fresh.map(|it| &it.datagram).chain([own]).collect();
+        let fresh = || self.nodes.values().filter(|it| now.since(it.at) < LOAD_TTL);
+        let members: Vec<&Datagram> = fresh().map(|it| &it.datagram).chain([own]).collect();
+        let mut sent = self.node_sent.sums();
+        sent.extend(sent_totals(own));
+        let heard = fresh().map(|it| (now.since(it.at), &it.datagram));
+        let limits = merge_limits(heard.chain([(Millis::ZERO, own)]), &sent);
         let mut used = self.node_totals.sums();
         for (workspace, total) in &own.used {
             match used.iter_mut().find(|(name, _)| name == workspace) {
@@ -116,14 +130,17 @@
             used,
             loads: sum_loads(&members),
             unreachable: merge_unreachable(&members),
+            limits,
             ..Datagram::default()
         }
     }
 
     /// The sums of the other zones, of which there are `zones`.
     pub fn outside_digest(&self, now: Millis, zones: usize) -> Datagram {
-        let fresh = self.zones.values().filter(|it| now.since(it.at) < DIGEST_TIMEOUT);
-        let digests: Vec<&Datagram> = fresh.map(|it| &it.datagram).collect();
+        let fresh = || self.zones.values().filter(|it| now.since(it.at) < DIGEST_TIMEOUT);
+        let digests: Vec<&Datagram> = fresh().map(|it| &it.datagram).collect();
+        let heard = fresh().map(|it| (now.since(it.at), &it.datagram));
+        let limits = merge_limits(heard, &self.zone_sent.sums());
         Datagram {
             scope: Scope::Outside {
                 is_complete: digests.len() >= zones,
@@ -131,6 +148,7 @@
             used: self.zone_totals.sums(),
             loads: sum_loads(&digests),
             unreachable: merge_unreachable(&digests),
+            limits,
             ..Datagram::default()
         }
     }
@@ -188,6 +206,50 @@
     loads
 }
 
+/// What a sender has sent to each replica that named a limit.
+fn sent_totals(datagram: &Datagram) -> Vec<(ReplicaKey, u64)> {
+    let limits = datagram.limits.iter();
+    let by_replica = limits.flat_map(|(endpoint, limits)| limits.iter().map(move |limit| (endpoint, limit)));
+    by_replica
+        .map(|(endpoint, limit)| ((Arc::clone(endpoint), limit.replica), limit.sent))
+        .collect()
+}
+
+/// The latest statement of each replica, with the sum of what was sent to it. Datagrams come with their age.
+fn merge_limits<'a, D>(datagrams: D, sent: &[(ReplicaKey, u64)]) -> Vec<(Arc<str>, Vec<PeerLimit>)>
+where
+    D: Iterator<Item = (Millis, &'a Datagram)>,
+{
+    let mut merged: IndexMap<Arc<str>, IndexMap<u64, PeerLimit>> = IndexMap::new();
+    for (datagram_age, datagram) in datagrams {
+        for (endpoint, limits) in &datagram.limits {
+            let known = merged.entry(Arc::clone(endpoint)).or_default();
+            for limit in limits {
+                let limit = PeerLimit {
+                    age: limit.age + datagram_age,
+                    sent: sum_of(sent, endpoint, limit.replica),
+                    ..*limit
+                };
+                let latest = known.entry(limit.replica).or_insert(limit);
+                if limit.age < latest.age {
+                    *latest = limit;
+                }
+            }
+        }
+    }
+    let merged = merged.into_iter();
+    merged
+        .map(|(endpoint, limits)| (endpoint, limits.into_values().collect()))
+        .collect()
+}
+
+fn sum_of(sent: &[(ReplicaKey, u64)], endpoint: &str, replica: u64) -> u64 {
+    let entries = sent
+        .iter()
+        .filter(|((name, hash), _)| **name == *endpoint && *hash == replica);
+    entries.map(|(_, sum)| sum).sum()
+}
+
 fn merge_unreachable(datagrams: &[&Datagram]) -> Vec<Unreachable> {
     let mut merged: Vec<Unreachable> = Vec::new();
     for entry in datagrams.iter().flat_map(|it| &it.unreachable) {
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Millis, Seed};
-use place::PeerReport;
-use quota::{LimitSettings, Limiter, PeerTotal, RetryPolicy, Tolerance};
+use place::{PeerLimit, PeerReport};
+use quota::{Group, LimitSettings, Limiter, PeerTotal, RetryPolicy, Tolerance};
 use table::Workspace;
 
 use super::{Shared, lock};
@@ -69,6 +69,11 @@
         }
         let is_new = how == Use::Baseline;
         self.apply_totals(now, sender, is_new, &datagram.used);
+        for (endpoint, limits) in &datagram.limits {
+            self.with_pool(endpoint, |pool| {
+                pool.record_peer_limits(now, sender, is_new, limits);
+            });
+        }
         self.apply_replica_reports(now, sender, datagram);
     }
 
@@ -154,10 +159,35 @@
             loads,
             unreachable,
             uptime: self.availability().report(now),
+            limits: self.rate_limits(now),
             ..Datagram::default()
         }
     }
 
+    /// Rate limits that replicas named, by endpoint.
+    fn rate_limits(&self, now: Millis) -> Vec<(Arc<str>, Vec<PeerLimit>)> {
+        self.with_pools(|pools| {
+            let limits = pools
+                .iter()
+                .map(|(name, pool)| (Arc::clone(name), pool.rate_limits(now)));
+            limits.filter(|(_, limits)| !limits.is_empty()).collect()
+        })
+    }
+
+    /// Tells the replica pools which nodes share the replicas' rate limits.
+    pub fn update_groups(&self) {
+        let group = Group {
+            nodes: self.view().nodes(),
+            report_delay: self.topology().report_delay(),
+            is_connected: self.is_connected(),
+        };
+        self.with_pools(|pools| {
+            for pool in pools.values_mut() {
+                pool.set_group(group);
+            }
+        });
+    }
+
     /// The sums that the hub sends: of its zone for the other zones, and of the other zones for its own.
     pub fn digests(&self, topology: &Topology) -> [Datagram; 2] {
         let now = self.now();
--- a/crates/entry/tests/datagram.rs
+++ b/crates/entry/tests/datagram.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use base::Millis;
-use entry::peers::{Datagram, Scope, Unreachable};
-use place::PeerLoad;
+use entry::peers::{Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
+use place::{PeerLimit, PeerLoad};
 use relay::Uptime;
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +59,7 @@
         loads,
         unreachable,
         uptime,
+        limits: Vec::new(),
     }
 }
 
@@ -77,3 +78,46 @@
         earlier()
     );
 }
+
+fn limit(replica: u64) -> PeerLimit {
+    PeerLimit {
+        replica,
+        per_s: Some(1.5),
+        age: Millis(10 * replica),
+        sent: 7,
+    }
+}
+
+#[test]
+fn datagram_with_many_limits_keeps_the_latest() {
+    let mut datagram = later(None);
+    datagram.limits = vec![(Arc::from("ledger"), (1..=200).map(limit).collect())];
+    let bytes = datagram.encode().expect("encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
+    let kept = &Datagram::decode(&bytes).expect("decoded").limits[0].1;
+    assert!(kept.len() >= 20, "{} limits", kept.len());
+    assert_eq!(*kept, (1..=kept.len() as u64).map(limit).collect::<Vec<_>>());
+}
+
+/// Otherwise each datagram would differ from the last one, and none would be left out.
+#[test]
+fn time_that_passes_is_no_difference() {
+    let with = |age, sent| Datagram {
+        limits: vec![(
+            Arc::from("ledger"),
+            vec![PeerLimit {
+                age,
+                sent,
+                ..limit(3)
+            }],
+        )],
+        ..later(None)
+    };
+    assert!(with(Millis(30), 7).is_same(&with(Millis(80), 7)));
+    assert!(!with(Millis(30), 7).is_same(&with(Millis(80), 8)));
+    let uptime = Some(Uptime {
+        first: Millis(90_000),
+        last: Millis(120),
+    });
+    assert!(later(uptime).is_same(&later(None)));
+}
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -7,7 +7,7 @@
 use entry::peers::{Datagram, Hub, MAX_DATAGRAM_BYTES, Scope, Topology, Unreachable, Use};
 use entry::view::{Peer, Peers};
 use indexmap::IndexMap;
-use place::PeerLoad;
+use place::{PeerLimit, PeerLoad};
 
 const ZONES: usize = 3;
 const ROUND: Millis = Millis(200);
@@ -289,3 +289,45 @@
     assert_eq!(loads[0].unread_tokens, 2_999);
     assert_eq!(loads[127].unread_tokens, 2_872);
 }
+
+/// The latest statement of a replica to a node of the zone reaches the others, with the sum of what the zone sent to it.
+#[test]
+fn digest_has_the_latest_rate_limit_and_the_sum_of_requests() {
+    let endpoint: Arc<str> = Arc::from("engine");
+    let datagram = |from: u64, age, per_s, sent| Datagram {
+        from,
+        limits: vec![(
+            Arc::clone(&endpoint),
+            vec![PeerLimit {
+                replica: 5,
+                per_s,
+                age: Millis(age),
+                sent,
+            }],
+        )],
+        ..Datagram::default()
+    };
+    let mut hub = Hub::default();
+    for sent in [0, 4] {
+        hub.record(Millis(1_000), &datagram(2, 900, Some(1.0), sent));
+        hub.record(Millis(1_000), &datagram(3, 300, None, 2 * sent));
+    }
+    let own = datagram(1, u64::MAX, Some(1.0), 3);
+    let mut digest = hub.zone_digest(Millis(1_200), &Arc::from("zone-0"), &own);
+    digest.from = 1;
+    let latest = PeerLimit {
+        replica: 5,
+        per_s: None,
+        age: Millis(500),
+        sent: 4 + 8 + 3,
+    };
+    assert_eq!(digest.limits, [(Arc::clone(&endpoint), vec![latest])]);
+    let mut other = Hub::default();
+    assert_eq!(other.record(Millis(1_210), &digest), Use::Baseline);
+    let outside = other.outside_digest(Millis(1_310), 1);
+    assert_eq!(outside.limits[0].1[0].age, Millis(600));
+    assert_eq!(
+        outside.limits[0].1[0].sent, 0,
+        "nothing is counted of the first sums"
+    );
+}
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,6 +1,7 @@
 //! Selection among the replicas of one endpoint.
 
 mod cost;
+mod limits;
 mod suspicion;
 
 use std::net::SocketAddr;
@@ -9,11 +10,13 @@
 use base::seed::Generator;
 use base::{Millis, Seed};
 use indexmap::IndexMap;
+use quota::Group;
 use rand::RngExt;
 use slotmap::SlotMap;
 
 use crate::dispatch::Dispatch;
 use crate::prefill::PrefillRate;
+use crate::rate_limit::RateLimit;
 use crate::replica::Replica;
 use crate::{
     Demand, DispatchKey, DispatchOutcome, Load, PeerLoad, PeerReport, Refusal, ReplicaKey, Settings, Spec,
@@ -51,6 +54,8 @@
 #[derive(Debug)]
 pub struct Pool {
     settings: Settings,
+    /// The nodes that share the replicas' rate limits.
+    group: Group,
     generator: Generator,
     replicas: SlotMap<ReplicaKey, Replica>,
     ids: IndexMap<Arc<str>, ReplicaKey>,
@@ -66,6 +71,7 @@
     pub fn new(seed: Seed, settings: Settings) -> Self {
         Self {
             settings,
+            group: Group::default(),
             generator: seed.generator(),
             replicas: SlotMap::with_key(),
             ids: IndexMap::new(),
@@ -153,10 +159,11 @@
                 Refusal::AllTried
             });
         }
-        let free: Vec<ReplicaKey> = candidates
+        let mut free: Vec<ReplicaKey> = candidates
             .into_iter()
             .filter(|key| !self.is_full(now, *key))
             .collect();
+        let limited_wait = self.remove_limited(now, &mut free);
         let home = self.home(&free, demand);
         let start = if free.is_empty() {
             0
@@ -169,12 +176,16 @@
             .map(|key| (self.cost(now, key, home, demand), key))
             .min_by(|a, b| a.0.total_ms.total_cmp(&b.0.total_ms));
         let Some((cost, key)) = best else {
-            return Err(Refusal::Full(self.retry_wait(now, demand)));
+            return Err(match limited_wait {
+                Some(wait) => Refusal::Limited(wait),
+                None => Refusal::Full(self.retry_wait(now, demand)),
+            });
         };
         if cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION {
             return Err(Refusal::TooLate(self.retry_wait(now, demand)));
         }
         let Replica { spec, rate_limit, .. } = &self.replicas[key];
+        let rate_limit = rate_limit.as_ref().and_then(RateLimit::limit);
         Ok(Choice {
             replica: key,
             id: Arc::clone(&spec.id),
@@ -182,7 +193,7 @@
             version: Arc::clone(&spec.version),
             expected_wait: Millis(cost.wait_ms as u64),
             prefill_tokens: cost.prefill_tokens,
-            rate_limit: *rate_limit,
+            rate_limit,
         })
     }
 
@@ -200,6 +211,9 @@
             replica.unread_tokens += u64::from(choice.prefill_tokens);
             replica.health.record_send();
             replica.record_cached(demand.shared(), self.settings.cache_tokens);
+            if let Some(limit) = &mut replica.rate_limit {
+                limit.record_send(now);
+            }
         }
         self.dispatches.insert(Dispatch {
             replica: choice.replica,
@@ -219,20 +233,6 @@
         }
     }
 
-    /// Records the rate limit that a replica named with an answer, or that it named none. Returns the previous one if it
-    /// differs.
-    pub fn record_rate_limit(
-        &mut self,
-        now: Millis,
-        replica: ReplicaKey,
-        limit: Option<f64>,
-    ) -> Option<Option<f64>> {
-        let replica = self.replicas.get_mut(replica)?;
-        let before = replica.rate_limit.map(|(_, limit)| limit);
-        replica.rate_limit = limit.map(|limit| (now, limit));
-        (before != limit).then_some(before)
-    }
-
     /// Records that the answer, or the first event of a stream, has arrived.
     pub fn begin_answer(&mut self, now: Millis, dispatch: DispatchKey) {
         let Some(dispatch) = self.dispatches.get_mut(dispatch).filter(|it| !it.answer_began) else {
--- /dev/null
+++ b/crates/place/src/pool/limits.rs
@@ -0,0 +1,92 @@
+//! Rate limits that replicas name.
+
+use base::{Millis, Seed};
+use quota::Group;
+use rand::RngExt;
+
+use super::Pool;
+use crate::rate_limit::RateLimit;
+use crate::{PeerLimit, ReplicaKey};
+
+impl Pool {
+    /// Sets the nodes that share the replicas' rate limits.
+    pub const fn set_group(&mut self, group: Group) {
+        self.group = group;
+    }
+
+    /// Records the rate limit that a replica named with an answer, in requests per second, or that it named none. Returns
+    /// the previous one if it differs.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Millis,
+        replica: ReplicaKey,
+        per_s: Option<f64>,
+    ) -> Option<Option<f64>> {
+        let seed = Seed(self.generator.random());
+        let replica = self.replicas.get_mut(replica)?;
+        let before = current(replica.rate_limit.as_ref());
+        if let Some(per_s) = per_s {
+            replica
+                .rate_limit
+                .get_or_insert_with(|| RateLimit::new(now, seed, now, per_s));
+        }
+        if let Some(limit) = &mut replica.rate_limit {
+            limit.record_answer(now, per_s);
+        }
+        (before != per_s).then_some(before)
+    }
+
+    /// Records what replicas said to another node, and what that node sent to them. Nothing is counted of the totals of a
+    /// new node.
+    pub fn record_peer_limits(&mut self, now: Millis, node: u64, is_new: bool, reports: &[PeerLimit]) {
+        if reports.is_empty() {
+            return;
+        }
+        for replica in self.replicas.values_mut() {
+            let Some(report) = reports.iter().find(|it| it.replica == replica.hash) else {
+                continue;
+            };
+            let at = now - report.age;
+            // An earlier statement may be that of an earlier run of the replica.
+            if let Some(per_s) = report.per_s.filter(|_| at >= replica.first_seen) {
+                let seed = Seed(self.generator.random());
+                replica
+                    .rate_limit
+                    .get_or_insert_with(|| RateLimit::new(now, seed, at, per_s));
+            }
+            if let Some(limit) = &mut replica.rate_limit {
+                limit.record_report(now, node, is_new, report);
+            }
+        }
+    }
+
+    /// What this node knows of the replicas' rate limits, for the other nodes.
+    pub fn rate_limits(&self, now: Millis) -> Vec<PeerLimit> {
+        let replicas = self.ids.values().map(|key| &self.replicas[*key]);
+        let report = |(limit, hash): (&RateLimit, u64)| limit.report(now, hash);
+        replicas
+            .filter_map(|replica| replica.rate_limit.as_ref().map(|limit| (limit, replica.hash)))
+            .filter_map(report)
+            .collect()
+    }
+
+    /// Removes the replicas whose limit is used up; returns the shortest time until one of them takes a request.
+    pub(super) fn remove_limited(&mut self, now: Millis, keys: &mut Vec<ReplicaKey>) -> Option<Millis> {
+        let mut shortest: Option<Millis> = None;
+        keys.retain(|key| {
+            let Some(limit) = &mut self.replicas[*key].rate_limit else {
+                return true;
+            };
+            let wait = limit.wait_time(now, &self.group);
+            if wait > Millis::ZERO {
+                shortest = Some(shortest.map_or(wait, |shortest| shortest.min(wait)));
+            }
+            wait == Millis::ZERO
+        });
+        shortest
+    }
+}
+
+fn current(limit: Option<&RateLimit>) -> Option<f64> {
+    limit.and_then(RateLimit::limit).map(|(_, per_s)| per_s)
+}
--- a/crates/place/src/refusal.rs
+++ b/crates/place/src/refusal.rs
@@ -11,6 +11,8 @@
     AllTried,
     /// All replicas are full; there may be capacity after this time.
     Full(Millis),
+    /// All replicas that are not full named rate limits that are used up; one takes a request after this time.
+    Limited(Millis),
     /// The answer would come too late; queues should be shorter after this time.
     TooLate(Millis),
 }
@@ -22,6 +24,7 @@
             Self::NoReplica => "no_replica",
             Self::AllTried => "all_tried",
             Self::Full(_) => "full",
+            Self::Limited(_) => "replicas_limited",
             Self::TooLate(_) => "too_late",
         }
     }
@@ -35,7 +38,7 @@
         match self {
             Self::NoReplica => NO_REPLICA,
             Self::AllTried => ALL_TRIED,
-            Self::Full(wait) | Self::TooLate(wait) => wait,
+            Self::Full(wait) | Self::Limited(wait) | Self::TooLate(wait) => wait,
         }
     }
 }
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 
 use crate::health::Health;
+use crate::rate_limit::RateLimit;
 use crate::{Load, Part, PeerLoad, Spec, State, VersionFilter};
 
 /// Weight of a new sample in the moving average of the latency.
@@ -36,8 +37,8 @@
     delay_ms: f64,
     delay_recorded_at: Millis,
     load: Option<(Millis, Load)>,
-    /// Requests per second that the replica takes from all nodes combined, and when it said so.
-    pub rate_limit: Option<(Millis, f64)>,
+    /// Its rate limit, if it has named one.
+    pub rate_limit: Option<RateLimit>,
     /// Load from other nodes by node, with the time of the report.
     peer_loads: IndexMap<u64, (Millis, PeerLoad)>,
     /// When this node last received a response from the replica.
--- /dev/null
+++ b/crates/place/tests/placement/limits.rs
@@ -0,0 +1,201 @@
+//! Replicas that name rate limits.
+
+use std::sync::Arc;
+
+use base::{Millis, Seed};
+use place::{Choice, DispatchOutcome, PeerLimit, Pool, Refusal, Spec};
+use quota::Group;
+
+use crate::support::{demand, plain_pool, spec};
+
+const NAMED_AT: Millis = Millis(1_000);
+
+/// A pool of two replicas, one of which has named a limit of one request per second.
+fn limited_pool() -> (Pool, Choice) {
+    let mut pool = plain_pool(Seed(3), 2);
+    let choice = pool.choose(NAMED_AT, &demand(&[])).expect("a replica");
+    serve(&mut pool, NAMED_AT, &choice);
+    assert_eq!(
+        pool.record_rate_limit(NAMED_AT, choice.replica, Some(1.0)),
+        Some(None)
+    );
+    (pool, choice)
+}
+
+/// Sends a request to the replica, which answers it.
+fn serve(pool: &mut Pool, now: Millis, choice: &Choice) {
+    let dispatch = pool.send(now, choice, &demand(&[]));
+    pool.end(now, dispatch, DispatchOutcome::Answered);
+}
+
+fn report(choice: &Choice, per_s: Option<f64>, age: u64) -> PeerLimit {
+    PeerLimit {
+        replica: place::hash(&choice.id),
+        per_s,
+        age: Millis(age),
+        sent: 0,
+    }
+}
+
+/// Whether one of many requests at this time goes to the replica.
+fn is_chosen(pool: &mut Pool, now: Millis, id: &str) -> bool {
+    (0..40).any(|_| {
+        let choice = pool.choose(now, &demand(&[]));
+        choice.is_ok_and(|choice| &*choice.id == id)
+    })
+}
+
+#[test]
+fn limited_replica_is_spared() {
+    let (mut pool, limited) = limited_pool();
+    assert!(!is_chosen(&mut pool, Millis(1_500), &limited.id));
+    assert!(is_chosen(&mut pool, Millis(2_100), &limited.id));
+    serve(&mut pool, Millis(2_100), &limited);
+    assert!(!is_chosen(&mut pool, Millis(2_500), &limited.id));
+}
+
+#[test]
+fn request_is_refused_at_once_if_all_replicas_are_limited() {
+    let (mut pool, first) = limited_pool();
+    let other = pool.choose(Millis(1_100), &demand(&[])).expect("another replica");
+    assert_ne!(other.replica, first.replica);
+    serve(&mut pool, Millis(1_100), &other);
+    pool.record_rate_limit(Millis(1_100), other.replica, Some(0.5));
+    let Err(Refusal::Limited(wait)) = pool.choose(Millis(1_200), &demand(&[])) else {
+        panic!("the request is not refused");
+    };
+    assert!(wait > Millis(700) && wait <= Millis(801), "{wait}");
+    let choice = pool.choose(Millis(1_200) + wait + Millis(1), &demand(&[]));
+    assert_eq!(choice.map(|it| it.replica), Ok(first.replica));
+}
+
+struct Case {
+    name: &'static str,
+    /// Statement that another node reports at 2,000 ms: the limit and its age.
+    report: (Option<f64>, u64),
+    /// Whether the replica is limited afterwards.
+    is_limited: bool,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "a later statement that there is no limit",
+        report: (None, 100),
+        is_limited: false,
+    },
+    Case {
+        name: "an earlier statement that there was no limit",
+        report: (None, 1_500),
+        is_limited: true,
+    },
+    Case {
+        name: "a later limit",
+        report: (Some(0.2), 100),
+        is_limited: true,
+    },
+    Case {
+        name: "a node that has heard nothing itself",
+        report: (Some(90.0), u64::MAX),
+        is_limited: true,
+    },
+];
+
+#[test]
+fn latest_statement_to_any_node_counts() {
+    for case in &CASES {
+        let (mut pool, limited) = limited_pool();
+        let (per_s, age) = case.report;
+        pool.record_peer_limits(Millis(2_000), 7, false, &[report(&limited, per_s, age)]);
+        serve(&mut pool, Millis(2_000), &limited);
+        serve(&mut pool, Millis(2_000), &limited);
+        let is_limited = !is_chosen(&mut pool, Millis(2_300), &limited.id);
+        assert_eq!(is_limited, case.is_limited, "{}", case.name);
+    }
+}
+
+#[test]
+fn replica_that_names_no_limit_any_more_is_not_limited() {
+    let (mut pool, limited) = limited_pool();
+    assert_eq!(
+        pool.record_rate_limit(Millis(1_200), limited.replica, None),
+        Some(Some(1.0))
+    );
+    assert!(is_chosen(&mut pool, Millis(1_300), &limited.id));
+    let reports = pool.rate_limits(Millis(1_300));
+    assert_eq!(reports, [report(&limited, None, 100)]);
+}
+
+/// A replica that starts again under its id holds and knows nothing of before.
+#[test]
+fn limit_ends_with_the_run_of_the_replica() {
+    let (mut pool, limited) = limited_pool();
+    let restarted = Spec {
+        started_unix_ms: Some(2),
+        ..spec(u16::from(&*limited.id == "i-1"), 6)
+    };
+    pool.register(Millis(1_500), restarted);
+    pool.record_peer_limits(Millis(1_600), 7, false, &[report(&limited, Some(1.0), 300)]);
+    assert!(is_chosen(&mut pool, Millis(1_700), &limited.id));
+    pool.record_peer_limits(Millis(1_800), 7, false, &[report(&limited, Some(1.0), 50)]);
+    assert!(!is_chosen(&mut pool, Millis(1_900), &limited.id));
+}
+
+/// Nine nodes with twenty times the limit of one replica to send: all keep to it together.
+#[test]
+fn nodes_keep_to_a_limit_together() {
+    const NODES: u64 = 9;
+    const REPLICAS: u16 = 6;
+    let group = Group {
+        nodes: NODES as usize,
+        report_delay: Millis(70),
+        is_connected: true,
+    };
+    for seed in 0..6 {
+        let mut pools: Vec<Pool> = (0..NODES)
+            .map(|node| plain_pool(Seed(seed * NODES + node), REPLICAS))
+            .collect();
+        for pool in &mut pools {
+            pool.set_group(group);
+        }
+        let id: Arc<str> = Arc::from("i-0");
+        let mut sent: Vec<Millis> = Vec::new();
+        let mut refused = 0;
+        for now in (0..30_000).step_by(10).map(Millis) {
+            if now.0.is_multiple_of(50) {
+                for from in 0..NODES {
+                    let reports = pools[from as usize].rate_limits(now);
+                    for to in (0..NODES).filter(|to| *to != from) {
+                        pools[to as usize].record_peer_limits(now, from, false, &reports);
+                    }
+                }
+            }
+            // A request every 10 ms, of which a sixth would go to the replica.
+            let node = (now.0 / 10 * 7 % NODES) as usize;
+            let Ok(choice) = pools[node].choose(now, &demand(&[])) else {
+                refused += 1;
+                continue;
+            };
+            let dispatch = pools[node].send(now, &choice, &demand(&[]));
+            if choice.id == id {
+                sent.push(now);
+                pools[node].record_rate_limit(now, choice.replica, Some(1.0));
+            }
+            pools[node].end(now, dispatch, DispatchOutcome::Answered);
+        }
+        let bound: Vec<Millis> = sent.iter().copied().filter(|at| *at >= Millis(3_000)).collect();
+        let in_window = |start: &Millis| {
+            bound
+                .iter()
+                .filter(|at| *at >= start && at.since(*start) < Millis(4_000))
+                .count()
+        };
+        let max = bound.iter().map(in_window).max().unwrap_or(0);
+        assert!(max <= 11, "seed {seed}: {max} requests in 4 s");
+        assert!(
+            bound.len() >= 18,
+            "seed {seed}: only {} requests in 27 s",
+            bound.len()
+        );
+        assert_eq!(refused, 0, "seed {seed}");
+    }
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -7,9 +7,11 @@
 mod limit;
 mod rate;
 mod retry_budget;
+mod throttle;
 mod totals;
 
 pub use bucket::{Bucket, Refill};
 pub use limit::{LimitSettings, Limiter, PeerTotal, Tolerance};
 pub use retry_budget::{RetryBudget, RetryPolicy};
+pub use throttle::{Group, Throttle};
 pub use totals::Totals;
--- a/crates/quota/tests/totals.rs
+++ b/crates/quota/tests/totals.rs
@@ -45,7 +45,7 @@
 fn sums_of_reported_growth() {
     let workspace: Arc<str> = Arc::from("tills");
     for case in &CASES {
-        let mut totals = Totals::default();
+        let mut totals: Totals<Arc<str>> = Totals::default();
         for (node, total) in case.steps {
             match total {
                 Some(total) => totals.record(*node, &[(Arc::clone(&workspace), *total)]),
@@ -60,7 +60,7 @@
 /// A node that was silent for a workspace starts from zero there.
 #[test]
 fn first_use_of_a_workspace_by_a_known_node_counts() {
-    let mut totals = Totals::default();
+    let mut totals: Totals<Arc<str>> = Totals::default();
     totals.record(1, &[(Arc::from("tills"), 5)]);
     totals.record(1, &[(Arc::from("tills"), 5), (Arc::from("clerks"), 9)]);
     let sums = totals.sums();
