Do not drop the replicas of a rollout before it has ended

Cause: the operator starts the new version's replicas beside the old ones, more than the load needs; the scaler ordered what the load needs, and the platform drained them 1.7 s after the order. The new version was judged by 3 requests, and all traffic moved to no replicas at all. Evidence: "replicas ordered" with fewer than there were at 4.4 and 6.0 s, "replica changed" draining of the v2 replicas, "move decided" with "0 of 3 requests". Change: while a rollout of an endpoint is open, orders may only raise its counts. Ruled out: leaving the new replicas out of the count; an order is for all replicas of a zone and kind, so it would drop them just the same.

--- a/crates/entry/src/leader/scaler.rs
+++ b/crates/entry/src/leader/scaler.rs
@@ -135,6 +135,7 @@
         let wanted = self.desired_counts(&endpoint.name, self.bounds(endpoint, scale, &ready), busy);
         let expected = self.expected_on_demand(endpoint, &ready);
         let steps = next_counts(&ready, &expected, &wanted, scale.max);
+        let is_rolling_out = self.shared.view().rollouts.is_open(&endpoint.name);
         for (count, step) in ready.iter().zip(steps) {
             for (reclaimable, have, want) in [
                 (true, count.reclaimable, step.reclaimable),
@@ -153,7 +154,7 @@
                         order.is_due(now, have, want, scale.boot_time)
                     }
                 };
-                if is_due {
+                if is_due && Order::is_allowed(have, want, is_rolling_out) {
                     self.send_order(election, slot, have, want, busy).await;
                 }
             }
--- a/crates/entry/src/view/rollouts.rs
+++ b/crates/entry/src/view/rollouts.rs
@@ -85,6 +85,16 @@
         runs.then(|| (record.order, Arc::clone(&record.target)))
     }
 
+    /// Whether an order for the endpoint is neither done nor undone.
+    pub fn is_open(&self, endpoint: &str) -> bool {
+        let Some((_, revision)) = self.orders.get(endpoint) else {
+            return false;
+        };
+        let record = self.records.get(endpoint);
+        let record = record.filter(|record| record.order >= *revision);
+        record.is_none_or(|record| matches!(record.stage, Stage::Canary | Stage::Moved))
+    }
+
     /// Versions allowed for a request to the endpoint; `draw` is a random number from 0 to 1.
     ///
     /// The target of an order that has no record yet receives no requests.
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -143,3 +143,27 @@
         assert_eq!(versions, case.expected, "{}", case.name);
     }
 }
+
+#[test]
+fn rollout_is_open_until_it_is_done_or_undone() {
+    let case = |name, ordered, recorded| Case {
+        name,
+        ordered,
+        recorded,
+        vetoed: None,
+        draw: 0.0,
+        expected: Versions::Any,
+    };
+    let cases = [
+        (case("no order", None, None), false),
+        (case("ordered", Some(5), None), true),
+        (case("canary", Some(5), Some((5, Stage::Canary))), true),
+        (case("moved", Some(5), Some((5, Stage::Moved))), true),
+        (case("done", Some(5), Some((5, Stage::Done))), false),
+        (case("undone", Some(5), Some((5, Stage::Undone))), false),
+        (case("ordered again", Some(9), Some((5, Stage::Done))), true),
+    ];
+    for (case, is_open) in cases {
+        assert_eq!(rollouts(&case).is_open(ENDPOINT), is_open, "{}", case.name);
+    }
+}
--- a/crates/fleet/tests/order.rs
+++ b/crates/fleet/tests/order.rs
@@ -128,3 +128,47 @@
     assert!(!order.is_due(Millis(2_900), 0, 13, BOOT_TIME));
     assert!(order.is_due(Millis(3_000), 0, 13, BOOT_TIME));
 }
+
+#[test]
+fn replicas_of_a_rollout_are_dropped() {
+    struct Case {
+        name: &'static str,
+        have: u32,
+        want: u32,
+        is_rolling_out: bool,
+        is_allowed: bool,
+    }
+    let base = Case {
+        name: "fewer replicas are needed",
+        have: 3,
+        want: 0,
+        is_rolling_out: false,
+        is_allowed: true,
+    };
+    let cases = [
+        Case { ..base },
+        Case {
+            name: "new replicas stand beside the old ones",
+            is_rolling_out: true,
+            is_allowed: false,
+            ..base
+        },
+        Case {
+            name: "more new replicas may be on their way than are seen",
+            want: 3,
+            is_rolling_out: true,
+            is_allowed: false,
+            ..base
+        },
+        Case {
+            name: "replicas were lost",
+            want: 7,
+            is_rolling_out: true,
+            ..base
+        },
+    ];
+    for case in cases {
+        let is_allowed = Order::is_allowed(case.have, case.want, case.is_rolling_out);
+        assert_eq!(is_allowed, case.is_allowed, "{}", case.name);
+    }
+}
