Count a stream's latency at its first event in the judgement of a version

Cause: latencies of both versions were counted when requests ended. Streams last for seconds, longer at a slow version, and those that were given up counted for nothing, so that a slow version was judged late and by its fastest requests. Change: the latency counts when the answer, or the first event, arrives; failures still count at the end. Formats do not change.

--- a/crates/entry/src/publish/report.rs
+++ b/crates/entry/src/publish/report.rs
@@ -34,3 +34,10 @@
     /// Requests in flight at the old version.
     pub old_in_flight: u64,
 }
+
+impl Comparison {
+    /// The outcomes at one of the versions.
+    pub const fn tally(&mut self, is_new: bool) -> &mut Tally {
+        if is_new { &mut self.new } else { &mut self.old }
+    }
+}
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -17,7 +17,7 @@
     choice: Choice,
     key: Option<DispatchKey>,
     sent: Millis,
-    began: Option<Millis>,
+    has_begun: bool,
 }
 
 impl InFlight {
@@ -27,7 +27,7 @@
         let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
         shared.record_version_event(&call.endpoint, &choice.version, RequestEvent::Start);
         Self {
-            began: None,
+            has_begun: false,
             shared: Arc::clone(shared),
             endpoint: Arc::clone(&call.endpoint),
             choice,
@@ -67,7 +67,13 @@
     pub fn begin(&mut self) {
         let Some(key) = self.key else { return };
         let now = self.shared.now();
-        self.began.get_or_insert(now);
+        if self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        let event = RequestEvent::Answer(now.since(self.sent));
+        self.shared
+            .record_version_event(&self.endpoint, &self.choice.version, event);
         self.shared
             .with_pool(&self.endpoint, |pool| pool.begin_answer(now, key));
     }
@@ -89,8 +95,7 @@
             DispatchOutcome::Failed => Some(true),
             DispatchOutcome::Unreachable | DispatchOutcome::NotRun | DispatchOutcome::Cancelled => None,
         };
-        let latency = self.began.map(|began| began.since(self.sent));
-        let event = RequestEvent::End { failed, latency };
+        let event = RequestEvent::End { failed };
         self.shared
             .record_version_event(&self.endpoint, &self.choice.version, event);
         let now = self.shared.now();
--- a/crates/entry/src/shared/comparison.rs
+++ b/crates/entry/src/shared/comparison.rs
@@ -13,12 +13,12 @@
 pub enum RequestEvent {
     /// The request was sent.
     Start,
+    /// The response or its first event arrived after this time.
+    Answer(Millis),
     /// The request ended.
     End {
         /// Whether it failed; `None` if the outcome does not depend on the version.
         failed: Option<bool>,
-        /// Time until the response or its first event.
-        latency: Option<Millis>,
     },
 }
 
@@ -45,14 +45,10 @@
         match event {
             RequestEvent::Start if !is_new => comparison.old_in_flight += 1,
             RequestEvent::Start => {}
-            RequestEvent::End { failed, latency } => {
-                let tally = if is_new {
-                    &mut comparison.new
-                } else {
-                    &mut comparison.old
-                };
+            RequestEvent::Answer(latency) => comparison.tally(is_new).record_answer(latency),
+            RequestEvent::End { failed } => {
                 if let Some(failed) = failed {
-                    tally.record(failed, latency);
+                    comparison.tally(is_new).record_end(failed);
                 }
                 if !is_new {
                     comparison.old_in_flight = comparison.old_in_flight.saturating_sub(1);
--- a/crates/rollout/src/fast.rs
+++ b/crates/rollout/src/fast.rs
@@ -36,21 +36,24 @@
     pub ended: u64,
     /// Requests that failed.
     pub failed: u64,
-    /// Requests with a known latency.
+    /// Requests whose answer has begun.
     pub timed: u64,
     /// Sum of the natural logarithms of the latencies in milliseconds.
     pub log_ms: f64,
 }
 
 impl Tally {
-    /// Records the end of a request. The latency is that of the answer or of its first event.
-    pub fn record(&mut self, failed: bool, latency: Option<Millis>) {
+    /// Records that an answer, or the first event of a stream, has arrived. Streams last for seconds: if this waited for
+    /// their ends, a slow version would not be noticed before most of its time is over.
+    pub fn record_answer(&mut self, latency: Millis) {
+        self.timed += 1;
+        self.log_ms += (latency.0.max(1) as f64).ln();
+    }
+
+    /// Records the end of a request.
+    pub const fn record_end(&mut self, failed: bool) {
         self.ended += 1;
-        self.failed += u64::from(failed);
-        if let Some(latency) = latency {
-            self.timed += 1;
-            self.log_ms += (latency.0.max(1) as f64).ln();
-        }
+        self.failed += failed as u64;
     }
 
     /// Adds the counters of another node.
--- a/crates/rollout/tests/fast.rs
+++ b/crates/rollout/tests/fast.rs
@@ -41,9 +41,11 @@
                 0.01
             };
             let latency = Millis((old_latency_ms * version.latency_factor) as u64);
-            new.record(generator.random_bool(failure_rate), Some(latency));
+            new.record_answer(latency);
+            new.record_end(generator.random_bool(failure_rate));
         } else {
-            old.record(generator.random_bool(0.01), Some(Millis(old_latency_ms as u64)));
+            old.record_answer(Millis(old_latency_ms as u64));
+            old.record_end(generator.random_bool(0.01));
         }
         let judgement = Judgement::compare(&old, &new);
         let phase = moved.map_or(Phase::Canary, |since| Phase::Moved(at.since(since)));
@@ -202,3 +204,14 @@
         assert_eq!(step, case.expected, "{}", case.name);
     }
 }
+
+/// Streams of a slow version that have begun and not ended yet.
+#[test]
+fn slow_streams_are_judged_only_when_they_end() {
+    let (mut old, mut new) = (Tally::default(), Tally::default());
+    for _ in 0..8 {
+        old.record_answer(Millis(150));
+        new.record_answer(Millis(900));
+    }
+    assert_eq!(Judgement::compare(&old, &new), Judgement::Slow);
+}
