Complete a rollout only if the new version answers its share

Cause: with few requests late in a rollout, the step was taken because none of them had failed. Requests that are never answered, or given up, count for nothing, so the worse a version is, the less speaks against it. At full share nothing was asked for at all. Change: in the canary phase the new version must have answered a quarter of what the old one's answers and the shares lead to expect; at full share, a quarter of the requests since the move, as far as reports can tell of them by then. Otherwise the rollout waits, and is undone when it is due. The watch at full share is a second longer, for the reports. Why it works: the old version's answers are a measure of the load that does not depend on the new version's ends. Ruled out: counting requests in flight by version (needs new fields in the reports, which nodes of the old build would not read). Measured: version_without_answers_is_completed and two new cases fail if the answers are not asked for ("completed at 11300 ms with 4 answers").

--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use place::State;
-use rollout::fast::{self, Judgement, Phase, Step, Tally};
+use rollout::fast::{self, Evidence, Judgement, Phase, Step, Tally};
 use store::{Condition, Error, Write};
 
 use super::Election;
@@ -110,6 +110,7 @@
             stage_since_ms: now_ms,
             stage: Stage::Canary,
             share: self.shared.settings().canary_share * CANARY_SHARE_RATIO,
+            answered_at_move: 0,
             reason: "ordered".to_owned(),
         };
         self.write(&order.endpoint, &record).await
@@ -124,23 +125,38 @@
         let now_ms = self.unix_ms();
         let phase = match record.stage {
             Stage::Canary => Phase::Canary,
-            Stage::Moved => Phase::Moved(Millis(now_ms.saturating_sub(record.stage_since_ms))),
+            Stage::Moved => Phase::Moved {
+                since: Millis(now_ms.saturating_sub(record.stage_since_ms)),
+                answered_before: record.answered_at_move,
+            },
             Stage::Done | Stage::Undone => return Ok(()),
         };
         let elapsed = Millis(now_ms.saturating_sub(record.since_ms));
-        let is_drained = sum.old_in_flight == 0;
-        let step = fast::next(phase, elapsed, order.within, judgement, &sum.new, is_drained);
+        let evidence = Evidence {
+            old: sum.old,
+            new: sum.new,
+            share: record.share,
+            is_drained: sum.old_in_flight == 0,
+        };
+        let step = fast::next(phase, elapsed, order.within, &evidence);
         let stage = match step {
             Step::Wait => return Ok(()),
             Step::Move => Stage::Moved,
             Step::Finish => Stage::Done,
             Step::Undo => Stage::Undone,
         };
-        let Tally { ended, failed, .. } = sum.new;
+        let Tally {
+            ended, failed, timed, ..
+        } = sum.new;
+        let old_timed = sum.old.timed;
         let record = Rollout {
             stage,
             stage_since_ms: now_ms,
-            reason: format!("{}: {failed} of {ended} requests failed", judgement.label()),
+            answered_at_move: timed,
+            reason: format!(
+                "{}: {failed} of {ended} requests failed, {timed} answered, {old_timed} by the old version",
+                judgement.label()
+            ),
             ..record
         };
         self.write(&order.endpoint, &record).await
--- a/crates/entry/src/view/rollouts.rs
+++ b/crates/entry/src/view/rollouts.rs
@@ -39,6 +39,9 @@
     pub stage: Stage,
     /// Share of the requests that the new version receives in the canary stage.
     pub share: f64,
+    /// Answers of the new version that had begun when the stage was entered.
+    #[serde(default)]
+    pub answered_at_move: u64,
     /// Why the stage was entered.
     pub reason: String,
 }
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -53,6 +53,7 @@
             stage_since_ms: 0,
             stage,
             share: 0.08,
+            answered_at_move: 0,
             reason: String::new(),
         };
         rollouts.records.insert(Arc::clone(&endpoint), record);
--- a/crates/rollout/src/fast.rs
+++ b/crates/rollout/src/fast.rs
@@ -16,8 +16,13 @@
 const ENOUGH_REQUESTS: u64 = 10;
 /// Requests of the new version without which no traffic is moved.
 const MIN_REQUESTS: u64 = 3;
+/// Fraction of the answers expected of the new version, by those of the old one and the shares of both, below which it does
+/// not count as answering. Answers to the last requests are still to come.
+const MIN_ANSWERED: f64 = 0.25;
 /// Time at full share before the rollout is done.
-const WATCH_TIME: Millis = Millis(1_500);
+const WATCH_TIME: Millis = Millis(2_500);
+/// Time until the answers at all nodes are known.
+const REPORT_DELAY: Millis = Millis(1_500);
 /// Time before the deadline at which a decision is made in any case.
 const DECISION_MARGIN: Millis = Millis(700);
 /// Failures of the new version that are attributed to chance.
@@ -126,8 +131,53 @@
 pub enum Phase {
     /// The new version has its canary share.
     Canary,
-    /// All traffic has gone to the new version for this long.
-    Moved(Millis),
+    /// All traffic goes to the new version.
+    Moved {
+        /// For how long.
+        since: Millis,
+        /// Answers of the new version that had begun before.
+        answered_before: u64,
+    },
+}
+
+/// What is known of the requests of both versions since the rollout began.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Evidence {
+    /// Outcomes at the old version.
+    pub old: Tally,
+    /// Outcomes at the new version.
+    pub new: Tally,
+    /// Share of the requests that the new version receives in the canary phase.
+    pub share: f64,
+    /// Whether the old version has no requests in flight.
+    pub is_drained: bool,
+}
+
+impl Evidence {
+    /// Compares the versions.
+    pub fn judgement(&self) -> Judgement {
+        Judgement::compare(&self.old, &self.new)
+    }
+
+    /// Whether the new version answers its share of the requests. One that answers few of them must not be taken for good
+    /// because none of these failed.
+    fn is_answering(&self, phase: Phase, elapsed: Millis) -> bool {
+        let (answered, expected) = match phase {
+            Phase::Canary => {
+                let ratio = self.share / (1.0 - self.share).max(f64::MIN_POSITIVE);
+                (self.new.timed, self.old.timed as f64 * ratio)
+            }
+            Phase::Moved {
+                since,
+                answered_before,
+            } => {
+                let per_ms = (self.old.timed + answered_before) as f64 / elapsed.since(since).0.max(1) as f64;
+                let answered = self.new.timed.saturating_sub(answered_before);
+                (answered, per_ms * since.since(REPORT_DELAY).0 as f64)
+            }
+        };
+        answered as f64 >= expected * MIN_ANSWERED
+    }
 }
 
 /// Decision on the next step.
@@ -143,27 +193,30 @@
     Undo,
 }
 
-/// Returns the next step of a rollout that began `elapsed` ago and may take `within`. `is_drained` tells that
-/// the old version has no requests in flight.
-pub fn next(
-    phase: Phase,
-    elapsed: Millis,
-    within: Millis,
-    judgement: Judgement,
-    new: &Tally,
-    is_drained: bool,
-) -> Step {
+/// Returns the next step of a rollout that began `elapsed` ago and may take `within`.
+pub fn next(phase: Phase, elapsed: Millis, within: Millis, evidence: &Evidence) -> Step {
+    let judgement = evidence.judgement();
     if judgement.is_bad() {
         return Step::Undo;
     }
     let elapsed_fraction = elapsed.0 as f64 / within.0.max(1) as f64;
     let is_due = elapsed + DECISION_MARGIN >= within;
+    let is_answering = evidence.is_answering(phase, elapsed);
     match phase {
-        Phase::Canary if judgement == Judgement::Good && elapsed_fraction >= CANARY_FRACTION => Step::Move,
-        Phase::Canary if new.ended >= MIN_REQUESTS && elapsed_fraction >= LATEST_MOVE_FRACTION => Step::Move,
-        // The replicas of the new version did not start or got no requests.
-        Phase::Canary if is_due => Step::Undo,
-        Phase::Moved(watched) if is_due || (watched >= WATCH_TIME && is_drained) => Step::Finish,
-        Phase::Canary | Phase::Moved(_) => Step::Wait,
+        Phase::Canary if is_answering && has_enough(judgement, evidence, elapsed_fraction) => Step::Move,
+        Phase::Moved { since, .. } if is_answering && (is_due || is_watched(since, evidence)) => Step::Finish,
+        // The replicas of the new version did not start, or do not answer.
+        Phase::Canary | Phase::Moved { .. } if is_due => Step::Undo,
+        Phase::Canary | Phase::Moved { .. } => Step::Wait,
     }
 }
+
+fn has_enough(judgement: Judgement, evidence: &Evidence, elapsed_fraction: f64) -> bool {
+    let is_good = judgement == Judgement::Good && elapsed_fraction >= CANARY_FRACTION;
+    let is_late = evidence.new.ended >= MIN_REQUESTS && elapsed_fraction >= LATEST_MOVE_FRACTION;
+    is_good || is_late
+}
+
+fn is_watched(since: Millis, evidence: &Evidence) -> bool {
+    since >= WATCH_TIME && evidence.is_drained
+}
