Send nothing further to a replica that says in an answer that it is leaving

Change: decoded by the adapter, kept by the pool for the replica's run, whatever its registration says; event "replica says that it is leaving". Left: other nodes do not hear of it by datagrams.

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -18,7 +18,7 @@
 pub use forward::Forward;
 pub use record::StoredRecord;
 pub use request_head::{HeadError, RequestHead, TokenCounts};
-pub use response_head::ResponseHead;
+pub use response_head::{Advice, ResponseHead};
 pub use rollout::{RolloutOrder, RolloutProgress, RolloutState};
 
 /// A caller's request for node addresses.
--- a/crates/entry/src/edge/response_head.rs
+++ b/crates/entry/src/edge/response_head.rs
@@ -4,6 +4,15 @@
 
 use place::Load;
 
+/// What a replica says of itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Requests per second that it takes from all nodes combined, if it names a limit.
+    pub rate_limit: Option<f64>,
+    /// Whether it is leaving.
+    pub leaves: bool,
+}
+
 /// The decoded head of a replica's response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseHead {
@@ -15,8 +24,8 @@
     pub signed: bool,
     /// The load that the replica reports.
     pub load: Option<Load>,
-    /// Requests per second that the replica takes from all nodes combined, if it names a limit.
-    pub rate_limit: Option<f64>,
+    /// What the replica says of itself.
+    pub advice: Advice,
     /// How long the replica keeps the connection idle, if it says so.
     pub idle_timeout: Option<Duration>,
     /// Whether the replica closes the connection after the response.
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -316,7 +316,7 @@
         in_flight.report(response_head.load);
         if response_head.not_run {
             if response_head.matches_request == Some(true) {
-                in_flight.report_rate_limit(response_head.rate_limit);
+                in_flight.report_advice(response_head.advice);
             }
             in_flight.end(DispatchOutcome::NotRun);
             let cause = format!("replica refused with {status}");
@@ -331,7 +331,7 @@
                 "response to another request",
             )));
         }
-        in_flight.report_rate_limit(response_head.rate_limit);
+        in_flight.report_advice(response_head.advice);
         Ok(Reply {
             in_flight,
             response_head,
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -7,6 +7,7 @@
 
 use super::call::Call;
 use crate::Shared;
+use crate::edge::Advice;
 use crate::shared::RequestEvent;
 
 /// Ends the dispatch in the pool when dropped. If it has not ended by then, the caller disconnected or the time was up.
@@ -50,8 +51,22 @@
             .with_pool(&self.endpoint, |pool| pool.record_load(now, replica, load));
     }
 
+    /// Records what the replica says of itself in a response.
+    pub fn report_advice(&self, advice: Advice) {
+        self.report_rate_limit(advice.rate_limit);
+        if advice.leaves {
+            let replica = self.choice.replica;
+            let is_new = self
+                .shared
+                .with_pool(&self.endpoint, |pool| pool.record_leaving(replica));
+            if is_new {
+                log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint; "replica says that it is leaving");
+            }
+        }
+    }
+
     /// Records the rate limit that the replica named, or that it named none.
-    pub fn report_rate_limit(&self, limit: Option<f64>) {
+    fn report_rate_limit(&self, limit: Option<f64>) {
         let now = self.shared.now();
         let replica = self.choice.replica;
         let before = self
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -250,6 +250,14 @@
         }
     }
 
+    /// Records that a replica said in an answer that it is leaving. Returns whether it had not said so before.
+    pub fn record_leaving(&mut self, replica: ReplicaKey) -> bool {
+        let Some(replica) = self.replicas.get_mut(replica) else {
+            return false;
+        };
+        !std::mem::replace(&mut replica.is_leaving, true)
+    }
+
     /// Records that the answer, or the first event of a stream, has arrived.
     pub fn begin_answer(&mut self, now: Millis, dispatch: DispatchKey) {
         let Some(dispatch) = self.dispatches.get_mut(dispatch).filter(|it| !it.answer_began) else {
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -37,6 +37,8 @@
     delay_ms: f64,
     delay_recorded_at: Millis,
     load: Option<(Millis, Load)>,
+    /// Whether it said in an answer that it is leaving. This holds until it starts again, whatever it registers.
+    pub is_leaving: bool,
     /// Its rate limit, if it has named one.
     pub rate_limit: Option<RateLimit>,
     /// Load from other nodes by node, with the time of the report.
@@ -65,6 +67,7 @@
             delay_ms: 0.0,
             delay_recorded_at: Millis::ZERO,
             load: None,
+            is_leaving: false,
             rate_limit: None,
             peer_loads: IndexMap::new(),
             last_heard: Millis::ZERO,
@@ -75,9 +78,9 @@
         }
     }
 
-    /// Returns whether the replica registered as ready and its version passes the filter.
+    /// Returns whether the replica registered as ready, has not said otherwise, and its version passes the filter.
     pub fn is_ready(&self, version: VersionFilter<'_>) -> bool {
-        self.spec.state == State::Ready && version.matches(&self.spec.version)
+        self.spec.state == State::Ready && !self.is_leaving && version.matches(&self.spec.version)
     }
 
     /// Returns the number of requests at the replica: the higher of what it reported and what the nodes know of.
