Leave out a replica for the retry time that it names

Cause: a replica that turns a request away with 503 and Retry-After wants nothing from that node for so long; the time was not read, and the next request could go there. Change: the pool leaves it out until then, also as the last one left, without a trial in between; a request that nothing else could take is refused at once with the time that is left. Event "replica wants no requests", a counter.

--- a/crates/entry/src/edge/response_head.rs
+++ b/crates/entry/src/edge/response_head.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::Millis;
 use place::Load;
 
 /// What a replica says of itself in a response.
@@ -11,6 +12,8 @@
     pub rate_limit: Option<f64>,
     /// Whether it is leaving.
     pub leaves: bool,
+    /// How long it wants no requests from this node, if it turned this one away.
+    pub pause: Option<Millis>,
 }
 
 /// The decoded head of a replica's response.
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -54,6 +54,15 @@
     /// Records what the replica says of itself in a response.
     pub fn report_advice(&self, advice: Advice) {
         self.report_rate_limit(advice.rate_limit);
+        if let Some(pause) = advice.pause {
+            let (now, replica) = (self.shared.now(), self.choice.replica);
+            let left_out = self
+                .shared
+                .with_pool(&self.endpoint, |pool| pool.record_pause(now, replica, pause));
+            metrics::counter!("bilberrylatch_replica_pauses_total").increment(1);
+            log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint, asked_ms = pause.0,
+                left_out_ms = left_out.0; "replica wants no requests");
+        }
         if advice.leaves {
             let replica = self.choice.replica;
             let is_new = self
--- a/crates/place/src/pool/limits.rs
+++ b/crates/place/src/pool/limits.rs
@@ -1,4 +1,4 @@
-//! Rate limits that replicas name.
+//! Rate limits and pauses that replicas ask for.
 
 use base::{Millis, Seed};
 use quota::Group;
@@ -8,7 +8,20 @@
 use crate::rate_limit::RateLimit;
 use crate::{PeerLimit, ReplicaKey};
 
+/// Maximum time for which a replica is left out because it said so. Then one request finds out whether it still wants none.
+const MAX_PAUSE: Millis = Millis(60_000);
+
 impl Pool {
+    /// Records that a replica turned a request away and wants none from this node for this long. Returns how long it is
+    /// left out.
+    pub fn record_pause(&mut self, now: Millis, replica: ReplicaKey, pause: Millis) -> Millis {
+        let pause = pause.min(MAX_PAUSE);
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.paused_until = replica.paused_until.max(now + pause);
+        }
+        pause
+    }
+
     /// Sets the nodes that share the replicas' rate limits.
     pub const fn set_group(&mut self, group: Group) {
         self.group = group;
@@ -72,10 +85,10 @@
 
     /// Time until a request may be sent to the replica that it would go to; zero if it may now.
     pub(super) fn limit_wait(&mut self, now: Millis, key: ReplicaKey) -> Millis {
-        let limit = &mut self.replicas[key].rate_limit;
-        limit
-            .as_mut()
-            .map_or(Millis::ZERO, |limit| limit.wait_time(now, &self.group))
+        let replica = &mut self.replicas[key];
+        let pause = replica.paused_until.since(now);
+        let limit = replica.rate_limit.as_mut().filter(|_| pause == Millis::ZERO);
+        limit.map_or(pause, |limit| limit.wait_time(now, &self.group))
     }
 }
 
--- a/crates/place/src/refusal.rs
+++ b/crates/place/src/refusal.rs
@@ -11,7 +11,8 @@
     AllTried,
     /// All replicas are full; there may be capacity after this time.
     Full(Millis),
-    /// All replicas that are not full named rate limits that are used up; one takes a request after this time.
+    /// All replicas that are not full named rate limits that are used up, or want no requests for a while; one takes a request
+    /// after this time.
     Limited(Millis),
     /// The answer would come too late; queues should be shorter after this time.
     TooLate(Millis),
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -39,6 +39,8 @@
     load: Option<(Millis, Load)>,
     /// Whether it said in an answer that it is leaving. This holds until it starts again, whatever it registers.
     pub is_leaving: bool,
+    /// Until when it wants no requests from this node.
+    pub paused_until: Millis,
     /// Its rate limit, if it has named one.
     pub rate_limit: Option<RateLimit>,
     /// Load from other nodes by node, with the time of the report.
@@ -68,6 +70,7 @@
             delay_recorded_at: Millis::ZERO,
             load: None,
             is_leaving: false,
+            paused_until: Millis::ZERO,
             rate_limit: None,
             peer_loads: IndexMap::new(),
             last_heard: Millis::ZERO,
--- a/crates/place/tests/placement/limits.rs
+++ b/crates/place/tests/placement/limits.rs
@@ -138,6 +138,61 @@
     assert!(!is_chosen(&mut pool, Millis(1_900), &limited.id));
 }
 
+/// A replica that turned a request away with a time to wait gets none before its end, also as the last one left.
+#[test]
+fn replica_that_wants_a_pause_receives_requests() {
+    struct Case {
+        name: &'static str,
+        pause: Millis,
+        left_out: Millis,
+    }
+    let cases = [
+        Case {
+            name: "seconds",
+            pause: Millis(2_500),
+            left_out: Millis(2_500),
+        },
+        Case {
+            name: "none",
+            pause: Millis::ZERO,
+            left_out: Millis::ZERO,
+        },
+        Case {
+            name: "for ever",
+            pause: Millis::NEVER,
+            left_out: Millis(60_000),
+        },
+    ];
+    for case in cases {
+        let mut pool = plain_pool(Seed(5), 2);
+        let first = pool.choose(NAMED_AT, &demand(&[])).expect("a replica");
+        let left_out = pool.record_pause(NAMED_AT, first.replica, case.pause);
+        assert_eq!(left_out, case.left_out, "{}", case.name);
+        let other = (0..40).find_map(|_| {
+            let choice = pool.choose(NAMED_AT, &demand(&[])).expect("a replica");
+            (choice.replica != first.replica).then_some(choice)
+        });
+        let other = other.expect("the other replica");
+        pool.record_pause(NAMED_AT, other.replica, Millis(90_000));
+        let end = NAMED_AT + case.left_out;
+        if case.left_out > Millis::ZERO {
+            let before = end - Millis(100);
+            assert_eq!(
+                pool.choose(before, &demand(&[])),
+                Err(Refusal::Limited(Millis(100))),
+                "{}",
+                case.name
+            );
+        }
+        let choice = pool.choose(end, &demand(&[])).expect("a replica");
+        assert!(
+            case.left_out == Millis(60_000) || choice.replica == first.replica,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Numbers of replicas, one of which names a limit of one request per second.
 const POOL_SIZES: [u16; 3] = [2, 6, 40];
 const NODES: u64 = 9;
