--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -317,7 +317,7 @@
         sleep(delay).await;
     }
 
-    /// Counts a failure of the store, which keeps deleted registrations for a while.
+    /// Counts a failure of the store.
     fn record_outage<E>(&mut self, error: &E)
     where
         E: std::fmt::Display,
@@ -327,8 +327,6 @@
         }
         self.set_reachable(false);
         self.failures += 1;
-        let now = self.shared.now();
-        self.shared.view().store_failed_at = Some(now);
         metrics::counter!("bilberrylatch_store_failures_total").increment(1);
     }
 }
--- a/crates/entry/src/view/state.rs
+++ b/crates/entry/src/view/state.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use base::Millis;
 use bytes::Bytes;
 use indexmap::IndexMap;
 use table::Table;
@@ -34,8 +33,6 @@
     pub internal: IndexMap<String, InternalRecord>,
     /// Published reports, by the incarnation of the node that wrote them, as text.
     pub summaries: IndexMap<String, Arc<Summary>>,
-    /// When the node's last call to the store failed.
-    pub store_failed_at: Option<Millis>,
 }
 
 impl View {
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -42,10 +42,10 @@
         }
     }
 
-    /// Whether an order may be sent while the endpoint's version is rolled out or not.
+    /// Whether an order may be sent. While a version is rolled out, orders only add replicas.
     ///
     /// Load pattern: the replicas of a new version start beside those of the old one, more than the load needs. An order
-    /// for what it needs would drop them, and leave the rollout without requests to be judged by.
+    /// for what it needs would drop them, and the rollout would be judged by hardly any requests.
     pub const fn is_allowed(have: u32, want: u32, is_rolling_out: bool) -> bool {
         !is_rolling_out || want > have
     }
