Send to limited replicas only the prompts whose home they are

Cause: a limited replica took any prompt that it had room for, since it is idle and cheap. Most were not its own, so that it processed their long shared parts anew, while these are cached elsewhere. Change: if the cheapest replica is limited, it is used only for prompts whose home it is; others go to replicas without a limit, and to limited ones only if there are no others. Where no replica is limited, the choice is as before, draw by draw. Measured: limited_replicas_process_the_prompts_of_others has 1.8 copies of each shared part on the code before, 1.4 now; 1.5 are allowed.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -160,24 +160,14 @@
                 Refusal::AllTried
             });
         }
-        let mut free: Vec<ReplicaKey> = candidates
+        let free: Vec<ReplicaKey> = candidates
             .into_iter()
             .filter(|key| !self.is_full(now, *key))
             .collect();
-        let mut limited_wait: Option<Millis> = None;
-        let (cost, key) = loop {
-            let Some((cost, key)) = self.cheapest(now, &free, demand) else {
-                return Err(match limited_wait {
-                    Some(wait) => Refusal::Limited(wait),
-                    None => Refusal::Full(self.retry_wait(now, demand)),
-                });
-            };
-            let wait = self.limit_wait(now, key);
-            if wait == Millis::ZERO {
-                break (cost, key);
-            }
-            limited_wait = Some(limited_wait.map_or(wait, |shortest| shortest.min(wait)));
-            free.retain(|other| *other != key);
+        let (cost, key) = match self.cheapest(now, &free, demand) {
+            None => return Err(Refusal::Full(self.retry_wait(now, demand))),
+            Some((cost, key)) if self.is_unlimited(now, key) => (cost, key),
+            Some(cheapest) => self.choose_limited(now, free, cheapest, demand)?,
         };
         if cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION {
             return Err(Refusal::TooLate(self.retry_wait(now, demand)));
--- a/crates/place/src/pool/limits.rs
+++ b/crates/place/src/pool/limits.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 
 use super::Pool;
+use super::cost::Cost;
 use crate::rate_limit::RateLimit;
-use crate::{PeerLimit, ReplicaKey};
+use crate::{Demand, PeerLimit, Refusal, ReplicaKey};
 
 /// Maximum time for which a replica is left out because it said so. Then one request finds out whether it still wants none.
 const MAX_PAUSE: Millis = Millis(60_000);
@@ -83,8 +84,51 @@
             .collect()
     }
 
+    /// Whether the replica names no limit and wants no pause.
+    pub(super) fn is_unlimited(&self, now: Millis, key: ReplicaKey) -> bool {
+        let replica = &self.replicas[key];
+        replica.paused_until <= now && current(replica.rate_limit.as_ref()).is_none()
+    }
+
+    /// Chooses a replica for a request whose cheapest replica is limited.
+    ///
+    /// Load pattern: many prompts with long shared parts, and some limited replicas. If a limited replica took any prompt
+    /// that it has room for, it would process the shared parts of most anew. So it takes those whose home it is, and
+    /// others only if all replicas are limited.
+    pub(super) fn choose_limited(
+        &mut self,
+        now: Millis,
+        mut free: Vec<ReplicaKey>,
+        cheapest: (Cost, ReplicaKey),
+        demand: &Demand<'_>,
+    ) -> Result<(Cost, ReplicaKey), Refusal> {
+        let home = self.home(&free, demand);
+        let is_home = home.is_none_or(|home| home == cheapest.1);
+        if is_home && self.limit_wait(now, cheapest.1) == Millis::ZERO {
+            return Ok(cheapest);
+        }
+        let unlimited: Vec<ReplicaKey> = free
+            .iter()
+            .copied()
+            .filter(|key| self.is_unlimited(now, *key))
+            .collect();
+        if let Some(choice) = self.cheapest(now, &unlimited, demand) {
+            return Ok(choice);
+        }
+        let mut shortest = Millis::NEVER;
+        while let Some((cost, key)) = self.cheapest(now, &free, demand) {
+            let wait = self.limit_wait(now, key);
+            if wait == Millis::ZERO {
+                return Ok((cost, key));
+            }
+            shortest = shortest.min(wait);
+            free.retain(|other| *other != key);
+        }
+        Err(Refusal::Limited(shortest))
+    }
+
     /// Time until a request may be sent to the replica that it would go to; zero if it may now.
-    pub(super) fn limit_wait(&mut self, now: Millis, key: ReplicaKey) -> Millis {
+    fn limit_wait(&mut self, now: Millis, key: ReplicaKey) -> Millis {
         let replica = &mut self.replicas[key];
         let pause = replica.paused_until.since(now);
         let limit = replica.rate_limit.as_mut().filter(|_| pause == Millis::ZERO);
--- a/crates/place/tests/placement/limits.rs
+++ b/crates/place/tests/placement/limits.rs
@@ -1,10 +1,12 @@
 //! Replicas that name rate limits.
 
+use std::sync::Arc;
+
 use base::{Millis, Seed};
-use place::{Choice, DispatchOutcome, PeerLimit, Pool, Refusal, Spec};
+use place::{Choice, DispatchOutcome, Part, PeerLimit, Pool, Refusal, Spec};
 use quota::Group;
 
-use crate::support::{demand, plain_pool, spec};
+use crate::support::{demand, engine_pool, plain_pool, spec};
 
 const NAMED_AT: Millis = Millis(1_000);
 
@@ -193,6 +195,44 @@
     }
 }
 
+/// Prompts of forty sessions at twelve replicas, half of which name limits: each is processed by its home and by one other
+/// replica, not wherever a limited one has room.
+#[test]
+fn limited_replicas_process_the_prompts_of_others() {
+    const REPLICAS: u16 = 12;
+    const SESSIONS: u64 = 40;
+    let mut pool = engine_pool(Seed(9), REPLICAS);
+    let mut served: Vec<(u64, Arc<str>)> = Vec::new();
+    for number in 0..4_000 {
+        let now = Millis(number * 20);
+        let session = number * 17 % SESSIONS;
+        let parts = [
+            Part {
+                id: 1_000 + session,
+                tokens: 13_000,
+            },
+            Part {
+                id: 100_000 + number,
+                tokens: 500,
+            },
+        ];
+        let demand = demand(&parts);
+        let choice = pool.choose(now, &demand).expect("the others take requests");
+        let dispatch = pool.send(now, &choice, &demand);
+        pool.begin_answer(now, dispatch);
+        pool.end(now, dispatch, DispatchOutcome::Answered);
+        let is_limited = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5"].contains(&&*choice.id);
+        pool.record_rate_limit(now, choice.replica, is_limited.then_some(1.0));
+        let pair = (session, choice.id);
+        if now >= Millis(10_000) && !served.contains(&pair) {
+            served.push(pair);
+        }
+    }
+    let copies = served.len() as f64 / SESSIONS as f64;
+    // Two for each prompt whose home is limited.
+    assert!(copies <= 1.5, "{copies} copies of each shared part");
+}
+
 /// Numbers of replicas, one of which names a limit of one request per second.
 const POOL_SIZES: [u16; 3] = [2, 6, 40];
 const NODES: u64 = 9;
