Log why a failed dispatch is not repeated, and callers' connections that time out

New fields: silent_ms, denied_by, configuration, configuration_in_force; new line: caller connection timed out. No behavior changes.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -5,6 +5,7 @@
 mod body;
 mod buffered;
 mod call;
+mod denial;
 mod directory;
 mod dispatch;
 mod in_flight;
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use place::{Choice, Demand, DispatchError, DispatchOutcome, Execution, Refusal, ReplicaKey};
+use place::{Assessment, Choice, Demand, DispatchError, DispatchOutcome, Execution, Refusal, ReplicaKey};
 use tokio::time::timeout;
 
 use super::attempt::{AttemptError, Failure, Reply};
 use super::body::Body;
 use super::call::Call;
+use super::denial::Denial;
 use super::in_flight::InFlight;
 use super::relay::Relay;
 use super::{Reason, buffered, log};
@@ -58,6 +59,8 @@
     view_age: Option<Millis>,
     /// Time from the choice of the last replica until the request was sent to it.
     send_delay: Millis,
+    /// When the last replica was sent the request, or sent its last event.
+    pub last_heard: Millis,
     is_counted: bool,
     /// Whether the end of the request was logged.
     is_logged: AtomicBool,
@@ -78,6 +81,7 @@
             expected: (Millis::ZERO, 0),
             view_age: None,
             send_delay: Millis::ZERO,
+            last_heard: Millis::ZERO,
             is_counted: false,
             is_logged: AtomicBool::new(false),
         }
@@ -119,15 +123,33 @@
         if assessment.execution != Execution::NotRun {
             self.possible_runs += 1;
         }
-        let has_time = self.call.time_left(self.shared.now()) > MIN_TIME_LEFT;
+        let denial = self.retry_denial(failure, assessment);
+        let failed = log::Failed {
+            replica: &self.replica,
+            cause: &failure.cause,
+            silent: self.shared.now().since(self.last_heard),
+            denial,
+        };
+        log::dispatch_failed(&self.shared, &self.call, failed);
+        denial.is_none()
+    }
+
+    /// Why no other replica may be tried after a failure; takes a retry from the budget if one may.
+    fn retry_denial(&self, failure: &Failure, assessment: Assessment) -> Option<Denial> {
         let skips_retry_budget = failure.error == DispatchError::NotSent;
-        let may_retry = assessment.may_retry
-            && has_time
-            && self.tried.len() < MAX_DISPATCHES
-            && self.possible_runs < self.call.route().max_attempts
-            && (skips_retry_budget || self.shared.try_retry(&self.call.endpoint));
-        log::dispatch_failed(&self.shared, &self.call, &self.replica, &failure.cause, may_retry);
-        may_retry
+        if !assessment.may_retry {
+            Some(Denial::MayHaveRun)
+        } else if self.call.time_left(self.shared.now()) <= MIN_TIME_LEFT {
+            Some(Denial::Deadline)
+        } else if self.tried.len() >= MAX_DISPATCHES {
+            Some(Denial::Dispatches)
+        } else if self.possible_runs >= self.call.route().max_attempts {
+            Some(Denial::Attempts)
+        } else if !skips_retry_budget && !self.shared.try_retry(&self.call.endpoint) {
+            Some(Denial::Budget)
+        } else {
+            None
+        }
     }
 
     /// The final response when no further attempt is allowed.
@@ -248,6 +270,7 @@
         };
         let now = self.shared.now();
         self.send_delay = now.since(chosen);
+        self.last_heard = now;
         let left = self.call.time_left(now);
         if left <= MIN_TIME_LEFT {
             return Err(Failure {
--- a/crates/entry/src/serve/listener.rs
+++ b/crates/entry/src/serve/listener.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
+use table::Limits;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::body::{self, Body};
@@ -90,12 +91,18 @@
 }
 
 async fn serve_connection(shared: Arc<Shared>, service: Service, stream: TcpStream) {
-    let limits = shared
-        .view()
-        .table
-        .as_ref()
-        .map(|table| table.limits())
-        .unwrap_or_default();
+    let (limits, version) = {
+        let view = shared.view();
+        let table = view.table.as_ref();
+        table.map_or_else(
+            || (Limits::default(), 0),
+            |table| (table.limits(), table.version()),
+        )
+    };
+    let in_force = {
+        let shared = Arc::clone(&shared);
+        move || shared.view().table.as_ref().map_or(0, |table| table.version())
+    };
     let lifecycle = shared.lifecycle.clone();
     let handle_request = service_fn(move |request| {
         let shared = Arc::clone(&shared);
@@ -119,6 +126,10 @@
         }
     };
     if let Err(error) = ended {
+        if error.is_timeout() {
+            log::info!(idle_ms = limits.idle_timeout.0, head_ms = limits.head_timeout.0, configuration = version,
+                configuration_in_force = in_force(); "caller connection timed out");
+        }
         log::debug!(cause:% = error; "caller connection ended");
     }
 }
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -4,6 +4,7 @@
 
 use super::Reason;
 use super::call::Call;
+use super::denial::Denial;
 use crate::Shared;
 
 /// How a request ended.
@@ -94,16 +95,35 @@
     );
 }
 
-/// Logs a failed dispatch; `allowed` is whether the request may be sent to another replica.
-pub(super) fn dispatch_failed(shared: &Shared, call: &Call, replica: &str, cause: &str, allowed: bool) {
+/// A failed dispatch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Failed<'a> {
+    /// Id of the replica.
+    pub replica: &'a str,
+    /// Why it failed.
+    pub cause: &'a str,
+    /// Time since the replica was sent the request, or sent its last event.
+    pub silent: Millis,
+    /// Why the request is not sent to another replica; `None` if it may be.
+    pub denial: Option<Denial>,
+}
+
+/// Logs a failed dispatch.
+pub(super) fn dispatch_failed(shared: &Shared, call: &Call, failed: Failed<'_>) {
+    let allowed = failed.denial.is_none();
+    let in_force = shared.view().table.as_ref().map(|table| table.version());
     metrics::counter!("bilberrylatch_repeats_total", "allowed" => allowed.to_string()).increment(1);
     log::info!(
         id = call.id(),
         endpoint:% = call.endpoint,
-        replica,
-        cause,
+        replica = failed.replica,
+        cause = failed.cause,
+        silent_ms = failed.silent.0,
         allowed,
-        left_ms = call.time_left(shared.now()).0;
+        denied_by = failed.denial.map_or("", Denial::label),
+        left_ms = call.time_left(shared.now()).0,
+        configuration = call.table.version(),
+        configuration_in_force = in_force.unwrap_or(0);
         "dispatch failed"
     );
 }
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -159,6 +159,7 @@
     /// Forwards an event unless the caller already has it.
     fn forward_event(&mut self, event: Bytes) -> Option<Step> {
         let id = self.dispatch.shared.edge.event_id(&event);
+        self.dispatch.last_heard = self.dispatch.shared.now();
         self.begin();
         if let Some(id) = id {
             if self.last_event.is_some_and(|last_event| id <= last_event) {
