Leave a silent replica only once another one has taken the request

Callers saw streams cut in mid-answer, and 502 in place of a response, while the replica had the request and went on a moment later.

Cause: when a replica had been silent for as long as it should answer in, its connection was closed first, and a retry and another replica were asked for second. With the retry budget used up, no other replica free, or the other one refusing, nothing was left. When a replica stops for a second, all requests that it runs ask for a retry at once, so the budget is used up just then. Class of fault: what one has is given up before there is anything in its place.

Now the request stays (place::Attempts, handover). Another replica is chosen and a retry is taken while the silent one is still awaited; it is left when the other answers, or when the other has not refused a stream for 300 ms, since both must not run it for long. If the silent one goes on first, the other is given up. If nobody takes the request it is offered again each 250 ms, until the deadline.

Ruled out as another way: waiting without ever moving. Replicas that hang for good are left as before once another takes the request (requests::*, streams::* unchanged).

--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -2,39 +2,20 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use base::Millis;
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
-use place::{Assessment, Choice, Demand, DispatchError, DispatchOutcome, Execution, Refusal, ReplicaKey};
-use tokio::time::timeout;
+use http::Response;
+use place::{Attempts, Denial, DispatchError, Execution, Refusal, ReplicaKey};
 
-use super::attempt::{AttemptError, Failure, Reply};
+use super::attempt::{AttemptError, Failure};
 use super::body::Body;
 use super::call::Call;
-use super::denial::Denial;
-use super::in_flight::InFlight;
 use super::relay::Relay;
+use super::sent::Target;
 use super::{Reason, buffered, log};
 use crate::Shared;
-use crate::edge::Forward;
 use crate::shared::RequestGuard;
-use crate::upstream::{Connection, PendingResponse, SendError};
 
-/// Maximum number of dispatches per request, including those that did not run it.
-const MAX_DISPATCHES: usize = 4;
-/// Minimum time left for another dispatch.
-const MIN_TIME_LEFT: Millis = Millis(15);
-/// Timeout of an idempotent request at one replica: a multiple of the expected time plus a constant.
-const TIMEOUT_FACTOR: u64 = 4;
-const TIMEOUT_EXTRA: Millis = Millis(60);
-/// Fraction of the time left that one attempt may use if another may follow.
-const MAX_TIMEOUT_RATIO: f64 = 0.5;
-/// Maximum idle time of a connection that is used for a request that must not be lost, because it must not run twice or
-/// was lost before. Replicas drop connections without notice after an idle time of about 300 ms.
-const MAX_IDLE: Millis = Millis(200);
 /// Retry-After time when replicas refused the request. It is short, since their queues are.
 const REFUSED_RETRY_AFTER: Millis = Millis(250);
 
@@ -47,21 +28,18 @@
     pub tried: Vec<ReplicaKey>,
     /// Number of replicas that may have run the request.
     pub possible_runs: u32,
-    /// Id of the last replica.
-    pub replica: Arc<str>,
+    /// The last replica.
+    pub target: Target,
     /// Cause of the last failure.
     pub cause: String,
     /// Time from the request to its first event.
     pub first_event: Option<Millis>,
-    /// Expected wait and prompt tokens to compute at the last replica.
-    expected: (Millis, u32),
-    /// Age of the view when the last replica was chosen; `None` if it was never confirmed.
-    view_age: Option<Millis>,
-    /// Time from the choice of the last replica until the request was sent to it.
-    send_delay: Millis,
     /// When the last replica was sent the request, or sent its last event.
     pub last_heard: Millis,
-    is_counted: bool,
+    /// Why the request last stayed at a silent replica.
+    pub stays_for: Option<&'static str>,
+    /// Whether the request was counted for the retry budget.
+    pub is_counted: bool,
     /// Whether the end of the request was logged.
     is_logged: AtomicBool,
     _guard: RequestGuard,
@@ -75,13 +53,11 @@
             call,
             tried: Vec::new(),
             possible_runs: 0,
-            replica: Arc::from(""),
+            target: Target::default(),
             cause: String::new(),
             first_event: None,
-            expected: (Millis::ZERO, 0),
-            view_age: None,
-            send_delay: Millis::ZERO,
             last_heard: Millis::ZERO,
+            stays_for: None,
             is_counted: false,
             is_logged: AtomicBool::new(false),
         }
@@ -123,9 +99,15 @@
         if assessment.execution != Execution::NotRun {
             self.possible_runs += 1;
         }
-        let denial = self.retry_denial(failure, assessment);
+        let skips_retry_budget = failure.error == DispatchError::NotSent;
+        let denial = match self.attempts().denial_after(assessment) {
+            None if !skips_retry_budget && !self.shared.try_retry(&self.call.endpoint) => {
+                Some(Denial::Budget)
+            }
+            denial => denial,
+        };
         let failed = log::Failed {
-            replica: &self.replica,
+            replica: &self.target.replica,
             cause: &failure.cause,
             silent: self.shared.now().since(self.last_heard),
             denial,
@@ -134,24 +116,23 @@
         denial.is_none()
     }
 
-    /// Why no other replica may be tried after a failure; takes a retry from the budget if one may.
-    fn retry_denial(&self, failure: &Failure, assessment: Assessment) -> Option<Denial> {
-        let skips_retry_budget = failure.error == DispatchError::NotSent;
-        if !assessment.may_retry {
-            Some(Denial::MayHaveRun)
-        } else if self.call.time_left(self.shared.now()) <= MIN_TIME_LEFT {
-            Some(Denial::Deadline)
-        } else if self.tried.len() >= MAX_DISPATCHES {
-            Some(Denial::Dispatches)
-        } else if self.possible_runs >= self.call.route().max_attempts {
-            Some(Denial::Attempts)
-        } else if !skips_retry_budget && !self.shared.try_retry(&self.call.endpoint) {
-            Some(Denial::Budget)
-        } else {
-            None
+    /// The dispatches so far.
+    pub fn attempts(&self) -> Attempts {
+        let route = self.call.route();
+        Attempts {
+            is_idempotent: route.kind.is_idempotent(),
+            dispatches: self.tried.len(),
+            possible_runs: self.possible_runs,
+            max_runs: route.max_attempts,
+            time_left: self.time_left(),
         }
     }
 
+    /// Time until the deadline.
+    pub fn time_left(&self) -> Millis {
+        self.call.time_left(self.shared.now())
+    }
+
     /// The final response when no further attempt is allowed.
     fn give_up(&self, failed: Option<Response<Body>>, refusal: Option<Refusal>) -> Response<Body> {
         if let Some(failed) = failed {
@@ -190,177 +171,13 @@
         let end = log::End {
             outcome,
             status,
-            replica: &self.replica,
+            target: &self.target,
             attempts: self.tried.len(),
             cause: &self.cause,
-            expected: self.expected.0,
-            tokens: self.expected.1,
-            view_age: self.view_age,
-            send_delay: self.send_delay,
             first_event: self.first_event,
         };
         log::ended(&self.shared, &self.call, end);
     }
-
-    /// Selects a replica, sends it the request and waits for the head of the response.
-    pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Reply, AttemptError> {
-        let shared = Arc::clone(&self.shared);
-        let now = shared.now();
-        let left = self.call.time_left(now);
-        if left <= MIN_TIME_LEFT {
-            return Err(AttemptError::Failed(Failure {
-                timed_out: true,
-                ..Failure::new(DispatchError::NotSent, "deadline exceeded")
-            }));
-        }
-        let tried = self.tried.clone();
-        let call = &self.call;
-        let parts = call.request_head.parts.clone();
-        let demand = Demand {
-            parts: &parts,
-            output_tokens: call.request_head.tokens.map_or(0, |it| it.output),
-            zone: &shared.settings().zone,
-            tried: &tried,
-            version: call.versions.filter(),
-            time_left: left,
-        };
-        let choice = shared
-            .with_pool(&call.endpoint, |pool| pool.choose(now, &demand))
-            .map_err(AttemptError::NoReplica)?;
-        if !self.is_counted {
-            shared.count_request(&call.endpoint);
-            self.is_counted = true;
-        }
-        let in_flight = InFlight::new(&shared, &self.call, choice.clone(), &demand);
-        self.tried.push(choice.replica);
-        self.replica = Arc::clone(&choice.id);
-        self.expected = (choice.expected_wait, choice.prefill_tokens);
-        self.view_age = shared.view().freshness.age(now);
-        if let Some((named_at, per_s)) = choice.rate_limit {
-            let limit_age = now.since(named_at);
-            log::sent_to_limited_replica(&self.call, &choice.id, per_s, limit_age, self.tried.len());
-        }
-        match self.exchange(&choice, resume_after).await {
-            Ok(pending) => self.check_head(in_flight, pending),
-            Err(failure) => {
-                in_flight.end(match failure.error {
-                    _ if failure.timed_out => DispatchOutcome::Cancelled,
-                    DispatchError::NotSent => DispatchOutcome::Unreachable,
-                    _ => DispatchOutcome::Failed,
-                });
-                Err(AttemptError::Failed(failure))
-            }
-        }
-    }
-
-    /// Sends the request and waits for the head of the response.
-    async fn exchange(
-        &mut self,
-        choice: &Choice,
-        resume_after: Option<u64>,
-    ) -> Result<PendingResponse, Failure> {
-        let chosen = self.shared.now();
-        let tolerates_loss = self.call.route().kind.is_idempotent() && self.tried.len() == 1;
-        let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
-        let connection = match self.shared.connections.take(&choice.id, choice.address, max_idle) {
-            Some(connection) => connection,
-            None => Connection::connect(choice.address)
-                .await
-                .map_err(|cause| Failure::new(DispatchError::NotSent, cause))?,
-        };
-        let now = self.shared.now();
-        self.send_delay = now.since(chosen);
-        self.last_heard = now;
-        let left = self.call.time_left(now);
-        if left <= MIN_TIME_LEFT {
-            return Err(Failure {
-                timed_out: true,
-                ..Failure::new(DispatchError::NotSent, "deadline exceeded")
-            });
-        }
-        let request = self.request(choice, left, resume_after);
-        let (attempt_timeout, is_last) = self.attempt_timeout(choice, left);
-        match timeout(attempt_timeout, connection.send(request)).await {
-            Ok(Ok(pending)) => Ok(pending),
-            Ok(Err(SendError::NotSent(cause))) => Err(Failure::new(DispatchError::NotSent, cause)),
-            Ok(Err(SendError::Lost(cause))) => Err(Failure::new(DispatchError::Lost, cause)),
-            Err(_elapsed) => Err(Failure {
-                timed_out: is_last,
-                ..Failure::new(DispatchError::Lost, "response timed out")
-            }),
-        }
-    }
-
-    /// How long to wait for the head of the response, and whether that is all the time left.
-    fn attempt_timeout(&self, choice: &Choice, left: Millis) -> (Duration, bool) {
-        let route = self.call.route();
-        let may_retry = route.kind.is_idempotent()
-            && self.possible_runs + 1 < route.max_attempts
-            && self.tried.len() < MAX_DISPATCHES;
-        if !may_retry {
-            return (left.as_duration(), true);
-        }
-        let expected = Millis(choice.expected_wait.0 * TIMEOUT_FACTOR) + TIMEOUT_EXTRA;
-        let expected = if route.kind.is_stream() {
-            expected.max(route.target_latency)
-        } else {
-            expected
-        };
-        let max = Millis((left.0 as f64 * MAX_TIMEOUT_RATIO) as u64);
-        (expected.min(max).as_duration(), false)
-    }
-
-    fn request(&self, choice: &Choice, left: Millis, resume_after: Option<u64>) -> Request<Full<Bytes>> {
-        let call = &self.call;
-        let mut headers = call.headers.clone();
-        let forward = Forward {
-            replica: &choice.id,
-            workspace: call.workspace().map(|it| &*it.name),
-            time_left: left,
-            priority: (!call.request_head.parts.is_empty()).then(|| call.priority()),
-            resume_after,
-        };
-        self.shared.edge.set_forward_headers(&mut headers, &forward);
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-
-    /// Checks that the response belongs to the request and that the replica ran the request.
-    fn check_head(&self, in_flight: InFlight, pending: PendingResponse) -> Result<Reply, AttemptError> {
-        let status = pending.response.status();
-        let head = pending.response.headers();
-        let response_head = self
-            .shared
-            .edge
-            .decode_response(&self.call.request_head.id, status, head);
-        in_flight.report(response_head.load);
-        if response_head.not_run {
-            if response_head.matches_request == Some(true) {
-                in_flight.report_advice(response_head.advice);
-            }
-            in_flight.end(DispatchOutcome::NotRun);
-            let cause = format!("replica refused with {status}");
-            return Err(AttemptError::Failed(Failure::new(DispatchError::NotRun, cause)));
-        }
-        if response_head.matches_request == Some(false)
-            || (response_head.matches_request.is_none() && status.is_success())
-        {
-            in_flight.end(DispatchOutcome::Failed);
-            return Err(AttemptError::Failed(Failure::new(
-                DispatchError::Lost,
-                "response to another request",
-            )));
-        }
-        in_flight.report_advice(response_head.advice);
-        Ok(Reply {
-            in_flight,
-            response_head,
-            pending,
-        })
-    }
 }
 
 impl Drop for Dispatch {
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -1,33 +1,26 @@
 //! Log lines and metrics of requests.
 
 use base::Millis;
+use place::Denial;
 
 use super::Reason;
 use super::call::Call;
-use super::denial::Denial;
+use super::sent::Target;
 use crate::Shared;
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct End<'a> {
     /// Outcome for the caller: the kind of response, or how the stream ended.
     pub outcome: &'a str,
     /// Status of the response.
     pub status: u16,
-    /// Id of the last replica.
-    pub replica: &'a str,
+    /// The last replica.
+    pub target: &'a Target,
     /// Number of replicas that the request was sent to.
     pub attempts: usize,
     /// Cause of the last failure, if any.
     pub cause: &'a str,
-    /// Expected time to the response or first event at the last replica.
-    pub expected: Millis,
-    /// Prompt tokens that the last replica was expected to compute.
-    pub tokens: u32,
-    /// Age of the view when the last replica was chosen; `None` if it was never confirmed.
-    pub view_age: Option<Millis>,
-    /// Time from the choice of the last replica until the request was sent to it.
-    pub send_delay: Millis,
     /// Time from the request to its first event, for streams that started.
     pub first_event: Option<Millis>,
 }
@@ -77,15 +70,15 @@
         route:% = route,
         endpoint:% = call.endpoint,
         workspace = call.workspace().map_or("", |it| &it.name),
-        replica = end.replica,
+        replica:% = end.target.replica,
         attempts = end.attempts,
         outcome = end.outcome,
         status = end.status,
         cause = end.cause,
-        expected_ms = end.expected.0,
-        unread_tokens = end.tokens,
-        view_age_ms = end.view_age.map_or(-1, |it| it.0 as i64),
-        send_delay_ms = end.send_delay.0,
+        expected_ms = end.target.expected_wait.0,
+        unread_tokens = end.target.prefill_tokens,
+        view_age_ms = end.target.view_age.map_or(-1, |it| it.0 as i64),
+        send_delay_ms = end.target.send_delay.0,
         first_event_ms = end.first_event.map_or(-1, |it| it.0 as i64),
         target_ms = call.route().target_latency.0,
         took_ms = took.0,
@@ -128,6 +121,33 @@
     );
 }
 
+/// Logs what becomes of a request whose replica is silent: it moves to another replica, or stays for a reason.
+pub(super) fn silent(
+    call: &Call,
+    replica: &str,
+    silent: Millis,
+    successor: Result<&str, &str>,
+    left: Millis,
+) {
+    let moves = successor.is_ok().to_string();
+    metrics::counter!("bilberrylatch_silences_total", "moves" => moves).increment(1);
+    log::info!(
+        id = call.id(),
+        endpoint:% = call.endpoint,
+        replica,
+        silent_ms = silent.0,
+        successor = successor.unwrap_or(""),
+        stays_for = successor.err().unwrap_or(""),
+        left_ms = left.0;
+        "replica silent"
+    );
+}
+
+/// Logs that a replica did not take a request whose replica is silent.
+pub(super) fn handover_failed(call: &Call, replica: &str, cause: &str) {
+    log::info!(id = call.id(), endpoint:% = call.endpoint, replica, cause; "request not taken over");
+}
+
 /// Logs that a request is sent to a replica that named a rate limit.
 pub(super) fn sent_to_limited_replica(call: &Call, replica: &str, per_s: f64, age: Millis, attempt: usize) {
     metrics::counter!("bilberrylatch_limited_replica_sends_total").increment(1);
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -21,6 +21,7 @@
 use super::attempt::{AttemptError, Failure, Reply};
 use super::body::{Aborted, Body};
 use super::dispatch::Dispatch;
+use super::handover::{Handover, RETRY_INTERVAL};
 use super::in_flight::InFlight;
 use super::inbound::strip_connection;
 use super::{Reason, log};
@@ -44,6 +45,8 @@
     /// Id of the last event that the caller has.
     last_event: Option<u64>,
     began: bool,
+    /// Whether the source has sent no event in time.
+    is_silent: bool,
 }
 
 /// The stream of a replica.
@@ -83,6 +86,7 @@
             source: Some(source),
             head,
             began: false,
+            is_silent: false,
         };
         match relay.next().await {
             Step::Failed(reason) => relay.dispatch.fail(reason),
@@ -144,8 +148,13 @@
                 "stream timed out".clone_into(&mut self.dispatch.cause);
                 return Some(Step::Failed(Reason::TimedOut));
             }
-            Err(_elapsed) => Next::Interrupted("no event in time".to_owned()),
+            Err(_elapsed) => return self.handle_silence().await,
         };
+        self.handle(next)
+    }
+
+    fn handle(&mut self, next: Next) -> Option<Step> {
+        self.is_silent = false;
         match next {
             Next::Event(event) => self.forward_event(event),
             Next::End => {
@@ -156,6 +165,47 @@
         }
     }
 
+    /// Looks for another replica, while the silent one still has the stream.
+    async fn handle_silence(&mut self) -> Option<Step> {
+        self.is_silent = true;
+        let source = self.source.as_mut()?;
+        let handover = self
+            .dispatch
+            .hand_over(self.last_event, source.events.next())
+            .await;
+        match handover {
+            Handover::WentOn(next) => self.handle(next),
+            Handover::Failed => None,
+            Handover::Answered(reply) => {
+                self.leave_silent_source();
+                self.take_over(*reply);
+                None
+            }
+            Handover::Taken(sent) => {
+                self.leave_silent_source();
+                let received = self.dispatch.receive(sent, self.last_event).await;
+                self.handle_attempt(received)
+            }
+        }
+    }
+
+    fn leave_silent_source(&mut self) {
+        if let Some(source) = self.source.take() {
+            source.in_flight.end(DispatchOutcome::Failed);
+        }
+        self.is_silent = false;
+        "no event in time".clone_into(&mut self.dispatch.cause);
+    }
+
+    /// Goes on with the stream of another replica, whose response is usable.
+    fn take_over(&mut self, reply: Reply) {
+        let (head, source) = Source::open(reply);
+        self.source = Some(source);
+        if !self.began {
+            self.head = head;
+        }
+    }
+
     /// Forwards an event unless the caller already has it.
     fn forward_event(&mut self, event: Bytes) -> Option<Step> {
         let id = self.dispatch.shared.edge.event_id(&event);
@@ -217,17 +267,16 @@
 
     /// Resumes the stream at another replica after the last event that the caller has.
     async fn resume(&mut self) -> Option<Step> {
-        let error = match self.dispatch.attempt(self.last_event).await {
-            Ok(reply) => match Self::open_source(reply) {
-                Ok((head, source)) => {
-                    self.source = Some(source);
-                    if !self.began {
-                        self.head = head;
-                    }
-                    return None;
-                }
-                Err(failure) => AttemptError::Failed(failure),
-            },
+        let received = self.dispatch.attempt(self.last_event).await;
+        self.handle_attempt(received)
+    }
+
+    fn handle_attempt(&mut self, received: Result<Reply, AttemptError>) -> Option<Step> {
+        let error = match received.and_then(check_usable) {
+            Ok(reply) => {
+                self.take_over(reply);
+                return None;
+            }
             Err(error) => error,
         };
         match error {
@@ -246,30 +295,15 @@
         Some(Step::Failed(Reason::Unknown))
     }
 
-    /// The resumed stream, or a failure if the replica's response is not usable.
-    fn open_source(reply: Reply) -> Result<(response::Parts, Source), Failure> {
-        if reply.is_signed_success() {
-            return Ok(Source::open(reply));
-        }
-        let status = reply.pending.response.status();
-        reply.in_flight.end(DispatchOutcome::Failed);
-        let error = if status.is_success() {
-            DispatchError::Lost
-        } else {
-            DispatchError::Failed {
-                status: status.as_u16(),
-            }
-        };
-        Err(Failure::new(error, format!("replica failed with {status}")))
-    }
-
     /// How long to wait for the next event.
     fn event_timeout(&self, left: Millis) -> Duration {
         let route = self.dispatch.call.route();
-        let may_resume = route.kind.is_idempotent() && self.dispatch.possible_runs + 1 < route.max_attempts;
-        if !may_resume {
+        if self.dispatch.attempts().denial_during_silence().is_some() {
             return left.as_duration();
         }
+        if self.is_silent {
+            return RETRY_INTERVAL.min(left).as_duration();
+        }
         let gap = route.target_gap.unwrap_or(MIN_STALL_TIMEOUT);
         let stall_timeout = Millis(gap.0 * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
         let stall_timeout = if self.began {
@@ -281,6 +315,24 @@
     }
 }
 
+/// A response that goes on with the stream, or a failure.
+fn check_usable(reply: Reply) -> Result<Reply, AttemptError> {
+    if reply.is_signed_success() {
+        return Ok(reply);
+    }
+    let status = reply.pending.response.status();
+    reply.in_flight.end(DispatchOutcome::Failed);
+    let error = if status.is_success() {
+        DispatchError::Lost
+    } else {
+        DispatchError::Failed {
+            status: status.as_u16(),
+        }
+    };
+    let failure = Failure::new(error, format!("replica failed with {status}"));
+    Err(AttemptError::Failed(failure))
+}
+
 /// The next step of the stream for the caller.
 #[derive(Debug)]
 enum Step {
--- /dev/null
+++ b/crates/place/src/attempts.rs
@@ -0,0 +1,89 @@
+//! Whether a request may be sent to another replica.
+
+use base::Millis;
+
+use crate::{Assessment, DispatchError};
+
+/// Maximum number of dispatches of a request, including those that did not run it.
+const MAX_DISPATCHES: usize = 4;
+/// Minimum time left for another dispatch.
+const MIN_TIME_LEFT: Millis = Millis(15);
+
+/// Why a request is not sent to another replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// It may have run, and must not run twice.
+    MayHaveRun,
+    /// Too little time is left.
+    Deadline,
+    /// It was sent to too many replicas, including those that did not run it.
+    Dispatches,
+    /// It may have run on as many replicas as its route allows.
+    Runs,
+    /// The endpoint's retry budget is used up.
+    Budget,
+}
+
+impl Denial {
+    /// Returns the label for logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::MayHaveRun => "may_have_run",
+            Self::Deadline => "deadline",
+            Self::Dispatches => "dispatches",
+            Self::Runs => "runs",
+            Self::Budget => "budget",
+        }
+    }
+}
+
+/// The dispatches of a request so far.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempts {
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Number of dispatches, including those that did not run the request.
+    pub dispatches: usize,
+    /// Number of replicas that may have run the request, without those that may still answer.
+    pub possible_runs: u32,
+    /// Maximum number of replicas that may run the request.
+    pub max_runs: u32,
+    /// Time until the deadline.
+    pub time_left: Millis,
+}
+
+impl Attempts {
+    /// Returns whether too little time is left to send the request.
+    pub const fn is_too_late(&self) -> bool {
+        self.time_left.0 <= MIN_TIME_LEFT.0
+    }
+
+    /// Returns why the request may not be sent to another replica after a failed dispatch, which is counted; `None` if it
+    /// may.
+    pub const fn denial_after(&self, assessment: Assessment) -> Option<Denial> {
+        if !assessment.may_retry {
+            Some(Denial::MayHaveRun)
+        } else if self.is_too_late() {
+            Some(Denial::Deadline)
+        } else if self.dispatches >= MAX_DISPATCHES {
+            Some(Denial::Dispatches)
+        } else if self.possible_runs >= self.max_runs {
+            Some(Denial::Runs)
+        } else {
+            None
+        }
+    }
+
+    /// Returns why the request stays at its last replica, which is silent; `None` if another one may be tried.
+    ///
+    /// Load pattern: a replica stops for a second or so, with all requests that it runs, and goes on. Giving it up is right
+    /// only if another one takes the request: the retries of an endpoint are few, and all these requests want one at once.
+    /// So the request stays until another replica has taken it.
+    pub const fn denial_during_silence(&self) -> Option<Denial> {
+        let with_silent = Self {
+            possible_runs: self.possible_runs + 1,
+            ..*self
+        };
+        with_silent.denial_after(DispatchError::Lost.assess(self.is_idempotent))
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,6 +5,7 @@
 //! every node, maps a prompt to the replica that caches its shared parts. The load of a replica combines the node's own
 //! requests in flight, the reports of other nodes and the load that the replica reports in its answers.
 
+mod attempts;
 mod demand;
 mod dispatch;
 mod error;
@@ -22,6 +23,7 @@
 mod spec;
 mod work;
 
+pub use attempts::{Attempts, Denial};
 pub use demand::{Demand, Part, VersionFilter};
 pub use dispatch::DispatchOutcome;
 pub use error::{Assessment, DispatchError, Execution, promises_not_run};
--- /dev/null
+++ b/crates/place/tests/placement/attempts.rs
@@ -0,0 +1,101 @@
+//! Whether a request may be sent to another replica.
+
+use base::Millis;
+use place::{Attempts, Denial, DispatchError};
+
+/// A resumable request at its first replica.
+const FIRST: Attempts = Attempts {
+    is_idempotent: true,
+    dispatches: 1,
+    possible_runs: 0,
+    max_runs: 2,
+    time_left: Millis(2_000),
+};
+
+struct Case {
+    name: &'static str,
+    attempts: Attempts,
+    /// After the last replica's response was lost, which counts as a run.
+    after_loss: Option<Denial>,
+    /// While the last replica is silent.
+    during_silence: Option<Denial>,
+}
+
+const CASES: [Case; 7] = [
+    Case {
+        name: "first of two replicas",
+        attempts: FIRST,
+        after_loss: None,
+        during_silence: None,
+    },
+    Case {
+        name: "not idempotent",
+        attempts: Attempts {
+            is_idempotent: false,
+            ..FIRST
+        },
+        after_loss: Some(Denial::MayHaveRun),
+        during_silence: Some(Denial::MayHaveRun),
+    },
+    Case {
+        name: "second of two replicas, the first may have run it",
+        attempts: Attempts {
+            dispatches: 2,
+            possible_runs: 1,
+            ..FIRST
+        },
+        after_loss: Some(Denial::Runs),
+        during_silence: Some(Denial::Runs),
+    },
+    Case {
+        name: "second of two replicas, the first refused",
+        attempts: Attempts {
+            dispatches: 2,
+            ..FIRST
+        },
+        after_loss: None,
+        during_silence: None,
+    },
+    Case {
+        name: "single run allowed",
+        attempts: Attempts { max_runs: 1, ..FIRST },
+        after_loss: Some(Denial::Runs),
+        during_silence: Some(Denial::Runs),
+    },
+    Case {
+        name: "many replicas refused",
+        attempts: Attempts {
+            dispatches: 4,
+            ..FIRST
+        },
+        after_loss: Some(Denial::Dispatches),
+        during_silence: Some(Denial::Dispatches),
+    },
+    Case {
+        name: "deadline near",
+        attempts: Attempts {
+            time_left: Millis(10),
+            ..FIRST
+        },
+        after_loss: Some(Denial::Deadline),
+        during_silence: Some(Denial::Deadline),
+    },
+];
+
+#[test]
+fn denials() {
+    for case in &CASES {
+        let counted = Attempts {
+            possible_runs: case.attempts.possible_runs + 1,
+            ..case.attempts
+        };
+        let assessment = DispatchError::Lost.assess(case.attempts.is_idempotent);
+        assert_eq!(counted.denial_after(assessment), case.after_loss, "{}", case.name);
+        assert_eq!(
+            case.attempts.denial_during_silence(),
+            case.during_silence,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/place/tests/placement/main.rs
+++ b/crates/place/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! Tests of replica selection, admission and retry decisions.
 
+mod attempts;
 mod error;
 mod limits;
 mod pool;
