Keep a replica's connection for four seconds without an acknowledgement

Callers saw 502 for a request whose replica read nothing for two seconds and went on, also on routes whose requests may not be repeated and have no other way.

Cause: the connection to a replica was closed once data had been unsent or unacknowledged for 1.5 s. Requests that may move are moved by the handover after their own, shorter time; for the others nothing is gained by an earlier end. Calls to the store, the cloud and other nodes keep 1.5 s: they are short and are repeated.

--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends a request to a replica and waits for the head of the response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::Millis;
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use super::log;
 use super::sent::{Sent, Target};
 use crate::edge::Forward;
+use crate::net::Liveness;
 use crate::upstream::{Connection, PendingResponse, SendError};
 
 /// Timeout of an idempotent request at one replica: a multiple of the expected time plus a constant.
@@ -26,6 +28,13 @@
 /// Maximum idle time of a connection that is used for a request that must not be lost, because it must not run twice or
 /// was lost before. Replicas drop connections without notice after an idle time of about 300 ms.
 const MAX_IDLE: Millis = Millis(200);
+/// A replica may stop for a second or two, with its network, and go on. Requests that may move are moved to another replica
+/// before that; for the others this connection is all they have.
+const LIVENESS: Liveness = Liveness {
+    unacknowledged: Duration::from_secs(4),
+    probe: Duration::from_secs(1),
+};
+
 impl Dispatch {
     /// Selects a replica, sends it the request and waits for the head of the response.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Reply, AttemptError> {
@@ -116,7 +125,7 @@
         let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
         match self.shared.connections.take(&choice.id, choice.address, max_idle) {
             Some(connection) => Ok(connection),
-            None => Connection::connect(choice.address).await,
+            None => Connection::connect(choice.address, LIVENESS).await,
         }
     }
 
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::Millis;
 use bytes::Bytes;
@@ -9,6 +10,14 @@
 use http_body_util::{BodyExt, Full};
 
 use super::{Connection, Connections, SendError};
+use crate::net::Liveness;
+
+/// Calls are short and can be repeated, so a server that is gone should show soon. The probe interval is the smallest that the
+/// kernel supports.
+const LIVENESS: Liveness = Liveness {
+    unacknowledged: Duration::from_millis(1_500),
+    probe: Duration::from_secs(1),
+};
 
 /// A complete response.
 #[derive(Clone, Debug)]
@@ -28,7 +37,9 @@
 ) -> Result<Reply, SendError> {
     let connection = match connections.take(name, address, Millis::NEVER) {
         Some(connection) => connection,
-        None => Connection::connect(address).await.map_err(SendError::NotSent)?,
+        None => Connection::connect(address, LIVENESS)
+            .await
+            .map_err(SendError::NotSent)?,
     };
     let pending = connection.send(request).await?;
     let (head, incoming) = pending.response.into_parts();
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -16,13 +16,6 @@
 
 /// Time to establish a connection: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Suitable within a region: a replica that crashed or is unreachable is detected within seconds. The probe interval is
-/// the smallest that the kernel supports.
-const LIVENESS: Liveness = Liveness {
-    unacknowledged: Duration::from_millis(1_500),
-    probe: Duration::from_secs(1),
-};
-
 /// A connection used by one request at a time. Dropping it during a request closes it immediately, so that the replica
 /// cancels the work.
 #[derive(Debug)]
@@ -38,14 +31,14 @@
 }
 
 impl Connection {
-    /// Connects to a replica.
-    pub async fn connect(address: SocketAddr) -> Result<Self, String> {
+    /// Connects to a replica or another server.
+    pub async fn connect(address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_elapsed) => return Err("connection timed out".to_owned()),
         };
-        LIVENESS.apply(&stream).map_err(|error| error.to_string())?;
+        liveness.apply(&stream).map_err(|error| error.to_string())?;
         let (sender, connection) = http1::Builder::new()
             .handshake(TokioIo::new(stream))
             .await
