Log the prompt parts of a failed dispatch

New field: parts, the ids of the shared parts. silent_ms of a replica that refused the connection counted from the start of the node's clock; it counts from the choice of the replica now.

--- a/crates/entry/src/edge/request_head.rs
+++ b/crates/entry/src/edge/request_head.rs
@@ -32,6 +32,16 @@
     pub resume_after: Option<u64>,
 }
 
+impl RequestHead {
+    /// The prompt parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        match self.parts.as_slice() {
+            [] => &[],
+            [shared @ .., _own] => shared,
+        }
+    }
+}
+
 /// Why a request head cannot be decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HeadError {
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -74,6 +74,7 @@
     /// Connects to a replica. The request is sent when the exchange is first polled.
     pub async fn connect(&mut self, choice: Choice, resume_after: Option<u64>) -> Result<Sent, AttemptError> {
         let chosen = self.shared.now();
+        self.last_heard = chosen;
         if !self.is_counted {
             self.shared.count_request(&self.call.endpoint);
             self.is_counted = true;
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -1,7 +1,9 @@
 //! Log lines and metrics of requests.
 
+use std::fmt;
+
 use base::Millis;
-use place::Denial;
+use place::{Denial, Part};
 
 use super::Reason;
 use super::call::Call;
@@ -101,6 +103,19 @@
     pub denial: Option<Denial>,
 }
 
+/// Ids of prompt parts, in hexadecimal and separated by commas.
+struct Parts<'a>(&'a [Part]);
+
+impl fmt::Display for Parts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, part) in self.0.iter().enumerate() {
+            let separator = if index == 0 { "" } else { "," };
+            write!(f, "{separator}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Logs a failed dispatch.
 pub(super) fn dispatch_failed(shared: &Shared, call: &Call, failed: Failed<'_>) {
     let allowed = failed.denial.is_none();
@@ -112,6 +127,7 @@
         replica = failed.replica,
         cause = failed.cause,
         silent_ms = failed.silent.0,
+        parts:% = Parts(call.request_head.shared_parts()),
         allowed,
         denied_by = failed.denial.map_or("", Denial::label),
         left_ms = call.time_left(shared.now()).0,
