Try another replica beside a silent one, and keep both until one has answered

Cause: one place decided which of the two was given up before either had answered. Now all replicas that have a request are kept (hedged requests). A whole response ends the others only once it is complete; a failure, a refusal or a broken response ends one replica, and the request goes on with the others. A stream that the caller has a part of waits for a replica while all are full. A silence counts as one failure of the replica when it is noticed, however the request ends.

The connection is made as part of the exchange, so that events of the silent replica do not wait for it.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -8,15 +8,17 @@
 mod directory;
 mod dispatch;
 mod exchange;
-mod handover;
+mod hedge;
 mod in_flight;
 mod inbound;
 mod listener;
 mod log;
+mod outgoing;
 mod proxy;
 mod reason;
 mod relay;
 mod sent;
+mod target;
 
 pub(crate) use body::full as full_body;
 pub use body::{Aborted, Body};
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -56,13 +56,3 @@
     /// The dispatch failed.
     Failed(Failure),
 }
-
-impl AttemptError {
-    /// Whether the request did not run at the replica, if it was sent to one.
-    pub const fn is_not_run(&self) -> bool {
-        match self {
-            Self::NoReplica(_) => true,
-            Self::Failed(failure) => matches!(failure.error, DispatchError::NotSent | DispatchError::NotRun),
-        }
-    }
-}
--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -15,7 +15,7 @@
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
 /// Reads the response. An incomplete response and an error of the replica are failures.
-pub(super) async fn read(dispatch: &Dispatch, reply: Reply) -> Result<Response<Body>, Failure> {
+pub(super) async fn read(dispatch: &mut Dispatch, reply: Reply) -> Result<Response<Body>, Failure> {
     let shared = &dispatch.shared;
     let Reply {
         mut in_flight,
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -11,7 +11,8 @@
 use super::body::Body;
 use super::call::Call;
 use super::relay::Relay;
-use super::sent::Target;
+use super::sent::Sent;
+use super::target::Target;
 use super::{Reason, buffered, log};
 use crate::Shared;
 use crate::shared::RequestGuard;
@@ -24,10 +25,18 @@
 pub(super) struct Dispatch {
     pub shared: Arc<Shared>,
     pub call: Call,
-    /// Replicas that the request was sent to.
+    /// Replicas that are not to be chosen again.
     pub tried: Vec<ReplicaKey>,
-    /// Number of replicas that may have run the request.
+    /// Number of dispatches so far.
+    pub dispatches: usize,
+    /// Number of replicas that may have run the request and will not answer any more.
     pub possible_runs: u32,
+    /// Replicas that have the request and have not answered, the last one tried at the end.
+    pub sent: Vec<Sent>,
+    /// Whether a replica streams its response.
+    pub is_streaming: bool,
+    /// Until when two replicas may have a stream.
+    pub overlap_ends: Option<Millis>,
     /// The last replica.
     pub target: Target,
     /// Cause of the last failure.
@@ -52,7 +61,11 @@
             shared,
             call,
             tried: Vec::new(),
+            dispatches: 0,
             possible_runs: 0,
+            sent: Vec::new(),
+            is_streaming: false,
+            overlap_ends: None,
             target: Target::default(),
             cause: String::new(),
             first_event: None,
@@ -67,11 +80,17 @@
     pub async fn run(mut self) -> Response<Body> {
         let mut failed: Option<Response<Body>> = None;
         loop {
-            let failure = match self.attempt(None).await {
+            let received = if self.sent.is_empty() {
+                self.attempt(None).await
+            } else {
+                self.receive(None).await
+            };
+            let failure = match received {
                 Ok(reply) if self.call.route().kind.is_stream() && reply.is_signed_success() => {
+                    self.leave_others();
                     return Relay::open(self, reply).await;
                 }
-                Ok(reply) => match buffered::read(&self, reply).await {
+                Ok(reply) => match buffered::read(&mut self, reply).await {
                     Ok(response) => {
                         self.log_end("answered", response.status().as_u16());
                         return response;
@@ -82,23 +101,26 @@
                 Err(AttemptError::NoReplica(refusal)) => return self.give_up(failed, Some(refusal)),
             };
             self.cause.clone_from(&failure.cause);
-            if failure.timed_out {
+            if failure.timed_out && failed.is_none() {
                 return self.fail(Reason::TimedOut);
             }
-            let may_retry = self.record_failure(&failure);
+            let may_go_on = if self.sent.is_empty() {
+                self.record_failure(&failure)
+            } else {
+                self.record_lost_hedge(&failure);
+                true
+            };
             failed = failure.response.map(|response| *response).or(failed);
-            if !may_retry {
+            if !may_go_on {
                 return self.give_up(failed, None);
             }
         }
     }
 
-    /// Records a failure; returns whether another replica may be tried.
+    /// Records a failure after which no replica has the request; returns whether another one may be tried.
     pub fn record_failure(&mut self, failure: &Failure) -> bool {
+        self.count_run(failure);
         let assessment = failure.error.assess(self.call.route().kind.is_idempotent());
-        if assessment.execution != Execution::NotRun {
-            self.possible_runs += 1;
-        }
         let skips_retry_budget = failure.error == DispatchError::NotSent;
         let denial = match self.attempts().denial_after(assessment) {
             None if !skips_retry_budget && !self.shared.try_retry(&self.call.endpoint) => {
@@ -106,6 +128,20 @@
             }
             denial => denial,
         };
+        self.log_failed(failure, denial);
+        denial.is_none()
+    }
+
+    /// Counts a failed dispatch as a run, unless it surely was none.
+    pub fn count_run(&mut self, failure: &Failure) {
+        let assessment = failure.error.assess(self.call.route().kind.is_idempotent());
+        if assessment.execution != Execution::NotRun {
+            self.possible_runs += 1;
+        }
+    }
+
+    /// Logs a failed dispatch, and why the request may not be sent to another replica.
+    pub fn log_failed(&self, failure: &Failure, denial: Option<Denial>) {
         let failed = log::Failed {
             replica: &self.target.replica,
             cause: &failure.cause,
@@ -113,7 +149,11 @@
             denial,
         };
         log::dispatch_failed(&self.shared, &self.call, failed);
-        denial.is_none()
+    }
+
+    /// Number of replicas that have the request and may still answer.
+    pub fn in_flight(&self) -> u32 {
+        self.sent.len() as u32 + u32::from(self.is_streaming)
     }
 
     /// The dispatches so far.
@@ -121,8 +161,9 @@
         let route = self.call.route();
         Attempts {
             is_idempotent: route.kind.is_idempotent(),
-            dispatches: self.tried.len(),
+            dispatches: self.dispatches,
             possible_runs: self.possible_runs,
+            in_flight: self.in_flight(),
             max_runs: route.max_attempts,
             time_left: self.time_left(),
         }
@@ -150,9 +191,7 @@
     pub fn fail(&self, reason: Reason) -> Response<Body> {
         let reason = match reason {
             // Nothing was sent, so the caller can be told that the request did not run.
-            Reason::TimedOut if self.possible_runs == 0 && self.tried.is_empty() => {
-                Reason::NotRun(REFUSED_RETRY_AFTER)
-            }
+            Reason::TimedOut if self.dispatches == 0 => Reason::NotRun(REFUSED_RETRY_AFTER),
             other => other,
         };
         metrics::counter!("bilberrylatch_refusals_total", "reason" => reason.label()).increment(1);
@@ -172,7 +211,7 @@
             outcome,
             status,
             target: &self.target,
-            attempts: self.tried.len(),
+            attempts: self.dispatches,
             cause: &self.cause,
             first_event: self.first_event,
         };
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -1,22 +1,18 @@
-//! Sends a request to a replica and waits for the head of the response.
+//! Sends a request to replicas and waits for the head of a response.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::Millis;
-use bytes::Bytes;
-use http::Request;
-use http_body_util::Full;
 use place::{Choice, Demand, DispatchError, DispatchOutcome, Refusal};
 use tokio::time::timeout;
 
 use super::attempt::{AttemptError, Failure, Reply};
 use super::dispatch::Dispatch;
-use super::handover::{Handover, RETRY_INTERVAL};
 use super::in_flight::InFlight;
 use super::log;
-use super::sent::{Sent, Target};
-use crate::edge::Forward;
+use super::outgoing::Outgoing;
+use super::sent::{self, Exchange, Sent};
 use crate::net::Liveness;
 use crate::upstream::{Connection, PendingResponse, SendError};
 
@@ -36,14 +32,17 @@
 };
 
 impl Dispatch {
-    /// Selects a replica, sends it the request and waits for the head of the response.
+    /// Sends the request to a replica and waits for the head of a response.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Reply, AttemptError> {
         if self.attempts().is_too_late() {
-            return Err(Self::too_late());
+            return Err(AttemptError::Failed(Failure {
+                timed_out: true,
+                ..Failure::new(DispatchError::NotSent, "deadline exceeded")
+            }));
         }
         let choice = self.choose().map_err(AttemptError::NoReplica)?;
-        let sent = self.connect(choice, resume_after).await?;
-        self.receive(sent, resume_after).await
+        self.send(&choice, resume_after);
+        self.receive(resume_after).await
     }
 
     /// Selects a replica that the request was not sent to yet.
@@ -71,101 +70,87 @@
         })
     }
 
-    /// Connects to a replica. The request is sent when the exchange is first polled.
-    pub async fn connect(&mut self, choice: Choice, resume_after: Option<u64>) -> Result<Sent, AttemptError> {
-        let chosen = self.shared.now();
-        self.last_heard = chosen;
+    /// Sends the request to a replica, beside those that have it.
+    pub fn send(&mut self, choice: &Choice, resume_after: Option<u64>) {
+        let now = self.shared.now();
         if !self.is_counted {
             self.shared.count_request(&self.call.endpoint);
             self.is_counted = true;
         }
         let in_flight =
             self.with_demand(|demand| InFlight::new(&self.shared, &self.call, choice.clone(), demand));
+        self.target = in_flight.target().clone();
         self.tried.push(choice.replica);
-        self.target = Target {
-            replica: Arc::clone(&choice.id),
-            expected_wait: choice.expected_wait,
-            prefill_tokens: choice.prefill_tokens,
-            view_age: self.shared.view().freshness.age(chosen),
-            send_delay: Millis::ZERO,
-        };
+        self.dispatches += 1;
+        self.last_heard = now;
         if let Some((named_at, per_s)) = choice.rate_limit {
-            let limit_age = chosen.since(named_at);
-            log::sent_to_limited_replica(&self.call, &choice.id, per_s, limit_age, self.tried.len());
-        }
-        let connection = match self.connection(&choice).await {
-            Ok(connection) => connection,
-            Err(cause) => {
-                in_flight.end(DispatchOutcome::Unreachable);
-                let failure = Failure::new(DispatchError::NotSent, cause);
-                return Err(AttemptError::Failed(failure));
-            }
-        };
-        self.target.send_delay = self.shared.now().since(chosen);
-        if self.attempts().is_too_late() {
-            in_flight.end(DispatchOutcome::Cancelled);
-            return Err(Self::too_late());
+            let limit_age = now.since(named_at);
+            log::sent_to_limited_replica(&self.call, &choice.id, per_s, limit_age, self.dispatches);
         }
-        let request = self.request(&choice, self.time_left(), resume_after);
-        Ok(Sent {
+        let exchange = self.exchange(choice, resume_after);
+        self.sent.push(Sent {
             in_flight,
-            exchange: Box::pin(connection.send(request)),
-            patience: self.patience(&choice),
-        })
-    }
-
-    fn too_late() -> AttemptError {
-        AttemptError::Failed(Failure {
-            timed_out: true,
-            ..Failure::new(DispatchError::NotSent, "deadline exceeded")
-        })
+            exchange,
+            patience: Millis::ZERO,
+        });
+        let patience = self.patience(choice);
+        if let Some(sent) = self.sent.last_mut() {
+            sent.patience = patience;
+        }
     }
 
-    async fn connection(&self, choice: &Choice) -> Result<Connection, String> {
-        let tolerates_loss = self.call.route().kind.is_idempotent() && self.tried.len() == 1;
+    fn exchange(&self, choice: &Choice, resume_after: Option<u64>) -> Exchange {
+        let tolerates_loss = self.call.route().kind.is_idempotent() && self.dispatches == 1;
         let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
-        match self.shared.connections.take(&choice.id, choice.address, max_idle) {
-            Some(connection) => Ok(connection),
-            None => Connection::connect(choice.address, LIVENESS).await,
-        }
+        let shared = Arc::clone(&self.shared);
+        let (replica, address) = (Arc::clone(&choice.id), choice.address);
+        let (chosen, send_delay) = (shared.now(), self.target.send_delay.clone());
+        let outgoing = Outgoing::new(&self.call, Arc::clone(&replica), resume_after);
+        Box::pin(async move {
+            let connection = match shared.connections.take(&replica, address, max_idle) {
+                Some(connection) => connection,
+                None => Connection::connect(address, LIVENESS)
+                    .await
+                    .map_err(SendError::NotSent)?,
+            };
+            send_delay.record(shared.now().since(chosen));
+            connection.send(outgoing.into_request(&shared)).await
+        })
     }
 
-    /// Waits for the head of the response. While the replica is silent, others are tried.
-    pub async fn receive(
-        &mut self,
-        mut sent: Sent,
-        resume_after: Option<u64>,
-    ) -> Result<Reply, AttemptError> {
-        self.last_heard = self.shared.now();
-        let mut patience = sent.patience;
+    /// Waits for the head of a response. While the replicas that have the request are silent, another one is tried beside
+    /// them. The others still have the request when one has answered.
+    pub async fn receive(&mut self, resume_after: Option<u64>) -> Result<Reply, AttemptError> {
+        let mut patience = self.sent.last().map_or(Millis::ZERO, |sent| sent.patience);
         loop {
             let left = self.time_left();
-            if let Ok(exchanged) = timeout(patience.min(left).as_duration(), &mut sent.exchange).await {
-                return self.accept(sent.in_flight, exchanged);
-            }
-            if patience >= left {
-                sent.in_flight.end(DispatchOutcome::Cancelled);
-                return Err(AttemptError::Failed(Failure {
-                    timed_out: true,
-                    ..Failure::new(DispatchError::Lost, "response timed out")
-                }));
-            }
-            patience = RETRY_INTERVAL;
-            match self.hand_over(resume_after, &mut sent.exchange).await {
-                Handover::WentOn(exchanged) => return self.accept(sent.in_flight, exchanged),
-                Handover::Answered(reply) => {
-                    sent.in_flight.end(DispatchOutcome::Failed);
-                    "response timed out".clone_into(&mut self.cause);
-                    return Ok(*reply);
+            let limit = self.overlap_left().unwrap_or(patience).min(left);
+            match timeout(limit.as_duration(), sent::first(&mut self.sent)).await {
+                Ok((index, exchanged)) => {
+                    let sent = self.sent.remove(index);
+                    self.target = sent.in_flight.target().clone();
+                    match self.accept(sent.in_flight, exchanged) {
+                        Err(AttemptError::Failed(failure)) if !self.sent.is_empty() => {
+                            self.record_lost_hedge(&failure);
+                        }
+                        received => return received,
+                    }
                 }
-                Handover::Taken(other) => {
-                    sent.in_flight.end(DispatchOutcome::Failed);
-                    "response timed out".clone_into(&mut self.cause);
-                    patience = other.patience;
-                    sent = other;
-                    self.last_heard = self.shared.now();
+                Err(_elapsed) if limit >= left => {
+                    for sent in self.sent.drain(..) {
+                        sent.in_flight.end(DispatchOutcome::Cancelled);
+                    }
+                    return Err(AttemptError::Failed(Failure {
+                        timed_out: true,
+                        ..Failure::new(DispatchError::Lost, "response timed out")
+                    }));
                 }
-                Handover::Failed => {}
+                Err(_elapsed) if self.overlap_left().is_some() => {
+                    let silent = self.sent.remove(0);
+                    self.leave(silent.in_flight, "response timed out");
+                    patience = self.sent.last().map_or(Millis::ZERO, |sent| sent.patience);
+                }
+                Err(_elapsed) => patience = self.hedge(resume_after),
             }
         }
     }
@@ -186,24 +171,6 @@
         expected.min(Millis((left.0 as f64 * MAX_TIMEOUT_RATIO) as u64))
     }
 
-    fn request(&self, choice: &Choice, left: Millis, resume_after: Option<u64>) -> Request<Full<Bytes>> {
-        let call = &self.call;
-        let mut headers = call.headers.clone();
-        let forward = Forward {
-            replica: &choice.id,
-            workspace: call.workspace().map(|it| &*it.name),
-            time_left: left,
-            priority: (!call.request_head.parts.is_empty()).then(|| call.priority()),
-            resume_after,
-        };
-        self.shared.edge.set_forward_headers(&mut headers, &forward);
-        let mut request = Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = headers;
-        request
-    }
-
     /// The reply of a replica, or why there is none.
     pub fn accept(
         &self,
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -6,6 +6,7 @@
 use place::{Choice, Demand, DispatchKey, DispatchOutcome, Load};
 
 use super::call::Call;
+use super::target::{SendDelay, Target};
 use crate::Shared;
 use crate::edge::Advice;
 use crate::shared::RequestEvent;
@@ -19,6 +20,7 @@
     key: Option<DispatchKey>,
     sent: Millis,
     has_begun: bool,
+    target: Target,
 }
 
 impl InFlight {
@@ -27,8 +29,16 @@
         let sent = shared.now();
         let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
         shared.record_version_event(&call.endpoint, &choice.version, RequestEvent::Start);
+        let target = Target {
+            replica: Arc::clone(&choice.id),
+            expected_wait: choice.expected_wait,
+            prefill_tokens: choice.prefill_tokens,
+            view_age: shared.view().freshness.age(sent),
+            send_delay: SendDelay::default(),
+        };
         Self {
             has_begun: false,
+            target,
             shared: Arc::clone(shared),
             endpoint: Arc::clone(&call.endpoint),
             choice,
@@ -42,6 +52,19 @@
         &self.choice
     }
 
+    /// The selected replica, and what was known of it then.
+    pub const fn target(&self) -> &Target {
+        &self.target
+    }
+
+    /// Records that the replica has not answered in time.
+    pub fn record_silence(&self) {
+        let Some(key) = self.key else { return };
+        let now = self.shared.now();
+        self.shared
+            .with_pool(&self.endpoint, |pool| pool.record_silence(now, key));
+    }
+
     /// Records the load that the replica reports.
     pub fn report(&self, load: Option<Load>) {
         let Some(load) = load else { return };
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -7,7 +7,7 @@
 
 use super::Reason;
 use super::call::Call;
-use super::sent::Target;
+use super::target::Target;
 use crate::Shared;
 
 /// How a request ended.
@@ -80,7 +80,7 @@
         expected_ms = end.target.expected_wait.0,
         unread_tokens = end.target.prefill_tokens,
         view_age_ms = end.target.view_age.map_or(-1, |it| it.0 as i64),
-        send_delay_ms = end.target.send_delay.0,
+        send_delay_ms = end.target.send_delay.get().map_or(-1, |it| it.0 as i64),
         first_event_ms = end.first_event.map_or(-1, |it| it.0 as i64),
         target_ms = call.route().target_latency.0,
         took_ms = took.0,
@@ -159,11 +159,6 @@
     );
 }
 
-/// Logs that a replica did not take a request whose replica is silent.
-pub(super) fn handover_failed(call: &Call, replica: &str, cause: &str) {
-    log::info!(id = call.id(), endpoint:% = call.endpoint, replica, cause; "request not taken over");
-}
-
 /// Logs that a request is sent to a replica that named a rate limit.
 pub(super) fn sent_to_limited_replica(call: &Call, replica: &str, per_s: f64, age: Millis, attempt: usize) {
     metrics::counter!("bilberrylatch_limited_replica_sends_total").increment(1);
--- /dev/null
+++ b/crates/entry/src/serve/outgoing.rs
@@ -0,0 +1,60 @@
+//! A request as it is sent to a replica.
+
+use std::sync::Arc;
+
+use base::Millis;
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+
+use super::call::Call;
+use crate::Shared;
+use crate::edge::Forward;
+
+/// A request for a certain replica.
+#[derive(Clone, Debug)]
+pub(super) struct Outgoing {
+    replica: Arc<str>,
+    workspace: Option<Arc<str>>,
+    priority: Option<u8>,
+    resume_after: Option<u64>,
+    deadline: Millis,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Outgoing {
+    /// Prepares a request, which resumes a stream after an event if there is one.
+    pub fn new(call: &Call, replica: Arc<str>, resume_after: Option<u64>) -> Self {
+        Self {
+            replica,
+            workspace: call.workspace().map(|it| Arc::clone(&it.name)),
+            priority: (!call.request_head.parts.is_empty()).then(|| call.priority()),
+            resume_after,
+            deadline: call.deadline,
+            method: call.method.clone(),
+            uri: call.uri.clone(),
+            headers: call.headers.clone(),
+            body: call.body.clone(),
+        }
+    }
+
+    /// The request, with the time that is left now.
+    pub fn into_request(mut self, shared: &Shared) -> Request<Full<Bytes>> {
+        let forward = Forward {
+            replica: &self.replica,
+            workspace: self.workspace.as_deref(),
+            time_left: self.deadline.since(shared.now()),
+            priority: self.priority,
+            resume_after: self.resume_after,
+        };
+        shared.edge.set_forward_headers(&mut self.headers, &forward);
+        let mut request = Request::new(Full::new(self.body));
+        *request.method_mut() = self.method;
+        *request.uri_mut() = self.uri;
+        *request.headers_mut() = self.headers;
+        request
+    }
+}
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -5,8 +5,7 @@
 //! with an accurate status.
 
 mod events;
-
-use std::time::Duration;
+mod silence;
 
 use async_stream::stream;
 use base::Millis;
@@ -14,16 +13,18 @@
 use http::{Response, response};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
-use place::{DispatchError, DispatchOutcome};
-use tokio::time::timeout;
+use place::{DispatchError, DispatchOutcome, Refusal};
+use tokio::time::sleep;
 
 use self::events::{Events, Next};
+use self::silence::check_usable;
 use super::attempt::{AttemptError, Failure, Reply};
 use super::body::{Aborted, Body};
 use super::dispatch::Dispatch;
-use super::handover::{Handover, RETRY_INTERVAL};
+use super::hedge::RETRY_INTERVAL;
 use super::in_flight::InFlight;
 use super::inbound::strip_connection;
+use super::sent;
 use super::{Reason, log};
 use crate::edge::ResponseHead;
 use crate::upstream::Connection;
@@ -80,6 +81,8 @@
     /// The response for the caller, with the status, headers and signature of the replica whose event comes first.
     pub async fn open(dispatch: Dispatch, reply: Reply) -> Response<Body> {
         let (head, source) = Source::open(reply);
+        let mut dispatch = dispatch;
+        dispatch.is_streaming = true;
         let mut relay = Self {
             last_event: dispatch.call.request_head.resume_after,
             dispatch,
@@ -137,27 +140,35 @@
     }
 
     async fn advance(&mut self) -> Option<Step> {
-        let left = self.dispatch.call.time_left(self.dispatch.shared.now());
+        let left = self.dispatch.time_left();
         let event_timeout = self.event_timeout(left);
         let Some(source) = &mut self.source else {
             return self.resume().await;
         };
-        let next = match timeout(event_timeout, source.events.next()).await {
-            Ok(next) => next,
-            Err(_elapsed) if event_timeout >= left.as_duration() => {
-                "stream timed out".clone_into(&mut self.dispatch.cause);
-                return Some(Step::Failed(Reason::TimedOut));
+        let limit = self.dispatch.overlap_left().unwrap_or(event_timeout).min(left);
+        tokio::select! {
+            biased;
+            next = source.events.next() => self.handle(next),
+            (index, exchanged) = sent::first(&mut self.dispatch.sent) => {
+                let sent = self.dispatch.sent.remove(index);
+                self.handle_hedge(sent, exchanged)
             }
-            Err(_elapsed) => return self.handle_silence().await,
-        };
-        self.handle(next)
+            () = sleep(limit.as_duration()) => self.handle_silence(limit >= left),
+        }
     }
 
+    /// Handles what the source has sent.
     fn handle(&mut self, next: Next) -> Option<Step> {
         self.is_silent = false;
         match next {
-            Next::Event(event) => self.forward_event(event),
+            Next::Event(event) => {
+                self.dispatch.cancel_hedges();
+                self.restore_target();
+                self.forward_event(event)
+            }
             Next::End => {
+                self.dispatch.cancel_hedges();
+                self.restore_target();
                 self.complete();
                 Some(Step::End)
             }
@@ -165,47 +176,6 @@
         }
     }
 
-    /// Looks for another replica, while the silent one still has the stream.
-    async fn handle_silence(&mut self) -> Option<Step> {
-        self.is_silent = true;
-        let source = self.source.as_mut()?;
-        let handover = self
-            .dispatch
-            .hand_over(self.last_event, source.events.next())
-            .await;
-        match handover {
-            Handover::WentOn(next) => self.handle(next),
-            Handover::Failed => None,
-            Handover::Answered(reply) => {
-                self.leave_silent_source();
-                self.take_over(*reply);
-                None
-            }
-            Handover::Taken(sent) => {
-                self.leave_silent_source();
-                let received = self.dispatch.receive(sent, self.last_event).await;
-                self.handle_attempt(received)
-            }
-        }
-    }
-
-    fn leave_silent_source(&mut self) {
-        if let Some(source) = self.source.take() {
-            source.in_flight.end(DispatchOutcome::Failed);
-        }
-        self.is_silent = false;
-        "no event in time".clone_into(&mut self.dispatch.cause);
-    }
-
-    /// Goes on with the stream of another replica, whose response is usable.
-    fn take_over(&mut self, reply: Reply) {
-        let (head, source) = Source::open(reply);
-        self.source = Some(source);
-        if !self.began {
-            self.head = head;
-        }
-    }
-
     /// Forwards an event unless the caller already has it.
     fn forward_event(&mut self, event: Bytes) -> Option<Step> {
         let id = self.dispatch.shared.edge.event_id(&event);
@@ -236,7 +206,7 @@
     }
 
     fn complete(&mut self) {
-        let Some(source) = self.source.take() else { return };
+        let Some(source) = self.take_source() else { return };
         let choice = source.in_flight.choice().clone();
         source.in_flight.end(DispatchOutcome::Answered);
         if !source.response_head.closes {
@@ -252,34 +222,55 @@
     }
 
     fn handle_interruption(&mut self, cause: String) -> Option<Step> {
-        if let Some(source) = self.source.take() {
+        self.restore_target();
+        if let Some(source) = self.take_source() {
             source.in_flight.end(DispatchOutcome::Failed);
         }
         self.dispatch.cause.clone_from(&cause);
-        if self
-            .dispatch
-            .record_failure(&Failure::new(DispatchError::Lost, cause))
-        {
+        let failure = Failure::new(DispatchError::Lost, cause);
+        if !self.dispatch.sent.is_empty() {
+            self.dispatch.record_lost_hedge(&failure);
+            return None;
+        }
+        if self.dispatch.record_failure(&failure) {
             return None;
         }
         Some(Step::Failed(Reason::Unknown))
     }
 
-    /// Resumes the stream at another replica after the last event that the caller has.
+    /// Goes on at another replica after the last event that the caller has.
     async fn resume(&mut self) -> Option<Step> {
-        let received = self.dispatch.attempt(self.last_event).await;
+        let received = if self.dispatch.sent.is_empty() {
+            self.dispatch.attempt(self.last_event).await
+        } else {
+            self.dispatch.receive(self.last_event).await
+        };
+        if let Err(AttemptError::NoReplica(Refusal::Full(wait) | Refusal::Limited(wait))) = &received {
+            // The caller has a part of the stream, or would be told that the request may have run.
+            let wait = wait
+                .max(&RETRY_INTERVAL)
+                .min(&self.dispatch.time_left())
+                .as_duration();
+            sleep(wait).await;
+            return None;
+        }
         self.handle_attempt(received)
     }
 
     fn handle_attempt(&mut self, received: Result<Reply, AttemptError>) -> Option<Step> {
         let error = match received.and_then(check_usable) {
             Ok(reply) => {
+                self.dispatch.leave_others();
                 self.take_over(reply);
                 return None;
             }
             Err(error) => error,
         };
         match error {
+            AttemptError::Failed(failure) if !self.dispatch.sent.is_empty() => {
+                self.dispatch.record_lost_hedge(&failure);
+                return None;
+            }
             AttemptError::Failed(failure) if !failure.timed_out => {
                 self.dispatch.cause.clone_from(&failure.cause);
                 if self.dispatch.record_failure(&failure) {
@@ -296,41 +287,22 @@
     }
 
     /// How long to wait for the next event.
-    fn event_timeout(&self, left: Millis) -> Duration {
+    fn event_timeout(&self, left: Millis) -> Millis {
         let route = self.dispatch.call.route();
         if self.dispatch.attempts().denial_during_silence().is_some() {
-            return left.as_duration();
+            return left;
         }
         if self.is_silent {
-            return RETRY_INTERVAL.min(left).as_duration();
+            return RETRY_INTERVAL;
         }
         let gap = route.target_gap.unwrap_or(MIN_STALL_TIMEOUT);
         let stall_timeout = Millis(gap.0 * STALL_FACTOR).max(MIN_STALL_TIMEOUT);
-        let stall_timeout = if self.began {
+        if self.began {
             stall_timeout
         } else {
             stall_timeout.max(Millis(route.target_latency.0 * 2))
-        };
-        stall_timeout.min(left).as_duration()
-    }
-}
-
-/// A response that goes on with the stream, or a failure.
-fn check_usable(reply: Reply) -> Result<Reply, AttemptError> {
-    if reply.is_signed_success() {
-        return Ok(reply);
-    }
-    let status = reply.pending.response.status();
-    reply.in_flight.end(DispatchOutcome::Failed);
-    let error = if status.is_success() {
-        DispatchError::Lost
-    } else {
-        DispatchError::Failed {
-            status: status.as_u16(),
         }
-    };
-    let failure = Failure::new(error, format!("replica failed with {status}"));
-    Err(AttemptError::Failed(failure))
+    }
 }
 
 /// The next step of the stream for the caller.
--- a/crates/entry/src/serve/sent.rs
+++ b/crates/entry/src/serve/sent.rs
@@ -1,43 +1,15 @@
-//! A request that was sent to a replica and has no response yet.
+//! Requests that were sent to replicas and have no response yet.
 
 use std::fmt;
 use std::pin::Pin;
-use std::sync::Arc;
 
 use base::Millis;
+use futures::future::{pending, select_all};
 
 use super::in_flight::InFlight;
 use crate::upstream::{PendingResponse, SendError};
 
-/// The replica that a request was sent to, and what was known of it then.
-#[derive(Clone, Debug)]
-pub(super) struct Target {
-    /// Id of the replica.
-    pub replica: Arc<str>,
-    /// Expected time to the response or first event.
-    pub expected_wait: Millis,
-    /// Prompt tokens that the replica was expected to compute.
-    pub prefill_tokens: u32,
-    /// Age of the view when the replica was chosen; `None` if it was never confirmed.
-    pub view_age: Option<Millis>,
-    /// Time from the choice until the request was sent.
-    pub send_delay: Millis,
-}
-
-impl Default for Target {
-    /// No replica.
-    fn default() -> Self {
-        Self {
-            replica: Arc::from(""),
-            expected_wait: Millis::ZERO,
-            prefill_tokens: 0,
-            view_age: None,
-            send_delay: Millis::ZERO,
-        }
-    }
-}
-
-/// Sends a request when it is first polled, and waits for the head of the response.
+/// Connects, sends a request and waits for the head of the response.
 pub(super) type Exchange = Pin<Box<dyn Future<Output = Result<PendingResponse, SendError>> + Send>>;
 
 /// A request that waits for the head of the response. The connection closes when it is dropped.
@@ -58,3 +30,12 @@
             .finish_non_exhaustive()
     }
 }
+
+/// Waits for the first exchange that ends, and returns its index; never ends if there are none. Cancel safe.
+pub(super) async fn first(sent: &mut [Sent]) -> (usize, Result<PendingResponse, SendError>) {
+    if sent.is_empty() {
+        return pending().await;
+    }
+    let (exchanged, index, _others) = select_all(sent.iter_mut().map(|it| &mut it.exchange)).await;
+    (index, exchanged)
+}
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -44,8 +44,10 @@
     pub is_idempotent: bool,
     /// Number of dispatches, including those that did not run the request.
     pub dispatches: usize,
-    /// Number of replicas that may have run the request, without those that may still answer.
+    /// Number of replicas that may have run the request and will not answer any more.
     pub possible_runs: u32,
+    /// Number of replicas that have the request and may still answer.
+    pub in_flight: u32,
     /// Maximum number of replicas that may run the request.
     pub max_runs: u32,
     /// Time until the deadline.
@@ -67,23 +69,19 @@
             Some(Denial::Deadline)
         } else if self.dispatches >= MAX_DISPATCHES {
             Some(Denial::Dispatches)
-        } else if self.possible_runs >= self.max_runs {
+        } else if self.possible_runs + self.in_flight >= self.max_runs {
             Some(Denial::Runs)
         } else {
             None
         }
     }
 
-    /// Returns why the request stays at its last replica, which is silent; `None` if another one may be tried.
+    /// Returns why no other replica may be tried beside those that have the request and are silent; `None` if one may.
     ///
     /// Load pattern: a replica stops for a second or so, with all requests that it runs, and goes on. Giving it up is right
     /// only if another one takes the request: the retries of an endpoint are few, and all these requests want one at once.
-    /// So the request stays until another replica has taken it.
+    /// So the request stays, and another replica is tried beside it.
     pub const fn denial_during_silence(&self) -> Option<Denial> {
-        let with_silent = Self {
-            possible_runs: self.possible_runs + 1,
-            ..*self
-        };
-        with_silent.denial_after(DispatchError::Lost.assess(self.is_idempotent))
+        self.denial_after(DispatchError::Lost.assess(self.is_idempotent))
     }
 }
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -31,4 +31,6 @@
     pub answer_began: bool,
     /// When the answer or its first event arrived.
     pub began_at: Millis,
+    /// Whether the replica's silence was recorded as a failure.
+    pub is_silent: bool,
 }
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -229,6 +229,7 @@
             expected_wait: choice.expected_wait,
             answer_began: false,
             began_at: now,
+            is_silent: false,
         })
     }
 
@@ -270,6 +271,20 @@
         replica.record_latency(now, latency_ms, dispatch.expected_wait.0 as f64);
     }
 
+    /// Records that a replica has not answered in time, although it may still do so. Counts as one failure, however the
+    /// dispatch ends.
+    pub fn record_silence(&mut self, now: Millis, dispatch: DispatchKey) {
+        let Some(dispatch) = self.dispatches.get_mut(dispatch).filter(|it| !it.is_silent) else {
+            return;
+        };
+        dispatch.is_silent = true;
+        let key = dispatch.replica;
+        let others_failure_rate = self.others_failure_rate(key);
+        if let Some(replica) = self.replicas.get_mut(key) {
+            replica.health.record_failure(now, others_failure_rate);
+        }
+    }
+
     /// Records the end of a dispatch.
     pub fn end(&mut self, now: Millis, dispatch: DispatchKey, outcome: DispatchOutcome) {
         let Some(dispatch) = self.dispatches.remove(dispatch) else {
@@ -293,6 +308,7 @@
                 replica.last_heard = now;
                 replica.health.record_success();
             }
+            DispatchOutcome::Failed if dispatch.is_silent => {}
             DispatchOutcome::Failed => replica.health.record_failure(now, others_failure_rate),
             DispatchOutcome::Unreachable => replica.health.record_unreachable(now),
             DispatchOutcome::NotRun | DispatchOutcome::Cancelled => replica.health.record_neutral(),
--- a/crates/place/tests/placement/attempts.rs
+++ b/crates/place/tests/placement/attempts.rs
@@ -8,6 +8,7 @@
     is_idempotent: true,
     dispatches: 1,
     possible_runs: 0,
+    in_flight: 1,
     max_runs: 2,
     time_left: Millis(2_000),
 };
@@ -21,7 +22,7 @@
     during_silence: Option<Denial>,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         name: "first of two replicas",
         attempts: FIRST,
@@ -56,6 +57,16 @@
         after_loss: None,
         during_silence: None,
     },
+    Case {
+        name: "two replicas have it",
+        attempts: Attempts {
+            dispatches: 2,
+            in_flight: 2,
+            ..FIRST
+        },
+        after_loss: Some(Denial::Runs),
+        during_silence: Some(Denial::Runs),
+    },
     Case {
         name: "single run allowed",
         attempts: Attempts { max_runs: 1, ..FIRST },
@@ -87,6 +98,7 @@
     for case in &CASES {
         let counted = Attempts {
             possible_runs: case.attempts.possible_runs + 1,
+            in_flight: case.attempts.in_flight - 1,
             ..case.attempts
         };
         let assessment = DispatchError::Lost.assess(case.attempts.is_idempotent);
