Apply the idle limit of the configuration in force to callers' open connections

A caller that uses a connection for four fifths of the idle limit found it closed after a configuration with a longer limit, as the limits were those of the time at which the connection was opened.

Cause: the library's timer for request heads also ran between requests, and keeps the time that it was given. The node has its own timer now, which reads the limits in force, longer and shorter ones, and counts from the end of the last response.

--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests, directory lookups, readiness checks and metrics.
 
+mod activity;
 mod admit;
 mod attempt;
 mod body;
--- a/crates/entry/src/serve/listener.rs
+++ b/crates/entry/src/serve/listener.rs
@@ -11,9 +11,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
-use table::Limits;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::activity::{Activity, Tracked};
 use super::body::{self, Body};
 use super::{directory, proxy};
 use crate::lifecycle::Phase;
@@ -91,45 +91,39 @@
 }
 
 async fn serve_connection(shared: Arc<Shared>, service: Service, stream: TcpStream) {
-    let (limits, version) = {
-        let view = shared.view();
-        let table = view.table.as_ref();
-        table.map_or_else(
-            || (Limits::default(), 0),
-            |table| (table.limits(), table.version()),
-        )
-    };
-    let in_force = {
-        let shared = Arc::clone(&shared);
-        move || shared.view().table.as_ref().map_or(0, |table| table.version())
-    };
+    let head_bytes = shared.caller_limits().head_bytes;
     let lifecycle = shared.lifecycle.clone();
-    let handle_request = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
-        let service = service.clone();
-        async move { Ok::<_, Infallible>(handle_request(shared, service, request).await) }
-    });
+    let activity = Arc::new(Activity::new(shared.now()));
+    let handle_request = {
+        let (shared, activity) = (Arc::clone(&shared), Arc::clone(&activity));
+        service_fn(move |request| {
+            let shared = Arc::clone(&shared);
+            let service = service.clone();
+            let activity = Arc::clone(&activity);
+            async move {
+                activity.begin();
+                let response = handle_request(Arc::clone(&shared), service, request).await;
+                Ok::<_, Infallible>(response.map(|body| Tracked::new(body, shared, activity)))
+            }
+        })
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // The library's timer also runs while the connection is idle between requests.
-        .header_read_timeout((limits.idle_timeout + limits.head_timeout).as_duration())
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .header_read_timeout(None)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), handle_request);
     let mut connection = std::pin::pin!(connection);
     // A connection opened later is closed after its first response.
     let was_open = lifecycle.phase() < Phase::Closing;
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = activity.timed_out(&shared) => return,
         () = lifecycle.reached(Phase::Closing), if was_open => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
     };
     if let Err(error) = ended {
-        if error.is_timeout() {
-            log::info!(idle_ms = limits.idle_timeout.0, head_ms = limits.head_timeout.0, configuration = version,
-                configuration_in_force = in_force(); "caller connection timed out");
-        }
         log::debug!(cause:% = error; "caller connection ended");
     }
 }
--- a/crates/entry/src/serve/proxy.rs
+++ b/crates/entry/src/serve/proxy.rs
@@ -17,10 +17,9 @@
     let _guard = shared.track_request();
     let (head, incoming) = request.into_parts();
     let path = head.uri.path().to_owned();
-    let limits = shared.view().table.as_ref().map(|table| table.limits());
     // The body is read before anything is refused: closing a connection with unread data resets it, and the caller
     // could lose the response.
-    let body = inbound::read_body(incoming, limits.unwrap_or_default()).await;
+    let body = inbound::read_body(incoming, shared.caller_limits()).await;
     let request_head = match shared.edge.decode_request(&head) {
         Ok(request_head) => request_head,
         Err(fault) => {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,7 +15,7 @@
 use place::Pool;
 use quota::{Limiter, RetryBudget};
 use relay::Availability;
-use table::Table;
+use table::{Limits, Table};
 use tokio::sync::{Notify, watch};
 
 use crate::counts::Counts;
@@ -159,6 +159,13 @@
         lock(&self.view)
     }
 
+    /// Limits on callers' requests and connections; defaults until there is a configuration.
+    pub fn caller_limits(&self) -> Limits {
+        let view = self.view();
+        let table = view.table.as_ref();
+        table.map_or_else(Limits::default, |table| table.limits())
+    }
+
     /// The usage counts.
     pub fn counts(&self) -> MutexGuard<'_, Counts> {
         lock(&self.counts)
