Count what nodes admit that are heard but no longer registered

Cause: from 51 nodes on, the hub of each zone sums what the nodes of its zone and the hubs of the other zones report. Each time it sends, it forgot all senders that the store does not name. A node that is cut off from the store loses its registration after 2 s, but goes on admitting requests until its view is too old, and as the hub of its zone it goes on sending the zone's sums, which the other hubs keep using as long as they arrive. Its every report was therefore a first one, of which nothing is counted: the nodes of the zones whose hub stayed registered counted nothing that the other zones admitted, and used the whole limit on their own.

From 3.6 s on the balances of one workspace part. From 6 to 7 s nearly all nodes of the four zones are not connected, the two there that are have balances of -2.7 and -1.0 million tokens, and the nodes of the two other zones one of 0.5 million: these admit 1.7 million tokens a second of a limit of 1.58, and the nodes of the four zones their even parts on top.

Ruled out: the start of the load, as suspected. Until 2.5 s all nodes together admit 5.4 million tokens, which leaves the balance at -0.7 million and is made up for by 3 s; and the simulation of 90 nodes without a cut stays at 0.92 of what is allowed. Repeats of requests: the limiters themselves admitted 17.3 million tokens until 8 s by the lines that were kept.

Change: a hub forgets a sender only when it is neither registered nor was heard from within the timeout, and a zone's sums go by the hub that sends them. Hubs also send the sums of the other zones to the nodes of their own that are heard but not registered, as nodes do with their own values. The same holds for the requests sent to replicas that name a rate limit (`quota::Throttle`), which go the same way.

Load pattern: nodes that are cut off from the store, and other nodes that hear them. `crates/entry/tests/limits.rs` simulates it with the topology, the hubs and the limiters of 12, 90 and 195 nodes. With the body of `Hub::retain` as before, 6 of its 12 runs fail: 18.8 to 19.5 million tokens of 15.04 allowed; and `sums_count_nodes_that_are_heard_but_not_registered` counts 0 of 20. With it all stay within.

Of the two sums, those of hubs weigh most: with only these kept, the simulation stays within, and only the test of the sums fails.

Left: 60 nodes of which a third lose their registration. The others are then too few for hubs, hear nothing of those that are cut off in the other zones, and admit 0.98 to 1.01 of what is allowed in the same simulation.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -111,7 +111,9 @@
         zone.number = number;
         outside.number = number;
         transmit(&socket, &mut zone, &topology.other_hubs).await;
-        transmit(&socket, &mut outside, &topology.direct).await;
+        let mut receivers = topology.direct.clone();
+        receivers.extend(shared.unregistered_nodes());
+        transmit(&socket, &mut outside, &receivers).await;
     }
 }
 
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -11,6 +11,7 @@
 use place::{PeerLimit, PeerLoad};
 use quota::Totals;
 
+use super::PEER_TIMEOUT;
 use super::datagram::{Datagram, Scope, Unreachable};
 
 /// Time without a datagram after which a zone counts as disconnected.
@@ -96,18 +97,27 @@
         }
     }
 
-    /// Forgets nodes and zones that are gone.
-    pub fn retain<N, Z>(&mut self, is_live: N, is_zone: Z)
+    /// Forgets nodes and zones that are neither registered nor were heard from recently.
+    ///
+    /// Load pattern: nodes that are cut off from the store. They are no longer registered, but go on admitting requests
+    /// until their views are too old, and what they report must be counted.
+    pub fn retain<N, Z>(&mut self, now: Millis, is_registered: N, is_zone: Z)
     where
         N: Fn(Incarnation) -> bool,
         Z: Fn(&str) -> bool,
     {
-        self.nodes.retain(|node, _| is_live(Incarnation(*node)));
-        self.node_totals.retain(|node| is_live(Incarnation(node)));
-        self.node_sent.retain(|node| is_live(Incarnation(node)));
-        self.zones.retain(|zone, _| is_zone(zone));
-        self.zone_totals.retain(|node| is_live(Incarnation(node)));
-        self.zone_sent.retain(|node| is_live(Incarnation(node)));
+        let is_fresh = |heard: &Heard| now.since(heard.at) < PEER_TIMEOUT;
+        self.nodes
+            .retain(|node, heard| is_registered(Incarnation(*node)) || is_fresh(heard));
+        self.zones.retain(|zone, heard| is_zone(zone) || is_fresh(heard));
+        let nodes = &self.nodes;
+        let is_member = |node: u64| nodes.contains_key(&node);
+        self.node_totals.retain(is_member);
+        self.node_sent.retain(is_member);
+        let zones = &self.zones;
+        let is_sender = |node: u64| zones.values().any(|heard| heard.datagram.from == node);
+        self.zone_totals.retain(is_sender);
+        self.zone_sent.retain(is_sender);
     }
 
     /// The sums of the own zone; `own` is this node's datagram.
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -196,9 +196,9 @@
         let mut hub = lock(&self.hub);
         {
             let view = self.view();
-            let is_live = |node: Incarnation| view.peers.contains_key(&node);
+            let is_registered = |node: Incarnation| view.peers.contains_key(&node);
             let is_zone = |zone: &str| view.peers.values().any(|peer| peer.zone == zone);
-            hub.retain(is_live, is_zone);
+            hub.retain(now, is_registered, is_zone);
         }
         let mut digests = [
             hub.zone_digest(now, &zone, &own),
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -234,6 +234,74 @@
     }
 }
 
+/// Nodes that are cut off from the store lose their registrations, but go on admitting and sending requests. What they
+/// and their hub report is counted as long as they are heard.
+#[test]
+fn sums_count_nodes_that_are_heard_but_not_registered() {
+    struct Case {
+        name: &'static str,
+        scope: Scope,
+        /// Time between the datagrams.
+        pause: Millis,
+        /// Growth that the sums count.
+        counted: u64,
+    }
+    let (workspace, endpoint): (Arc<str>, Arc<str>) = (Arc::from("tills"), Arc::from("engine"));
+    let datagram = |from: u64, scope: &Scope, total: u64| Datagram {
+        from,
+        scope: scope.clone(),
+        used: vec![(Arc::clone(&workspace), total)],
+        limits: vec![(
+            Arc::clone(&endpoint),
+            vec![PeerLimit {
+                replica: 5,
+                per_s: Some(1.0),
+                age: Millis::ZERO,
+                sent: total,
+            }],
+        )],
+        ..Datagram::default()
+    };
+    let cases = [
+        Case {
+            name: "a node",
+            scope: Scope::Node,
+            pause: Millis(300),
+            counted: 20,
+        },
+        Case {
+            name: "a hub of another zone",
+            scope: Scope::Zone(Arc::from("zone-1")),
+            pause: Millis(300),
+            counted: 20,
+        },
+        Case {
+            name: "a node that was silent",
+            scope: Scope::Node,
+            pause: Millis(1_500),
+            counted: 0,
+        },
+    ];
+    for case in &cases {
+        let mut hub = Hub::default();
+        let mut now = Millis(1_000);
+        for total in [10, 20, 30] {
+            now = now + case.pause;
+            hub.retain(now, |_| false, |_| false);
+            hub.record(now, &datagram(2, &case.scope, total));
+        }
+        let sums = if case.scope == Scope::Node {
+            hub.zone_digest(now, &Arc::from("zone-0"), &Datagram::default())
+        } else {
+            hub.outside_digest(now, 1)
+        };
+        let used: u64 = sums.used.iter().map(|(_, total)| total).sum();
+        assert_eq!(used, case.counted, "tokens of {}", case.name);
+        let sent = sums.limits[0].1[0].sent;
+        assert_eq!(sent, case.counted, "requests of {}", case.name);
+    }
+}
+
 #[test]
 fn large_digest_fits_into_a_datagram() {
     let loads = (0..200).map(|replica| PeerLoad {
--- /dev/null
+++ b/crates/entry/tests/limits.rs
@@ -0,0 +1,453 @@
+//! Simulation of a workspace's limit in clusters whose nodes hear of each other by datagrams, some of them cut off from
+//! the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::seed::Generator;
+use base::{Incarnation, Millis, Seed};
+use entry::peers::{Datagram, HeardNodes, Hub, Scope, Topology, Use};
+use entry::view::{Peer, Peers};
+use quota::{LimitSettings, Limiter, PeerTotal, Tolerance};
+use rand::RngExt;
+
+/// The workspace's limit, in tokens per second.
+const RATE: f64 = 1_500_000.0;
+/// The workspace's burst, in tokens.
+const BURST: f64 = 1_500_000.0;
+const TOLERANCE: Tolerance = Tolerance {
+    window: Millis(8_000),
+    overshoot: 0.1,
+    slack: 190_000.0,
+};
+/// Time from the start of the nodes to the first request.
+const UPTIME: Millis = Millis(2_000);
+/// Time of requests.
+const DURATION: Millis = Millis(12_000);
+const STEP: Millis = Millis(20);
+/// Interval between the sums that a hub sends.
+const DIGEST_INTERVAL: Millis = Millis(200);
+/// Time for a datagram to arrive.
+const TRANSIT_TIME: Millis = Millis(20);
+/// Time from the first request until nodes are cut off from the store.
+const CUT_AT: Millis = Millis(1_000);
+/// Time until the registration of a node that is cut off is deleted, and the spread of when the others hear of it.
+const EXPIRY: Millis = Millis(2_000);
+const EXPIRY_SPREAD: Millis = Millis(750);
+/// Time until a node that is cut off refuses requests.
+const KEY_REVOCATION_TIME: Millis = Millis(4_000);
+
+/// Which nodes are cut off from the store. Datagrams between nodes still arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cut {
+    None,
+    /// The hubs of all zones but one.
+    Hubs,
+    /// One node in three that is no hub.
+    Others,
+    /// Both.
+    HubsAndOthers,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    name: &'static str,
+    nodes: usize,
+    zones: usize,
+    cut: Cut,
+    /// Tokens offered per second, in multiples of the limit.
+    load: f64,
+    /// Minimum fraction of the allowed tokens that must be admitted.
+    min_used: f64,
+}
+
+struct Node {
+    incarnation: Incarnation,
+    zone: String,
+    address: SocketAddr,
+    peers: Peers,
+    topology: Topology,
+    hub: Hub,
+    heard: HeardNodes,
+    limiter: Limiter,
+    is_cut: bool,
+    /// When the node hears that the registrations of those that are cut off are deleted.
+    expiry: Millis,
+    next_datagram: Millis,
+    next_digest: Millis,
+}
+
+impl Node {
+    fn settings(&self, now: Millis) -> LimitSettings {
+        let topology = &self.topology;
+        let hears_other_zones = self
+            .hub
+            .hears_other_zones(now, topology.is_hub, topology.other_zones);
+        LimitSettings {
+            rate: RATE,
+            burst: BURST,
+            tolerance: TOLERANCE,
+            nodes: self.peers.len(),
+            report_delay: topology.report_delay(),
+            is_connected: !topology.is_layered || hears_other_zones,
+        }
+    }
+
+    fn set_peers(&mut self, peers: Peers) {
+        self.topology = Topology::new(&peers, self.incarnation, &self.zone);
+        self.peers = peers;
+    }
+
+    fn datagram(&self) -> Datagram {
+        Datagram {
+            from: self.incarnation.0,
+            used: used(self.limiter.admitted()),
+            ..Datagram::default()
+        }
+    }
+
+    /// Nodes that are not registered and were heard from.
+    fn unregistered(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let heard = self.heard.fresh(now).into_iter();
+        let unregistered = heard.filter(|(node, _)| !self.peers.contains_key(node));
+        unregistered.map(|(_, address)| address).collect()
+    }
+
+    fn digests(&mut self, now: Millis) -> [Datagram; 2] {
+        let (own, zone) = (self.datagram(), Arc::from(self.zone.as_str()));
+        let peers = &self.peers;
+        self.hub.retain(
+            now,
+            |node| peers.contains_key(&node),
+            |zone| peers.values().any(|peer| peer.zone == zone),
+        );
+        let mut digests = [
+            self.hub.zone_digest(now, &zone, &own),
+            self.hub.outside_digest(now, self.topology.other_zones),
+        ];
+        for digest in &mut digests {
+            digest.from = self.incarnation.0;
+        }
+        digests
+    }
+
+    fn receive(&mut self, now: Millis, datagram: &Datagram, sender: SocketAddr) {
+        let (is_used, scope) = match datagram.scope {
+            Scope::Node => (true, 0),
+            Scope::Zone(_) => (self.topology.is_hub, 1),
+            Scope::Outside { .. } => (!self.topology.is_hub, 2),
+        };
+        if datagram.scope == Scope::Node {
+            self.heard.record(now, datagram.from, sender);
+        }
+        let how = self.hub.record(now, datagram);
+        if how == Use::Nothing || !is_used {
+            return;
+        }
+        let settings = self.settings(now);
+        for (_, total) in &datagram.used {
+            let report = PeerTotal {
+                node: datagram.from ^ scope,
+                total: *total,
+                is_new: how == Use::Baseline,
+            };
+            self.limiter.record_peer_total(now, report, &settings);
+        }
+    }
+}
+
+fn used(tokens: u64) -> Vec<(Arc<str>, u64)> {
+    vec![(Arc::from("tills"), tokens)]
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 2_000 + index as u16))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - 2_000
+}
+
+fn incarnation(index: usize) -> Incarnation {
+    Incarnation(index as u64 * 16 + 16)
+}
+
+fn registrations(case: Case) -> Peers {
+    let peer = |index: usize| Peer {
+        name: format!("node-{index}"),
+        zone: format!("zone-{}", index % case.zones),
+        address: address(index),
+        peer_address: address(index),
+        ready: true,
+        capacity: 120,
+        lease: index as u64,
+    };
+    (0..case.nodes)
+        .map(|index| (incarnation(index), peer(index)))
+        .collect()
+}
+
+struct Cluster {
+    now: Millis,
+    start: Millis,
+    generator: Generator,
+    nodes: Vec<Node>,
+    in_transit: Vec<(Millis, SocketAddr, SocketAddr, Arc<Datagram>)>,
+    /// Time and tokens of each admitted request.
+    admitted: Vec<(Millis, u64)>,
+    offered: u64,
+}
+
+impl Cluster {
+    fn new(case: Case, seed: Seed) -> Self {
+        let start = Millis::ZERO + UPTIME;
+        let peers = registrations(case);
+        let mut generator = seed.generator();
+        let mut spread = |limit: Millis| Millis(generator.random_range(0..limit.0));
+        let node = |(index, (node, peer)): (usize, (&Incarnation, &Peer))| {
+            let topology = Topology::new(&peers, *node, &peer.zone);
+            let zone = index % case.zones;
+            let is_cut = match case.cut {
+                Cut::None => false,
+                Cut::Hubs => topology.is_hub && zone > 0,
+                Cut::Others => !topology.is_hub && (index / case.zones) % 3 == 1,
+                Cut::HubsAndOthers => {
+                    (topology.is_hub && zone > 0) || (!topology.is_hub && (index / case.zones) % 3 == 1)
+                }
+            };
+            let mut node = Node {
+                incarnation: *node,
+                zone: peer.zone.clone(),
+                address: peer.peer_address,
+                peers: peers.clone(),
+                next_datagram: spread(topology.send_interval()),
+                topology,
+                hub: Hub::default(),
+                heard: HeardNodes::default(),
+                limiter: Limiter::new(
+                    Millis::ZERO,
+                    seed.derive(index as u64),
+                    &LimitSettings {
+                        rate: RATE,
+                        burst: BURST,
+                        tolerance: TOLERANCE,
+                        nodes: case.nodes,
+                        report_delay: Millis::ZERO,
+                        is_connected: false,
+                    },
+                ),
+                is_cut,
+                expiry: Millis::NEVER,
+                next_digest: spread(DIGEST_INTERVAL),
+            };
+            if !is_cut {
+                node.expiry = start + CUT_AT + EXPIRY + spread(EXPIRY_SPREAD);
+            }
+            node
+        };
+        let nodes = peers.iter().enumerate().map(node).collect();
+        Self {
+            now: Millis::ZERO,
+            start,
+            nodes,
+            generator,
+            in_transit: Vec::new(),
+            admitted: Vec::new(),
+            offered: 0,
+        }
+    }
+
+    fn run(&mut self, load: f64) {
+        let end = self.start + DURATION;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.deliver();
+            self.expire();
+            for index in 0..self.nodes.len() {
+                self.send(index);
+            }
+            if self.now >= self.start {
+                self.offer(load);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let nodes = &mut self.nodes;
+        self.in_transit.retain(|(due, from, to, datagram)| {
+            if *due > now {
+                return true;
+            }
+            nodes[index_of(*to)].receive(now, datagram, *from);
+            false
+        });
+    }
+
+    /// Deletes the registrations of the nodes that are cut off from the views of the others.
+    fn expire(&mut self) {
+        let cut = self.nodes.iter().filter(|it| it.is_cut);
+        let cut: Vec<Incarnation> = cut.map(|it| it.incarnation).collect();
+        for node in &mut self.nodes {
+            if node.expiry <= self.now {
+                node.expiry = Millis::NEVER;
+                let mut peers = node.peers.clone();
+                peers.retain(|it, _| !cut.contains(it));
+                node.set_peers(peers);
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let mut sent: Vec<(Datagram, Vec<SocketAddr>)> = Vec::new();
+        if node.next_datagram <= now {
+            node.next_datagram = now + node.topology.send_interval();
+            let mut receivers = node.topology.direct.clone();
+            receivers.extend(node.unregistered(now));
+            sent.push((node.datagram(), receivers));
+        }
+        if node.next_digest <= now && node.topology.is_hub {
+            node.next_digest = now + DIGEST_INTERVAL;
+            let [zone, outside] = node.digests(now);
+            sent.push((zone, node.topology.other_hubs.clone()));
+            let mut receivers = node.topology.direct.clone();
+            receivers.extend(node.unregistered(now));
+            sent.push((outside, receivers));
+        }
+        let from = node.address;
+        for (datagram, receivers) in sent {
+            let datagram = Arc::new(datagram);
+            let due = now + TRANSIT_TIME;
+            let datagrams = receivers
+                .into_iter()
+                .map(|to| (due, from, to, Arc::clone(&datagram)));
+            self.in_transit.extend(datagrams);
+        }
+    }
+
+    /// Sends requests to random nodes, but to those that are cut off only until they refuse all.
+    fn offer(&mut self, load: f64) {
+        let is_refusing = self.now >= self.start + CUT_AT + KEY_REVOCATION_TIME;
+        let mut left = RATE * load * STEP.0 as f64 / 1_000.0;
+        while left > 0.0 {
+            let tokens = request_tokens(&mut self.generator);
+            // The last request of a step is sent with the probability that makes the mean load exact.
+            if self.generator.random_range(0.0..1.0) * tokens as f64 > left {
+                return;
+            }
+            left -= tokens as f64;
+            self.offered += tokens;
+            let serving = self.nodes.iter_mut().filter(|it| !(it.is_cut && is_refusing));
+            let mut serving: Vec<&mut Node> = serving.collect();
+            let index = self.generator.random_range(0..serving.len());
+            let node = serving.swap_remove(index);
+            let settings = node.settings(self.now);
+            if node.limiter.try_acquire(self.now, tokens, &settings).is_ok() {
+                self.admitted.push((self.now, tokens));
+            }
+        }
+    }
+
+    fn max_admitted_in_window(&self) -> u64 {
+        let (mut first, mut sum, mut max) = (0, 0, 0);
+        for (at, tokens) in &self.admitted {
+            sum += tokens;
+            while at.since(self.admitted[first].0) >= TOLERANCE.window {
+                sum -= self.admitted[first].1;
+                first += 1;
+            }
+            max = max.max(sum);
+        }
+        max
+    }
+}
+
+/// Draws the size of a request: mostly small, one in ten very large.
+fn request_tokens(generator: &mut Generator) -> u64 {
+    if generator.random_bool(0.1) {
+        generator.random_range(30_000..60_000)
+    } else {
+        generator.random_range(500..6_000)
+    }
+}
+
+#[test]
+fn limit_is_kept_and_well_used_while_nodes_are_cut_off_from_the_store() {
+    let max_allowed = RATE.mul_add(8.0, BURST) * 1.1 + TOLERANCE.slack;
+    let cases = [
+        Case {
+            name: "five times the limit, no node cut off",
+            nodes: 90,
+            zones: 3,
+            cut: Cut::None,
+            load: 5.0,
+            min_used: 0.9,
+        },
+        Case {
+            name: "five times the limit, hubs cut off",
+            nodes: 90,
+            zones: 3,
+            cut: Cut::Hubs,
+            load: 5.0,
+            min_used: 0.9,
+        },
+        Case {
+            name: "five times the limit, a third cut off that are no hubs",
+            nodes: 90,
+            zones: 3,
+            cut: Cut::Others,
+            load: 5.0,
+            min_used: 0.9,
+        },
+        Case {
+            name: "five times the limit, a third and hubs cut off",
+            nodes: 90,
+            zones: 3,
+            cut: Cut::HubsAndOthers,
+            load: 5.0,
+            min_used: 0.9,
+        },
+        Case {
+            name: "five times the limit, a third cut off of few nodes",
+            nodes: 12,
+            zones: 3,
+            cut: Cut::Others,
+            load: 5.0,
+            min_used: 0.9,
+        },
+        Case {
+            name: "five times the limit, a third and hubs cut off of many nodes",
+            nodes: 195,
+            zones: 6,
+            cut: Cut::HubsAndOthers,
+            load: 5.0,
+            min_used: 0.9,
+        },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        for seed in 0..2 {
+            let mut cluster = Cluster::new(case, Seed(seed));
+            cluster.run(case.load);
+            let max = cluster.max_admitted_in_window() as f64;
+            if max > max_allowed {
+                failures.push(format!(
+                    "{} with seed {seed}: admitted {max} tokens in a window, allowed {max_allowed}",
+                    case.name
+                ));
+            }
+            let admitted: u64 = cluster.admitted.iter().map(|it| it.1).sum();
+            let admissible = (cluster.offered as f64).min(RATE.mul_add(DURATION.0 as f64 / 1_000.0, BURST));
+            let used = admitted as f64 / admissible;
+            if used < case.min_used {
+                failures.push(format!(
+                    "{} with seed {seed}: only {used:.3} of the allowed tokens admitted",
+                    case.name
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
