Use the sums of the hub that hears all zones while two nodes send them

Callers saw: while the hub of their zone is cut off from the store, requests are refused below the limits at the nodes of this zone.

Cause: of two nodes that take themselves for the hub, the one heard first was used as long as its sums arrived. A hub that is cut off from the store goes on sending beside the one that has taken over, but the other hubs no longer send to it. Its sums of the other zones are incomplete, so the nodes of the zone took themselves for isolated and kept to their even parts, though the new hub's sums reached them.

Change: the sender that hears all zones is used, and of two such the one that is the hub in the node's own view. A node changes over as soon as the new hub hears all zones, while the old sums are still fresh, so that little is lost between them. Weighed: the hub in the view at once. It hears the other zones only after their views have changed as well, and what they admit until then would count nowhere.

Load pattern: a hub that is cut off. In `crates/entry/tests/limits.rs` no registered node may be isolated at the end, also at half of the limit.

--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -58,8 +58,8 @@
 
 impl Hub {
     /// Takes a datagram, and returns how it is to be applied: a zone's sums count once, also while two nodes take
-    /// themselves for its hub, and when a node becomes the hub again.
-    pub fn record(&mut self, now: Millis, datagram: &Datagram) -> Use {
+    /// themselves for its hub, and when a node becomes the hub again. `hubs` are the zones' hubs in this node's view.
+    pub fn record(&mut self, now: Millis, datagram: &Datagram, hubs: &[Incarnation]) -> Use {
         let heard = Heard {
             at: now,
             datagram: datagram.clone(),
@@ -74,7 +74,7 @@
                 }
             }
             Scope::Zone(zone) => {
-                let how = use_of_sums(now, self.zones.get(zone), datagram.from);
+                let how = use_of_sums(now, self.zones.get(zone), datagram, hubs);
                 if how == Use::Nothing {
                     return how;
                 }
@@ -88,7 +88,7 @@
                 how
             }
             Scope::Outside { .. } => {
-                let how = use_of_sums(now, self.outside.as_ref(), datagram.from);
+                let how = use_of_sums(now, self.outside.as_ref(), datagram, hubs);
                 if how != Use::Nothing {
                     self.outside = Some(heard);
                 }
@@ -177,18 +177,31 @@
     }
 }
 
-/// How sums from a sender are applied.
+/// How sums are applied.
+///
+/// Load pattern: a hub that is cut off from the store. It goes on sending its sums beside the hub that has taken over,
+/// and soon hears only some of the other zones.
 ///
 /// NB: a sender that was silent goes on with its old sums. What it counted meanwhile, another hub has sent as well.
-fn use_of_sums(now: Millis, heard: Option<&Heard>, from: u64) -> Use {
-    let fresh = heard.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT);
-    match fresh {
-        Some(heard) if heard.datagram.from == from => Use::Difference,
-        Some(_other) => Use::Nothing,
-        None => Use::Baseline,
+fn use_of_sums(now: Millis, heard: Option<&Heard>, sums: &Datagram, hubs: &[Incarnation]) -> Use {
+    let Some(heard) = heard.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT) else {
+        return Use::Baseline;
+    };
+    if heard.datagram.from == sums.from {
+        Use::Difference
+    } else if preference(sums, hubs) > preference(&heard.datagram, hubs) {
+        Use::Baseline
+    } else {
+        Use::Nothing
     }
 }
 
+/// Which of several senders of the same sums is used: one that hears all zones, then the hub in this node's view.
+fn preference(sums: &Datagram, hubs: &[Incarnation]) -> (bool, bool) {
+    let is_complete = sums.scope != Scope::Outside { is_complete: false };
+    (is_complete, hubs.contains(&Incarnation(sums.from)))
+}
+
 fn sum_loads(datagrams: &[&Datagram]) -> Vec<(Arc<str>, Vec<PeerLoad>)> {
     let mut sums: IndexMap<Arc<str>, IndexMap<u64, PeerLoad>> = IndexMap::new();
     for (endpoint, loads) in datagrams.iter().flat_map(|it| &it.loads) {
--- a/crates/entry/src/peers/topology.rs
+++ b/crates/entry/src/peers/topology.rs
@@ -32,6 +32,8 @@
     pub is_layered: bool,
     /// Whether this node is the hub of its zone.
     pub is_hub: bool,
+    /// The hubs of all zones.
+    pub hubs: Vec<Incarnation>,
     /// Addresses of the hubs of the other zones.
     pub other_hubs: Vec<SocketAddr>,
     /// Number of other zones with a hub.
@@ -84,6 +86,7 @@
         }
         for (name, nodes) in zones {
             let Some(hub) = lead(nodes) else { continue };
+            self.hubs.push(hub);
             if name == zone {
                 self.is_hub = hub == own;
             } else {
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -57,13 +57,13 @@
             }
             *last = (datagram.number, now);
         }
-        let is_hub = self.topology().is_hub;
+        let topology = self.topology();
         let is_used = match datagram.scope {
             Scope::Node => true,
-            Scope::Zone(_) => is_hub,
-            Scope::Outside { .. } => !is_hub,
+            Scope::Zone(_) => topology.is_hub,
+            Scope::Outside { .. } => !topology.is_hub,
         };
-        let how = lock(&self.hub).record(now, datagram);
+        let how = lock(&self.hub).record(now, datagram, &topology.hubs);
         if how == Use::Nothing || !is_used {
             return;
         }
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -95,7 +95,7 @@
             Scope::Zone(_) => is_hub,
             Scope::Outside { .. } => !is_hub,
         };
-        let how = self.hub.record(now, datagram);
+        let how = self.hub.record(now, datagram, &[]);
         if how == Use::Nothing || !is_used {
             return;
         }
@@ -288,7 +288,7 @@
         for total in [10, 20, 30] {
             now = now + case.pause;
             hub.retain(now, |_| false, |_| false);
-            hub.record(now, &datagram(2, &case.scope, total));
+            hub.record(now, &datagram(2, &case.scope, total), &[]);
         }
         let sums = if case.scope == Scope::Node {
             hub.zone_digest(now, &Arc::from("zone-0"), &Datagram::default())
@@ -302,6 +302,89 @@
     }
 }
 
+/// While two nodes send the same sums, as one of them is cut off from the store, the one that hears all zones is used,
+/// then the hub in the view.
+#[test]
+fn sums_come_from_the_hub_that_hears_all_zones() {
+    const HUB: u64 = 2;
+    const OTHER: u64 = 3;
+    struct Case {
+        name: &'static str,
+        first: (u64, Scope),
+        second: (u64, Scope),
+        second_use: Use,
+        /// How the next datagram of the first is used then.
+        first_use: Use,
+    }
+    let outside = |is_complete| Scope::Outside { is_complete };
+    let zone = || Scope::Zone(Arc::from("zone-1"));
+    let cases = [
+        Case {
+            name: "the hub takes over from another",
+            first: (OTHER, outside(true)),
+            second: (HUB, outside(true)),
+            second_use: Use::Baseline,
+            first_use: Use::Nothing,
+        },
+        Case {
+            name: "the hub does not hear all zones yet",
+            first: (OTHER, outside(true)),
+            second: (HUB, outside(false)),
+            second_use: Use::Nothing,
+            first_use: Use::Difference,
+        },
+        Case {
+            name: "the hub no longer hears all zones",
+            first: (HUB, outside(false)),
+            second: (OTHER, outside(true)),
+            second_use: Use::Baseline,
+            first_use: Use::Nothing,
+        },
+        Case {
+            name: "another sends beside the hub",
+            first: (HUB, outside(true)),
+            second: (OTHER, outside(true)),
+            second_use: Use::Nothing,
+            first_use: Use::Difference,
+        },
+        Case {
+            name: "neither is the hub",
+            first: (OTHER, outside(true)),
+            second: (OTHER + 1, outside(true)),
+            second_use: Use::Nothing,
+            first_use: Use::Difference,
+        },
+        Case {
+            name: "the hub of another zone takes over",
+            first: (OTHER, zone()),
+            second: (HUB, zone()),
+            second_use: Use::Baseline,
+            first_use: Use::Nothing,
+        },
+        Case {
+            name: "another sends beside the hub of another zone",
+            first: (HUB, zone()),
+            second: (OTHER, zone()),
+            second_use: Use::Nothing,
+            first_use: Use::Difference,
+        },
+    ];
+    for case in cases {
+        let mut hub = Hub::default();
+        let mut record = |at: u64, (from, scope): (u64, Scope)| {
+            let datagram = Datagram {
+                from,
+                scope,
+                ..Datagram::default()
+            };
+            hub.record(Millis(at), &datagram, &[Incarnation(HUB)])
+        };
+        assert_eq!(record(1_000, case.first.clone()), Use::Baseline, "{}", case.name);
+        assert_eq!(record(1_100, case.second), case.second_use, "{}", case.name);
+        assert_eq!(record(1_200, case.first), case.first_use, "{}", case.name);
+    }
+}
+
 #[test]
 fn large_digest_fits_into_a_datagram() {
     let loads = (0..200).map(|replica| PeerLoad {
@@ -349,7 +432,7 @@
             loads: vec![(Arc::from("models"), loads.collect())],
             ..Datagram::default()
         };
-        hub.record(now, &datagram);
+        hub.record(now, &datagram, &[]);
     }
     let digest = hub.zone_digest(now, &Arc::from("zone-1"), &Datagram::default());
     let loads = &digest.loads[0].1;
@@ -377,8 +460,8 @@
     };
     let mut hub = Hub::default();
     for sent in [0, 4] {
-        hub.record(Millis(1_000), &datagram(2, 900, Some(1.0), sent));
-        hub.record(Millis(1_000), &datagram(3, 300, None, 2 * sent));
+        hub.record(Millis(1_000), &datagram(2, 900, Some(1.0), sent), &[]);
+        hub.record(Millis(1_000), &datagram(3, 300, None, 2 * sent), &[]);
     }
     let own = datagram(1, u64::MAX, Some(1.0), 3);
     let mut digest = hub.zone_digest(Millis(1_200), &Arc::from("zone-0"), &own);
@@ -391,7 +474,7 @@
     };
     assert_eq!(digest.limits, [(Arc::clone(&endpoint), vec![latest])]);
     let mut other = Hub::default();
-    assert_eq!(other.record(Millis(1_210), &digest), Use::Baseline);
+    assert_eq!(other.record(Millis(1_210), &digest, &[]), Use::Baseline);
     let outside = other.outside_digest(Millis(1_310), 1);
     assert_eq!(outside.limits[0].1[0].age, Millis(600));
     assert_eq!(
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -140,7 +140,7 @@
         if datagram.scope == Scope::Node {
             self.heard.record(now, datagram.from, sender);
         }
-        let how = self.hub.record(now, datagram);
+        let how = self.hub.record(now, datagram, &self.topology.hubs);
         if how == Use::Nothing || !is_used {
             return;
         }
@@ -350,6 +350,14 @@
         }
     }
 
+    /// Number of registered nodes that do not hear the others.
+    fn isolated(&self) -> usize {
+        let registered = self.nodes.iter().filter(|it| !it.is_cut);
+        registered
+            .filter(|it| !it.settings(self.now).is_connected)
+            .count()
+    }
+
     fn max_admitted_in_window(&self) -> u64 {
         let (mut first, mut sum, mut max) = (0, 0, 0);
         for (at, tokens) in &self.admitted {
@@ -409,6 +417,14 @@
             load: 5.0,
             min_used: 0.9,
         },
+        Case {
+            name: "half of the limit, a third and hubs cut off",
+            nodes: 90,
+            zones: 3,
+            cut: Cut::HubsAndOthers,
+            load: 0.5,
+            min_used: 0.97,
+        },
         Case {
             name: "five times the limit, a third cut off of few nodes",
             nodes: 12,
@@ -441,6 +457,13 @@
             let admitted: u64 = cluster.admitted.iter().map(|it| it.1).sum();
             let admissible = (cluster.offered as f64).min(RATE.mul_add(DURATION.0 as f64 / 1_000.0, BURST));
             let used = admitted as f64 / admissible;
+            let isolated = cluster.isolated();
+            if isolated > 0 {
+                failures.push(format!(
+                    "{} with seed {seed}: {isolated} registered nodes do not hear the others",
+                    case.name
+                ));
+            }
             if used < case.min_used {
                 failures.push(format!(
                     "{} with seed {seed}: only {used:.3} of the allowed tokens admitted",
