--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -11,6 +11,7 @@
 use place::{PeerLimit, PeerLoad};
 use quota::Totals;
 
+use super::PEER_TIMEOUT;
 use super::datagram::{Datagram, Scope, Unreachable};
 
 /// Time without a datagram after which a zone counts as disconnected.
@@ -57,8 +58,8 @@
 
 impl Hub {
     /// Takes a datagram, and returns how it is to be applied: a zone's sums count once, also while two nodes take
-    /// themselves for its hub, and when a node becomes the hub again.
-    pub fn record(&mut self, now: Millis, datagram: &Datagram) -> Use {
+    /// themselves for its hub, and when a node becomes the hub again. `hubs` are the zones' hubs in this node's view.
+    pub fn record(&mut self, now: Millis, datagram: &Datagram, hubs: &[Incarnation]) -> Use {
         let heard = Heard {
             at: now,
             datagram: datagram.clone(),
@@ -73,7 +74,7 @@
                 }
             }
             Scope::Zone(zone) => {
-                let how = use_of_sums(now, self.zones.get(zone), datagram.from);
+                let how = use_of_sums(now, self.zones.get(zone), datagram, hubs);
                 if how == Use::Nothing {
                     return how;
                 }
@@ -87,7 +88,7 @@
                 how
             }
             Scope::Outside { .. } => {
-                let how = use_of_sums(now, self.outside.as_ref(), datagram.from);
+                let how = use_of_sums(now, self.outside.as_ref(), datagram, hubs);
                 if how != Use::Nothing {
                     self.outside = Some(heard);
                 }
@@ -96,18 +97,27 @@
         }
     }
 
-    /// Forgets nodes and zones that are gone.
-    pub fn retain<N, Z>(&mut self, is_live: N, is_zone: Z)
+    /// Forgets nodes and zones that are neither registered nor were heard from recently.
+    ///
+    /// Load pattern: nodes that are cut off from the store. They are no longer registered, but go on admitting requests
+    /// until their views are too old, and what they report must be counted.
+    pub fn retain<N, Z>(&mut self, now: Millis, is_registered: N, is_zone: Z)
     where
         N: Fn(Incarnation) -> bool,
         Z: Fn(&str) -> bool,
     {
-        self.nodes.retain(|node, _| is_live(Incarnation(*node)));
-        self.node_totals.retain(|node| is_live(Incarnation(node)));
-        self.node_sent.retain(|node| is_live(Incarnation(node)));
-        self.zones.retain(|zone, _| is_zone(zone));
-        self.zone_totals.retain(|node| is_live(Incarnation(node)));
-        self.zone_sent.retain(|node| is_live(Incarnation(node)));
+        let is_fresh = |heard: &Heard| now.since(heard.at) < PEER_TIMEOUT;
+        self.nodes
+            .retain(|node, heard| is_registered(Incarnation(*node)) || is_fresh(heard));
+        self.zones.retain(|zone, heard| is_zone(zone) || is_fresh(heard));
+        let nodes = &self.nodes;
+        let is_member = |node: u64| nodes.contains_key(&node);
+        self.node_totals.retain(is_member);
+        self.node_sent.retain(is_member);
+        let zones = &self.zones;
+        let is_sender = |node: u64| zones.values().any(|heard| heard.datagram.from == node);
+        self.zone_totals.retain(is_sender);
+        self.zone_sent.retain(is_sender);
     }
 
     /// The sums of the own zone; `own` is this node's datagram.
@@ -167,18 +177,31 @@
     }
 }
 
-/// How sums from a sender are applied.
+/// How sums are applied.
+///
+/// Load pattern: a hub that is cut off from the store. It goes on sending its sums beside the hub that has taken over,
+/// and soon hears only some of the other zones.
 ///
 /// NB: a sender that was silent goes on with its old sums. What it counted meanwhile, another hub has sent as well.
-fn use_of_sums(now: Millis, heard: Option<&Heard>, from: u64) -> Use {
-    let fresh = heard.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT);
-    match fresh {
-        Some(heard) if heard.datagram.from == from => Use::Difference,
-        Some(_other) => Use::Nothing,
-        None => Use::Baseline,
+fn use_of_sums(now: Millis, heard: Option<&Heard>, sums: &Datagram, hubs: &[Incarnation]) -> Use {
+    let Some(heard) = heard.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT) else {
+        return Use::Baseline;
+    };
+    if heard.datagram.from == sums.from {
+        Use::Difference
+    } else if preference(sums, hubs) > preference(&heard.datagram, hubs) {
+        Use::Baseline
+    } else {
+        Use::Nothing
     }
 }
 
+/// Which of several senders of the same sums is used: one that hears all zones, then the hub in this node's view.
+fn preference(sums: &Datagram, hubs: &[Incarnation]) -> (bool, bool) {
+    let is_complete = sums.scope != Scope::Outside { is_complete: false };
+    (is_complete, hubs.contains(&Incarnation(sums.from)))
+}
+
 fn sum_loads(datagrams: &[&Datagram]) -> Vec<(Arc<str>, Vec<PeerLoad>)> {
     let mut sums: IndexMap<Arc<str>, IndexMap<u64, PeerLoad>> = IndexMap::new();
     for (endpoint, loads) in datagrams.iter().flat_map(|it| &it.loads) {
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -58,13 +58,13 @@
             *last = (datagram.number, now);
         }
         self.record_poison_digest(&datagram.poison);
-        let is_hub = self.topology().is_hub;
+        let topology = self.topology();
         let is_used = match datagram.scope {
             Scope::Node => true,
-            Scope::Zone(_) => is_hub,
-            Scope::Outside { .. } => !is_hub,
+            Scope::Zone(_) => topology.is_hub,
+            Scope::Outside { .. } => !topology.is_hub,
         };
-        let how = lock(&self.hub).record(now, datagram);
+        let how = lock(&self.hub).record(now, datagram, &topology.hubs);
         if how == Use::Nothing || !is_used {
             return;
         }
@@ -198,9 +198,9 @@
         let mut hub = lock(&self.hub);
         {
             let view = self.view();
-            let is_live = |node: Incarnation| view.peers.contains_key(&node);
+            let is_registered = |node: Incarnation| view.peers.contains_key(&node);
             let is_zone = |zone: &str| view.peers.values().any(|peer| peer.zone == zone);
-            hub.retain(is_live, is_zone);
+            hub.retain(now, is_registered, is_zone);
         }
         let mut digests = [
             hub.zone_digest(now, &zone, &own),
