--- a/crates/ctl/src/app.rs
+++ b/crates/ctl/src/app.rs
@@ -43,6 +43,7 @@
             command::replicas::run(&create_client(args.node.as_deref())?, output).await
         }
         BilberrylatchCmd::Platform(flags) => command::platform::run(flags.metrics.as_deref(), output).await,
+        BilberrylatchCmd::Margins(flags) => command::margins::run(output, &flags),
         BilberrylatchCmd::Demo(flags) => demo::run(flags.requests).await,
     }
 }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -85,6 +85,15 @@
             /// Comma-separated metrics addresses (IP:PORT); default: BILBERRYLATCH_METRICS.
             optional --metrics addresses: String
         }
+        /// Show how close each of the users' rules came to breaking, by the logs of nodes on the users' platform.
+        cmd margins {
+            /// Paths of the logs.
+            repeated log: PathBuf
+            /// Path of the file with the bounds.
+            optional --bounds file: PathBuf
+            /// A bound, in place of that of the file: NAME=VALUE. May be given several times.
+            repeated --bound setting: String
+        }
         /// Run a demo deployment in one process, with fake servers.
         cmd demo {
             /// Number of requests to send; without it the demo runs until interrupted.
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -2,6 +2,7 @@
 
 pub mod catalogue;
 pub mod keys;
+pub mod margins;
 pub mod nodes;
 pub mod platform;
 pub mod replicas;
