Hold fewer events back, and let the bounds say for how long

An event for each line, so that the last line of a node is known in time order, was most of what was held back. The time of a node's last line now comes with its next start, or at the end of the logs. `longest-request-ms` sets for how long events are held back; 60 s without it. A version number of 2^64 and more in a damaged line overflowed.

--- a/crates/margins/src/analysis.rs
+++ b/crates/margins/src/analysis.rs
@@ -7,8 +7,8 @@
 use crate::rule::{Context, Rules};
 use crate::{Bounded, Bounds, Event, Name, Names, Overflow, Reject, Rejects, Report, Row, Time};
 
-/// Maximum time that a request lasts from its arrival to its end, in milliseconds.
-const MAX_REQUEST_MS: i64 = 60_000;
+/// Maximum time that a request lasts from its arrival to its end in milliseconds, unless the bounds give another.
+const DEFAULT_REQUEST_MS: f64 = 60_000.0;
 /// Maximum number of lines that are named of those that were not used for one reason.
 const MAX_NAMED: u64 = 10;
 /// Maximum number of nodes.
@@ -35,13 +35,14 @@
 impl Analysis {
     /// Creates an analysis against these bounds.
     pub fn new(bounds: Bounds) -> Self {
+        let request_ms = bounds.longest_request_ms.unwrap_or(DEFAULT_REQUEST_MS);
         Self {
             bounds,
             names: Names::default(),
             nodes: Bounded::new(MAX_NODES),
             form: None,
             requests: Requests::default(),
-            queue: Queue::new(MAX_REQUEST_MS),
+            queue: Queue::new(request_ms as i64),
             rules: Rules::default(),
             lines: 0,
             used: 0,
@@ -81,7 +82,7 @@
             bounds: &self.bounds,
             names: &self.names,
         };
-        self.rules.finish(context);
+        self.rules.finish(&self.nodes, context);
         self.report()
     }
 
@@ -124,8 +125,10 @@
         }
         self.queue.advance(line.time);
         self.left_out += line.fields.lines_dropped_before.known().unwrap_or(0.0) as u64;
+        if before.is_none() {
+            self.queue.push(line.time, Event::Appeared { node });
+        }
         let used = self.extract(line.time, node, before, &line.fields);
-        self.queue.push(line.time, Event::Seen { node });
         used.ok_or(Fault::Incomplete)
     }
 
@@ -136,7 +139,7 @@
                 for (at, event) in self.requests.restart(node, before.unwrap_or(at)) {
                     self.queue.push(at, event);
                 }
-                Event::Started { node }
+                Event::Started { node, last: before }
             }
             "node ends" => Event::Ending {
                 node,
--- a/crates/margins/src/bounds.rs
+++ b/crates/margins/src/bounds.rs
@@ -57,6 +57,8 @@
     pub canary_slack: Option<f64>,
     /// Time until a bad version gets no requests, in milliseconds.
     pub rollback_ms: Option<f64>,
+    /// Time that a request lasts at most, in milliseconds. Events are held back for that long.
+    pub longest_request_ms: Option<f64>,
     /// Bounds of routes.
     pub routes: IndexMap<String, RouteBounds>,
     /// Limits of workspaces.
--- a/crates/margins/src/event.rs
+++ b/crates/margins/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::Name;
+use crate::{Name, Time};
 
 /// Id of a request.
 pub type Id = Arc<str>;
@@ -85,12 +85,12 @@
 /// An event of the logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
-    /// A node started.
-    Started { node: Name },
+    /// A node started; `last` is the time of its last line before that.
+    Started { node: Name, last: Option<Time> },
     /// A node ends, with this number of requests in flight.
     Ending { node: Name, waiting: u64 },
-    /// A node wrote a line.
-    Seen { node: Name },
+    /// A node wrote its first line.
+    Appeared { node: Name },
     /// A node has put a configuration into force.
     Configured { node: Name, version: u64 },
     /// A request was handled by a configuration; the event has the time at which the request arrived.
--- a/crates/margins/src/queue.rs
+++ b/crates/margins/src/queue.rs
@@ -10,7 +10,7 @@
 use crate::{Event, Time};
 
 /// Maximum number of events that are held back.
-const MAX_EVENTS: usize = 1 << 20;
+const MAX_EVENTS: usize = 1 << 21;
 
 /// Events by time.
 #[derive(Debug)]
--- a/crates/margins/src/rule.rs
+++ b/crates/margins/src/rule.rs
@@ -12,7 +12,7 @@
 mod repeats;
 mod view;
 
-use crate::{Bounds, Event, Margin, Names, Overflow, Time};
+use crate::{Bounded, Bounds, Event, Margin, Name, Names, Overflow, Time};
 
 /// What all rules need to judge an event.
 #[derive(Clone, Copy, Debug)]
@@ -53,10 +53,10 @@
         self.exposure.apply(at, event, context);
     }
 
-    /// Judges what is still open at the end of the logs.
-    pub fn finish(&mut self, context: Context<'_>) {
+    /// Judges what is still open at the end of the logs. `nodes` has the time of each node's last line.
+    pub fn finish(&mut self, nodes: &Bounded<Name, Time>, context: Context<'_>) {
         self.repeats.finish(context);
-        self.config.finish(context);
+        self.config.finish(nodes, context);
         self.exposure.finish(context);
     }
 
--- a/crates/margins/src/rule/config.rs
+++ b/crates/margins/src/rule/config.rs
@@ -44,16 +44,16 @@
     /// Judges an event.
     pub fn apply(&mut self, at: Time, event: &Event, context: Context<'_>) {
         match event {
-            Event::Started { node } => {
-                self.judge_open(*node, context);
+            Event::Started { node, last } => {
+                if let Some(last) = last {
+                    self.judge_open(*node, *last, context);
+                }
                 if let Some(own) = self.node(*node, at) {
                     *own = Node::new(at);
                 }
             }
-            Event::Seen { node } => {
-                if let Some(own) = self.node(*node, at) {
-                    own.last = at;
-                }
+            Event::Appeared { node } => {
+                let _state = self.node(*node, at);
             }
             Event::Configured { node, version } => self.configure(at, *node, *version, context),
             Event::Handled {
@@ -66,10 +66,9 @@
     }
 
     /// Judges the versions that nodes did not have by their last line.
-    pub fn finish(&mut self, context: Context<'_>) {
-        let nodes: Vec<Name> = self.nodes.iter().map(|(node, _)| *node).collect();
-        for node in nodes {
-            self.judge_open(node, context);
+    pub fn finish(&mut self, nodes: &Bounded<Name, Time>, context: Context<'_>) {
+        for (node, last) in nodes.iter() {
+            self.judge_open(*node, *last, context);
         }
     }
 
@@ -103,17 +102,17 @@
             return;
         }
         self.back.open(bound);
-        let missing = own.version().map_or(0, |it| it + 1);
+        let missing = own.version().map_or(0, |it| it.saturating_add(1));
         own.configure(at, version);
         let started = own.started;
         self.judge_lag(at, node, started, missing, version, context);
     }
 
-    /// Judges what a node that writes its last line, or starts anew, did not have.
-    fn judge_open(&mut self, node: Name, context: Context<'_>) {
+    /// Judges what a node did not have by its last line.
+    fn judge_open(&mut self, node: Name, last: Time, context: Context<'_>) {
         let Some(own) = self.nodes.get(&node) else { return };
-        let (last, started) = (own.last, own.started);
-        let missing = own.version().map_or(0, |it| it + 1);
+        let started = own.started;
+        let missing = own.version().map_or(0, |it| it.saturating_add(1));
         self.judge_lag(last, node, started, missing, u64::MAX, context);
     }
 
--- a/crates/margins/src/rule/config/node.rs
+++ b/crates/margins/src/rule/config/node.rs
@@ -12,8 +12,6 @@
 pub struct Node {
     /// When it started, or wrote its first line.
     pub started: Time,
-    /// When it wrote its last line.
-    pub last: Time,
     /// Its versions and since when each is in force, in rising order.
     versions: VecDeque<(u64, Time)>,
 }
@@ -23,7 +21,6 @@
     pub const fn new(started: Time) -> Self {
         Self {
             started,
-            last: started,
             versions: VecDeque::new(),
         }
     }
--- a/crates/margins/src/rule/drain.rs
+++ b/crates/margins/src/rule/drain.rs
@@ -71,7 +71,7 @@
                     state.come_back(at, *node);
                 }
             }
-            Event::Started { node } => self.told.retain(|(teller, _), _| teller != node),
+            Event::Started { node, .. } => self.told.retain(|(teller, _), _| teller != node),
             Event::Sent(dispatch) if !dispatch.is_misdirected => {
                 let place = || {
                     Place::new(at)
--- a/crates/margins/src/rule/pause.rs
+++ b/crates/margins/src/rule/pause.rs
@@ -70,7 +70,7 @@
             Event::Ready { node, replica, .. } => {
                 self.pauses.remove(&(*node, *replica));
             }
-            Event::Started { node } => self.pauses.retain(|(owner, _), _| owner != node),
+            Event::Started { node, .. } => self.pauses.retain(|(owner, _), _| owner != node),
             Event::Sent(dispatch) => {
                 let Some(span) = self.pauses.get_mut(&(dispatch.node, dispatch.replica)) else {
                     return;
--- a/crates/margins/src/rule/repeats.rs
+++ b/crates/margins/src/rule/repeats.rs
@@ -40,7 +40,7 @@
     fn default() -> Self {
         Self {
             margin: Margin::new("BUDGET", "repeats of an endpoint in a window, all nodes")
-                .with_lacks("endpoints of requests that were not admitted: they are not counted"),
+                .with_lacks("endpoints of refused requests, and whether a failed dispatch had been sent"),
             endpoints: Bounded::new(MAX_ENDPOINTS),
         }
     }
--- a/crates/margins/tests/rules/lines.rs
+++ b/crates/margins/tests/rules/lines.rs
@@ -185,7 +185,7 @@
     let amount = amount as i64;
     match index % 12 {
         0 => started("a", time),
-        1 => configured("a", time, amount),
+        1 => configured("a", time, amount).text("version", &format!("{amount}e3")),
         2 => changed("a", time, "r1", "draining"),
         3 => changed("a", time, "r1", "ready"),
         4 => gone("a", time, "r1"),
