Drop what nodes knew of departures after a minute

It is dropped a minute after the replica's last departure or return. A node that is later than that with a departure which is over begins another one.

Tests: a replica that leaves again after minutes, and a table that is full.

--- a/crates/margins/src/bounded.rs
+++ b/crates/margins/src/bounded.rs
@@ -60,6 +60,11 @@
         self.entries.retain(keep);
     }
 
+    /// The values, to be changed.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut V> {
+        self.entries.values_mut()
+    }
+
     /// The entries in the order of their insertion, as long as none was removed.
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         self.entries.iter()
--- a/crates/margins/src/rule/drain.rs
+++ b/crates/margins/src/rule/drain.rs
@@ -9,6 +9,8 @@
 
 /// Maximum number of replicas that left.
 const MAX_REPLICAS: usize = 1 << 17;
+/// Interval at which it is dropped what each node knew of departures and returns that all nodes know of by then.
+const CLEAR_INTERVAL_MS: i64 = 10_000;
 
 /// The margins of replicas that leave.
 #[derive(Debug)]
@@ -19,6 +21,8 @@
     /// By an answer: what a node knows holds for that node.
     answer: Margin,
     told: Bounded<(Name, Name), Time>,
+    /// When that was dropped last.
+    cleared: Time,
 }
 
 impl Default for Drain {
@@ -37,6 +41,7 @@
             )
             .with_lacks(LACKS),
             told: Bounded::new(MAX_REPLICAS),
+            cleared: Time::MIN,
         }
     }
 }
@@ -51,6 +56,7 @@
                 replica,
                 knowledge: Knowledge::Store,
             } => {
+                self.clear(at);
                 let Some(state) = self.replicas.get_or_insert_with(*replica, Replica::default) else {
                     return;
                 };
@@ -91,6 +97,16 @@
         }
     }
 
+    fn clear(&mut self, now: Time) {
+        if now.since(self.cleared) < CLEAR_INTERVAL_MS {
+            return;
+        }
+        self.cleared = now;
+        for replica in self.replicas.values_mut() {
+            replica.forget_nodes(now);
+        }
+    }
+
     /// Records that a replica said to a node that it leaves.
     fn tell(&mut self, at: Time, node: Name, replica: Name, bound: Option<f64>) {
         let is_known = self.told.get(&(node, replica)).is_some();
--- a/crates/margins/src/rule/drain/replica.rs
+++ b/crates/margins/src/rule/drain/replica.rs
@@ -78,9 +78,10 @@
         }
     }
 
-    fn forget_nodes(&mut self, now: Time) {
+    /// Drops what each node knew of a departure or return that all nodes know of by now.
+    pub fn forget_nodes(&mut self, now: Time) {
         if self.changed.is_some_and(|at| now.since(at) > MAX_VIEW_LAG_MS) {
-            self.nodes.clear();
+            self.nodes = IndexMap::new();
         }
     }
 }
--- a/crates/margins/tests/rules/drain.rs
+++ b/crates/margins/tests/rules/drain.rs
@@ -180,6 +180,23 @@
                 cases: 2,
                 place: (Some("a"), Some("q1")),
             },
+            Case {
+                name: "a replica that was away for minutes and leaves again",
+                entries: vec![
+                    gone("a", 1_000, "r1"),
+                    gone("b", 1_100, "r1"),
+                    changed("b", 200_000, "r1", "ready"),
+                    changed("a", 200_100, "r1", "ready"),
+                    sent("a", 250_000, "q1"),
+                    gone("b", 300_000, "r1"),
+                    gone("a", 300_100, "r1"),
+                    sent("a", 302_001, "q2"),
+                ],
+                verdict: Verdict::Broken,
+                worst: Some(2_001.0),
+                cases: 2,
+                place: (Some("a"), Some("q2")),
+            },
             Case {
                 name: "a node that has just started and finds the replica ready does not end a departure",
                 entries: vec![
--- a/crates/margins/tests/rules/lines.rs
+++ b/crates/margins/tests/rules/lines.rs
@@ -234,3 +234,28 @@
 fn damaged_lines_never_stop_the_analysis() {
     check::property(2_000, 40, damaged_lines_are_counted as fn(Vec<Damage>));
 }
+
+/// What a table has no room for is counted by name; the entries before it are still judged.
+#[test]
+fn full_tables_are_named() {
+    const MAX_REPLICAS: usize = 1 << 16;
+    let bounds = Bounds::parse(BOUNDS, &[]).expect("bounds");
+    let mut analysis = Analysis::new(bounds);
+    for index in 0..MAX_REPLICAS + 3 {
+        let entry = Entry::new("a", 1_000, "rate limit of a replica changed")
+            .text("replica", &format!("r{index}"))
+            .number("per_s", 1);
+        analysis.read("day.log", "a", index as u64 + 1, entry.line().as_bytes());
+    }
+    for (id, replica) in [("q1", 1), ("q2", MAX_REPLICAS + 1)] {
+        let entry = ended("a", 2_000, id).text("replica", &format!("r{replica}"));
+        analysis.read("day.log", "a", 0, entry.line().as_bytes());
+    }
+    let report = analysis.finish();
+    assert_eq!(row(&report, "LIMIT", "").cases, 1);
+    let overflows: Vec<(&str, u64)> = report.overflows.iter().map(|it| (it.what, it.count)).collect();
+    assert_eq!(
+        overflows,
+        [("LIMIT: replicas that named a limit, or requests to one", 3)]
+    );
+}
