Check departures against what truly happened

Nodes learn of a replica's departures and returns at different times, later than the next change at times. The property draws changes, delays and requests, and compares the number of departures and the last request with an oracle that knows the changes.

--- a/crates/margins/tests/rules/main.rs
+++ b/crates/margins/tests/rules/main.rs
@@ -3,6 +3,7 @@
 mod bounds;
 mod budget;
 mod config;
+mod departures;
 mod drain;
 mod exposure;
 mod limit;
