Split reading a request's end from its dispatches

One function read the line, put the dispatches together and made the events. A line for which a table has no room is now counted as that alone, not also as one that lacks a field.

--- a/crates/margins/src/requests.rs
+++ b/crates/margins/src/requests.rs
@@ -3,10 +3,12 @@
 //! A node writes a line when a dispatch fails and when a request ends, not when it is sent. The first replica gets a
 //! request as it arrives, each further one as the dispatch before it fails.
 
+mod ended;
 mod open;
 
-use crate::event::{Arrival, Dispatch, End, Id, Outcome};
+use crate::event::Id;
 use crate::line::Fields;
+use crate::requests::ended::Ended;
 use crate::requests::open::{Failure, Open, Send};
 use crate::{Bounded, Event, Name, Names, Time};
 
@@ -41,7 +43,9 @@
         let id = Id::from(fields.id.text()?);
         let replica = names.intern(fields.replica.text()?)?;
         let cause = fields.cause.text().unwrap_or("");
-        let open = self.open.get_or_insert_with((node, id), || Open::new(at))?;
+        let Some(open) = self.open.get_or_insert_with((node, id), || Open::new(at)) else {
+            return Some(());
+        };
         if open.failures.len() < MAX_LINES {
             open.failures.push(Failure {
                 at,
@@ -57,7 +61,9 @@
     pub fn send(&mut self, at: Time, node: Name, fields: &Fields<'_>) -> Option<()> {
         let id = Id::from(fields.id.text()?);
         let attempt = fields.attempt.known()? as usize;
-        let open = self.open.get_or_insert_with((node, id), || Open::new(at))?;
+        let Some(open) = self.open.get_or_insert_with((node, id), || Open::new(at)) else {
+            return Some(());
+        };
         if open.sends.len() < MAX_LINES {
             open.sends.push(Send { at, attempt });
         }
@@ -72,74 +78,26 @@
         fields: &Fields<'_>,
         names: &mut Names,
     ) -> Option<Vec<(Time, Event)>> {
-        let request = Id::from(fields.id.text()?);
-        let route = names.intern(fields.route.text()?)?;
-        let endpoint = names.intern(fields.endpoint.text()?)?;
-        let workspace = fields.workspace.text().filter(|it| !it.is_empty());
-        let workspace = workspace.and_then(|it| names.intern(it));
-        let replica = fields.replica.text().filter(|it| !it.is_empty());
-        let replica = replica.and_then(|it| names.intern(it));
-        let attempts = fields.attempts.known()? as u64;
-        let took_ms = fields.took_ms.known()? as i64;
-        let received = at - took_ms;
-        let open = self.open.remove(&(node, Id::clone(&request)));
+        let ended = Ended::parse(at, node, fields, names)?;
+        let open = self.open.remove(&(node, Id::clone(&ended.request)));
         let open = open.unwrap_or_else(|| Open::new(at));
-        let not_run = open.failures.iter().filter(|it| it.is_not_run).count() as u64;
-        let runs = attempts.saturating_sub(not_run);
         let mut events = Vec::new();
-        if let Some(version) = fields.configuration.known() {
+        if let Some(version) = ended.configuration {
             let handled = Event::Handled {
-                request: Id::clone(&request),
+                request: Id::clone(&ended.request),
                 node,
-                version: version as u64,
+                version,
             };
-            events.push((received, handled));
+            events.push((ended.received, handled));
         }
-        let arrival = Arrival {
-            request: Id::clone(&request),
-            node,
-            endpoint,
-            workspace,
-            tokens: fields.tokens.known().map(|it| it as u64),
-            may_have_run: runs > 0,
-        };
-        events.push((received, Event::Arrived(arrival)));
-        let delay = fields.send_delay_ms.known().unwrap_or(0.0) as i64;
-        for index in 0..attempts.min(MAX_LINES as u64) as usize {
-            let is_last = index as u64 + 1 == attempts;
-            let failure = open.failures.get(index);
-            let replica = failure.map(|it| it.replica).or(replica.filter(|_| is_last));
-            let chosen = open.chosen(index, received);
-            let (Some(replica), Some(chosen)) = (replica, chosen) else {
-                self.unplaced += 1;
-                continue;
-            };
-            let dispatch = Dispatch {
-                request: Id::clone(&request),
-                node,
-                endpoint,
-                replica,
-                is_repeat: index > 0,
-                is_misdirected: failure.is_some_and(|it| it.is_misdirected),
-            };
-            let sent = if is_last { chosen + delay } else { chosen };
-            events.push((sent, Event::Sent(dispatch)));
+        events.push((ended.received, Event::Arrived(ended.arrival(&open))));
+        for index in 0..ended.attempts.min(MAX_LINES as u64) as usize {
+            match ended.dispatch(index, &open) {
+                Some((sent, dispatch)) => events.push((sent, Event::Sent(dispatch))),
+                None => self.unplaced += 1,
+            }
         }
-        let end = End {
-            request,
-            node,
-            route,
-            outcome: match fields.outcome.text() {
-                Some("stream_broken") => Outcome::StreamBroken,
-                _ => Outcome::Other,
-            },
-            took_ms,
-            left_ms: fields.left_ms.known().unwrap_or(0.0) as i64,
-            runs,
-            attempts,
-            view_age_ms: fields.view_age_ms.known(),
-        };
-        events.push((at, Event::Ended(end)));
+        events.push((at, Event::Ended(ended.end(&open))));
         Some(events)
     }
 
--- a/crates/margins/src/rule/drain.rs
+++ b/crates/margins/src/rule/drain.rs
@@ -9,7 +9,7 @@
 
 /// Maximum number of replicas that left.
 const MAX_REPLICAS: usize = 1 << 17;
-/// Interval at which it is dropped what each node knew of departures and returns that all nodes know of by then.
+/// Interval at which outdated knowledge of single nodes is dropped.
 const CLEAR_INTERVAL_MS: i64 = 10_000;
 
 /// The margins of replicas that leave.
@@ -21,7 +21,7 @@
     /// By an answer: what a node knows holds for that node.
     answer: Margin,
     told: Bounded<(Name, Name), Time>,
-    /// When that was dropped last.
+    /// When outdated knowledge of single nodes was dropped last.
     cleared: Time,
 }
 
