Order revisions of the store by era

Cause: a store that is restored from a copy goes back to lower revisions and gives them out again. The header that names its era was not read, so a node compared revisions by number alone. A view kept records of the lost span if the numbers had caught up, a reader served them to its askers, a node whose revision never came back listed again and again, and a compare value matched a record that was written anew.

Answers of an earlier era than the latest fail; calls that rest on an earlier era are not sent, and do not succeed if only the answer shows it. A watch into a later era ends like one whose history is gone. A history holds one era; an answer of a reader names its era, and an asker that has seen a later one refuses it.

The type stands in base, beside Incarnation, and store re-exports it: relay is pure and can't depend on store.

--- a/crates/entry/src/exchange/questions.rs
+++ b/crates/entry/src/exchange/questions.rs
@@ -1,6 +1,6 @@
 //! Questions of other nodes that wait for their answers.
 
-use base::Millis;
+use base::{Millis, Revision};
 use relay::{Answer, Call, Change, Desk, Query, Question};
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
@@ -42,19 +42,19 @@
     }
 
     /// Answers questions with the changes that a call returned, complete up to `revision`.
-    pub fn end_call(&mut self, call: Call, changes: &[Change], revision: u64) {
+    pub fn end_call(&mut self, call: Call, changes: &[Change], revision: Revision) {
         let answers = self.desk.end_call(call, changes, revision);
         self.deliver(answers);
     }
 
     /// Answers questions with the difference between the known records and a listing at `revision`.
-    pub fn end_listing(&mut self, call: Call, changes: &[Change], revision: u64) {
+    pub fn end_listing(&mut self, call: Call, changes: &[Change], revision: Revision) {
         let answers = self.desk.end_listing(call, changes, revision);
         self.deliver(answers);
     }
 
     /// Answers questions with the changes that another node returned, complete up to `revision`.
-    pub fn record_answer(&mut self, changes: &[Change], revision: u64, is_difference: bool) {
+    pub fn record_answer(&mut self, changes: &[Change], revision: Revision, is_difference: bool) {
         let answers = self.desk.record_answer(changes, revision, is_difference);
         self.deliver(answers);
     }
@@ -66,7 +66,7 @@
     }
 
     /// Continues from a listing that does not connect to the known changes.
-    pub fn reset(&mut self, revision: u64) {
+    pub fn reset(&mut self, revision: Revision) {
         let answers = self.desk.reset(revision);
         self.deliver(answers);
     }
--- a/crates/entry/src/exchange/service.rs
+++ b/crates/entry/src/exchange/service.rs
@@ -48,7 +48,7 @@
             is_confirmed: true, ..
         } => "confirmed",
         Answer::Changes { .. } => "changes",
-        Answer::HistoryGone => "history-gone",
+        Answer::HistoryGone { .. } => "history-gone",
         Answer::Unavailable => "unavailable",
     };
     metrics::counter!("bilberrylatch_questions_total", "answer" => label).increment(1);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -2,7 +2,8 @@
 //!
 //! A single watch covers all keys. The next watch starts after a short delay, so that a burst of changes costs one
 //! call. If the watch fails, it is retried from the last revision; if its history is no longer available, all records
-//! are listed again. The view keeps its contents in the meantime.
+//! are listed again. The view keeps its contents in the meantime. The same holds if the store was restored from a copy,
+//! which starts a new era.
 //!
 //! In a large availability zone, most nodes ask another node for the changes instead (see [`relay`]). Revisions are
 //! the store's in either case, so a node continues from any source where another one left off.
@@ -13,7 +14,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Revision};
 use rand::RngExt;
 use relay::{Answer, Candidate, Change, Failure, Pace, Path, Query, Source};
 use store::Error;
@@ -49,6 +50,9 @@
     Duration::from_millis(400),
 ];
 
+/// Maximum delay of the listing after a restore of the store, so that not all nodes list at once.
+const RESTORE_JITTER: Duration = Duration::from_millis(200);
+
 /// Follows the store until the node stops.
 pub async fn run(shared: Arc<Shared>) {
     let lifecycle = shared.lifecycle.clone();
@@ -69,7 +73,7 @@
     path: Path,
     source: Source,
     /// Revision up to which the view is complete; `None` before the first listing.
-    revision: Option<u64>,
+    revision: Option<Revision>,
     /// Whether the records must be listed, since the changes since the revision are not available.
     needs_listing: bool,
     failures: usize,
@@ -90,7 +94,8 @@
 
     /// Makes one call and handles its result.
     async fn step(&mut self) {
-        let revision = self.revision.filter(|_| !self.needs_listing);
+        let era = self.shared.store.era();
+        let revision = self.revision.filter(|it| !self.needs_listing && it.era >= era);
         match (self.choose_source(), revision) {
             (Source::Peer(node), Some(revision)) => self.ask(node, revision).await,
             (Source::Store | Source::Peer(_), revision) => self.read_store(revision).await,
@@ -128,7 +133,7 @@
             .collect()
     }
 
-    async fn read_store(&mut self, revision: Option<u64>) {
+    async fn read_store(&mut self, revision: Option<Revision>) {
         metrics::counter!("bilberrylatch_view_reads_total", "source" => "store").increment(1);
         let sent = self.shared.now();
         let result = match revision {
@@ -138,7 +143,8 @@
         match result {
             Ok(has_changes) => sleep(self.call_delay(has_changes)).await,
             Err(Error::HistoryGone) => {
-                log::warn!(revision = self.revision.unwrap_or(0); "store history gone, listing again");
+                let Revision { era, number } = self.revision.unwrap_or_default();
+                log::warn!(revision = number, era; "store history gone, listing again");
                 self.needs_listing = true;
             }
             Err(error) => self.handle_failure(&error).await,
@@ -164,18 +170,29 @@
     }
 
     async fn list(&mut self, sent: Millis) -> Result<bool, Error> {
+        if self.revision.is_some_and(|it| it.era < self.shared.store.era()) {
+            let jitter: f64 = rand::rng().random_range(0.0..1.0);
+            sleep(RESTORE_JITTER.mul_f64(jitter)).await;
+        }
         let call = self.shared.questions().begin_call();
         let listing = self.shared.store.list(ALL_KEYS).await?;
         self.handle_success(Source::Store);
+        let before = self.revision;
+        let connects = |it: &Revision| it.era == listing.revision.era && *it <= listing.revision;
+        let is_restored = before.is_some_and(|it| it.era < listing.revision.era);
+        if let Some(before) = before.filter(|_| is_restored) {
+            self.shared.record_restore(before, listing.revision);
+        }
         let changes = {
             let mut applier = lock(&self.applier);
-            let changes = self
-                .revision
+            let changes = before
+                .filter(connects)
                 .map(|revision| applier.changes_since(revision, &listing));
             applier.apply_listing(&listing);
             changes
         };
-        self.advance(listing.revision);
+        // NB: lower than before if the store was restored, also by one that names no era.
+        self.revision = Some(listing.revision);
         self.needs_listing = false;
         self.confirm_freshness(sent);
         let mut questions = self.shared.questions();
@@ -183,11 +200,12 @@
             Some(changes) => questions.end_listing(call, &changes, listing.revision),
             None => questions.reset(listing.revision),
         }
-        log::info!(records = listing.entries.len(), revision = listing.revision; "store listed");
+        log::info!(records = listing.entries.len(), revision = listing.revision.number, era = listing.revision.era;
+            "store listed");
         Ok(false)
     }
 
-    async fn watch(&mut self, sent: Millis, revision: u64) -> Result<bool, Error> {
+    async fn watch(&mut self, sent: Millis, revision: Revision) -> Result<bool, Error> {
         let wait = if self.shared.is_asked() {
             self.pace().watch_timeout().as_duration()
         } else {
@@ -204,7 +222,7 @@
     }
 
     /// Asks another node for the changes since `revision`.
-    async fn ask(&mut self, node: Incarnation, revision: u64) {
+    async fn ask(&mut self, node: Incarnation, revision: Revision) {
         metrics::counter!("bilberrylatch_view_reads_total", "source" => "peer").increment(1);
         let Some(address) = self.shared.followed_peer() else {
             return self
@@ -214,7 +232,21 @@
         let sent = self.shared.now();
         let query = Query { after: revision };
         let limit = self.pace().answer_timeout().as_duration();
-        match self.shared.ask_peer(address, query, limit).await {
+        let result = self.shared.ask_peer(address, query, limit).await;
+        let known = revision.max(Revision::new(self.shared.store.era(), 0));
+        match result {
+            Ok(answer) if answer.is_earlier_than(known) => {
+                self.handle_peer_failure(
+                    node,
+                    Failure::Outdated,
+                    "has not seen that the store was restored",
+                )
+                .await;
+            }
+            Ok(answer) if answer.is_later_than(revision) => {
+                log::info!(era = revision.era, reader:% = node; "store restored, as the reader has seen");
+                self.needs_listing = true;
+            }
             Ok(Answer::Changes {
                 changes,
                 revision,
@@ -233,8 +265,8 @@
                     .questions()
                     .record_answer(&changes, end, is_difference);
             }
-            Ok(Answer::HistoryGone) => {
-                log::info!(revision, reader:% = node; "changes not known to the reader");
+            Ok(Answer::HistoryGone { .. }) => {
+                log::info!(revision = revision.number, reader:% = node; "changes not known to the reader");
                 let now = self.shared.now();
                 self.path.record_peer_failure(now, node, Failure::HistoryGone);
             }
@@ -247,7 +279,7 @@
     }
 
     /// Applies changes that complete the view up to `revision`. Returns the revision up to which it is complete.
-    fn apply(&mut self, changes: &[Change], revision: u64) -> u64 {
+    fn apply(&mut self, changes: &[Change], revision: Revision) -> Revision {
         {
             let mut applier = lock(&self.applier);
             for change in changes {
@@ -255,15 +287,11 @@
             }
         }
         let last = changes.iter().map(|change| change.revision).max();
-        let end = revision.max(last.unwrap_or(0));
-        self.advance(end);
+        let end = last.map_or(revision, |last| revision.max(last));
+        self.revision = self.revision.max(Some(end));
         end
     }
 
-    fn advance(&mut self, revision: u64) {
-        self.revision = self.revision.max(Some(revision));
-    }
-
     fn confirm_freshness(&self, sent: Millis) {
         self.shared.view().freshness.confirm(sent);
     }
@@ -308,7 +336,9 @@
         self.path.record_peer_failure(now, node, failure);
         let jitter: f64 = rand::rng().random_range(0.0..1.0);
         let delay = match failure {
-            Failure::Unreachable | Failure::HistoryGone => MAX_FALLBACK_DELAY.mul_f64(jitter),
+            Failure::Unreachable | Failure::HistoryGone | Failure::Outdated => {
+                MAX_FALLBACK_DELAY.mul_f64(jitter)
+            }
             Failure::Unavailable => {
                 self.record_outage(&cause);
                 UNAVAILABLE_DELAY.mul_f64(f64::midpoint(1.0, jitter))
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Revision};
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use place::{Spec, State};
@@ -68,7 +68,7 @@
     /// The changes from the records known at `revision` to a listing, in revision order.
     ///
     /// A page of the listing may be later than its revision. Those changes are left to the next watch.
-    pub fn changes_since(&self, revision: u64, listing: &Listing) -> Vec<Change> {
+    pub fn changes_since(&self, revision: Revision, listing: &Listing) -> Vec<Change> {
         let present: IndexSet<&str> = listing.entries.iter().map(|it| it.key.as_str()).collect();
         let is_new = |it: &&listing::Entry| it.revision > revision && it.revision <= listing.revision;
         let written = listing.entries.iter().filter(is_new).map(|entry| Change {
@@ -104,20 +104,20 @@
         self.deletions.next_due(up_since)
     }
 
-    fn put(&mut self, key: &str, value: &Bytes, revision: u64) {
+    fn put(&mut self, key: &str, value: &Bytes, revision: Revision) {
         self.deletions.cancel(key);
         let known = match self.shared.edge.decode_record(key, value) {
             StoredRecord::Table(table) => self.put_configuration(&table),
             StoredRecord::Replica(spec) => self.put_replica(key, spec),
             StoredRecord::InvalidReplica { id, cause } => {
-                log::warn!(replica:% = id, revision, cause:% = cause; "unusable registration of a replica");
+                log::warn!(replica:% = id, revision = revision.number, cause:% = cause; "unusable registration of a replica");
                 self.forget(key, "invalid registration");
                 RecordKind::Other
             }
-            StoredRecord::RolloutOrder(order) => self.put_rollout_order(order, revision),
+            StoredRecord::RolloutOrder(order) => self.put_rollout_order(order, revision.number),
             StoredRecord::Internal(rest) => self.put_internal(rest, value, revision),
             StoredRecord::Invalid(cause) => {
-                log::warn!(key, revision, cause:% = cause; "invalid record");
+                log::warn!(key, revision = revision.number, cause:% = cause; "invalid record");
                 return;
             }
             StoredRecord::Other => RecordKind::Other,
@@ -177,22 +177,24 @@
         RecordKind::RolloutOrder(endpoint)
     }
 
-    fn put_internal(&self, rest: String, value: &Bytes, revision: u64) -> RecordKind {
+    fn put_internal(&self, rest: String, value: &Bytes, revision: Revision) -> RecordKind {
         if let Some(name) = rest.strip_prefix(NODES_PREFIX) {
             return self.put_node(name, value);
         }
         if let Some(writer) = rest.strip_prefix(REPORTS_PREFIX) {
-            return self.put_reports(writer, value, revision);
+            return self.put_reports(writer, value, revision.number);
         }
         let mut view = self.shared.view();
         if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
             match serde_json::from_slice::<Rollout>(value) {
                 Ok(record) => {
                     log::info!(endpoint, target:% = record.target, stage:? = record.stage, share = record.share,
-                        reason:% = record.reason, revision; "move changed");
+                        reason:% = record.reason, revision = revision.number; "move changed");
                     view.rollouts.records.insert(Arc::from(endpoint), record);
                 }
-                Err(error) => log::warn!(endpoint, revision, cause:% = error; "invalid record of a rollout"),
+                Err(error) => {
+                    log::warn!(endpoint, revision = revision.number, cause:% = error; "invalid record of a rollout");
+                }
             }
         }
         view.internal.insert(
--- a/crates/entry/src/leader/election.rs
+++ b/crates/entry/src/leader/election.rs
@@ -122,7 +122,7 @@
             Ok(record) => Some(Observed {
                 lease_alive: view.peers.values().any(|peer| peer.lease == record.lease.0),
                 record,
-                revision: Revision(own.revision),
+                revision: Revision(own.revision.number),
             }),
             Err(error) => {
                 log::error!(cause:% = error; "invalid record of the leader role");
@@ -140,7 +140,9 @@
             }
         };
         let key = format!("{}{KEY}", self.shared.edge.internal_prefix());
-        let condition = expect.map_or(Condition::Absent, |it| Condition::Revision(it.0));
+        let era = self.shared.store.era();
+        let revision = |it: Revision| store::Revision::new(era, it.0);
+        let condition = expect.map_or(Condition::Absent, |it| Condition::Revision(revision(it)));
         let write = store::Write::new(key, value, condition);
         match self.shared.store.write_once(&write).await {
             Ok(_revision) => Event::Swapped(record.write_id),
--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -121,9 +121,9 @@
             return Ok(());
         };
         let lease_id = lease
-            .0
+            .id
             .parse()
-            .map_err(|_not_a_number| Error::Protocol(format!("lease id {} is not a number", lease.0)))?;
+            .map_err(|_not_a_number| Error::Protocol(format!("lease id {} is not a number", lease.id)))?;
         self.write(&lease, lease_id).await?;
         self.lease_sender.send_replace(Some(HeldLease {
             lease: lease_id,
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::MutexGuard;
 
-use base::Millis;
+use base::{Millis, Revision};
 use relay::Availability;
 
 use super::{Shared, lock};
@@ -34,6 +34,14 @@
         self.update_availability("answer", Availability::record_answer);
     }
 
+    /// Records that the store was restored from a copy, as the first answer to this node shows.
+    pub fn record_restore(&self, before: Revision, after: Revision) {
+        log::warn!(era_before = before.era, era = after.era, revision_before = before.number, revision = after.number;
+            "store restored from a copy");
+        metrics::counter!("bilberrylatch_store_restores_total").increment(after.era - before.era);
+        metrics::gauge!("bilberrylatch_store_era").set(after.era as f64);
+    }
+
     /// Records where a datagram came from and what its sender knows of the store.
     pub fn record_sender(&self, datagram: &Datagram, address: SocketAddr) {
         if datagram.scope == Scope::Node {
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -5,7 +5,7 @@
 
 use base::Millis;
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 
 use super::{Connection, Connections, SendError};
@@ -15,6 +15,8 @@
 pub struct Reply {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -42,6 +44,7 @@
     }
     Ok(Reply {
         status: head.status,
+        headers: head.headers,
         body,
     })
 }
--- a/crates/entry/src/view/state.rs
+++ b/crates/entry/src/view/state.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use base::Revision;
 use bytes::Bytes;
 use indexmap::IndexMap;
 use table::Table;
@@ -14,8 +15,8 @@
 pub struct InternalRecord {
     /// Its value.
     pub value: Bytes,
-    /// Its revision.
-    pub revision: u64,
+    /// Its revision. Of an earlier era if the record is missing since the store was restored.
+    pub revision: Revision,
 }
 
 /// A node's view of the store.
--- a/crates/node/src/actor/claims/chosen.rs
+++ b/crates/node/src/actor/claims/chosen.rs
@@ -6,7 +6,7 @@
 use claim::ledger::{Action, BaseDone, Event, Key, ReadDone, Shard, Version, WriteDone};
 use kameo::actor::WeakActorRef;
 use kameo::message::{Context, Message};
-use store::{Condition, Error, Write};
+use store::{Condition, Error, Revision, Write};
 use tokio::sync::mpsc;
 
 use super::{Claims, Directive, OpenCall};
@@ -176,7 +176,7 @@
             let result = match shared.store.get(&base_key(shard)).await {
                 Ok(Some(record)) => BaseDone::Found {
                     bytes: record.value,
-                    version: version(record.revision),
+                    version: version(record.revision.number),
                 },
                 Ok(None) => BaseDone::Absent,
                 Err(_error) => BaseDone::Unavailable,
@@ -204,7 +204,7 @@
     }
 }
 
-fn write_result(result: Result<u64, Error>) -> WriteDone {
+fn write_result(result: Result<Revision, Error>) -> WriteDone {
     match result {
         Ok(_revision) => WriteDone::Created,
         Err(Error::Conflict(_)) => WriteDone::Exists,
@@ -219,5 +219,8 @@
 
 fn condition(version: &Version) -> Condition {
     let bytes: [u8; 8] = version.0.as_ref().try_into().unwrap_or_default();
-    Condition::Revision(u64::from_be_bytes(bytes))
+    Condition::Revision(Revision {
+        era: 0,
+        number: u64::from_be_bytes(bytes),
+    })
 }
--- a/crates/node/src/platform/catalogue.rs
+++ b/crates/node/src/platform/catalogue.rs
@@ -30,7 +30,7 @@
     /// Head record.
     pub head: Head,
     /// Revision of the record.
-    pub revision: u64,
+    pub revision: store::Revision,
 }
 
 /// Reason why an edit was not accepted.
@@ -89,7 +89,7 @@
     let next = stored.head.next(text, id, author);
     write_text(store, text, &next).await?;
     let value = serde_json::to_vec(&next).map_err(|error| Rejected::Unavailable(error.to_string()))?;
-    let condition = if stored.revision == 0 {
+    let condition = if stored.revision == store::Revision::default() {
         Condition::Absent
     } else {
         Condition::Revision(stored.revision)
@@ -191,7 +191,7 @@
 }
 
 /// Reads the head record and sends it to the members actor; returns its revision.
-async fn publish_head(shared: &Shared) -> Result<u64, store::Error> {
+async fn publish_head(shared: &Shared) -> Result<store::Revision, store::Error> {
     let stored = read(&shared.store).await?;
     let empty = generation::Head {
         generation: Generation(0),
@@ -203,7 +203,7 @@
 }
 
 async fn watch_head(shared: &Shared) {
-    let mut revision = 0;
+    let mut revision = store::Revision::default();
     loop {
         if !is_watcher(shared).await {
             sleep(RETRY_INTERVAL).await;
--- a/crates/node/src/platform/registration.rs
+++ b/crates/node/src/platform/registration.rs
@@ -106,7 +106,7 @@
 
 /// Id of the lease, as used by roles.
 fn role_lease(lease: &Lease) -> role::Lease {
-    role::Lease(hash::stable(&lease.0))
+    role::Lease(hash::stable(&lease.id))
 }
 
 /// Whether the lease under which `holder` acquired a role is still alive.
--- a/crates/node/src/platform/rollout.rs
+++ b/crates/node/src/platform/rollout.rs
@@ -47,7 +47,7 @@
     let Some(record) = shared.store.get(&role_key(endpoint)).await? else {
         return Ok(None);
     };
-    let revision = Revision(record.revision);
+    let revision = Revision(record.revision.number);
     let record: Record = parse(&record.value)?;
     let lease_alive = match record.holder {
         Some(holder) => registration::is_alive(shared, holder, record.lease).await?,
@@ -69,7 +69,9 @@
     record: Record,
 ) {
     tokio::spawn(async move {
-        let condition = expect.map_or(Condition::Absent, |revision| Condition::Revision(revision.0));
+        let condition = expect.map_or(Condition::Absent, |revision| {
+            Condition::Revision(stored_revision(revision.0))
+        });
         let event = match write(&shared, role_key(&endpoint), &record, condition).await {
             Ok(_revision) => Event::Swapped(record.write_id),
             Err(Error::Conflict(_)) => Event::Conflict(record.write_id),
@@ -102,7 +104,7 @@
     };
     Ok(Some(Box::new(Stored {
         record: parse(&record.value)?,
-        generation: record.revision,
+        generation: record.revision.number,
     })))
 }
 
@@ -118,10 +120,10 @@
         let condition = if expected == 0 {
             Condition::Absent
         } else {
-            Condition::Revision(expected)
+            Condition::Revision(stored_revision(expected))
         };
         let result = match write(&shared, rollout_key(&endpoint), &*record, condition).await {
-            Ok(revision) => StoreResult::Ok(revision),
+            Ok(revision) => StoreResult::Ok(revision.number),
             Err(Error::Conflict(_)) => match read_rollout(&shared, &endpoint).await {
                 Ok(stored) => StoreResult::Conflict(stored),
                 Err(_error) => StoreResult::Lost,
@@ -152,7 +154,12 @@
     });
 }
 
-async fn write<T>(shared: &Shared, key: String, value: &T, condition: Condition) -> Result<u64, Error>
+async fn write<T>(
+    shared: &Shared,
+    key: String,
+    value: &T,
+    condition: Condition,
+) -> Result<store::Revision, Error>
 where
     T: Serialize,
 {
@@ -179,3 +186,8 @@
         let _ended = actor.tell(message).await;
     }
 }
+
+/// Revision in the key-value service, which names no era.
+fn stored_revision(number: u64) -> store::Revision {
+    store::Revision { era: 0, number }
+}
--- a/crates/relay/src/change.rs
+++ b/crates/relay/src/change.rs
@@ -1,5 +1,6 @@
 //! Changes of the store.
 
+use base::Revision;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -9,7 +10,7 @@
     /// The key.
     pub key: String,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The written value; `None` for a deletion.
     pub value: Option<Bytes>,
 }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -1,6 +1,6 @@
 //! Questions of other nodes, and the calls to the store that answer them.
 
-use base::Millis;
+use base::{Millis, Revision};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{Answer, Change, History, Query};
@@ -56,7 +56,9 @@
     pub fn ask(&mut self, now: Millis, query: Query) -> Result<Question, Answer> {
         self.asked_at = Some(now);
         match self.changes_for(query) {
-            None => Err(Answer::HistoryGone),
+            None => Err(Answer::HistoryGone {
+                revision: self.history.end(),
+            }),
             Some(changes) if changes.is_empty() => Ok(self.pending.insert(Pending {
                 query,
                 sent_before: self.last_call,
@@ -82,19 +84,19 @@
     }
 
     /// Takes the changes that a call returned, complete up to `revision`.
-    pub fn end_call(&mut self, call: Call, changes: &[Change], revision: u64) -> Answers {
+    pub fn end_call(&mut self, call: Call, changes: &[Change], revision: Revision) -> Answers {
         self.history.append(changes, revision);
         self.answer(Some(call))
     }
 
     /// Takes the difference of the records between the known changes and a listing at `revision`.
-    pub fn end_listing(&mut self, call: Call, changes: &[Change], revision: u64) -> Answers {
+    pub fn end_listing(&mut self, call: Call, changes: &[Change], revision: Revision) -> Answers {
         self.history.append_difference(changes, revision);
         self.answer(Some(call))
     }
 
     /// Takes the changes that another node's answer returned, complete up to `revision`.
-    pub fn record_answer(&mut self, changes: &[Change], revision: u64, is_difference: bool) -> Answers {
+    pub fn record_answer(&mut self, changes: &[Change], revision: Revision, is_difference: bool) -> Answers {
         if is_difference {
             self.history.append_difference(changes, revision);
         } else {
@@ -110,7 +112,7 @@
     }
 
     /// Continues from a listing that does not connect to the history.
-    pub fn reset(&mut self, revision: u64) -> Answers {
+    pub fn reset(&mut self, revision: Revision) -> Answers {
         self.history.reset(revision);
         self.answer(None)
     }
@@ -120,7 +122,8 @@
         for (question, pending) in &self.pending {
             let is_confirmed = call.is_some_and(|call| call > pending.sent_before);
             let Some(changes) = self.changes_for(pending.query) else {
-                answers.push((question, Answer::HistoryGone));
+                let revision = self.history.end();
+                answers.push((question, Answer::HistoryGone { revision }));
                 continue;
             };
             // NB: the asker may know more than this node, whose call then confirms nothing of it.
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -2,6 +2,8 @@
 
 use std::collections::VecDeque;
 
+use base::Revision;
+
 use crate::Change;
 
 /// Maximum number of changes kept.
@@ -9,13 +11,13 @@
 /// Maximum size of the kept values and keys, in bytes. A single larger change is kept nevertheless.
 const MAX_BYTES: usize = 1024 * 1024;
 
-/// The changes between two revisions.
+/// The changes between two revisions of one era.
 #[derive(Clone, Debug, Default)]
 pub struct History {
     /// All changes after this revision are kept.
-    start: u64,
+    start: Revision,
     /// Revision up to which the changes are complete.
-    end: u64,
+    end: Revision,
     changes: VecDeque<Change>,
     bytes: usize,
     /// Revisions between which only the difference of the records is known.
@@ -26,8 +28,8 @@
 /// the history is of no use to a node whose view is from within it.
 #[derive(Clone, Copy, Debug)]
 struct Skipped {
-    from: u64,
-    to: u64,
+    from: Revision,
+    to: Revision,
 }
 
 /// The history does not reach back to the requested revision.
@@ -36,7 +38,7 @@
 
 impl History {
     /// Drops all changes and continues from a revision.
-    pub fn reset(&mut self, revision: u64) {
+    pub fn reset(&mut self, revision: Revision) {
         *self = Self {
             start: revision,
             end: revision,
@@ -45,12 +47,19 @@
     }
 
     /// Revision up to which the changes are complete.
-    pub const fn end(&self) -> u64 {
+    pub const fn end(&self) -> Revision {
         self.end
     }
 
-    /// Appends changes that complete the history up to `revision`. Changes that are already known are skipped.
-    pub fn append(&mut self, changes: &[Change], revision: u64) {
+    /// Appends changes that complete the history up to `revision`. Changes that are already known are skipped. Those of an
+    /// earlier era change nothing, and those of a later era do not connect to the history, which is dropped.
+    pub fn append(&mut self, changes: &[Change], revision: Revision) {
+        if revision.era > self.end.era {
+            return self.reset(revision);
+        }
+        if revision.era < self.end.era {
+            return;
+        }
         for change in changes.iter().filter(|change| change.revision > self.end) {
             self.bytes += size(change);
             self.changes.push_back(change.clone());
@@ -67,9 +76,9 @@
     }
 
     /// Appends the difference of the records between the end of the history and a listing at `revision`.
-    pub fn append_difference(&mut self, changes: &[Change], revision: u64) {
+    pub fn append_difference(&mut self, changes: &[Change], revision: Revision) {
         let (from, to) = (self.end, revision);
-        if to > from + 1 {
+        if to.era == from.era && to.number > from.number + 1 {
             self.skipped.push(Skipped { from, to });
         }
         self.append(changes, revision);
@@ -77,14 +86,14 @@
     }
 
     /// Whether the changes after `revision` leave out records that were both written and deleted since then.
-    pub fn is_difference(&self, revision: u64) -> bool {
+    pub fn is_difference(&self, revision: Revision) -> bool {
         self.skipped.iter().any(|it| it.from >= revision)
     }
 
     /// Changes after `revision`.
-    pub fn after(&self, revision: u64) -> Result<impl Iterator<Item = &Change>, Gone> {
+    pub fn after(&self, revision: Revision) -> Result<impl Iterator<Item = &Change>, Gone> {
         let is_skipped = |it: &Skipped| it.from < revision && revision < it.to;
-        if revision < self.start || self.skipped.iter().any(is_skipped) {
+        if revision.era != self.end.era || revision < self.start || self.skipped.iter().any(is_skipped) {
             return Err(Gone);
         }
         let first = self.changes.partition_point(|change| change.revision <= revision);
--- a/crates/relay/src/path.rs
+++ b/crates/relay/src/path.rs
@@ -59,6 +59,8 @@
     Unavailable,
     /// The node does not have all changes since the asker's revision. The store has them.
     HistoryGone,
+    /// The node has not seen the latest restore of the store.
+    Outdated,
 }
 
 impl Failure {
@@ -68,6 +70,7 @@
             Self::Unreachable => "unreachable",
             Self::Unavailable => "unavailable",
             Self::HistoryGone => "history-gone",
+            Self::Outdated => "outdated",
         }
     }
 }
@@ -142,7 +145,7 @@
         match failure {
             Failure::Unreachable => self.suspect(now, node),
             Failure::Unavailable => self.unavailable = Some(node),
-            Failure::HistoryGone => {}
+            Failure::HistoryGone | Failure::Outdated => {}
         }
     }
 
--- a/crates/relay/tests/cluster/message.rs
+++ b/crates/relay/tests/cluster/message.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes and the store.
 
+use base::Revision;
 use relay::Change;
 
 use crate::store::State;
@@ -11,7 +12,7 @@
         from: usize,
         to: usize,
         call: u64,
-        after: u64,
+        after: Revision,
     },
     Answer {
         to: usize,
@@ -38,19 +39,20 @@
 /// What the store answers.
 #[derive(Clone, Debug)]
 pub enum StoreResult {
-    Changes(Vec<Change>, u64),
-    Listing(State, u64),
-    HistoryGone,
+    Changes(Vec<Change>, Revision),
+    Listing(State, Revision),
+    /// The store does not have the history since the revision, in this era.
+    HistoryGone(u64),
     Failed,
 }
 
 /// The changes that lead from one state to another.
-pub fn changes_between(before: &State, after: &State, revision: u64) -> Vec<Change> {
+pub fn changes_between(before: &State, after: &State, revision: Revision) -> Vec<Change> {
     let written = after.iter().filter(|(key, at)| before.get(*key) != Some(*at));
     let mut changes: Vec<Change> = written
         .map(|(key, at)| Change {
             key: key.clone(),
-            revision: *at,
+            revision: Revision::new(revision.era, *at),
             value: Some(bytes::Bytes::new()),
         })
         .collect();
--- a/crates/relay/tests/cluster/node.rs
+++ b/crates/relay/tests/cluster/node.rs
@@ -1,6 +1,6 @@
 //! One node: its view, its path, and the questions of other nodes.
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Revision};
 use relay::{Call, Change, Desk, Path, Question};
 use slotmap::SecondaryMap;
 
@@ -22,7 +22,9 @@
     /// Askers of the waiting questions, with the number of their call.
     pub askers: SecondaryMap<Question, (usize, u64)>,
     pub view: State,
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
+    /// The latest era that an answer of the store named.
+    pub era: u64,
     pub needs_listing: bool,
     pub confirmed_at: Option<u64>,
     pub waiting: Waiting,
@@ -40,6 +42,7 @@
             askers: SecondaryMap::new(),
             view: State::new(),
             revision: None,
+            era: 0,
             needs_listing: true,
             confirmed_at: None,
             waiting: Waiting::Until(now),
@@ -53,8 +56,14 @@
         self.desk.is_asked(Millis(now))
     }
 
+    /// Revision from which the node goes on; `None` if it must list the records.
+    pub fn goes_on_from(&self) -> Option<Revision> {
+        self.revision
+            .filter(|it| !self.needs_listing && it.era == self.era)
+    }
+
     /// Applies changes that complete the view up to `revision`.
-    pub fn apply(&mut self, changes: &[Change], revision: u64) {
+    pub fn apply(&mut self, changes: &[Change], revision: Revision) {
         for change in changes {
             apply(&mut self.view, change);
         }
--- a/crates/relay/tests/cluster/world.rs
+++ b/crates/relay/tests/cluster/world.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 
 use base::seed::Generator;
-use base::{Incarnation, Millis, Seed};
+use base::{Incarnation, Millis, Revision, Seed};
 use rand::RngExt;
 use relay::{Answer, Candidate, Failure, Pace, Query, Source};
 
@@ -14,6 +14,8 @@
 
 const NODES: usize = 8;
 const KEYS: u64 = 6;
+/// Maximum number of changes that a restore of the store loses.
+const MAX_LOST_CHANGES: u64 = 40;
 const PACE: Pace = Pace::new(Millis(4_000));
 /// Timeout of a call to the store beyond its wait, in milliseconds.
 const STORE_TIMEOUT: u64 = 1_000;
@@ -39,7 +41,7 @@
         let mut world = Self {
             now: 1,
             generator: Seed(seed).generator(),
-            store: Store::default(),
+            store: Store::new(),
             nodes: (0..NODES).map(|index| Node::new(index, 1)).collect(),
             queue: BinaryHeap::new(),
             answers: Vec::new(),
@@ -124,6 +126,12 @@
                 self.nodes[node] = Node::new(node, self.now);
                 self.send_after(1, Message::Wake { node });
             }
+            10..12 => {
+                let lost = self.generator.random_range(0..MAX_LOST_CHANGES);
+                self.store.restore(self.now, lost);
+            }
+            // Other calls of the node name the era, too.
+            12..24 if !self.is_cut(NODES, node) => self.nodes[node].era = self.store.era(),
             9 => self
                 .cuts
                 .extend((0..NODES).map(|node| (node, NODES, self.now + length))),
@@ -228,7 +236,7 @@
         let node = &mut self.nodes[index];
         let is_asked = node.is_asked(now);
         let source = node.path.source(Millis(now), &zone, is_asked);
-        let revision = node.revision.filter(|_| !node.needs_listing);
+        let revision = node.goes_on_from();
         self.next_number += 1;
         let call = self.next_number;
         let peer = match (source, revision) {
@@ -265,7 +273,7 @@
         if self.is_cut(index, NODES) {
             return;
         }
-        let waits = revision.is_some_and(|it| it == self.store.revision());
+        let waits = revision.is_some_and(|it| it.number == self.store.revision().number);
         let wait = if waits { PACE.watch_timeout().0 } else { 0 };
         let until = self.now + wait;
         self.send_after(
@@ -284,12 +292,12 @@
             return;
         }
         let revision = self.store.revision();
-        let result = match node.revision.filter(|_| !node.needs_listing) {
+        let result = match node.goes_on_from() {
             _ if self.is_cut(index, NODES) => StoreResult::Failed,
             None => StoreResult::Listing(self.store.state_at(revision), revision),
-            Some(after) => match self.store.since(after) {
+            Some(after) => match self.store.since(after.number) {
                 Some(changes) => StoreResult::Changes(changes, revision),
-                None => StoreResult::HistoryGone,
+                None => StoreResult::HistoryGone(revision.era),
             },
         };
         self.results.push(result);
@@ -317,10 +325,23 @@
         }
         let result = self.results[result].clone();
         let node = &mut self.nodes[index];
+        let era = match &result {
+            StoreResult::Changes(_, revision) | StoreResult::Listing(_, revision) => revision.era,
+            StoreResult::HistoryGone(era) => *era,
+            StoreResult::Failed => node.era,
+        };
+        if era < node.era {
+            return self.fail_store(index);
+        }
+        node.era = era;
         let desk_call = node.desk_call.expect("a call to the store");
         let (answers, has_changes) = match result {
             StoreResult::Failed => return self.fail_store(index),
-            StoreResult::HistoryGone => {
+            StoreResult::HistoryGone(_) => {
+                node.needs_listing = true;
+                return self.wait(index, 1);
+            }
+            StoreResult::Changes(_, revision) if node.revision.is_none_or(|it| it.era != revision.era) => {
                 node.needs_listing = true;
                 return self.wait(index, 1);
             }
@@ -331,7 +352,7 @@
             }
             StoreResult::Listing(state, revision) => {
                 let changes = changes_between(&node.view, &state, revision);
-                let connects = node.revision.is_some();
+                let connects = node.revision.is_some_and(|it| it.era == revision.era);
                 node.view = state;
                 node.revision = Some(revision);
                 node.needs_listing = false;
@@ -354,7 +375,7 @@
         self.wait(index, delay);
     }
 
-    fn take_question(&mut self, from: usize, to: usize, call: u64, after: u64) {
+    fn take_question(&mut self, from: usize, to: usize, call: u64, after: Revision) {
         let node = &mut self.nodes[to];
         match node.desk.ask(Millis(self.now), Query { after }) {
             Ok(question) => {
@@ -399,7 +420,16 @@
         }
         let now = Millis(self.now);
         let node = &mut self.nodes[index];
-        match self.answers[answer].clone() {
+        let answer = self.answers[answer].clone();
+        let known = Revision::new(node.era, 0);
+        if answer.is_earlier_than(known) {
+            return self.fail_peer(index, from, Failure::Outdated);
+        }
+        if answer.is_later_than(known) {
+            node.needs_listing = true;
+            return self.wait(index, 1);
+        }
+        match answer {
             Answer::Changes {
                 changes,
                 revision,
@@ -416,7 +446,7 @@
                 }
                 self.wait(index, 1);
             }
-            Answer::HistoryGone => self.fail_peer(index, from, Failure::HistoryGone),
+            Answer::HistoryGone { .. } => self.fail_peer(index, from, Failure::HistoryGone),
             Answer::Unavailable => self.fail_peer(index, from, Failure::Unavailable),
         }
     }
--- a/crates/relay/tests/oracle.rs
+++ b/crates/relay/tests/oracle.rs
@@ -1,8 +1,9 @@
 //! Nodes that follow a store through each other, against an oracle that knows the store's history.
 //!
-//! Messages are delayed and lost, nodes freeze and restart, links are cut one way, the store turns nodes away and
-//! forgets its history. Whenever a node counts its view as confirmed, the view must contain every change that the store
-//! had accepted when the node sent the question.
+//! Messages are delayed and lost, nodes freeze and restart, links are cut one way, the store turns nodes away, forgets
+//! its history and is restored from copies that lack its latest changes. Whenever a node counts its view as confirmed, the
+//! view must be a state of one era of the store, of the one in which the node sent the question or a later one, and contain
+//! every change that the store had accepted then.
 
 #[path = "cluster/message.rs"]
 mod message;
--- a/crates/store/src/backend.rs
+++ b/crates/store/src/backend.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use base::Revision;
 use futures::future::BoxFuture;
+use tokio::sync::watch;
 
 use crate::{Changes, Error, Lease, Listing, Record, Write};
 
@@ -10,7 +12,15 @@
 ///
 /// A write whose response does not arrive must fail with [`Error::Indeterminate`]. It may fail with
 /// [`Error::Unavailable`] only if no byte of the request can have been sent.
+///
+/// A service that was restored from a copy names a higher era. An answer of an earlier era than one that another answer
+/// named must fail, and a call that rests on an earlier era must not be reported as a success.
 pub trait Backend: std::fmt::Debug + Send + Sync {
+    /// The highest era that an answer has named; `None` if the service names none.
+    fn eras(&self) -> Option<watch::Receiver<u64>> {
+        None
+    }
+
     /// Reads a record.
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Record>, Error>>;
 
@@ -23,7 +33,7 @@
     ) -> BoxFuture<'a, Result<Listing, Error>>;
 
     /// Makes a conditional write and returns the new revision.
-    fn write<'a>(&'a self, write: &'a Write) -> BoxFuture<'a, Result<u64, Error>>;
+    fn write<'a>(&'a self, write: &'a Write) -> BoxFuture<'a, Result<Revision, Error>>;
 
     /// Requests a new lease.
     fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<Lease, Error>>;
@@ -38,7 +48,7 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        revision: Revision,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Changes, Error>>;
 }
--- a/crates/store/src/change.rs
+++ b/crates/store/src/change.rs
@@ -1,5 +1,6 @@
 //! Changes reported by a watch.
 
+use base::Revision;
 use bytes::Bytes;
 
 /// The write or deletion of a record.
@@ -8,7 +9,7 @@
     /// The key.
     pub key: String,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether the record was deleted.
     pub deleted: bool,
     /// The written value; `None` for a deletion, or if the watches of the service report no values.
@@ -21,5 +22,5 @@
     /// The changes, in revision order; empty if none occurred before the timeout.
     pub list: Vec<Change>,
     /// Revision from which the next watch continues.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Revision;
 use tokio::time::{sleep, timeout};
 
 use crate::budget::{Budget, Kind};
@@ -43,6 +44,22 @@
         self
     }
 
+    /// The highest era that an answer has named; 0 if the service names none.
+    pub fn era(&self) -> u64 {
+        self.backend.eras().map_or(0, |eras| *eras.borrow())
+    }
+
+    /// Waits until an answer names a higher era than this one.
+    pub async fn wait_for_era_above(&self, era: u64) {
+        let Some(mut eras) = self.backend.eras() else {
+            return std::future::pending().await;
+        };
+        if eras.wait_for(|latest| *latest > era).await.is_err() {
+            // The backend is gone, and the client with it.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Reads a record.
     pub async fn get(&self, key: &str) -> Result<Option<Record>, Error> {
         self.read_with_retries(|| self.backend.get(key)).await
@@ -51,31 +68,30 @@
     /// Reads all records under `prefix`, in pages.
     pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
         const PAGE_SIZE: usize = 500;
-        let mut all = Listing::default();
+        let mut all: Option<Listing> = None;
         loop {
-            let after = all
-                .entries
-                .last()
-                .map_or(String::new(), |entry| entry.key.clone());
+            let last = all.as_ref().and_then(|all| all.entries.last());
+            let after = last.map_or(String::new(), |entry| entry.key.clone());
             let page = self
                 .read_with_retries(|| self.backend.list(prefix, &after, PAGE_SIZE))
                 .await?;
             let full_page = page.entries.len() == PAGE_SIZE;
             // Keep the revision of the first page, so that a watch from it reports the changes made while paging.
-            if all.revision == 0 {
-                all.revision = page.revision;
-            }
-            all.entries.extend(page.entries);
+            let listing = match all.take() {
+                None => page,
+                Some(first) => first.join(page)?,
+            };
             if !full_page {
-                return Ok(all);
+                return Ok(listing);
             }
+            all = Some(listing);
         }
     }
 
     /// Makes a conditional write. If the response is lost, the record is read back to determine the outcome.
     ///
     /// Returns [`Error::Indeterminate`] only if the outcome remains unknown after that.
-    pub async fn write(&self, write: &Write) -> Result<u64, Error> {
+    pub async fn write(&self, write: &Write) -> Result<Revision, Error> {
         if let Some(value) = &write.value
             && value.len() > crate::VALUE_LIMIT_BYTES
         {
@@ -119,7 +135,7 @@
     }
 
     /// Makes a write once and does not read it back, for callers that determine the outcome themselves.
-    pub async fn write_once(&self, write: &Write) -> Result<u64, Error> {
+    pub async fn write_once(&self, write: &Write) -> Result<Revision, Error> {
         self.budget.charge(Kind::Write)?;
         match timeout(self.policy.timeout, self.backend.write(write)).await {
             Ok(result) => result,
@@ -145,22 +161,27 @@
         self.with_timeout(self.backend.revoke(lease)).await
     }
 
-    /// Waits up to `wait` for changes under `prefix` after `revision`.
-    pub async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Changes, Error> {
+    /// Waits up to `wait` for changes under `prefix` after `revision`. A later era does not have its history.
+    pub async fn watch(&self, prefix: &str, revision: Revision, wait: Duration) -> Result<Changes, Error> {
         self.budget.charge(Kind::Read)?;
         metrics::gauge!("bilberrylatch_platform_watches").increment(1.0);
         let call_timeout = wait + self.policy.timeout;
         let result = timeout(call_timeout, self.backend.watch(prefix, revision, wait)).await;
         metrics::gauge!("bilberrylatch_platform_watches").decrement(1.0);
-        result.unwrap_or_else(|_elapsed| Err(Error::Unavailable("watch timed out".to_owned())))
+        let watched =
+            result.unwrap_or_else(|_elapsed| Err(Error::Unavailable("watch timed out".to_owned())))?;
+        if watched.revision.era != revision.era {
+            return Err(Error::HistoryGone);
+        }
+        Ok(watched)
     }
 
     /// Returns the revision of `write` if reading the record back shows that it took effect.
-    async fn read_back(&self, write: &Write) -> Result<Option<u64>, Error> {
+    async fn read_back(&self, write: &Write) -> Result<Option<Revision>, Error> {
         let record = self.get(&write.key).await?;
         let Some(record) = record else {
             // An absent record confirms a deletion, and shows that any other write has not taken effect yet.
-            return Ok(write.value.is_none().then_some(0));
+            return Ok(write.value.is_none().then(Revision::default));
         };
         Ok((record.write_id == write.id).then_some(record.revision))
     }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use base::Revision;
+
 /// Why a call failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -10,7 +12,7 @@
     /// The response to a write was lost and its outcome could not be determined: it may have taken effect.
     Indeterminate(String),
     /// The condition of the write did not hold; holds the current revision, if there is a record.
-    Conflict(Option<u64>),
+    Conflict(Option<Revision>),
     /// The value exceeds the service's limit; holds its size in bytes.
     TooLarge(usize),
     /// The lease has expired.
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use base::Revision;
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -20,6 +21,9 @@
 /// Header that carries the id of a write, in requests and responses.
 const WRITE_ID_HEADER: &str = "bilberrylatch-write-id";
 
+/// Era of this service, which names none.
+const NO_ERA: u64 = 0;
+
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -65,7 +69,7 @@
     }
 
     fn lease_url(&self, lease: &Lease) -> String {
-        format!("{}/v1/leases/{}", self.base_url, lease.0)
+        format!("{}/v1/leases/{}", self.base_url, lease.id)
     }
 
     async fn get_record(&self, key: &str) -> Result<Option<Record>, Error> {
@@ -96,7 +100,7 @@
         Page::decode(&read_body(response).await?).map(Page::into_listing)
     }
 
-    async fn write_record(&self, write: &Write) -> Result<u64, Error> {
+    async fn write_record(&self, write: &Write) -> Result<Revision, Error> {
         let url = self.record_url(&write.key);
         let mut request = match &write.value {
             Some(value) => self.client.put(url).body(value.clone()),
@@ -105,11 +109,13 @@
         request = request.header(WRITE_ID_HEADER, &write.id);
         request = match write.condition {
             Condition::Absent => request.header(header::IF_NONE_MATCH, "*"),
-            Condition::Revision(revision) => request.header(header::IF_MATCH, format!("\"{revision}\"")),
+            Condition::Revision(revision) => {
+                request.header(header::IF_MATCH, format!("\"{}\"", revision.number))
+            }
             Condition::Any => request,
         };
         if let Some(lease) = &write.lease {
-            request = request.header(LEASE_HEADER, &lease.0);
+            request = request.header(LEASE_HEADER, &lease.id);
         }
         let response = send(request, SideEffect::Possible).await?;
         let revision = etag_revision(response.headers());
@@ -142,7 +148,10 @@
             .json()
             .await
             .map_err(|error| Error::Protocol(error.to_string()))?;
-        Ok(Lease(granted.id))
+        Ok(Lease {
+            id: granted.id,
+            era: NO_ERA,
+        })
     }
 
     async fn update_lease(&self, request: RequestBuilder) -> Result<(), Error> {
@@ -154,8 +163,13 @@
         }
     }
 
-    async fn watch_changes(&self, prefix: &str, revision: u64, timeout: Duration) -> Result<Changes, Error> {
-        let after = revision.to_string();
+    async fn watch_changes(
+        &self,
+        prefix: &str,
+        revision: Revision,
+        timeout: Duration,
+    ) -> Result<Changes, Error> {
+        let after = revision.number.to_string();
         let timeout_ms = timeout.as_millis().to_string();
         let query = [
             ("prefix", prefix),
@@ -191,7 +205,7 @@
         self.list_page(prefix, after, limit).boxed()
     }
 
-    fn write<'a>(&'a self, write: &'a Write) -> BoxFuture<'a, Result<u64, Error>> {
+    fn write<'a>(&'a self, write: &'a Write) -> BoxFuture<'a, Result<Revision, Error>> {
         self.write_record(write).boxed()
     }
 
@@ -211,7 +225,7 @@
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
-        revision: u64,
+        revision: Revision,
         timeout: Duration,
     ) -> BoxFuture<'a, Result<Changes, Error>> {
         self.watch_changes(prefix, revision, timeout).boxed()
@@ -247,9 +261,10 @@
         .map_err(|error| Error::Unavailable(error.to_string()))
 }
 
-fn etag_revision(headers: &HeaderMap) -> Option<u64> {
+fn etag_revision(headers: &HeaderMap) -> Option<Revision> {
     let value = headers.get(header::ETAG)?.to_str().ok()?;
-    value.trim_matches('"').parse().ok()
+    let number = value.trim_matches('"').parse().ok()?;
+    Some(Revision::new(NO_ERA, number))
 }
 
 fn header_text(headers: &HeaderMap, name: &str) -> String {
--- a/crates/store/src/http/page.rs
+++ b/crates/store/src/http/page.rs
@@ -1,8 +1,10 @@
 //! The service's format of listings and watch responses: one line of JSON, followed by the concatenated values.
 
+use base::Revision;
 use bytes::Bytes;
 use serde::Deserialize;
 
+use super::NO_ERA;
 use crate::listing::Entry;
 use crate::{Change, Changes, Error, Listing};
 
@@ -55,13 +57,13 @@
         let entries = items
             .map(|(item, value)| Entry {
                 key: item.key,
-                revision: item.revision,
+                revision: Revision::new(NO_ERA, item.revision),
                 value,
             })
             .collect();
         Listing {
             entries,
-            revision: self.head.revision,
+            revision: Revision::new(NO_ERA, self.head.revision),
         }
     }
 
@@ -69,13 +71,13 @@
     pub fn into_changes(self) -> Changes {
         let change = |item: Item| Change {
             key: item.key,
-            revision: item.revision,
+            revision: Revision::new(NO_ERA, item.revision),
             deleted: item.deleted,
             value: None,
         };
         Changes {
             list: self.head.items.into_iter().map(change).collect(),
-            revision: self.head.revision,
+            revision: Revision::new(NO_ERA, self.head.revision),
         }
     }
 }
--- a/crates/store/src/lease.rs
+++ b/crates/store/src/lease.rs
@@ -1,5 +1,10 @@
 //! Leases. The service deletes the records bound to a lease when it expires.
 
-/// Id of a lease, assigned by the service.
+/// A lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Lease(pub String);
+pub struct Lease {
+    /// Id of the lease, assigned by the service. It may be assigned again in another era.
+    pub id: String,
+    /// Era of the service in which the lease was granted. The lease does not outlast it.
+    pub era: u64,
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod write;
 
 pub use backend::Backend;
+pub use base::Revision;
 pub use budget::Budget;
 pub use change::{Change, Changes};
 pub use client::Client;
