Keep what a restored store lacks until it is written again

Cause: after a restore, records that their writers have yet to write again counted as deleted at once, so live replicas got no requests for up to two seconds. Records of the copy that are older than what the node knew took effect: a draining or withdrawn replica was used again.

Change: a restore counts as the end of an outage (relay::Availability), which other nodes' reports don't take back, so missing records are removed after 1.8 s. A restored registration is withheld if the same incarnation is known as draining, or if it was removed in the last minute, until it is written again, or the store has kept it for four renewal intervals, after which its replica must be alive.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -10,6 +10,7 @@
 
 mod apply;
 mod expiry;
+mod withheld;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -188,6 +189,9 @@
             let changes = before
                 .filter(connects)
                 .map(|revision| applier.changes_since(revision, &listing));
+            if is_restored {
+                applier.withhold_outdated(&listing);
+            }
             applier.apply_listing(&listing);
             changes
         };
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -10,6 +10,7 @@
 use store::{Listing, listing};
 use table::Table;
 
+use super::withheld::Withheld;
 use crate::Shared;
 use crate::edge::{RolloutOrder, StoredRecord};
 use crate::publish::{REPORTS_PREFIX, Summary};
@@ -20,6 +21,11 @@
 /// Key prefix of the rollout records, after the internal prefix.
 pub const ROLLOUTS_PREFIX: &str = "moves/";
 
+/// Time for which a removed replica is remembered, at least the age of the copies that the store is restored from.
+const REMOVAL_MEMORY: Millis = Millis(60_000);
+/// Renewal intervals after which the store has removed the registration of a replica that does not renew it.
+const EXPIRY_INTERVALS: u64 = 4;
+
 /// What the record of a key describes, needed to apply its deletion.
 #[derive(Clone, Debug)]
 enum RecordKind {
@@ -37,6 +43,9 @@
     shared: Arc<Shared>,
     known: IndexMap<String, RecordKind>,
     deletions: Deletions,
+    /// Keys of replicas that were removed lately, and when.
+    removed: IndexMap<String, Millis>,
+    withheld: Withheld,
 }
 
 impl Applier {
@@ -45,6 +54,8 @@
             shared,
             known: IndexMap::new(),
             deletions: Deletions::default(),
+            removed: IndexMap::new(),
+            withheld: Withheld::default(),
         }
     }
 
@@ -61,8 +72,41 @@
             self.handle_deletion(&key);
         }
         for entry in &listing.entries {
-            self.put(&entry.key, &entry.value, entry.revision);
+            if !self.withheld.contains(&entry.key, entry.revision) {
+                self.put(&entry.key, &entry.value, entry.revision);
+            }
+        }
+    }
+
+    /// Withholds the records of a restored store that say that a replica is ready which has left or begun to leave since
+    /// the copy was taken. A live replica writes its record again.
+    pub fn withhold_outdated(&mut self, listing: &Listing) {
+        let now = self.shared.now();
+        self.removed.retain(|_, at| now.since(*at) < REMOVAL_MEMORY);
+        self.withheld.clear();
+        let settings = self.shared.settings();
+        let until = now + Millis(settings.replica_heartbeat.0 * EXPIRY_INTERVALS);
+        for entry in &listing.entries {
+            let StoredRecord::Replica(spec) = self.shared.edge.decode_record(&entry.key, &entry.value) else {
+                continue;
+            };
+            let is_outdated = self.removed.contains_key(&entry.key)
+                || (spec.state == State::Ready && self.is_draining(&spec));
+            if is_outdated {
+                log::info!(replica:% = spec.id, endpoint:% = spec.endpoint, until_ms = until.since(now).0;
+                    "restored registration withheld");
+                self.withheld.insert(entry.clone(), until);
+            }
         }
+        self.shared.notify_deletions_changed();
+    }
+
+    /// Whether the same incarnation of the replica is known to be draining.
+    fn is_draining(&self, spec: &Spec) -> bool {
+        self.shared.with_pool(&spec.endpoint, |pool| {
+            let known = pool.specs().find(|it| it.id == spec.id);
+            known.is_some_and(|it| it.state == State::Draining && it.started_unix_ms == spec.started_unix_ms)
+        })
     }
 
     /// The changes from the records known at `revision` to a listing, in revision order.
@@ -95,17 +139,32 @@
         }
     }
 
-    /// Removes the records that did not reappear after an outage. Returns when the next deletion is due.
-    pub fn apply_due_deletions(&mut self) -> Option<Millis> {
+    /// Removes the records that did not reappear after an outage, and applies the withheld ones that the store still has.
+    /// Returns when the next of them is due.
+    pub fn apply_due(&mut self) -> Option<Millis> {
+        let now = self.shared.now();
         let up_since = self.shared.availability().up_since();
-        for key in self.deletions.take_due(self.shared.now(), up_since) {
+        let missing = self.deletions.take_due(now, up_since);
+        if !missing.is_empty() {
+            log::warn!(records = missing.len(), era = self.shared.store.era(); "records did not reappear");
+        }
+        for key in missing {
             self.forget(&key, "did not reappear after a store outage");
         }
-        self.deletions.next_due(up_since)
+        for entry in self.withheld.take_due(now) {
+            self.put(&entry.key, &entry.value, entry.revision);
+        }
+        let next_deletion = self.deletions.next_due(up_since);
+        [next_deletion, self.withheld.next_due()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     fn put(&mut self, key: &str, value: &Bytes, revision: Revision) {
         self.deletions.cancel(key);
+        self.withheld.remove(key);
+        self.removed.swap_remove(key);
         let known = match self.shared.edge.decode_record(key, value) {
             StoredRecord::Table(table) => self.put_configuration(&table),
             StoredRecord::Replica(spec) => self.put_replica(key, spec),
@@ -239,6 +298,7 @@
     }
 
     fn handle_deletion(&mut self, key: &str) {
+        self.withheld.remove(key);
         let now = self.shared.now();
         let up_since = self.shared.availability().up_since();
         let Some(due) = self.deletions.record(now, up_since, key) else {
@@ -254,6 +314,7 @@
         match self.known.swap_remove(key) {
             Some(RecordKind::Replica { endpoint, id }) => {
                 log::info!(replica:% = id, endpoint:% = endpoint, reason; "replica gone");
+                self.removed.insert(key.to_owned(), self.shared.now());
                 self.shared.with_pool(&endpoint, |pool| pool.remove(&id));
             }
             Some(RecordKind::Node(incarnation)) => {
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -40,6 +40,8 @@
             "store restored from a copy");
         metrics::counter!("bilberrylatch_store_restores_total").increment(after.era - before.era);
         metrics::gauge!("bilberrylatch_store_era").set(after.era as f64);
+        let now = self.now();
+        self.availability().record_restore(now);
     }
 
     /// Records where a datagram came from and what its sender knows of the store.
--- a/crates/relay/src/availability.rs
+++ b/crates/relay/src/availability.rs
@@ -41,6 +41,8 @@
     own: Option<Span>,
     /// By answers to any node.
     known: Span,
+    /// When this node noticed the last restore of the store, which loses registrations like an outage.
+    restored_at: Option<Millis>,
 }
 
 impl Availability {
@@ -53,9 +55,15 @@
                 first: Millis::ZERO,
                 last: now,
             },
+            restored_at: None,
         }
     }
 
+    /// Records that the store was restored from a copy. Unlike an outage, other nodes can't take that back.
+    pub const fn record_restore(&mut self, now: Millis) {
+        self.restored_at = Some(now);
+    }
+
     /// Records that the store answered this node.
     pub fn record_answer(&mut self, now: Millis) {
         let answer = Span {
@@ -83,8 +91,9 @@
         })
     }
 
-    /// When the last outage of the store ended, if one is known.
+    /// When the last outage of the store ended, or it was restored, if either is known.
     pub fn up_since(&self) -> Option<Millis> {
-        Some(self.known.first).filter(|first| *first > Millis::ZERO)
+        let outage_ended = Some(self.known.first).filter(|first| *first > Millis::ZERO);
+        outage_ended.max(self.restored_at)
     }
 }
--- a/crates/relay/tests/availability.rs
+++ b/crates/relay/tests/availability.rs
@@ -16,6 +16,8 @@
     Answer,
     /// Another node reports that the store has answered it since this time, lately a moment ago.
     Report(Millis),
+    /// The store was restored from a copy.
+    Restore,
 }
 
 struct Case {
@@ -26,7 +28,7 @@
     effective_at: u64,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         name: "no trouble",
         events: &[(10_000, Event::Answer), (11_000, Event::Answer)],
@@ -83,6 +85,17 @@
         deleted_at: 14_000,
         effective_at: 15_000,
     },
+    Case {
+        name: "the store was restored after a moment",
+        events: &[
+            (10_000, Event::Answer),
+            (11_000, Event::Restore),
+            (11_000, Event::Answer),
+            (11_500, Event::Report(Millis(2_000))),
+        ],
+        deleted_at: 11_000,
+        effective_at: 12_800,
+    },
 ];
 
 #[test]
@@ -98,6 +111,7 @@
             for (_, event) in case.events.iter().filter(|(at, _)| *at == now.0) {
                 match event {
                     Event::Answer => availability.record_answer(now),
+                    Event::Restore => availability.record_restore(now),
                     Event::Report(since) => availability.record_report(
                         now,
                         Uptime {
