Register again as soon as the store was restored

Cause: ids of leases are given out again after a restore. A node renewed the id of its lost lease, which was another node's by then, and stayed unregistered and, in its own eyes, in its role.

Change: a lease carries the era in which it was granted. Any answer that names a later one makes the node drop it without a call, give up its role, request a new one after up to 200 ms and write its registration. Nodes know a lease by a random number of its holder, no longer by the store's id, which two nodes may have had.

Ruled out: renewing first and registering on 404; the id may be in use.

--- a/crates/entry/src/register.rs
+++ b/crates/entry/src/register.rs
@@ -18,7 +18,7 @@
 /// Minimum duration of an outage of the store in which a node's lease may expire.
 pub const MIN_EXPIRY_OUTAGE: Millis = Millis(LEASE_TTL.0 - RENEW_INTERVAL.as_millis() as u64);
 /// Time to live of the lease. Callers may be directed to a dead node for this long.
-const LEASE_TTL: Millis = Millis(2_500);
+pub const LEASE_TTL: Millis = Millis(2_500);
 /// Interval between renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(700);
 /// Delay before a failed call is retried.
@@ -29,11 +29,14 @@
 /// Maximum delay of the first call after an outage, so that not all nodes call at once.
 const RECOVERY_JITTER: Duration = Duration::from_millis(200);
 
-/// The lease's id and its expiry on the node's own clock, for the leader election.
+/// The node's lease and its expiry on the node's own clock, for the leader election.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease {
-    /// Id of the lease.
+    /// Number by which the nodes know the lease. It is the node's own and random, since the store may assign its ids again
+    /// after a restore.
     pub lease: u64,
+    /// Era of the store in which the lease was granted.
+    pub era: u64,
     /// When the lease expires unless renewed, counted from when the last renewal was sent.
     pub expires_at: Millis,
 }
@@ -44,9 +47,11 @@
         shared,
         lease_sender,
         lease: None,
+        lease_number: 0,
         last_written: None,
     };
     loop {
+        registrar.drop_outdated_lease();
         let result = registrar.renew().await;
         if let Err(error) = &result {
             log::warn!(cause:% = error; "registration not renewed");
@@ -57,9 +62,15 @@
         } else {
             Phase::Ended
         };
+        let shared = Arc::clone(&registrar.shared);
         tokio::select! {
             () = pause => {}
-            () = registrar.shared.lifecycle.reached(next) => {}
+            () = shared.store.wait_for_era_above(registrar.era()) => {
+                registrar.drop_outdated_lease();
+                let jitter: f64 = rand::rng().random_range(0.0..1.0);
+                sleep(RECOVERY_JITTER.mul_f64(jitter)).await;
+            }
+            () = shared.lifecycle.reached(next) => {}
         }
         if registrar.shared.lifecycle.phase() == Phase::Ended {
             registrar.withdraw().await;
@@ -73,10 +84,26 @@
     shared: Arc<Shared>,
     lease_sender: watch::Sender<Option<HeldLease>>,
     lease: Option<Lease>,
+    lease_number: u64,
     last_written: Option<Peer>,
 }
 
 impl Registrar {
+    /// Era of the lease, or the latest one if there is no lease.
+    fn era(&self) -> u64 {
+        let era = self.lease.as_ref().map(|lease| lease.era);
+        era.unwrap_or_else(|| self.shared.store.era())
+    }
+
+    /// Drops a lease that was lost when the store was restored, and the role with it.
+    fn drop_outdated_lease(&mut self) {
+        let era = self.shared.store.era();
+        if let Some(lease) = self.lease.take_if(|lease| lease.era < era) {
+            log::warn!(era_before = lease.era, era; "lease lost in a restore of the store");
+            self.lease_sender.send_replace(None);
+        }
+    }
+
     /// Waits until the next call. While the store is unreachable, the call that finds it reachable again is usually that
     /// of the node or its reader for the view.
     fn pause(&self, is_renewed: bool) -> impl Future<Output = ()> + use<> {
@@ -102,6 +129,7 @@
             None => {
                 let lease = self.shared.store.grant(ttl.as_duration()).await?;
                 self.lease = Some(lease);
+                self.lease_number = rand::random();
                 self.last_written = None;
             }
             Some(lease) => match self.shared.store.renew(lease).await {
@@ -120,20 +148,17 @@
         let Some(lease) = self.lease.clone() else {
             return Ok(());
         };
-        let lease_id = lease
-            .id
-            .parse()
-            .map_err(|_not_a_number| Error::Protocol(format!("lease id {} is not a number", lease.id)))?;
-        self.write(&lease, lease_id).await?;
+        self.write(&lease).await?;
         self.lease_sender.send_replace(Some(HeldLease {
-            lease: lease_id,
+            lease: self.lease_number,
+            era: lease.era,
             expires_at: sent + ttl,
         }));
         Ok(())
     }
 
     /// Writes the registration if it changed.
-    async fn write(&mut self, lease: &Lease, lease_id: u64) -> Result<(), Error> {
+    async fn write(&mut self, lease: &Lease) -> Result<(), Error> {
         let shared = &self.shared;
         let peer = Peer {
             name: shared.settings().name.clone(),
@@ -142,7 +167,7 @@
             peer_address: shared.settings().peer_listen,
             ready: shared.is_ready(),
             capacity: shared.settings().capacity(),
-            lease: lease_id,
+            lease: self.lease_number,
         };
         if self.last_written.as_ref() == Some(&peer) {
             return Ok(());
@@ -155,7 +180,9 @@
         );
         let write = Write::new(key, Bytes::from(value), Condition::Any).with_lease(lease.clone());
         match shared.store.write(&write).await {
-            Ok(_revision) => {}
+            Ok(revision) => {
+                log::info!(revision = revision.number, era = revision.era, ready = peer.ready; "registration written");
+            }
             Err(Error::LeaseExpired) => {
                 self.lease = None;
                 self.lease_sender.send_replace(None);
--- a/crates/entry/src/view/peer.rs
+++ b/crates/entry/src/view/peer.rs
@@ -22,7 +22,7 @@
     /// Its share of a core, in thousandths.
     #[serde(default)]
     pub capacity: u32,
-    /// The lease that the registration is bound to.
+    /// Number by which the nodes know the lease that the registration is bound to.
     pub lease: u64,
 }
 
