Never draw a fencing number again after a restore

Cause: the role's record goes back with the store, or is gone. The next holder counted from it and drew a number that a holder of the lost span had drawn. Leases are gone at once, without having expired, so a new holder also acted while one that had not noticed might still hold its own lease.

Change: a number is drawn above the highest that the node has seen in any era, and above the era times 2^20, for nodes that have seen none. For the length of a lease after a node notices the restore, it takes the role for held. The role ends with the era of its lease, before each call. A swap rests on the revision that was read, era included, and on no other.

Weighed: carrying the highest number in the registrations; the floor needs no node that remembers. The first number of a store that names era 1 is 1,048,577 now.

A cut-off holder beside a new one has no test.

--- a/crates/entry/src/leader/election.rs
+++ b/crates/entry/src/leader/election.rs
@@ -2,15 +2,15 @@
 
 use std::sync::Arc;
 
-use base::{Millis, Name};
+use base::{Incarnation, Millis, Name};
 use bytes::Bytes;
 use member::Role;
-use member::role::{Action, Event, Fence, Lease, Observed, Record, Revision, Settings, rank};
+use member::role::{Action, Event, Fence, Lease, Observed, Record, Revision, Settings, WriteId, rank};
 use store::{Condition, Error};
 use tokio::sync::watch;
 
 use crate::Shared;
-use crate::register::HeldLease;
+use crate::register::{HeldLease, LEASE_TTL};
 
 /// Key of the role's record, after the internal prefix.
 const KEY: &str = "role/duties";
@@ -31,6 +31,12 @@
     wait_after_release: MAX_CALL_TIME,
 };
 
+/// Lowest fencing token of an era is the era times this, so that tokens of different eras differ even if no node that
+/// saw the earlier ones is left.
+const TOKENS_PER_ERA: u64 = 1 << 20;
+/// Revision of a record that does not exist.
+const ABSENT: Revision = Revision(0);
+
 /// The role as seen by this node.
 #[derive(Debug)]
 pub(super) struct Election {
@@ -39,6 +45,13 @@
     role: Role,
     /// Whether the role requested its record. It is read at the next tick, when the view may be newer.
     is_reading: bool,
+    /// Revision of the record when it was last read.
+    observed: store::Revision,
+    /// The highest fencing token seen in any era.
+    highest_fence: Fence,
+    /// The latest era of the store, and when this node noticed that it had been restored.
+    era: u64,
+    restored_at: Option<Millis>,
 }
 
 impl Election {
@@ -46,20 +59,29 @@
         let seed = shared.seed.derive(SEED_LABEL);
         Self {
             role: Role::new(shared.incarnation, seed, SETTINGS),
+            era: shared.store.era(),
             shared,
             leases,
             is_reading: false,
+            observed: store::Revision::default(),
+            highest_fence: Fence(0),
+            restored_at: None,
         }
     }
 
     /// The fencing token for a call sent now; `None` if no call may be sent.
     pub fn fence(&self) -> Option<u64> {
+        // A restore of the store ends all leases.
+        let era = self.shared.store.era();
+        self.leases.borrow().filter(|lease| lease.era == era)?;
         self.role.active_fence(self.shared.now()).map(|fence| fence.0)
     }
 
     /// Passes the time, the lease and the other nodes to the role.
     pub async fn tick(&mut self) {
+        self.note_restore();
         let lease = *self.leases.borrow_and_update();
+        let lease = lease.filter(|lease| lease.era == self.era);
         let event = lease.map_or(Event::LeaseExpired, |lease| Event::Leased {
             lease: Lease(lease.lease),
             until: lease.expires_at,
@@ -78,6 +100,19 @@
         self.step(Event::Tick).await;
     }
 
+    /// Notes that the store was restored.
+    fn note_restore(&mut self) {
+        let era = self.shared.store.era();
+        if era == self.era {
+            return;
+        }
+        // The first answer of the store names its era, too.
+        if self.era > 0 {
+            self.restored_at = Some(self.shared.now());
+        }
+        self.era = era;
+    }
+
     /// Releases the role.
     pub async fn release(&mut self) {
         self.step(Event::Release).await;
@@ -114,16 +149,62 @@
         }
     }
 
-    /// The record as of the view. A stale view is harmless, since a swap checks the revision.
-    fn observe(&self) -> Option<Observed> {
+    /// The record as of the view, with a fencing token that is not below any other that was seen or may have been drawn in
+    /// an earlier era. A stale view is harmless, since a swap checks the revision.
+    fn observe(&mut self) -> Option<Observed> {
+        let stored = self.stored_record();
+        if let Some((record, _, _)) = stored {
+            self.highest_fence = self.highest_fence.max(record.fence);
+        }
+        let lowest = self.highest_fence.max(Fence(self.era * TOKENS_PER_ERA));
+        let current = stored.filter(|(_, revision, _)| revision.era == self.era);
+        let Some((record, revision, lease_alive)) = current else {
+            self.observed = store::Revision::default();
+            return self.vacant(lowest);
+        };
+        self.observed = revision;
+        let is_held = lease_alive || self.may_be_held();
+        let record = Record {
+            fence: if lease_alive { record.fence } else { lowest },
+            ..record
+        };
+        Some(Observed {
+            lease_alive: is_held,
+            record,
+            revision: Revision(revision.number),
+        })
+    }
+
+    /// A role without a record, which was lost if any token was drawn before.
+    fn vacant(&self, lowest: Fence) -> Option<Observed> {
+        let record = Record {
+            holder: self.may_be_held().then_some(Incarnation(0)),
+            fence: lowest,
+            lease: Lease(0),
+            write_id: WriteId(0),
+        };
+        (lowest > Fence(0)).then_some(Observed {
+            record,
+            revision: ABSENT,
+            lease_alive: true,
+        })
+    }
+
+    /// Whether a holder that has not noticed the restore may still act on its lease.
+    fn may_be_held(&self) -> bool {
+        let now = self.shared.now();
+        self.restored_at.is_some_and(|at| now.since(at) < LEASE_TTL)
+    }
+
+    /// The record in the view with its revision, and whether its lease is alive.
+    fn stored_record(&self) -> Option<(Record, store::Revision, bool)> {
         let view = self.shared.view();
         let own = view.internal.get(KEY)?;
         match serde_json::from_slice::<Record>(&own.value) {
-            Ok(record) => Some(Observed {
-                lease_alive: view.peers.values().any(|peer| peer.lease == record.lease.0),
-                record,
-                revision: Revision(own.revision.number),
-            }),
+            Ok(record) => {
+                let lease_alive = view.peers.values().any(|peer| peer.lease == record.lease.0);
+                Some((record, own.revision, lease_alive))
+            }
             Err(error) => {
                 log::error!(cause:% = error; "invalid record of the leader role");
                 None
@@ -131,7 +212,19 @@
         }
     }
 
-    async fn swap(&self, expect: Option<Revision>, record: Record) -> Event {
+    /// Condition of a swap that expects the record that was last read; `None` if another one was read since.
+    fn condition(&self, expect: Option<Revision>) -> Option<Condition> {
+        match expect {
+            None | Some(ABSENT) => Some(Condition::Absent),
+            Some(Revision(number)) if number == self.observed.number => {
+                Some(Condition::Revision(self.observed))
+            }
+            Some(_) => None,
+        }
+    }
+
+    async fn swap(&mut self, expect: Option<Revision>, record: Record) -> Event {
+        self.highest_fence = self.highest_fence.max(record.fence);
         let value = match serde_json::to_vec(&record) {
             Ok(value) => Bytes::from(value),
             Err(error) => {
@@ -140,9 +233,9 @@
             }
         };
         let key = format!("{}{KEY}", self.shared.edge.internal_prefix());
-        let era = self.shared.store.era();
-        let revision = |it: Revision| store::Revision::new(era, it.0);
-        let condition = expect.map_or(Condition::Absent, |it| Condition::Revision(revision(it)));
+        let Some(condition) = self.condition(expect) else {
+            return Event::Conflict(record.write_id);
+        };
         let write = store::Write::new(key, value, condition);
         match self.shared.store.write_once(&write).await {
             Ok(_revision) => Event::Swapped(record.write_id),
