Write again what the nodes lost in a restore

Cause: reports are written when they change, the planned loads and the progress of rollouts once. After a restore they stayed lost. The usage of a window could be summed and reported again with other counts, as the record that keeps a later leader from it was gone.

Change: reports, planned loads and progress are written again in a new era. Every node remembers the counts of the record of usage, and a leader records these and sends them again: an exact repeat, which the cloud ignores. A record of a rollout that was lost is created, not compared with its revision of before.

Tests: report_stays_lost failed without the change to publish.rs (timed out). reported_usage_changes timed out with the memory of the counts taken out of the new code; it was not run on the code before.

--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -30,6 +30,8 @@
     shared: Arc<Shared>,
     /// State last reported to operators by this node, by endpoint, with the revision of the order.
     published: IndexMap<Arc<str>, (u64, edge::RolloutState)>,
+    /// Era of the store in which they were reported.
+    era: u64,
 }
 
 impl RolloutController {
@@ -37,11 +39,17 @@
         Self {
             shared,
             published: IndexMap::new(),
+            era: 0,
         }
     }
 
     /// Advances each rollout by one step.
     pub async fn tick(&mut self, election: &Election) {
+        let era = self.shared.store.era();
+        if era != self.era {
+            self.era = era;
+            self.published.clear();
+        }
         let orders: Vec<(RolloutOrder, u64)> = self.shared.view().rollouts.orders.values().cloned().collect();
         for (order, revision) in orders {
             let record = self.shared.view().rollouts.records.get(&order.endpoint).cloned();
@@ -176,7 +184,10 @@
     /// Writes the record, conditional on the revision in the view, so that a superseded leader cannot change it.
     async fn write(&self, endpoint: &str, record: &Rollout) -> Result<(), Error> {
         let rest = format!("{ROLLOUTS_PREFIX}{endpoint}");
+        let era = self.shared.store.era();
         let known = self.shared.view().internal.get(&rest).map(|own| own.revision);
+        // A record of an earlier era was lost when the store was restored.
+        let known = known.filter(|revision| revision.era == era);
         let condition = known.map_or(Condition::Absent, Condition::Revision);
         let value = serde_json::to_vec(record).map_err(|error| Error::Protocol(error.to_string()))?;
         let key = format!("{}{rest}", self.shared.edge.internal_prefix());
--- a/crates/entry/src/leader/scaler/plan.rs
+++ b/crates/entry/src/leader/scaler/plan.rs
@@ -36,6 +36,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Writer {
     written: IndexMap<Arc<str>, Load>,
+    /// Era of the store in which they were written.
+    era: u64,
     not_before: Millis,
 }
 
@@ -43,7 +45,8 @@
     /// Writes the loads unless they are written already.
     pub async fn write(&mut self, shared: &Shared, loads: IndexMap<Arc<str>, Load>) {
         let now = shared.now();
-        if loads.is_empty() || loads == self.written || now < self.not_before {
+        let is_written = loads == self.written && self.era == shared.store.era();
+        if loads.is_empty() || is_written || now < self.not_before {
             return;
         }
         self.not_before = now + WRITE_INTERVAL;
@@ -58,7 +61,10 @@
         };
         let write = Write::new(key, value, Condition::Any);
         match shared.store.write_once(&write).await {
-            Ok(_revision) => self.written = plan.loads,
+            Ok(revision) => {
+                self.written = plan.loads;
+                self.era = revision.era;
+            }
             Err(error) => log::warn!(cause:% = error; "planned loads not recorded"),
         }
     }
--- a/crates/entry/src/leader/usage.rs
+++ b/crates/entry/src/leader/usage.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Revision};
 use bytes::Bytes;
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -33,19 +33,48 @@
     windows: IndexMap<u64, IndexMap<Arc<str>, u64>>,
 }
 
+impl Record {
+    /// Adds the counts of a window. The oldest window makes room.
+    fn insert(&mut self, window: u64, counts: IndexMap<Arc<str>, u64>) {
+        self.windows.insert(window, counts);
+        while self.windows.len() > KEPT_WINDOWS {
+            self.windows.shift_remove_index(0);
+        }
+    }
+
+    /// Adds the windows of another record that are not known.
+    fn add(&mut self, other: Self) {
+        for (window, counts) in other.windows {
+            if !self.windows.contains_key(&window) {
+                self.insert(window, counts);
+            }
+        }
+    }
+}
+
 /// Reports usage to the cloud.
 #[derive(Debug)]
 pub(super) struct UsageReporter {
     shared: Arc<Shared>,
+    /// The stored counts as this node has known them in any era. Counts that were lost in a restore of the store may have
+    /// been reported, and must not be reported differently.
+    known: Record,
+    /// Revision of the record that was last added to them.
+    known_at: Revision,
+    /// Era of the store in which the windows were reported.
+    era: u64,
     /// Windows reported by this node.
     reported: Vec<u64>,
     not_before: Millis,
 }
 
 impl UsageReporter {
-    pub const fn new(shared: Arc<Shared>) -> Self {
+    pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
+            known: Record::default(),
+            known_at: Revision::default(),
+            era: 0,
             reported: Vec::new(),
             not_before: Millis::ZERO,
         }
@@ -53,6 +82,8 @@
 
     /// Reports the oldest window that is due.
     pub async fn tick(&mut self, election: &Election) {
+        self.remember_stored();
+        self.note_restore();
         let now = self.shared.now();
         if election.fence().is_none() || now < self.not_before {
             return;
@@ -64,6 +95,29 @@
         }
     }
 
+    /// Records and reports the windows again that are not overdue, once the store was restored. Known counts stay, so the
+    /// cloud gets exact repeats.
+    fn note_restore(&mut self) {
+        let era = self.shared.store.era();
+        if era != self.era {
+            self.era = era;
+            self.reported.clear();
+        }
+    }
+
+    /// Remembers the counts in the view's record.
+    fn remember_stored(&mut self) {
+        let stored = self.shared.view().internal.get(KEY).cloned();
+        let Some(stored) = stored.filter(|stored| stored.revision != self.known_at) else {
+            return;
+        };
+        self.known_at = stored.revision;
+        match serde_json::from_slice::<Record>(&stored.value) {
+            Ok(record) => self.known.add(record),
+            Err(error) => log::warn!(cause:% = error; "invalid record of usage"),
+        }
+    }
+
     /// The oldest window that ended long enough ago, is not overdue, and was not reported by this node.
     fn next_due(&self, now: Millis) -> Option<u64> {
         let settings = self.shared.settings();
@@ -101,7 +155,7 @@
 
     /// Returns the stored counts of a window, which this node writes unless an earlier leader did; `None` if no node
     /// counted a request.
-    async fn load_or_write_counts(&self, window: u64) -> Result<Option<IndexMap<Arc<str>, u64>>, Error> {
+    async fn load_or_write_counts(&mut self, window: u64) -> Result<Option<IndexMap<Arc<str>, u64>>, Error> {
         let key = format!("{}{KEY}", self.shared.edge.internal_prefix());
         let record = self.shared.store.get(&key).await?;
         let mut stored = match &record {
@@ -113,18 +167,17 @@
         if let Some(counts) = stored.windows.get(&window) {
             return Ok(Some(counts.clone()));
         }
-        let counts = self.sum(window);
+        let known = self.known.windows.get(&window).cloned();
+        let counts = known.unwrap_or_else(|| self.sum(window));
         if counts.is_empty() {
             return Ok(None);
         }
-        stored.windows.insert(window, counts.clone());
-        while stored.windows.len() > KEPT_WINDOWS {
-            stored.windows.shift_remove_index(0);
-        }
+        stored.insert(window, counts.clone());
         let value = serde_json::to_vec(&stored).map_err(|error| Error::Protocol(error.to_string()))?;
         let condition = record.map_or(Condition::Absent, |it| Condition::Revision(it.revision));
         let write = Write::new(key, Bytes::from(value), condition);
         self.shared.store.write(&write).await?;
+        self.known.insert(window, counts.clone());
         Ok(Some(counts))
     }
 
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -53,6 +53,9 @@
         let shared = Arc::clone(&publisher.shared);
         tokio::select! {
             () = sleep(next_report_in) => publisher.publish().await,
+            () = shared.store.wait_for_era_above(publisher.last_era) => {
+                publisher.handle_restore().await;
+            }
             () = shared.collected() => publisher.write().await,
             () = shared.lifecycle.reached(Phase::Ended) => {
                 publisher.publish().await;
@@ -71,6 +74,8 @@
     last_report: Arc<Report>,
     /// Where the last report was sent; `None` if this node wrote it.
     last_target: Option<SocketAddr>,
+    /// Era of the store for which it was sent.
+    last_era: u64,
     /// Accumulated work of each endpoint's replicas at the last measurement.
     work: IndexMap<Arc<str>, Work>,
     measured_at: Millis,
@@ -84,6 +89,7 @@
             shared,
             last_report: Arc::default(),
             last_target: None,
+            last_era: 0,
             work: IndexMap::new(),
             busy: IndexMap::new(),
         }
@@ -105,6 +111,20 @@
         Millis(interval - since).as_duration()
     }
 
+    /// Publishes the report again if the store was restored. The store's first answer names its era, too.
+    async fn handle_restore(&mut self) {
+        let (before, era) = (self.last_era, self.shared.store.era());
+        self.last_era = era;
+        if before > 0 {
+            log::info!(era_before = before, era; "report written again");
+            self.last_report = Arc::new(Report {
+                number: self.last_report.number,
+                ..Report::default()
+            });
+            self.publish().await;
+        }
+    }
+
     /// Publishes this node's report if it changed: through the node that it follows, or else in its own record.
     async fn publish(&mut self) {
         self.measure();
