Keep the stage of a rollout over a restore

Cause: a version that was rolled back in the lost span got requests again: the restored record has it in its canary stage, and an order that is written again has another revision, so it started a new rollout.

Change: a stage of the same rollout doesn't go back, an order that is written again with the same content after a restore is the same order, and the leader writes what the store lacks. An order of the same content in the same era stays a new one.

--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -14,7 +14,7 @@
 use crate::Shared;
 use crate::edge::{RolloutOrder, StoredRecord};
 use crate::publish::{REPORTS_PREFIX, Summary};
-use crate::view::{InternalRecord, Peer, Rollout};
+use crate::view::{InternalRecord, Peer, Rollout, View};
 
 /// Key prefix of the nodes' registrations, after the internal prefix.
 pub const NODES_PREFIX: &str = "nodes/";
@@ -46,6 +46,8 @@
     /// Keys of replicas that were removed lately, and when.
     removed: IndexMap<String, Millis>,
     withheld: Withheld,
+    /// Revisions of the rollout orders, by endpoint.
+    order_revisions: IndexMap<Arc<str>, Revision>,
 }
 
 impl Applier {
@@ -56,6 +58,7 @@
             deletions: Deletions::default(),
             removed: IndexMap::new(),
             withheld: Withheld::default(),
+            order_revisions: IndexMap::new(),
         }
     }
 
@@ -173,7 +176,7 @@
                 self.forget(key, "invalid registration");
                 RecordKind::Other
             }
-            StoredRecord::RolloutOrder(order) => self.put_rollout_order(order, revision.number),
+            StoredRecord::RolloutOrder(order) => self.put_rollout_order(order, revision),
             StoredRecord::Internal(rest) => self.put_internal(rest, value, revision),
             StoredRecord::Invalid(cause) => {
                 log::warn!(key, revision = revision.number, cause:% = cause; "invalid record");
@@ -223,16 +226,23 @@
         RecordKind::Replica { endpoint, id }
     }
 
-    fn put_rollout_order(&self, order: RolloutOrder, revision: u64) -> RecordKind {
+    fn put_rollout_order(&mut self, order: RolloutOrder, revision: Revision) -> RecordKind {
         let endpoint = Arc::clone(&order.endpoint);
+        let known_revision = self.order_revisions.insert(Arc::clone(&endpoint), revision);
         let mut view = self.shared.view();
-        let before = view.rollouts.orders.get(&endpoint).map(|(_, revision)| *revision);
-        if before != Some(revision) {
-            log::info!(endpoint:% = endpoint, target:% = order.target, within_ms = order.within.0, revision; "move ordered");
+        let known = view.rollouts.orders.get(&endpoint).cloned();
+        let before = known.as_ref().map(|(_, number)| *number);
+        if before != Some(revision.number) {
+            log::info!(endpoint:% = endpoint, target:% = order.target, within_ms = order.within.0,
+                revision = revision.number; "move ordered");
+        }
+        let is_restored = known_revision.is_some_and(|it| it.era < revision.era);
+        if let Some((_, number)) = known.filter(|(known, _)| is_restored && *known == order) {
+            view.rollouts.renumber(&endpoint, number, revision.number);
         }
         view.rollouts
             .orders
-            .insert(Arc::clone(&endpoint), (order, revision));
+            .insert(Arc::clone(&endpoint), (order, revision.number));
         RecordKind::RolloutOrder(endpoint)
     }
 
@@ -246,6 +256,10 @@
         let mut view = self.shared.view();
         if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
             match serde_json::from_slice::<Rollout>(value) {
+                Ok(record) if is_outdated(&view, endpoint, &record) => {
+                    log::info!(endpoint, target:% = record.target, stage:? = record.stage, revision = revision.number;
+                        "restored stage of a move ignored");
+                }
                 Ok(record) => {
                     log::info!(endpoint, target:% = record.target, stage:? = record.stage, share = record.share,
                         reason:% = record.reason, revision = revision.number; "move changed");
@@ -329,11 +343,8 @@
                 self.shared.view().summaries.swap_remove(&writer);
             }
             Some(RecordKind::Internal(rest)) => {
-                let mut view = self.shared.view();
-                view.internal.swap_remove(&rest);
-                if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
-                    view.rollouts.records.swap_remove(endpoint);
-                }
+                // A rollout that is known stays known, and the leader writes its record again.
+                self.shared.view().internal.swap_remove(&rest);
             }
             Some(RecordKind::Other) | None => {}
         }
@@ -349,3 +360,9 @@
         }
     }
 }
+
+/// Whether a later stage of the same rollout is known.
+fn is_outdated(view: &View, endpoint: &str, record: &Rollout) -> bool {
+    let known = view.rollouts.records.get(endpoint);
+    known.is_some_and(|known| known.is_later_than(record))
+}
--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -60,6 +60,9 @@
             }
             let result = match record {
                 None => self.start(&order, revision).await,
+                Some(record) if self.is_lost(&order.endpoint, &record) => {
+                    self.write(&order.endpoint, &record).await
+                }
                 Some(record) => {
                     let published = self.publish_progress(&order, &record).await;
                     published.and(self.advance(&order, record, comparison).await)
@@ -71,6 +74,14 @@
         }
     }
 
+    /// Whether the store lacks what is known of a rollout, since it was restored from a copy.
+    fn is_lost(&self, endpoint: &str, record: &Rollout) -> bool {
+        let view = self.shared.view();
+        let stored = view.internal.get(&format!("{ROLLOUTS_PREFIX}{endpoint}"));
+        let stored = stored.and_then(|own| serde_json::from_slice::<Rollout>(&own.value).ok());
+        stored.as_ref() != Some(record)
+    }
+
     /// Compares the versions by the requests of all nodes. If the new version is bad, this node stops sending requests
     /// to it.
     fn compare_versions(&self, order: &RolloutOrder, revision: u64) -> (Judgement, Comparison) {
--- a/crates/entry/src/view/rollouts.rs
+++ b/crates/entry/src/view/rollouts.rs
@@ -22,6 +22,17 @@
     Undone,
 }
 
+impl Stage {
+    /// Position in the order of the stages, of which the last two are alternatives.
+    const fn position(self) -> u8 {
+        match self {
+            Self::Canary => 0,
+            Self::Moved => 1,
+            Self::Done | Self::Undone => 2,
+        }
+    }
+}
+
 /// The nodes' record of a rollout.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rollout {
@@ -46,6 +57,15 @@
     pub reason: String,
 }
 
+impl Rollout {
+    /// Whether this is a later stage of the same rollout. Stages never go back, except in a store that is restored from a
+    /// copy.
+    pub fn is_later_than(&self, other: &Self) -> bool {
+        let is_same = self.order == other.order && self.target == other.target;
+        is_same && self.stage.position() > other.stage.position()
+    }
+}
+
 /// Rollout orders and records, by endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Rollouts {
@@ -88,6 +108,18 @@
         runs.then(|| (record.order, Arc::clone(&record.target)))
     }
 
+    /// Gives the endpoint's rollout the new revision of an order that was written again.
+    pub fn renumber(&mut self, endpoint: &str, before: u64, after: u64) {
+        let record = self.records.get_mut(endpoint);
+        if let Some(record) = record.filter(|record| record.order == before) {
+            record.order = after;
+        }
+        let vetoed = self.vetoed.get_mut(endpoint);
+        if let Some(vetoed) = vetoed.filter(|vetoed| **vetoed == before) {
+            *vetoed = after;
+        }
+    }
+
     /// Whether an order for the endpoint is neither done nor undone.
     pub fn is_open(&self, endpoint: &str) -> bool {
         let Some((_, revision)) = self.orders.get(endpoint) else {
