--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -195,6 +195,7 @@
             applier.apply_listing(&listing);
             changes
         };
+        metrics::gauge!("bilberrylatch_store_era").set(listing.revision.era as f64);
         // NB: lower than before if the store was restored, also by one that names no era.
         self.revision = Some(listing.revision);
         self.needs_listing = false;
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -39,7 +39,6 @@
         log::warn!(era_before = before.era, era = after.era, revision_before = before.number, revision = after.number;
             "store restored from a copy");
         metrics::counter!("bilberrylatch_store_restores_total").increment(after.era - before.era);
-        metrics::gauge!("bilberrylatch_store_era").set(after.era as f64);
         let now = self.now();
         self.availability().record_restore(now);
     }
