Bound what is remembered for a restore

Counts that a leader reads from the record of usage itself, before its view has them, are remembered too.

--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -85,7 +85,7 @@
     /// the copy was taken. A live replica writes its record again.
     pub fn withhold_outdated(&mut self, listing: &Listing) {
         let now = self.shared.now();
-        self.removed.retain(|_, at| now.since(*at) < REMOVAL_MEMORY);
+        self.forget_removals(now);
         self.withheld.clear();
         let settings = self.shared.settings();
         let until = now + Millis(settings.replica_heartbeat.0 * EXPIRY_INTERVALS);
@@ -104,6 +104,10 @@
         self.shared.notify_deletions_changed();
     }
 
+    fn forget_removals(&mut self, now: Millis) {
+        self.removed.retain(|_, at| now.since(*at) < REMOVAL_MEMORY);
+    }
+
     /// Whether the same incarnation of the replica is known to be draining.
     fn is_draining(&self, spec: &Spec) -> bool {
         self.shared.with_pool(&spec.endpoint, |pool| {
@@ -328,7 +332,9 @@
         match self.known.swap_remove(key) {
             Some(RecordKind::Replica { endpoint, id }) => {
                 log::info!(replica:% = id, endpoint:% = endpoint, reason; "replica gone");
-                self.removed.insert(key.to_owned(), self.shared.now());
+                let now = self.shared.now();
+                self.forget_removals(now);
+                self.removed.insert(key.to_owned(), now);
                 self.shared.with_pool(&endpoint, |pool| pool.remove(&id));
             }
             Some(RecordKind::Node(incarnation)) => {
--- a/crates/entry/src/leader/usage.rs
+++ b/crates/entry/src/leader/usage.rs
@@ -164,6 +164,7 @@
                 serde_json::from_slice(&record.value).map_err(|error| Error::Protocol(error.to_string()))?
             }
         };
+        self.known.add(stored.clone());
         if let Some(counts) = stored.windows.get(&window) {
             return Ok(Some(counts.clone()));
         }
