--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use base::{Incarnation, Millis};
+use base::{Incarnation, Millis, Revision};
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use place::{Spec, State};
@@ -10,17 +10,23 @@
 use store::{Listing, listing};
 use table::Table;
 
+use super::withheld::Withheld;
 use crate::Shared;
 use crate::blocks::BLOCKS_PREFIX;
 use crate::edge::{RolloutOrder, StoredRecord};
 use crate::publish::{REPORTS_PREFIX, Summary};
-use crate::view::{InternalRecord, Peer, Rollout};
+use crate::view::{InternalRecord, Peer, Rollout, View};
 
 /// Key prefix of the nodes' registrations, after the internal prefix.
 pub const NODES_PREFIX: &str = "nodes/";
 /// Key prefix of the rollout records, after the internal prefix.
 pub const ROLLOUTS_PREFIX: &str = "moves/";
 
+/// Time for which a removed replica is remembered, at least the age of the copies that the store is restored from.
+const REMOVAL_MEMORY: Millis = Millis(60_000);
+/// Renewal intervals after which the store has removed the registration of a replica that does not renew it.
+const EXPIRY_INTERVALS: u64 = 4;
+
 /// What the record of a key describes, needed to apply its deletion.
 #[derive(Clone, Debug)]
 enum RecordKind {
@@ -38,6 +44,11 @@
     shared: Arc<Shared>,
     known: IndexMap<String, RecordKind>,
     deletions: Deletions,
+    /// Keys of replicas that were removed lately, and when.
+    removed: IndexMap<String, Millis>,
+    withheld: Withheld,
+    /// Revisions of the rollout orders, by endpoint.
+    order_revisions: IndexMap<Arc<str>, Revision>,
 }
 
 impl Applier {
@@ -46,6 +57,9 @@
             shared,
             known: IndexMap::new(),
             deletions: Deletions::default(),
+            removed: IndexMap::new(),
+            withheld: Withheld::default(),
+            order_revisions: IndexMap::new(),
         }
     }
 
@@ -62,14 +76,51 @@
             self.handle_deletion(&key);
         }
         for entry in &listing.entries {
-            self.put(&entry.key, &entry.value, entry.revision);
+            if !self.withheld.contains(&entry.key, entry.revision) {
+                self.put(&entry.key, &entry.value, entry.revision);
+            }
         }
     }
 
+    /// Withholds the records of a restored store that say that a replica is ready which has left or begun to leave since
+    /// the copy was taken. A live replica writes its record again.
+    pub fn withhold_outdated(&mut self, listing: &Listing) {
+        let now = self.shared.now();
+        self.forget_removals(now);
+        self.withheld.clear();
+        let settings = self.shared.settings();
+        let until = now + Millis(settings.replica_heartbeat.0 * EXPIRY_INTERVALS);
+        for entry in &listing.entries {
+            let StoredRecord::Replica(spec) = self.shared.edge.decode_record(&entry.key, &entry.value) else {
+                continue;
+            };
+            let is_outdated = self.removed.contains_key(&entry.key)
+                || (spec.state == State::Ready && self.is_draining(&spec));
+            if is_outdated {
+                log::info!(replica:% = spec.id, endpoint:% = spec.endpoint, until_ms = until.since(now).0;
+                    "restored registration withheld");
+                self.withheld.insert(entry.clone(), until);
+            }
+        }
+        self.shared.notify_deletions_changed();
+    }
+
+    fn forget_removals(&mut self, now: Millis) {
+        self.removed.retain(|_, at| now.since(*at) < REMOVAL_MEMORY);
+    }
+
+    /// Whether the same incarnation of the replica is known to be draining.
+    fn is_draining(&self, spec: &Spec) -> bool {
+        self.shared.with_pool(&spec.endpoint, |pool| {
+            let known = pool.specs().find(|it| it.id == spec.id);
+            known.is_some_and(|it| it.state == State::Draining && it.started_unix_ms == spec.started_unix_ms)
+        })
+    }
+
     /// The changes from the records known at `revision` to a listing, in revision order.
     ///
     /// A page of the listing may be later than its revision. Those changes are left to the next watch.
-    pub fn changes_since(&self, revision: u64, listing: &Listing) -> Vec<Change> {
+    pub fn changes_since(&self, revision: Revision, listing: &Listing) -> Vec<Change> {
         let present: IndexSet<&str> = listing.entries.iter().map(|it| it.key.as_str()).collect();
         let is_new = |it: &&listing::Entry| it.revision > revision && it.revision <= listing.revision;
         let written = listing.entries.iter().filter(is_new).map(|entry| Change {
@@ -96,29 +147,44 @@
         }
     }
 
-    /// Removes the records that did not reappear after an outage. Returns when the next deletion is due.
-    pub fn apply_due_deletions(&mut self) -> Option<Millis> {
+    /// Removes the records that did not reappear after an outage, and applies the withheld ones that the store still has.
+    /// Returns when the next of them is due.
+    pub fn apply_due(&mut self) -> Option<Millis> {
+        let now = self.shared.now();
         let up_since = self.shared.availability().up_since();
-        for key in self.deletions.take_due(self.shared.now(), up_since) {
+        let missing = self.deletions.take_due(now, up_since);
+        if !missing.is_empty() {
+            log::warn!(records = missing.len(), era = self.shared.store.era(); "records did not reappear");
+        }
+        for key in missing {
             self.forget(&key, "did not reappear after a store outage");
         }
-        self.deletions.next_due(up_since)
+        for entry in self.withheld.take_due(now) {
+            self.put(&entry.key, &entry.value, entry.revision);
+        }
+        let next_deletion = self.deletions.next_due(up_since);
+        [next_deletion, self.withheld.next_due()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
-    fn put(&mut self, key: &str, value: &Bytes, revision: u64) {
+    fn put(&mut self, key: &str, value: &Bytes, revision: Revision) {
         self.deletions.cancel(key);
+        self.withheld.remove(key);
+        self.removed.swap_remove(key);
         let known = match self.shared.edge.decode_record(key, value) {
             StoredRecord::Table(table) => self.put_configuration(&table),
             StoredRecord::Replica(spec) => self.put_replica(key, spec),
             StoredRecord::InvalidReplica { id, cause } => {
-                log::warn!(replica:% = id, revision, cause:% = cause; "unusable registration of a replica");
+                log::warn!(replica:% = id, revision = revision.number, cause:% = cause; "unusable registration of a replica");
                 self.forget(key, "invalid registration");
                 RecordKind::Other
             }
             StoredRecord::RolloutOrder(order) => self.put_rollout_order(order, revision),
             StoredRecord::Internal(rest) => self.put_internal(rest, value, revision),
             StoredRecord::Invalid(cause) => {
-                log::warn!(key, revision, cause:% = cause; "invalid record");
+                log::warn!(key, revision = revision.number, cause:% = cause; "invalid record");
                 return;
             }
             StoredRecord::Other => RecordKind::Other,
@@ -165,25 +231,32 @@
         RecordKind::Replica { endpoint, id }
     }
 
-    fn put_rollout_order(&self, order: RolloutOrder, revision: u64) -> RecordKind {
+    fn put_rollout_order(&mut self, order: RolloutOrder, revision: Revision) -> RecordKind {
         let endpoint = Arc::clone(&order.endpoint);
+        let known_revision = self.order_revisions.insert(Arc::clone(&endpoint), revision);
         let mut view = self.shared.view();
-        let before = view.rollouts.orders.get(&endpoint).map(|(_, revision)| *revision);
-        if before != Some(revision) {
-            log::info!(endpoint:% = endpoint, target:% = order.target, within_ms = order.within.0, revision; "move ordered");
+        let known = view.rollouts.orders.get(&endpoint).cloned();
+        let before = known.as_ref().map(|(_, number)| *number);
+        if before != Some(revision.number) {
+            log::info!(endpoint:% = endpoint, target:% = order.target, within_ms = order.within.0,
+                revision = revision.number; "move ordered");
+        }
+        let is_restored = known_revision.is_some_and(|it| it.era < revision.era);
+        if let Some((_, number)) = known.filter(|(known, _)| is_restored && *known == order) {
+            view.rollouts.renumber(&endpoint, number, revision.number);
         }
         view.rollouts
             .orders
-            .insert(Arc::clone(&endpoint), (order, revision));
+            .insert(Arc::clone(&endpoint), (order, revision.number));
         RecordKind::RolloutOrder(endpoint)
     }
 
-    fn put_internal(&self, rest: String, value: &Bytes, revision: u64) -> RecordKind {
+    fn put_internal(&self, rest: String, value: &Bytes, revision: Revision) -> RecordKind {
         if let Some(name) = rest.strip_prefix(NODES_PREFIX) {
             return self.put_node(name, value);
         }
         if let Some(writer) = rest.strip_prefix(REPORTS_PREFIX) {
-            return self.put_reports(writer, value, revision);
+            return self.put_reports(writer, value, revision.number);
         }
         if rest.starts_with(BLOCKS_PREFIX) {
             match serde_json::from_slice(value) {
@@ -197,12 +270,18 @@
         let mut view = self.shared.view();
         if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
             match serde_json::from_slice::<Rollout>(value) {
+                Ok(record) if is_outdated(&view, endpoint, &record) => {
+                    log::info!(endpoint, target:% = record.target, stage:? = record.stage, revision = revision.number;
+                        "restored stage of a move ignored");
+                }
                 Ok(record) => {
                     log::info!(endpoint, target:% = record.target, stage:? = record.stage, share = record.share,
-                        reason:% = record.reason, revision; "move changed");
+                        reason:% = record.reason, revision = revision.number; "move changed");
                     view.rollouts.records.insert(Arc::from(endpoint), record);
                 }
-                Err(error) => log::warn!(endpoint, revision, cause:% = error; "invalid record of a rollout"),
+                Err(error) => {
+                    log::warn!(endpoint, revision = revision.number, cause:% = error; "invalid record of a rollout");
+                }
             }
         }
         view.internal.insert(
@@ -247,6 +326,7 @@
     }
 
     fn handle_deletion(&mut self, key: &str) {
+        self.withheld.remove(key);
         let now = self.shared.now();
         let up_since = self.shared.availability().up_since();
         let Some(due) = self.deletions.record(now, up_since, key) else {
@@ -262,6 +342,9 @@
         match self.known.swap_remove(key) {
             Some(RecordKind::Replica { endpoint, id }) => {
                 log::info!(replica:% = id, endpoint:% = endpoint, reason; "replica gone");
+                let now = self.shared.now();
+                self.forget_removals(now);
+                self.removed.insert(key.to_owned(), now);
                 self.shared.with_pool(&endpoint, |pool| pool.remove(&id));
             }
             Some(RecordKind::Node(incarnation)) => {
@@ -276,11 +359,8 @@
                 self.shared.view().summaries.swap_remove(&writer);
             }
             Some(RecordKind::Internal(rest)) => {
-                let mut view = self.shared.view();
-                view.internal.swap_remove(&rest);
-                if let Some(endpoint) = rest.strip_prefix(ROLLOUTS_PREFIX) {
-                    view.rollouts.records.swap_remove(endpoint);
-                }
+                // A rollout that is known stays known, and the leader writes its record again.
+                self.shared.view().internal.swap_remove(&rest);
             }
             Some(RecordKind::Other) | None => {}
         }
@@ -296,3 +376,9 @@
         }
     }
 }
+
+/// Whether a later stage of the same rollout is known.
+fn is_outdated(view: &View, endpoint: &str, record: &Rollout) -> bool {
+    let known = view.rollouts.records.get(endpoint);
+    known.is_some_and(|known| known.is_later_than(record))
+}
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -6,7 +6,7 @@
 
 use base::Millis;
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 
 use super::{Connection, Connections, SendError};
@@ -24,6 +24,8 @@
 pub struct Reply {
     /// The status.
     pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
 }
@@ -53,6 +55,7 @@
     }
     Ok(Reply {
         status: head.status,
+        headers: head.headers,
         body,
     })
 }
