A response that switches the protocol is no response

Callers received 101 from the node if a replica answered with it, a status that nobody had asked for. Cause: only 2xx without a signature and 5xx were taken as failures when a whole response is read, so that 101 passed as the replica's own. Now any 1xx that ends the exchange counts as a lost response: 502, or another replica where the route allows it, and the replica's health counts a failure. Ruled out: other 1xx, which the HTTP library skips itself.

--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -14,7 +14,7 @@
 /// Maximum size of a response held in memory.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Reads the response. An incomplete response and an error of the replica are failures.
+/// Reads the response. An incomplete response, a switch to another protocol and an error of the replica are failures.
 pub(super) async fn read(dispatch: &Dispatch, reply: Reply) -> Result<Response<Body>, Failure> {
     let shared = &dispatch.shared;
     let Reply {
@@ -23,6 +23,11 @@
         pending,
     } = reply;
     let (head, incoming) = pending.response.into_parts();
+    if head.status.is_informational() {
+        in_flight.end(DispatchOutcome::Failed);
+        let cause = format!("response with {}", head.status);
+        return Err(Failure::new(DispatchError::Lost, cause));
+    }
     let left = dispatch.call.time_left(shared.now()).max(Millis(1));
     let collected = Limited::new(incoming, MAX_BODY_BYTES).collect();
     let bytes = match timeout(left.as_duration(), collected).await {
