The head of a replica's response is bounded

A replica whose response head had no end was read up to the HTTP library's 400 KB a connection, and each read from a connection could take as much. Both are now 16 KiB on connections to replicas; a longer head counts as a lost response. Calls to the platform and to other nodes, whose responses are large, keep the library's buffers. Ruled out: the library's limit on the head alone, since what is read at a time would stay as large while a body has no end; a deadline of its own for the head, since a head a byte at a time already ends with the request's or the attempt's.

--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -28,7 +28,9 @@
 ) -> Result<Reply, SendError> {
     let connection = match connections.take(name, address, Millis::NEVER) {
         Some(connection) => connection,
-        None => Connection::connect(address).await.map_err(SendError::NotSent)?,
+        None => Connection::connect_for_calls(address)
+            .await
+            .map_err(SendError::NotSent)?,
     };
     let pending = connection.send(request).await?;
     let (head, incoming) = pending.response.into_parts();
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -23,6 +23,9 @@
     probe: Duration::from_secs(1),
 };
 
+/// Maximum size of a response head from a replica, and of what is read from the connection at a time.
+const REPLICA_BUFFER_BYTES: usize = 16 * 1024;
+
 /// A connection used by one request at a time. Dropping it during a request closes it immediately, so that the replica
 /// cancels the work.
 #[derive(Debug)]
@@ -40,13 +43,22 @@
 impl Connection {
     /// Connects to a replica.
     pub async fn connect(address: SocketAddr) -> Result<Self, String> {
+        Self::connect_with(address, http1::Builder::new().max_buf_size(REPLICA_BUFFER_BYTES)).await
+    }
+
+    /// Connects to the platform or another node, whose responses are large and are read in large pieces.
+    pub(super) async fn connect_for_calls(address: SocketAddr) -> Result<Self, String> {
+        Self::connect_with(address, &http1::Builder::new()).await
+    }
+
+    async fn connect_with(address: SocketAddr, builder: &http1::Builder) -> Result<Self, String> {
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_elapsed) => return Err("connection timed out".to_owned()),
         };
         LIVENESS.apply(&stream).map_err(|error| error.to_string())?;
-        let (sender, connection) = http1::Builder::new()
+        let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
