Responses that a node holds share one memory

Dozens of replicas' responses without an end made a node hold up to 8 MiB for each, and twice as much while the pieces of a body were joined; a node of 160 to 260 MB is killed for it, with all that it has accepted. A body in chunks of a byte took 32 bytes more a byte, since the pieces were kept as they came.

Now a response is copied into blocks of 16 KiB at most, which are charged to one budget of 32 MiB a process until they are handed to the caller's connection. A holder may grow only to as much as it would leave free, so that one response may still have 8 MiB, many large ones get less each, and small ones pass beside them. What is refused counts as a lost response of that replica. The decision is pure (upstream::Budget) and compared with a model; blocks have a test of their own.

Weighed: waiting for memory in place of refusing, which would keep sound requests waiting behind those that never end; a fixed part for each request, which would be too small for a large response on an idle node; a limit by the number of responses, which says nothing of their sizes. The budget is one static, since the limit is the process's and the place where connections are opened has no other access to it.

--- a/crates/entry/src/serve/body.rs
+++ b/crates/entry/src/serve/body.rs
@@ -6,6 +6,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use crate::upstream::Blocks;
+
 /// Body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, Aborted>;
 
@@ -25,3 +27,8 @@
 pub(crate) fn full(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
+
+/// A body whose bytes are all available, in blocks.
+pub(super) fn blocks(blocks: Blocks) -> Body {
+    blocks.map_err(|never| match never {}).boxed_unsync()
+}
--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -2,7 +2,8 @@
 
 use base::Millis;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use place::{DispatchError, DispatchOutcome, promises_not_run};
 use tokio::time::timeout;
 
@@ -10,6 +11,7 @@
 use super::body::{self, Body};
 use super::dispatch::Dispatch;
 use super::inbound::strip_connection;
+use crate::upstream::{Blocks, Exhausted, RESPONSES};
 
 /// Maximum size of a response held in memory.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -29,12 +31,11 @@
         return Err(Failure::new(DispatchError::Lost, cause));
     }
     let left = dispatch.call.time_left(shared.now()).max(Millis(1));
-    let collected = Limited::new(incoming, MAX_BODY_BYTES).collect();
-    let bytes = match timeout(left.as_duration(), collected).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
+    let blocks = match timeout(left.as_duration(), collect(incoming)).await {
+        Ok(Ok(blocks)) => blocks,
+        Ok(Err(cause)) => {
             in_flight.end(DispatchOutcome::Failed);
-            return Err(Failure::new(DispatchError::Lost, error.to_string()));
+            return Err(Failure::new(DispatchError::Lost, cause));
         }
         Err(_elapsed) => {
             return Err(Failure {
@@ -63,7 +64,7 @@
             response_head.idle_timeout,
         );
     }
-    let response = build_response(status, head.headers, bytes);
+    let response = build_response(status, head.headers, blocks);
     if status.is_server_error() || promises_not_run(status.as_u16()) {
         let error = DispatchError::Failed {
             status: status.as_u16(),
@@ -80,9 +81,27 @@
     Ok(response)
 }
 
-fn build_response(status: StatusCode, mut headers: HeaderMap, bytes: bytes::Bytes) -> Response<Body> {
+/// Reads the whole body; fails with the cause if it is incomplete or too large.
+async fn collect(mut incoming: Incoming) -> Result<Blocks, String> {
+    let mut blocks = Blocks::new(RESPONSES.reserve());
+    let mut size = 0;
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        let Ok(piece) = frame.into_data() else { continue };
+        size += piece.len();
+        if size > MAX_BODY_BYTES {
+            return Err("response too large".to_owned());
+        }
+        blocks
+            .push(&piece)
+            .map_err(|Exhausted| "no memory for the response".to_owned())?;
+    }
+    Ok(blocks)
+}
+
+fn build_response(status: StatusCode, mut headers: HeaderMap, blocks: Blocks) -> Response<Body> {
     strip_connection(&mut headers);
-    let mut response = Response::new(body::full(bytes));
+    let mut response = Response::new(body::blocks(blocks));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -1,11 +1,18 @@
 //! Connections to replicas, to the platform and to other nodes.
 
+mod blocks;
+mod budget;
 mod call;
 mod connection;
 mod connections;
 mod exchange;
+mod memory;
 
+pub use blocks::Blocks;
+pub use budget::{Budget, Exhausted};
 pub use call::{Reply, call};
 pub use connection::Connection;
 pub use connections::Connections;
 pub use exchange::{PendingResponse, SendError};
+pub(crate) use memory::RESPONSES;
+pub use memory::{Memory, Reservation};
