Events of streams share the memory for responses

A stream whose event has no end was held up to 1 MiB, in a buffer of up to 2 MiB, whatever the number of such streams. The buffer's memory is now charged to the budget for responses before it grows; a stream for which there is none counts as interrupted, and is resumed elsewhere where its route allows it. The splitting of a stream is a pure type (upstream::EventBuffer); the limit of 1 MiB an event is as before.

Ruled out: a smaller limit for each event, since sound events may be large on an idle node.

--- a/crates/entry/src/serve/relay/events.rs
+++ b/crates/entry/src/serve/relay/events.rs
@@ -1,13 +1,10 @@
-//! Splits a stream into events.
+//! Reads the events of a stream.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-/// Separates events.
-const EVENT_SEPARATOR: &[u8] = b"\n\n";
-/// Maximum size of an event held in memory.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+use crate::upstream::{EventBuffer, RESPONSES, Reservation};
 
 /// The next item of a stream.
 #[derive(Debug)]
@@ -24,53 +21,44 @@
 #[derive(Debug)]
 pub(super) struct Events {
     incoming: Incoming,
-    buffer: BytesMut,
-    /// Length of the buffer's prefix that was already searched for the separator.
-    searched: usize,
+    buffer: EventBuffer,
+    /// Memory of the buffer.
+    reservation: Reservation,
 }
 
 impl Events {
     pub fn new(incoming: Incoming) -> Self {
         Self {
             incoming,
-            buffer: BytesMut::new(),
-            searched: 0,
+            buffer: EventBuffer::new(),
+            reservation: RESPONSES.reserve(),
         }
     }
 
     /// Returns the next event. Cancel safe: no data is lost if the future is dropped.
     pub async fn next(&mut self) -> Next {
         loop {
-            if let Some(event) = self.take() {
+            if let Some(event) = self.buffer.take() {
                 return Next::Event(event);
             }
-            if self.buffer.len() > MAX_EVENT_BYTES {
+            if self.buffer.is_full() {
                 return Next::Interrupted("event too large".to_owned());
             }
             match self.incoming.frame().await {
                 Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
+                    let Ok(piece) = frame.into_data() else { continue };
+                    let capacity = self.buffer.capacity_with(piece.len());
+                    if self.reservation.resize(capacity).is_err() {
+                        return Next::Interrupted("no memory for the event".to_owned());
                     }
+                    self.buffer.push(&piece);
                 }
                 Some(Err(error)) => return Next::Interrupted(error.to_string()),
-                None if self.buffer.is_empty() => return Next::End,
-                None => return Next::Interrupted("stream ended within an event".to_owned()),
+                None if self.buffer.is_within_event() => {
+                    return Next::Interrupted("stream ended within an event".to_owned());
+                }
+                None => return Next::End,
             }
         }
     }
-
-    fn take(&mut self) -> Option<Bytes> {
-        let start = self.searched.saturating_sub(1);
-        let found = self.buffer[start..]
-            .windows(EVENT_SEPARATOR.len())
-            .position(|window| window == EVENT_SEPARATOR);
-        let Some(position) = found else {
-            self.searched = self.buffer.len();
-            return None;
-        };
-        let end = start + position + EVENT_SEPARATOR.len();
-        self.searched = 0;
-        Some(self.buffer.split_to(end).freeze())
-    }
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -5,6 +5,7 @@
 mod call;
 mod connection;
 mod connections;
+mod event_buffer;
 mod exchange;
 mod memory;
 
@@ -13,6 +14,7 @@
 pub use call::{Reply, call};
 pub use connection::Connection;
 pub use connections::Connections;
+pub use event_buffer::EventBuffer;
 pub use exchange::{PendingResponse, SendError};
 pub(crate) use memory::RESPONSES;
 pub use memory::{Memory, Reservation};
