A response in tiny pieces is given up early

A replica that sent a whole response in chunks of one byte without an end kept a node at work for eight million pieces; the caller waited for its whole patience and got 504, and idempotent requests were not tried elsewhere. Each piece now counts at least 64 bytes towards the limit of 8 MiB, as events already do: the caller gets 502 at once, or the response of another replica. Ruled out: a limit by time, which sound slow responses would meet as well.

--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -15,6 +15,8 @@
 
 /// Maximum size of a response held in memory.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Size that each piece of a response counts at least, since the work of reading it does not depend on its size.
+const MIN_PIECE_BYTES: usize = 64;
 
 /// Reads the response. An incomplete response, a switch to another protocol and an error of the replica are failures.
 pub(super) async fn read(dispatch: &Dispatch, reply: Reply) -> Result<Response<Body>, Failure> {
@@ -88,7 +90,7 @@
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|error| error.to_string())?;
         let Ok(piece) = frame.into_data() else { continue };
-        size += piece.len();
+        size += piece.len().max(MIN_PIECE_BYTES);
         if size > MAX_BODY_BYTES {
             return Err("response too large".to_owned());
         }
