--- a/crates/entry/src/serve/relay/events.rs
+++ b/crates/entry/src/serve/relay/events.rs
@@ -4,7 +4,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
-use crate::upstream::{EventBuffer, RESPONSES, Reservation};
+use crate::upstream::{EventBuffer, Exhausted, RESPONSES, Reservation};
 
 /// The next item of a stream.
 #[derive(Debug)]
@@ -47,11 +47,9 @@
             match self.incoming.frame().await {
                 Some(Ok(frame)) => {
                     let Ok(piece) = frame.into_data() else { continue };
-                    let capacity = self.buffer.capacity_with(piece.len());
-                    if self.reservation.resize(capacity).is_err() {
+                    if self.append(&piece).is_err() {
                         return Next::Interrupted("no memory for the event".to_owned());
                     }
-                    self.buffer.push(&piece);
                 }
                 Some(Err(error)) => return Next::Interrupted(error.to_string()),
                 None if self.buffer.is_within_event() => {
@@ -61,4 +59,10 @@
             }
         }
     }
+    /// Appends a piece if there is memory for it, and charges what the buffer takes then.
+    fn append(&mut self, piece: &[u8]) -> Result<(), Exhausted> {
+        self.reservation.resize(self.buffer.capacity_with(piece.len()))?;
+        self.buffer.push(piece);
+        self.reservation.resize(self.buffer.capacity())
+    }
 }
--- a/crates/entry/src/upstream/event_buffer.rs
+++ b/crates/entry/src/upstream/event_buffer.rs
@@ -58,10 +58,16 @@
         self.size > MAX_EVENT_BYTES
     }
 
-    /// Number of bytes of memory that the buffer takes at most once a piece of this length is appended.
+    /// Number of bytes of memory that the buffer takes.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Number of bytes of memory that the buffer is expected to take once a piece of this length is appended. Small
+    /// buffers may take somewhat more.
     pub fn capacity_with(&self, length: usize) -> usize {
         let needed = self.bytes.len() + length;
-        let capacity = self.bytes.capacity();
+        let capacity = self.capacity();
         if needed <= capacity {
             return capacity;
         }
