A reset passes the soak's proxy as a reset

Cause: the proxy before the replica. When a connection was reset, it dropped its write half first, which ends the connection in order, and reset it after that; nodes saw the end. Its own resets had the same fault. The proxy now keeps both connections until it has set them to reset. Ruled out: relaxing the check, since a stream that ends early must not look complete; a fault of the node, which had received an end between two events.

proxy::reset_of_the_target_is_no_end failed before: "0 bytes: Ok(0)".

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -89,7 +89,7 @@
 }
 
 /// Relays a connection until both directions have ended or one has failed.
-async fn relay(caller: TcpStream, target: SocketAddr, mut impairments: watch::Receiver<Impairment>) {
+async fn relay(mut caller: TcpStream, target: SocketAddr, mut impairments: watch::Receiver<Impairment>) {
     let accepts_bytes = |impairment: &Impairment| !impairment.blocks(Direction::ToTarget);
     if impairments.wait_for(accepts_bytes).await.is_err() {
         return;
@@ -97,38 +97,40 @@
     if *impairments.borrow() == Impairment::Reset {
         return reset(&caller);
     }
-    let Ok(upstream) = TcpStream::connect(target).await else {
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
         return reset(&caller);
     };
     for stream in [&caller, &upstream] {
         // A failure only adds delay to small chunks.
         let _result = stream.set_nodelay(true);
     }
-    let (from_caller, to_caller) = caller.into_split();
-    let (from_target, to_target) = upstream.into_split();
+    // Owned halves would end their connection in order when they are dropped, before it is reset.
+    let (from_caller, to_caller) = caller.split();
+    let (from_target, to_target) = upstream.split();
     let to_target_relay = relay_direction(from_caller, to_target, Direction::ToTarget, impairments.clone());
     let to_caller_relay = relay_direction(from_target, to_caller, Direction::ToCaller, impairments);
     // An error in either direction cancels the other.
-    let _result = tokio::try_join!(to_target_relay, to_caller_relay);
+    let ended = tokio::try_join!(to_target_relay, to_caller_relay);
+    if ended.is_err() {
+        reset(&caller);
+        reset(&upstream);
+    }
 }
 
-/// Relays bytes in one direction until the sender closes it; an error resets the connection.
+/// Relays bytes in one direction until the sender closes it.
 async fn relay_direction(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     direction: Direction,
     mut impairments: watch::Receiver<Impairment>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
-    let error = loop {
+    loop {
         let length = tokio::select! {
             _changed = impairments.wait_for(|it| *it == Impairment::Reset) => {
-                break io::ErrorKind::ConnectionReset.into()
+                return Err(io::ErrorKind::ConnectionReset.into());
             }
-            read = from.read(&mut buffer) => match read {
-                Ok(length) => length,
-                Err(error) => break error,
-            },
+            read = from.read(&mut buffer) => read?,
         };
         let is_open = |impairment: &Impairment| !impairment.blocks(direction);
         let impairment = match impairments.wait_for(is_open).await {
@@ -136,20 +138,15 @@
             Err(_ended) => Impairment::None,
         };
         match impairment {
-            Impairment::Reset => break io::ErrorKind::ConnectionReset.into(),
+            Impairment::Reset => return Err(io::ErrorKind::ConnectionReset.into()),
             Impairment::Delay(delay_ms) => tokio::time::sleep(Duration::from_millis(delay_ms)).await,
             Impairment::None | Impairment::CutThere | Impairment::CutBack | Impairment::Silent => {}
         }
         if length == 0 {
             return to.shutdown().await;
         }
-        if let Err(error) = to.write_all(&buffer[..length]).await {
-            break error;
-        }
-    };
-    reset(from.as_ref());
-    reset(to.as_ref());
-    Err(error)
+        to.write_all(&buffer[..length]).await?;
+    }
 }
 
 /// Makes the connection end with a reset when it is dropped.
--- a/crates/soak/tests/proxy.rs
+++ b/crates/soak/tests/proxy.rs
@@ -73,3 +73,35 @@
         .expect("ends before the timeout");
     assert!(broken.is_err());
 }
+
+/// A reset by the target arrives as a reset, whether or not the proxy has bytes under way: an end would look complete.
+#[tokio::test]
+async fn reset_of_the_target_is_no_end() {
+    for length in [0, 1, 5_000] {
+        for _round in 0..20 {
+            let listener = TcpListener::bind("127.0.0.1:0")
+                .await
+                .expect("listener binds a port");
+            let target = listener.local_addr().expect("listener has an address");
+            let proxy = Proxy::start(target).await.expect("proxy starts");
+            let mut caller = TcpStream::connect(proxy.address)
+                .await
+                .expect("proxy accepts a connection");
+            let (mut stream, _from) = listener.accept().await.expect("proxy connects");
+            stream
+                .write_all(&vec![b'x'; length])
+                .await
+                .expect("bytes are taken");
+            tokio::task::yield_now().await;
+            socket2::SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("linger is set");
+            drop(stream);
+            let mut bytes = Vec::new();
+            let ended = timeout(TIMEOUT, caller.read_to_end(&mut bytes))
+                .await
+                .expect("ends before the timeout");
+            assert!(ended.is_err(), "{length} bytes: {ended:?}");
+        }
+    }
+}
