The soak checks the memory of its nodes

A node of the soak that takes more than 160 MB, the smallest VM's, breaks a rule of its own; the peak of each node's last process is read before the nodes are told to stop, and the largest one is printed. The check has a case just inside and one just outside.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -14,6 +14,8 @@
 /// Time beyond a deadline after which a response is late: `loss-slack-ms` of both sites plus the hops of the soak test
 /// itself.
 const LATENESS_SLACK: Millis = Millis(500);
+/// Most memory that a node may take: that of the smallest VMs of both sites.
+pub const MEMORY_LIMIT_KIB: u64 = 160 * 1024;
 /// Time within which callers notice that a connection has closed after its process has exited.
 const CLOSE_DELAY: Millis = Millis(200);
 
@@ -28,6 +30,8 @@
     pub disruptions: Vec<Disruption>,
     /// Periods in which the second API key was revoked.
     pub revocations: Vec<Revocation>,
+    /// Peak memory of each node's last process, in KiB.
+    pub peak_memory_kib: Vec<u64>,
 }
 
 /// Returns the violated guarantees.
@@ -36,6 +40,7 @@
     for attempt in &history.attempts {
         history.check_attempt(attempt, &mut findings);
     }
+    history.check_memory(&mut findings);
     findings
 }
 
@@ -78,6 +83,14 @@
         }
     }
 
+    fn check_memory(&self, findings: &mut Vec<Finding>) {
+        for (node, peak) in self.peak_memory_kib.iter().enumerate() {
+            if *peak > MEMORY_LIMIT_KIB {
+                findings.push(Finding::new(Rule::Memory, format!("node {node} took {peak} KiB")));
+            }
+        }
+    }
+
     /// Whether the key had been revoked for so long that every node must reject it.
     fn is_revoked(&self, attempt: &Attempt) -> bool {
         let is_in_force = |revocation: &Revocation| {
--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -173,11 +173,12 @@
     let (findings, uncounted): (Vec<Finding>, Vec<Finding>) =
         outcome.findings.into_iter().partition(is_counted);
     println!(
-        "seed {}: {} requests, {} successes, {} executions, {} violated guarantees",
+        "seed {}: {} requests, {} successes, {} executions, at most {} KiB a node, {} violated guarantees",
         options.seed,
         outcome.requests,
         outcome.successes,
         outcome.executions,
+        outcome.peak_memory_kib,
         findings.len()
     );
     for finding in &uncounted {
--- a/crates/soak/src/finding.rs
+++ b/crates/soak/src/finding.rs
@@ -23,6 +23,8 @@
     Exit,
     /// Once all faults have ended, every node serves.
     Recovery,
+    /// A node stays within the memory of the smallest VM.
+    Memory,
 }
 
 impl Rule {
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -123,6 +123,15 @@
         self.lock().generation
     }
 
+    /// Returns the peak memory of the process in KiB; `None` if it is not running.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let state = self.lock();
+        let child = state.child.as_ref()?;
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     /// Whether the latest start is so recent that the process may not listen yet.
     pub fn is_starting(&self) -> bool {
         self.lock()
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -66,6 +66,8 @@
     pub successes: usize,
     /// Number of executions at replicas.
     pub executions: usize,
+    /// Largest peak memory of a node, in KiB.
+    pub peak_memory_kib: u64,
 }
 
 /// Injects the faults that the seed determines and checks the outcome.
@@ -79,10 +81,11 @@
     run.inject_all(&plan).await;
     run.clear_faults().await?;
     run.wait_serving(RECOVERY_TIMEOUT, "after the last fault").await;
+    let peak_memory_kib = run.peak_memory_kib();
     run.terminate_nodes().await?;
     stop.send_replace(true);
     let _results = callers.join_all().await;
-    Ok(run.evaluate(options))
+    Ok(run.evaluate(options, peak_memory_kib))
 }
 
 /// A deployment under fault injection, its workload, and the journal of the run.
@@ -196,7 +199,13 @@
         exits.join_all().await.into_iter().collect()
     }
 
-    fn evaluate(&self, options: &Options) -> Outcome {
+    /// Peak memory of the nodes that are running.
+    fn peak_memory_kib(&self) -> Vec<u64> {
+        let nodes = self.deployment.nodes.iter();
+        nodes.map(|node| node.peak_memory_kib().unwrap_or(0)).collect()
+    }
+
+    fn evaluate(&self, options: &Options, peak_memory_kib: Vec<u64>) -> Outcome {
         self.deployment.finish();
         let attempts: Vec<Attempt> = {
             let mut attempts = self
@@ -230,6 +239,7 @@
             executions,
             disruptions: std::mem::take(&mut journal.disruptions),
             revocations: std::mem::take(&mut journal.revocations),
+            peak_memory_kib,
         };
         findings.extend(check(&history));
         Outcome {
@@ -237,6 +247,7 @@
             requests: history.attempts.len(),
             successes: history.attempts.iter().filter(|it| it.is_success()).count(),
             executions: history.executions.values().sum(),
+            peak_memory_kib: history.peak_memory_kib.iter().copied().max().unwrap_or(0),
         }
     }
 }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -5,7 +5,7 @@
 
 use base::Millis;
 use soak::attempt::{Attempt, End, Key, Kind, Response};
-use soak::check::{History, check};
+use soak::check::{History, MEMORY_LIMIT_KIB, check};
 use soak::disruption::{Cause, Disruption, Revocation};
 use soak::finding::Rule;
 use soak::plan::{Plan, Size};
@@ -139,7 +139,7 @@
             attempts: vec![case.attempt],
             executions: HashMap::from([("a".to_owned(), case.executions)]),
             disruptions: case.disruptions,
-            revocations: Vec::new(),
+            ..History::default()
         };
         let violated: Vec<Rule> = check(&history).iter().map(|it| it.rule).collect();
         assert_eq!(violated, case.violated, "{}", case.name);
@@ -203,6 +203,32 @@
     }
 }
 
+#[test]
+fn memory_of_nodes() {
+    struct Case {
+        peaks: &'static [u64],
+        violated: &'static [Rule],
+    }
+    let cases = [
+        Case {
+            peaks: &[MEMORY_LIMIT_KIB, 0],
+            violated: &[],
+        },
+        Case {
+            peaks: &[0, MEMORY_LIMIT_KIB + 1],
+            violated: &[Rule::Memory],
+        },
+    ];
+    for case in cases {
+        let history = History {
+            peak_memory_kib: case.peaks.to_vec(),
+            ..History::default()
+        };
+        let violated: Vec<Rule> = check(&history).iter().map(|it| it.rule).collect();
+        assert_eq!(violated, case.violated, "{:?}", case.peaks);
+    }
+}
+
 #[test]
 fn same_seed_gives_same_plan() {
     let size = Size {
