Merge the reading of replicas' responses within bounds

Only a connection that breaks counts as a crash under a request's prompt; a response that takes too much memory does not.

--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -2,7 +2,8 @@
 
 use base::Millis;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use place::{DispatchError, DispatchOutcome, promises_not_run};
 use tokio::time::timeout;
 
@@ -10,11 +11,14 @@
 use super::body::{self, Body};
 use super::dispatch::Dispatch;
 use super::inbound::strip_connection;
+use crate::upstream::{Blocks, Exhausted, RESPONSES};
 
 /// Maximum size of a response held in memory.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Size that each piece of a response counts at least, since the work of reading it does not depend on its size.
+const MIN_PIECE_BYTES: usize = 64;
 
-/// Reads the response. An incomplete response and an error of the replica are failures.
+/// Reads the response. An incomplete response, a switch to another protocol and an error of the replica are failures.
 pub(super) async fn read(dispatch: &mut Dispatch, reply: Reply) -> Result<Response<Body>, Failure> {
     let shared = &dispatch.shared;
     let Reply {
@@ -23,13 +27,21 @@
         pending,
     } = reply;
     let (head, incoming) = pending.response.into_parts();
+    if head.status.is_informational() {
+        in_flight.end(DispatchOutcome::Failed);
+        let cause = format!("response with {}", head.status);
+        return Err(Failure::new(DispatchError::Lost, cause));
+    }
     let left = dispatch.call.time_left(shared.now()).max(Millis(1));
-    let collected = Limited::new(incoming, MAX_BODY_BYTES).collect();
-    let bytes = match timeout(left.as_duration(), collected).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
+    let blocks = match timeout(left.as_duration(), collect(incoming)).await {
+        Ok(Ok(blocks)) => blocks,
+        Ok(Err(Incomplete::Broken(cause))) => {
             in_flight.lose();
-            return Err(Failure::new(DispatchError::Lost, error.to_string()));
+            return Err(Failure::new(DispatchError::Lost, cause));
+        }
+        Ok(Err(Incomplete::Refused(cause))) => {
+            in_flight.end(DispatchOutcome::Failed);
+            return Err(Failure::new(DispatchError::Lost, cause));
         }
         Err(_elapsed) => {
             return Err(Failure {
@@ -58,7 +70,7 @@
             response_head.idle_timeout,
         );
     }
-    let response = build_response(status, head.headers, bytes);
+    let response = build_response(status, head.headers, blocks);
     if status.is_server_error() || promises_not_run(status.as_u16()) {
         let error = DispatchError::Failed {
             status: status.as_u16(),
@@ -75,9 +87,36 @@
     Ok(response)
 }
 
-fn build_response(status: StatusCode, mut headers: HeaderMap, bytes: bytes::Bytes) -> Response<Body> {
+/// Why a body was not read to its end.
+#[derive(Debug)]
+enum Incomplete {
+    /// The replica broke off.
+    Broken(String),
+    /// It takes too much memory.
+    Refused(&'static str),
+}
+
+/// Reads the whole body.
+async fn collect(mut incoming: Incoming) -> Result<Blocks, Incomplete> {
+    let mut blocks = Blocks::new(RESPONSES.reserve());
+    let mut size = 0;
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| Incomplete::Broken(error.to_string()))?;
+        let Ok(piece) = frame.into_data() else { continue };
+        size += piece.len().max(MIN_PIECE_BYTES);
+        if size > MAX_BODY_BYTES {
+            return Err(Incomplete::Refused("response too large"));
+        }
+        blocks
+            .push(&piece)
+            .map_err(|Exhausted| Incomplete::Refused("no memory for the response"))?;
+    }
+    Ok(blocks)
+}
+
+fn build_response(status: StatusCode, mut headers: HeaderMap, blocks: Blocks) -> Response<Body> {
     strip_connection(&mut headers);
-    let mut response = Response::new(body::full(bytes));
+    let mut response = Response::new(body::blocks(blocks));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
     response
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -116,6 +116,8 @@
                     Step::End => return,
                     Step::Failed(reason) => {
                         self.log_end(reason.stream_label());
+                        // The error closes the connection; what was written is flushed before that.
+                        tokio::task::yield_now().await;
                         yield Err(Aborted);
                         return;
                     }
@@ -172,7 +174,10 @@
                 self.complete();
                 Some(Step::End)
             }
-            Next::Interrupted(cause) => self.handle_interruption(cause),
+            Next::Interrupted(cause) => self.handle_interruption(cause, InFlight::lose),
+            Next::Refused(cause) => {
+                self.handle_interruption(cause.to_owned(), |it| it.end(DispatchOutcome::Failed))
+            }
         }
     }
 
@@ -221,10 +226,10 @@
         self.log_end("streamed");
     }
 
-    fn handle_interruption(&mut self, cause: String) -> Option<Step> {
+    fn handle_interruption(&mut self, cause: String, end: fn(InFlight)) -> Option<Step> {
         self.restore_target();
         if let Some(source) = self.take_source() {
-            source.in_flight.lose();
+            end(source.in_flight);
         }
         self.dispatch.cause.clone_from(&cause);
         let failure = Failure::new(DispatchError::Lost, cause);
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -39,7 +39,7 @@
 ) -> Result<Reply, SendError> {
     let connection = match connections.take(name, address, Millis::NEVER) {
         Some(connection) => connection,
-        None => Connection::connect(address, LIVENESS)
+        None => Connection::connect_for_calls(address, LIVENESS)
             .await
             .map_err(SendError::NotSent)?,
     };
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -16,6 +16,9 @@
 
 /// Time to establish a connection: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of a response head from a replica, and of what is read from the connection at a time.
+const REPLICA_BUFFER_BYTES: usize = 16 * 1024;
+
 /// A connection used by one request at a time. Dropping it during a request closes it immediately, so that the replica
 /// cancels the work.
 #[derive(Debug)]
@@ -31,15 +34,29 @@
 }
 
 impl Connection {
-    /// Connects to a replica or another server.
+    /// Connects to a replica.
     pub async fn connect(address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
+        let mut builder = http1::Builder::new();
+        Self::connect_with(address, liveness, builder.max_buf_size(REPLICA_BUFFER_BYTES)).await
+    }
+
+    /// Connects to the platform or another node, whose responses are large and are read in large pieces.
+    pub(super) async fn connect_for_calls(address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
+        Self::connect_with(address, liveness, &http1::Builder::new()).await
+    }
+
+    async fn connect_with(
+        address: SocketAddr,
+        liveness: Liveness,
+        builder: &http1::Builder,
+    ) -> Result<Self, String> {
         let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_elapsed) => return Err("connection timed out".to_owned()),
         };
         liveness.apply(&stream).map_err(|error| error.to_string())?;
-        let (sender, connection) = http1::Builder::new()
+        let (sender, connection) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
