--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -93,6 +93,7 @@
             exchange,
             patience: Millis::ZERO,
         });
+        // This replica counts as one that has the request.
         let patience = self.patience(choice);
         if let Some(sent) = self.sent.last_mut() {
             sent.patience = patience;
