--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 
 use base::Millis;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
+use crate::blame::{Blame, SAME_TIME};
 use crate::crash::Event;
 use crate::survivors::Survivors;
 use crate::{Block, Crash, Digest, Survival};
@@ -14,16 +15,10 @@
 const MAX_CRASHES: usize = 3;
 /// The same for a part that has been processed without a crash before.
 const MAX_CRASHES_OF_SURVIVOR: usize = 6;
-/// Crashes within this time may have a common cause other than a part.
-const SAME_TIME: Millis = Millis(500);
-/// Number of them with the part from which it does not matter that others may follow.
-const MANY_CRASHES: usize = 5;
-/// Time after a crash in which more may become known of those at the same time.
-const REVIEW_TIME: Millis = Millis(2 * SAME_TIME.0);
-/// Share of these crashes that must have the part if each is to count.
-const COMMON_SHARE: f64 = 0.8;
 /// Time after the start in which a node blocks nothing by itself, since it does not know yet which parts are sound.
 const WARM_UP: Millis = Millis(3_000);
+/// Time after a crash in which more may become known of those at the same time.
+const REVIEW_TIME: Millis = Millis(2 * SAME_TIME.0);
 /// Crashes in a row after which a request that crashes another replica is not repeated.
 const MAX_CRASHES_FOR_REPEAT: usize = 2;
 /// Time for which crashes are kept, and parts are blocked.
@@ -52,46 +47,6 @@
     pub crashes: usize,
 }
 
-/// The crashes that blame a part.
-#[derive(Clone, Debug, Default)]
-struct Blame {
-    crashes: IndexSet<u64>,
-    /// When they occurred.
-    times: Vec<Millis>,
-    /// The parts that all their requests have in common.
-    common: Vec<u64>,
-}
-
-impl Blame {
-    fn record(&mut self, event: &Event) {
-        if self.crashes.is_empty() {
-            self.common.clone_from(&event.parts);
-        }
-        if self.crashes.insert(event.crash) {
-            self.times.push(event.at);
-        }
-        self.common.retain(|part| event.parts.contains(part));
-    }
-
-    /// Number of crashes, given the times of those of all parts. Those at the same time count once if many of the replicas that
-    /// crashed then had no request with the part, and while more may be heard of.
-    fn weight(&self, now: Millis, all: &[Millis]) -> usize {
-        let mut times = self.times.clone();
-        times.sort_unstable();
-        let mut weight = 0;
-        while let Some(first) = times.first().copied() {
-            let is_together = |time: &Millis| *time >= first && time.since(first) < SAME_TIME;
-            let own = times.iter().filter(|time| is_together(time)).count();
-            let together = all.iter().filter(|time| is_together(time)).count();
-            let is_known = now.since(first) >= SAME_TIME || own >= MANY_CRASHES;
-            let is_common = is_known && own as f64 >= COMMON_SHARE * together as f64;
-            weight += if is_common { own } else { 1 };
-            times.drain(..own);
-        }
-        weight
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct State {
     at: Millis,
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -3,6 +3,7 @@
 //! A node records which parts a request had whose replica crashed under it, and which parts were processed without a crash.
 //! Nodes tell each other what they know ([`Digest`]), since each sees only a part of the crashes.
 
+mod blame;
 mod block;
 mod crash;
 mod detector;
