Log the ages of what a node heard when it defers a deletion

The lines of before could not tell whether a cut zone hears nothing of the others, or hears sums that say nothing of the store. Two fields of `deletion deferred` do: report_age_ms, zones_age_ms.

At the zone's hub they are 7,294 ms old: it lost its registration 7.3 s before, and the other hubs no longer send to it.

--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -328,12 +328,17 @@
     fn handle_deletion(&mut self, key: &str) {
         self.withheld.remove(key);
         let now = self.shared.now();
-        let up_since = self.shared.availability().up_since();
+        let (up_since, report_age) = {
+            let availability = self.shared.availability();
+            (availability.up_since(), availability.report_age(now))
+        };
         let Some(due) = self.deletions.record(now, up_since, key) else {
             return self.forget(key, "registration deleted");
         };
         metrics::counter!("bilberrylatch_deletions_deferred_total").increment(1);
-        log::info!(key, up_ms = up_since.map_or(0, |since| now.since(since).0), due_in_ms = due.since(now).0;
+        let age_or_none = |age: Option<Millis>| age.map_or(-1, |age| age.0 as i64);
+        log::info!(key, up_ms = up_since.map_or(0, |since| now.since(since).0), due_in_ms = due.since(now).0,
+            report_age_ms = age_or_none(report_age), zones_age_ms = age_or_none(self.shared.outside_age());
             "deletion deferred");
         self.shared.notify_deletions_changed();
     }
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -163,6 +163,12 @@
         }
     }
 
+    /// Age of the latest sums of other zones; `None` if there are none.
+    pub fn outside_age(&self, now: Millis) -> Option<Millis> {
+        let sums = self.zones.values().chain(&self.outside);
+        sums.map(|heard| now.since(heard.at)).min()
+    }
+
     /// Whether all other zones, of which there are `zones`, were heard from recently: by way of the own zone's hub, or
     /// directly if this node is the hub.
     pub fn hears_other_zones(&self, now: Millis, is_hub: bool, zones: usize) -> bool {
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Age of the latest sums of other availability zones; `None` if there are none.
+    pub fn outside_age(&self) -> Option<Millis> {
+        lock(&self.hub).outside_age(self.now())
+    }
+
     /// Waits until a deletion is deferred, or until more is known of the store's outages.
     pub async fn deletions_changed(&self) {
         self.deletions_changed.notified().await;
--- a/crates/relay/src/availability.rs
+++ b/crates/relay/src/availability.rs
@@ -43,6 +43,8 @@
     known: Span,
     /// When this node noticed the last restore of the store, which loses registrations like an outage.
     restored_at: Option<Millis>,
+    /// When another node last reported its uptime.
+    reported_at: Option<Millis>,
 }
 
 impl Availability {
@@ -56,6 +58,7 @@
                 last: now,
             },
             restored_at: None,
+            reported_at: None,
         }
     }
 
@@ -81,6 +84,12 @@
             last: now - report.last,
         };
         self.known = self.known.join(span, self.min_outage);
+        self.reported_at = Some(now);
+    }
+
+    /// Age of the last report of another node; `None` if there was none.
+    pub fn report_age(&self, now: Millis) -> Option<Millis> {
+        self.reported_at.map(|at| now.since(at))
     }
 
     /// The uptime by this node's own calls. What others report is left out, so that no report is passed on in circles.
