Tell other zones how long the store has answered a zone

What callers saw: requests that went to replicas up to 1.9 s after the node's cut had ended and 7.1 s after other nodes had dropped them, in a zone that was cut off from the store as a whole.

Cause: a node defers deletions after an outage of the store and learns from other nodes that there was none. From 52 nodes on it hears other zones by sums only, and sums said nothing of the store. Besides, the nodes of a cut zone lose their registrations, and hubs sent only to registered hubs, so the zone's hub heard nothing at all (zones_age_ms 7,294 in the logs).

Change: sums carry the joined uptimes of the nodes that they describe (the field was there and empty, so the format is the same); a hub also sends to hubs of other zones that it hears and that are not registered. A sum holds what its nodes report of their own calls only, so no report goes in circles.

Ruled out: late return to the store (all 14 nodes within 0.3 s).

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -110,7 +110,9 @@
         let [mut zone, mut outside] = shared.digests(&topology);
         zone.number = number;
         outside.number = number;
-        transmit(&socket, &mut zone, &topology.other_hubs).await;
+        let mut hubs = topology.other_hubs.clone();
+        hubs.extend(shared.unregistered_hubs());
+        transmit(&socket, &mut zone, &hubs).await;
         let mut receivers = topology.direct.clone();
         receivers.extend(shared.unregistered_nodes());
         transmit(&socket, &mut outside, &receivers).await;
--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -51,7 +51,7 @@
     pub loads: Vec<(Arc<str>, Vec<PeerLoad>)>,
     /// Replicas that cannot be reached.
     pub unreachable: Vec<Unreachable>,
-    /// How long the store has answered the sender; `None` in sums, and before its first answer.
+    /// How long the store has answered the sender, or in sums the nodes that they describe; `None` before the first answer.
     pub uptime: Option<Uptime>,
     /// Rate limits that replicas named, by endpoint.
     pub limits: Vec<(Arc<str>, Vec<PeerLimit>)>,
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use place::{PeerLimit, PeerLoad};
 use quota::Totals;
+use relay::Uptime;
 
 use super::PEER_TIMEOUT;
 use super::datagram::{Datagram, Scope, Unreachable};
@@ -42,6 +43,17 @@
     datagram: Datagram,
 }
 
+impl Heard {
+    /// The uptime that the sender reported, as of now.
+    fn uptime(&self, now: Millis) -> Option<Uptime> {
+        let age = now.since(self.at);
+        self.datagram.uptime.map(|uptime| Uptime {
+            first: uptime.first + age,
+            last: uptime.last + age,
+        })
+    }
+}
+
 /// Datagrams of the nodes of the own zone and of the hubs of other zones.
 #[derive(Debug, Default)]
 pub struct Hub {
@@ -163,6 +175,18 @@
         }
     }
 
+    /// Uptimes that the nodes of the own zone reported lately.
+    pub fn zone_uptimes(&self, now: Millis) -> Vec<Uptime> {
+        let fresh = self.nodes.values().filter(|it| now.since(it.at) < LOAD_TTL);
+        fresh.filter_map(|heard| heard.uptime(now)).collect()
+    }
+
+    /// Uptimes that the hubs of other zones reported lately.
+    pub fn outside_uptimes(&self, now: Millis) -> Vec<Uptime> {
+        let fresh = self.zones.values().filter(|it| now.since(it.at) < DIGEST_TIMEOUT);
+        fresh.filter_map(|heard| heard.uptime(now)).collect()
+    }
+
     /// Age of the latest sums of other zones; `None` if there are none.
     pub fn outside_age(&self, now: Millis) -> Option<Millis> {
         let sums = self.zones.values().chain(&self.outside);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -72,6 +72,8 @@
     deletions_changed: Notify,
     /// Nodes that were heard from, by incarnation.
     heard_nodes: Mutex<HeardNodes>,
+    /// Hubs of other zones that were heard from, by incarnation.
+    heard_hubs: Mutex<HeardNodes>,
     /// Sequence number and arrival time of the last datagram from each sender.
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
@@ -108,6 +110,7 @@
             availability: Mutex::new(Availability::new(clock.now(), min_outage)),
             deletions_changed: Notify::new(),
             heard_nodes: Mutex::default(),
+            heard_hubs: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             waiting: AtomicUsize::new(0),
             incarnation,
--- a/crates/entry/src/shared/availability.rs
+++ b/crates/entry/src/shared/availability.rs
@@ -1,13 +1,13 @@
 //! When the store has been up, by the answers to this node and to others.
 
 use std::net::SocketAddr;
-use std::sync::MutexGuard;
+use std::sync::{Mutex, MutexGuard};
 
 use base::{Millis, Revision};
 use relay::Availability;
 
 use super::{Shared, lock};
-use crate::peers::{Datagram, Scope};
+use crate::peers::{Datagram, HeardNodes, Scope};
 use crate::register::MIN_EXPIRY_OUTAGE;
 use crate::settings::Settings;
 
@@ -45,8 +45,10 @@
 
     /// Records where a datagram came from and what its sender knows of the store.
     pub fn record_sender(&self, datagram: &Datagram, address: SocketAddr) {
-        if datagram.scope == Scope::Node {
-            lock(&self.heard_nodes).record(self.now(), datagram.from, address);
+        match datagram.scope {
+            Scope::Node => lock(&self.heard_nodes).record(self.now(), datagram.from, address),
+            Scope::Zone(_) => lock(&self.heard_hubs).record(self.now(), datagram.from, address),
+            Scope::Outside { .. } => {}
         }
         if let Some(uptime) = datagram.uptime {
             self.update_availability("report", |it, now| it.record_report(now, uptime));
@@ -94,8 +96,17 @@
     /// Addresses of the nodes that were heard from recently and are not registered: those that are cut off from the store.
     /// They receive datagrams, too, so that they keep to the common limits and know whether the store is up.
     pub fn unregistered_nodes(&self) -> Vec<SocketAddr> {
+        self.unregistered(&self.heard_nodes)
+    }
+
+    /// Like [`Self::unregistered_nodes`], of the hubs of other zones: if a whole zone is cut off, no node of it is registered.
+    pub fn unregistered_hubs(&self) -> Vec<SocketAddr> {
+        self.unregistered(&self.heard_hubs)
+    }
+
+    fn unregistered(&self, heard: &Mutex<HeardNodes>) -> Vec<SocketAddr> {
         let now = self.now();
-        let heard = lock(&self.heard_nodes).fresh(now);
+        let heard = lock(heard).fresh(now);
         let view = self.view();
         let unregistered = heard
             .into_iter()
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -206,6 +206,10 @@
             hub.zone_digest(now, &zone, &own),
             hub.outside_digest(now, topology.other_zones),
         ];
+        let availability = self.availability();
+        let members = hub.zone_uptimes(now).into_iter().chain(own.uptime);
+        digests[0].uptime = availability.join_reports(now, members);
+        digests[1].uptime = availability.join_reports(now, hub.outside_uptimes(now));
         for digest in &mut digests {
             digest.from = self.incarnation.0;
             digest.poison.clone_from(&own.poison);
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -8,6 +8,7 @@
 use entry::view::{Peer, Peers};
 use indexmap::IndexMap;
 use place::{PeerLimit, PeerLoad};
+use relay::Uptime;
 
 const ZONES: usize = 3;
 const ROUND: Millis = Millis(200);
@@ -441,6 +442,31 @@
     assert_eq!(loads[127].unread_tokens, 2_872);
 }
 
+/// What a hub passes on of the store grows old with the datagrams that said it, and is dropped with them.
+#[test]
+fn reported_uptimes_age_and_expire() {
+    let uptime = |first, last| Uptime {
+        first: Millis(first),
+        last: Millis(last),
+    };
+    let datagram = |scope| Datagram {
+        from: 2,
+        scope,
+        uptime: Some(uptime(5_000, 10)),
+        ..Datagram::default()
+    };
+    let mut hub = Hub::default();
+    hub.record(Millis(10_000), &datagram(Scope::Node), &[]);
+    hub.record(Millis(10_000), &datagram(Scope::Zone(Arc::from("zone-1"))), &[]);
+    let later = Millis(10_300);
+    assert_eq!(hub.zone_uptimes(later), [uptime(5_300, 310)]);
+    assert_eq!(hub.outside_uptimes(later), [uptime(5_300, 310)]);
+    assert_eq!(hub.outside_age(later), Some(Millis(300)));
+    let expired = Millis(12_000);
+    assert_eq!(hub.zone_uptimes(expired), []);
+    assert_eq!(hub.outside_uptimes(expired), []);
+}
+
 /// The latest statement of a replica to a node of the zone reaches the others, with the sum of what the zone sent to it.
 #[test]
 fn digest_has_the_latest_rate_limit_and_the_sum_of_requests() {
--- a/crates/relay/src/availability.rs
+++ b/crates/relay/src/availability.rs
@@ -12,6 +12,20 @@
 }
 
 impl Span {
+    fn of(now: Millis, uptime: Uptime) -> Self {
+        Self {
+            first: now - uptime.first,
+            last: now - uptime.last,
+        }
+    }
+
+    fn uptime(self, now: Millis) -> Uptime {
+        Uptime {
+            first: now.since(self.first),
+            last: now.since(self.last),
+        }
+    }
+
     /// Returns the latest span without an outage, of which an outage of at least `min_outage` is noticed.
     fn join(self, other: Self, min_outage: Millis) -> Self {
         let (earlier, later) = if self.first <= other.first {
@@ -77,12 +91,9 @@
         self.known = self.known.join(answer, self.min_outage);
     }
 
-    /// Records the uptime that another node reports from its own calls.
+    /// Records the uptime that another node reports from its own calls, or that a hub reports of other nodes.
     pub fn record_report(&mut self, now: Millis, report: Uptime) {
-        let span = Span {
-            first: now - report.first,
-            last: now - report.last,
-        };
+        let span = Span::of(now, report);
         self.known = self.known.join(span, self.min_outage);
         self.reported_at = Some(now);
     }
@@ -94,10 +105,22 @@
 
     /// The uptime by this node's own calls. What others report is left out, so that no report is passed on in circles.
     pub fn report(&self, now: Millis) -> Option<Uptime> {
-        self.own.map(|own| Uptime {
-            first: now.since(own.first),
-            last: now.since(own.last),
-        })
+        self.own.map(|own| own.uptime(now))
+    }
+
+    /// The latest uptime of a group of nodes; `None` if there are no reports.
+    ///
+    /// Load pattern: an availability zone is cut off from the store as a whole. Its nodes hear of other zones by sums only.
+    pub fn join_reports<R>(&self, now: Millis, reports: R) -> Option<Uptime>
+    where
+        R: IntoIterator<Item = Uptime>,
+    {
+        let mut spans: Vec<Span> = reports.into_iter().map(|report| Span::of(now, report)).collect();
+        spans.sort_by_key(|span| span.first);
+        let joined = spans
+            .into_iter()
+            .reduce(|joined, span| joined.join(span, self.min_outage));
+        joined.map(|span| span.uptime(now))
     }
 
     /// When the last outage of the store ended, or it was restored, if either is known.
--- a/crates/relay/tests/availability.rs
+++ b/crates/relay/tests/availability.rs
@@ -138,6 +138,49 @@
     }
 }
 
+/// What a hub tells other zones: the span in which the store answered any node, since the last outage.
+#[test]
+fn uptimes_of_a_group_are_joined() {
+    struct Group {
+        name: &'static str,
+        /// Ages of the first and the last answer to each node.
+        reports: &'static [(u64, u64)],
+        joined: Option<(u64, u64)>,
+    }
+    let groups = [
+        Group {
+            name: "no node was answered",
+            reports: &[],
+            joined: None,
+        },
+        Group {
+            name: "one of three was served all along",
+            reports: &[(400, 0), (60_000, 100), (300, 50)],
+            joined: Some((60_000, 0)),
+        },
+        Group {
+            name: "none was served for a while",
+            reports: &[(60_000, 9_000), (300, 50), (60_000, 9_400)],
+            joined: Some((300, 50)),
+        },
+        Group {
+            name: "two were served one after the other",
+            reports: &[(1_000, 0), (60_000, 4_000), (5_000, 900)],
+            joined: Some((60_000, 0)),
+        },
+    ];
+    let availability = Availability::new(Millis(1_000), MIN_OUTAGE);
+    for group in &groups {
+        let uptime = |(first, last): (u64, u64)| Uptime {
+            first: Millis(first),
+            last: Millis(last),
+        };
+        let reports = group.reports.iter().copied().map(uptime);
+        let joined = availability.join_reports(Millis(100_000), reports);
+        assert_eq!(joined, group.joined.map(uptime), "{}", group.name);
+    }
+}
+
 #[test]
 fn a_record_that_reappears_is_kept() {
     let up_since = Some(Millis(14_000));
