Find out and log whether a node can connect to any replica of an endpoint

place::Reach decides by new connections only, since open ones may live on, hang or be reset: cut off once a third of the replicas (4 to 8, all of fewer) could not be connected to in a row. A few connections find out sooner after a failure, or if all replicas are silent for a second, and find out when one can be reached again. Nodes tell each other of it; zones' sums name the endpoints that no node of the zone reaches. While cut off, failed connections no longer eject replicas, since they say nothing of these.

How requests are sent does not change yet.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`blocks`] keeps the prompt parts in the store that crash replicas.
 //! - [`exchange`] lets nodes read the store and write to it through others.
 //! - [`peers`] exchanges data that changes too fast for the store with the other nodes.
+//! - [`reach`] finds out whether replicas can be reached.
 //! - [`leader`] runs the tasks of the elected node: usage reports, replica scaling, rollouts.
 
 pub mod app;
@@ -26,6 +27,7 @@
 pub mod node;
 pub mod peers;
 pub mod publish;
+pub mod reach;
 pub mod register;
 pub mod serve;
 pub mod settings;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,7 +14,7 @@
 use crate::edge::{Cloud, Edge};
 use crate::lifecycle::Phase;
 use crate::serve::{Listener, Service};
-use crate::{Error, Settings, Shared, blocks, follow, leader, peers, publish, register};
+use crate::{Error, Settings, Shared, blocks, follow, leader, peers, publish, reach, register};
 
 /// Time before SIGKILL at which the process ends any requests still in flight.
 const END_MARGIN: Millis = Millis(300);
@@ -76,6 +76,7 @@
         tokio::spawn(leader::run(Arc::clone(&shared), lease_receiver));
         let publisher = tokio::spawn(publish::run(Arc::clone(&shared)));
         tokio::spawn(blocks::run(Arc::clone(&shared)));
+        tokio::spawn(reach::run(Arc::clone(&shared)));
         tokio::spawn(run_housekeeping(Arc::clone(&shared)));
         log::info!(node = settings.name, zone = settings.zone, incarnation:% = shared.incarnation,
             address:% = settings.listen; "node started");
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -21,7 +21,7 @@
 use crate::lifecycle::Phase;
 use crate::{Error, Shared};
 
-pub use datagram::{Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
+pub use datagram::{CutOff, Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
 pub use heard::HeardNodes;
 pub use hub::{Hub, Use};
 pub use topology::Topology;
--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -36,6 +36,15 @@
     pub replicas: Vec<u64>,
 }
 
+/// An endpoint whose replicas nodes of an availability zone cannot reach.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CutOff {
+    /// The zone of the nodes.
+    pub zone: Arc<str>,
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Datagram {
@@ -57,11 +66,13 @@
     pub limits: Vec<(Arc<str>, Vec<PeerLimit>)>,
     /// Crashes of replicas under requests, and blocked prompt parts.
     pub poison: poison::Digest,
+    /// Endpoints of which the sender can't reach any replica, or in sums none of the nodes that they describe.
+    pub cut_off: Vec<CutOff>,
 }
 
-/// The encoding of the last fields where they are absent or empty. Earlier builds send neither the digest of crashes, which has
-/// three lists, nor, still earlier, the two fields before it.
-const EMPTY_LAST_FIELDS: [&[u8]; 2] = [&[0; 3], &[0; 5]];
+/// The encoding of the last fields where they are absent or empty. Earlier builds send no endpoints that they can't reach,
+/// nor, still earlier, the digest of crashes, which has three lists, nor the two fields before it.
+const EMPTY_LAST_FIELDS: [&[u8]; 3] = [&[0; 1], &[0; 4], &[0; 6]];
 
 impl Datagram {
     /// Decodes a datagram, also of a build that does not send the last fields.
@@ -111,6 +122,7 @@
         self.used == other.used
             && self.loads == other.loads
             && self.unreachable == other.unreachable
+            && self.cut_off == other.cut_off
             && self.has_same_limits(other)
             && self.poison.is_same(&other.poison)
     }
--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -13,7 +13,7 @@
 use relay::Uptime;
 
 use super::PEER_TIMEOUT;
-use super::datagram::{Datagram, Scope, Unreachable};
+use super::datagram::{CutOff, Datagram, Scope, Unreachable};
 
 /// Time without a datagram after which a zone counts as disconnected.
 pub const DIGEST_TIMEOUT: Millis = Millis(800);
@@ -153,6 +153,7 @@
             loads: sum_loads(&members),
             unreachable: merge_unreachable(&members),
             limits,
+            cut_off: common_cut_off(&members),
             ..Datagram::default()
         }
     }
@@ -171,6 +172,7 @@
             loads: sum_loads(&digests),
             unreachable: merge_unreachable(&digests),
             limits,
+            cut_off: digests.iter().flat_map(|it| it.cut_off.clone()).collect(),
             ..Datagram::default()
         }
     }
@@ -187,6 +189,22 @@
         fresh.filter_map(|heard| heard.uptime(now)).collect()
     }
 
+    /// Whether a node of the own zone was heard from lately and reaches replicas of an endpoint, as far as it has said.
+    pub fn node_reaches(&self, now: Millis, node: Incarnation, endpoint: &str) -> bool {
+        let heard = self
+            .nodes
+            .get(&node.0)
+            .filter(|it| now.since(it.at) < PEER_TIMEOUT);
+        heard.is_some_and(|it| !it.datagram.cut_off.iter().any(|it| *it.endpoint == *endpoint))
+    }
+
+    /// Whether a node of another zone reaches replicas of an endpoint, as far as the zones' sums say.
+    pub fn zone_reaches(&self, zone: &str, endpoint: &str) -> bool {
+        let sums = self.zones.values().chain(&self.outside);
+        let mut cut_off = sums.flat_map(|heard| &heard.datagram.cut_off);
+        !cut_off.any(|it| *it.zone == *zone && *it.endpoint == *endpoint)
+    }
+
     /// Age of the latest sums of other zones; `None` if there are none.
     pub fn outside_age(&self, now: Millis) -> Option<Millis> {
         let sums = self.zones.values().chain(&self.outside);
@@ -320,3 +338,15 @@
     }
     merged
 }
+
+/// The endpoints of which none of the nodes reaches a replica.
+fn common_cut_off(members: &[&Datagram]) -> Vec<CutOff> {
+    let Some((first, others)) = members.split_first() else {
+        return Vec::new();
+    };
+    let common = first
+        .cut_off
+        .iter()
+        .filter(|it| others.iter().all(|other| other.cut_off.contains(it)));
+    common.cloned().collect()
+}
--- a/crates/entry/src/serve/buffered.rs
+++ b/crates/entry/src/serve/buffered.rs
@@ -53,7 +53,6 @@
     if let Some(workspace) = dispatch.call.workspace() {
         shared.count_usage(&workspace.name, in_flight.sent());
     }
-    let choice = in_flight.choice().clone();
     let status = head.status;
     // A server error says something about the replica, a caller's mistake does not.
     in_flight.begin();
@@ -63,12 +62,9 @@
         DispatchOutcome::Answered
     });
     if !response_head.closes {
-        shared.connections.put(
-            &choice.id,
-            choice.address,
-            pending.connection,
-            response_head.idle_timeout,
-        );
+        shared
+            .connections
+            .put(pending.connection, response_head.idle_timeout);
     }
     let response = build_response(status, head.headers, blocks);
     if status.is_server_error() || promises_not_run(status.as_u16()) {
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -1,7 +1,6 @@
 //! Sends a request to replicas and waits for the head of a response.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::Millis;
 use place::{Choice, Demand, DispatchError, DispatchOutcome, Refusal};
@@ -13,8 +12,7 @@
 use super::log;
 use super::outgoing::Outgoing;
 use super::sent::{self, Exchange, Sent};
-use crate::net::Liveness;
-use crate::upstream::{Connection, PendingResponse, SendError};
+use crate::upstream::{Connection, PendingResponse, REPLICA_LIVENESS, SendError};
 
 /// Timeout of an idempotent request at one replica: a multiple of the expected time plus a constant.
 const TIMEOUT_FACTOR: u64 = 4;
@@ -24,13 +22,6 @@
 /// Maximum idle time of a connection that is used for a request that must not be lost, because it must not run twice or
 /// was lost before. Replicas drop connections without notice after an idle time of about 300 ms.
 const MAX_IDLE: Millis = Millis(200);
-/// A replica may stop for a second or two, with its network, and go on. Requests that may move are moved to another replica
-/// before that; for the others this connection is all they have.
-const LIVENESS: Liveness = Liveness {
-    unacknowledged: Duration::from_secs(4),
-    probe: Duration::from_secs(1),
-};
-
 impl Dispatch {
     /// Sends the request to a replica and waits for the head of a response.
     pub async fn attempt(&mut self, resume_after: Option<u64>) -> Result<Reply, AttemptError> {
@@ -104,15 +95,17 @@
         let tolerates_loss = self.call.route().kind.is_idempotent() && self.dispatches == 1;
         let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
         let shared = Arc::clone(&self.shared);
-        let (replica, address) = (Arc::clone(&choice.id), choice.address);
+        let (replica, key, address) = (Arc::clone(&choice.id), choice.replica, choice.address);
+        let endpoint = Arc::clone(&self.call.endpoint);
         let (chosen, send_delay) = (shared.now(), self.target.send_delay.clone());
         let outgoing = Outgoing::new(&self.call, Arc::clone(&replica), resume_after);
         Box::pin(async move {
-            let connection = match shared.connections.take(&replica, address, max_idle) {
-                Some(connection) => connection,
-                None => Connection::connect(address, LIVENESS)
-                    .await
-                    .map_err(SendError::NotSent)?,
+            let connection = if let Some(connection) = shared.connections.take(&replica, address, max_idle) {
+                connection
+            } else {
+                let connected = Connection::connect(&replica, address, REPLICA_LIVENESS).await;
+                shared.record_connect(&endpoint, key, connected.is_ok());
+                connected.map_err(SendError::NotSent)?
             };
             send_delay.record(shared.now().since(chosen));
             connection.send(outgoing.into_request(&shared)).await
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -212,16 +212,10 @@
 
     fn complete(&mut self) {
         let Some(source) = self.take_source() else { return };
-        let choice = source.in_flight.choice().clone();
         source.in_flight.end(DispatchOutcome::Answered);
         if !source.response_head.closes {
             let connections = &self.dispatch.shared.connections;
-            connections.put(
-                &choice.id,
-                choice.address,
-                source.connection,
-                source.response_head.idle_timeout,
-            );
+            connections.put(source.connection, source.response_head.idle_timeout);
         }
         self.log_end("streamed");
     }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod limits;
 mod poison;
+mod reach;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -15,6 +16,7 @@
 use clock::Clock;
 use indexmap::IndexMap;
 use place::Pool;
+use place::intermediary::Intermediaries;
 use quota::{Limiter, RetryBudget};
 use relay::Availability;
 use table::{Limits, Table};
@@ -32,6 +34,7 @@
 use crate::wall_clock::WallClock;
 
 pub use comparison::RequestEvent;
+pub use reach::{ForwardGuard, Intermediary, IntermediaryUse, Path};
 
 /// Fraction of a replica's connection limit that all nodes combined use.
 const CONNECTION_SHARE: f64 = 0.8;
@@ -74,6 +77,10 @@
     heard_nodes: Mutex<HeardNodes>,
     /// Hubs of other zones that were heard from, by incarnation.
     heard_hubs: Mutex<HeardNodes>,
+    /// Nodes through which requests are sent while this one reaches no replica.
+    intermediaries: Mutex<Intermediaries>,
+    /// Number of requests that are forwarded for other nodes.
+    forwarded: AtomicUsize,
     /// Sequence number and arrival time of the last datagram from each sender.
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
@@ -126,6 +133,8 @@
             topology: ArcSwap::default(),
             hub: Mutex::default(),
             last_heard: Mutex::default(),
+            intermediaries: Mutex::new(Intermediaries::new(Seed(incarnation.0).generator())),
+            forwarded: AtomicUsize::new(0),
             retry_budgets: Mutex::default(),
             counts: Mutex::default(),
             comparisons: Mutex::default(),
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Millis, Seed};
-use place::{PeerLimit, PeerReport};
+use place::{PeerLimit, PeerReport, Pool};
 use quota::{Group, LimitSettings, Limiter, PeerTotal, RetryPolicy, Tolerance};
 use table::Workspace;
 
 use super::{Shared, lock};
-use crate::peers::{self, Datagram, Scope, Topology, Unreachable, Use};
+use crate::peers::{self, CutOff, Datagram, Scope, Topology, Unreachable, Use};
 
 /// Fraction of the nodes' common retry slack that is used, since a restarted node has lost its count of spent retries.
 const RETRY_SLACK_SHARE: f64 = 0.5;
@@ -154,7 +154,16 @@
             });
             unreachable.filter(|it| !it.replicas.is_empty()).collect()
         });
+        let cut_off = self.with_pools(|pools| {
+            let cut_off = pools.iter().filter(|(_, pool)| pool.is_cut_off());
+            let entry = |(name, _): (&Arc<str>, &Pool)| CutOff {
+                zone: Arc::clone(&zone),
+                endpoint: Arc::clone(name),
+            };
+            cut_off.map(entry).collect()
+        });
         Datagram {
+            cut_off,
             from: self.incarnation.0,
             used,
             loads,
--- /dev/null
+++ b/crates/entry/src/shared/reach.rs
@@ -0,0 +1,158 @@
+//! Which replicas this node reaches, and the nodes through which it reaches the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use base::{Incarnation, Millis};
+use place::intermediary::{Candidate, may_forward};
+use place::{ReachChange, ReplicaKey};
+
+use super::{Shared, lock};
+
+/// How a request gets to the replicas of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// From this node.
+    Direct,
+    /// Through another node.
+    Through(Intermediary),
+    /// Not at all.
+    None,
+}
+
+/// A node through which requests are sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Intermediary {
+    /// The node.
+    pub node: Incarnation,
+    /// Its address for calls of other nodes.
+    pub address: SocketAddr,
+}
+
+/// Counts a request as sent through a node until dropped.
+#[derive(Debug)]
+pub struct IntermediaryUse {
+    shared: Arc<Shared>,
+    node: Incarnation,
+}
+
+impl Drop for IntermediaryUse {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        lock(&self.shared.intermediaries).end(now, self.node.0);
+    }
+}
+
+/// Counts a request as forwarded for another node until dropped.
+#[derive(Debug)]
+pub struct ForwardGuard(Arc<Shared>);
+
+impl Drop for ForwardGuard {
+    fn drop(&mut self) {
+        self.0.forwarded.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    /// Records whether a replica could be connected to from this node.
+    pub fn record_connect(&self, endpoint: &Arc<str>, replica: ReplicaKey, is_connected: bool) {
+        let now = self.now();
+        let change = self.with_pool(endpoint, |pool| pool.record_connect(now, replica, is_connected));
+        match change {
+            Some(ReachChange::CutOff {
+                failed,
+                connected_age,
+            }) => {
+                metrics::counter!("bilberrylatch_cut_offs_total").increment(1);
+                log::warn!(endpoint:%, failed, connected_age_ms = connected_age.map_or(-1, |age| age.0 as i64),
+                    intermediaries = self.candidates(now, endpoint).len(); "no replica can be reached");
+            }
+            Some(ReachChange::Reached { cut_off }) => {
+                log::info!(endpoint:%, cut_off_ms = cut_off.0; "replicas reached again");
+            }
+            None => {}
+        }
+    }
+
+    /// How a request gets to the replicas of an endpoint now.
+    pub fn path(&self, endpoint: &Arc<str>) -> Path {
+        if !self.with_pool(endpoint, |pool| pool.is_cut_off()) {
+            return Path::Direct;
+        }
+        let now = self.now();
+        let candidates = self.candidates(now, endpoint);
+        let known: Vec<Candidate> = candidates.iter().map(|(candidate, _)| *candidate).collect();
+        let chosen = lock(&self.intermediaries).choose(now, &known);
+        let chosen = candidates
+            .into_iter()
+            .find(|(candidate, _)| Some(candidate.node) == chosen);
+        match chosen {
+            Some((candidate, address)) => Path::Through(Intermediary {
+                node: Incarnation(candidate.node),
+                address,
+            }),
+            // No other node reaches them, so the replicas are down.
+            None if self.with_pool(endpoint, |pool| pool.is_all_unreachable()) => Path::None,
+            None => Path::Direct,
+        }
+    }
+
+    /// Counts a request as sent through a node until the returned value is dropped.
+    pub fn use_intermediary(self: &Arc<Self>, node: Incarnation) -> IntermediaryUse {
+        lock(&self.intermediaries).begin(node.0);
+        IntermediaryUse {
+            shared: Arc::clone(self),
+            node,
+        }
+    }
+
+    /// Sends no requests through a node for a while.
+    pub fn exclude_intermediary(&self, node: Incarnation, duration: Millis) {
+        lock(&self.intermediaries).exclude(self.now(), node.0, duration);
+    }
+
+    /// Counts a request as forwarded for another node until the returned guard is dropped; `None` if there are too many.
+    pub fn forward_guard(self: &Arc<Self>) -> Option<ForwardGuard> {
+        let forwarded = self.forwarded.load(Ordering::Relaxed);
+        let own = self.waiting_requests().saturating_sub(forwarded);
+        if !may_forward(forwarded, own) {
+            return None;
+        }
+        self.forwarded.fetch_add(1, Ordering::Relaxed);
+        Some(ForwardGuard(Arc::clone(self)))
+    }
+
+    /// Number of requests that are forwarded for other nodes.
+    pub fn forwarded_requests(&self) -> usize {
+        self.forwarded.load(Ordering::Relaxed)
+    }
+
+    /// The nodes that reach replicas of an endpoint, as far as is known, with their addresses.
+    fn candidates(&self, now: Millis, endpoint: &str) -> Vec<(Candidate, SocketAddr)> {
+        let settings = self.settings();
+        let is_layered = self.topology().is_layered;
+        let hub = lock(&self.hub);
+        let view = self.view();
+        let others = view
+            .peers
+            .iter()
+            .filter(|(node, peer)| peer.ready && **node != self.incarnation);
+        let reaches = others.filter(|(node, peer)| {
+            if is_layered && peer.zone != settings.zone {
+                hub.zone_reaches(&peer.zone, endpoint)
+            } else {
+                hub.node_reaches(now, **node, endpoint)
+            }
+        });
+        let candidate = |(node, peer): (&Incarnation, &crate::view::Peer)| {
+            let candidate = Candidate {
+                node: node.0,
+                capacity: peer.capacity,
+                is_near: peer.zone == settings.zone,
+            };
+            (candidate, peer.peer_address)
+        };
+        reaches.map(candidate).collect()
+    }
+}
--- a/crates/entry/src/upstream/call.rs
+++ b/crates/entry/src/upstream/call.rs
@@ -39,7 +39,7 @@
 ) -> Result<Reply, SendError> {
     let connection = match connections.take(name, address, Millis::NEVER) {
         Some(connection) => connection,
-        None => Connection::connect_for_calls(address, LIVENESS)
+        None => Connection::connect_for_calls(name, address, LIVENESS)
             .await
             .map_err(SendError::NotSent)?,
     };
@@ -51,7 +51,7 @@
         .to_bytes();
     let closes = head.headers.get(header::CONNECTION);
     if closes.is_none_or(|value| !value.as_bytes().eq_ignore_ascii_case(b"close")) {
-        connections.put(name, address, pending.connection, None);
+        connections.put(pending.connection, None);
     }
     Ok(Reply {
         status: head.status,
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a replica.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::Millis;
@@ -8,7 +9,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -16,13 +17,24 @@
 
 /// Time to establish a connection: several round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A replica may stop for a second or two, with its network, and go on. Requests that may move are moved to another replica
+/// before that; for the others this connection is all they have.
+pub const REPLICA_LIVENESS: Liveness = Liveness {
+    unacknowledged: Duration::from_secs(4),
+    probe: Duration::from_secs(1),
+};
 /// Maximum size of a response head from a replica, and of what is read from the connection at a time.
 const REPLICA_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Name and address of a server, since an address may be reassigned to another one.
+pub(super) type Server = (Arc<str>, SocketAddr);
+
 /// A connection used by one request at a time. Dropping it during a request closes it immediately, so that the replica
 /// cancels the work.
 #[derive(Debug)]
 pub struct Connection {
+    /// Name and address of the server.
+    pub(super) server: Server,
     pub(super) sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     /// Whether it has served a request before.
@@ -34,23 +46,64 @@
 }
 
 impl Connection {
-    /// Connects to a replica.
-    pub async fn connect(address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
+    /// Connects to a node that forwards requests to replicas. The connection comes from the address `own`, by which the other
+    /// node knows this one.
+    pub async fn connect_from(
+        own: IpAddr,
+        name: &Arc<str>,
+        address: SocketAddr,
+        liveness: Liveness,
+    ) -> Result<Self, String> {
+        let connect = async {
+            let socket = match address {
+                SocketAddr::V4(_) => TcpSocket::new_v4()?,
+                SocketAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            if !own.is_unspecified() {
+                socket.bind(SocketAddr::new(own, 0))?;
+            }
+            socket.connect(address).await
+        };
         let mut builder = http1::Builder::new();
-        Self::connect_with(address, liveness, builder.max_buf_size(REPLICA_BUFFER_BYTES)).await
+        let builder = builder.max_buf_size(REPLICA_BUFFER_BYTES);
+        Self::connect_with(connect, (Arc::clone(name), address), liveness, builder).await
     }
 
-    /// Connects to the platform or another node, whose responses are large and are read in large pieces.
-    pub(super) async fn connect_for_calls(address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
-        Self::connect_with(address, liveness, &http1::Builder::new()).await
+    /// Connects to the replica `name`.
+    pub async fn connect(name: &Arc<str>, address: SocketAddr, liveness: Liveness) -> Result<Self, String> {
+        let mut builder = http1::Builder::new();
+        let server = (Arc::clone(name), address);
+        let builder = builder.max_buf_size(REPLICA_BUFFER_BYTES);
+        Self::connect_with(TcpStream::connect(address), server, liveness, builder).await
     }
 
-    async fn connect_with(
+    /// Connects to the platform or another node, whose responses are large and are read in large pieces.
+    pub(super) async fn connect_for_calls(
+        name: &Arc<str>,
         address: SocketAddr,
         liveness: Liveness,
-        builder: &http1::Builder,
     ) -> Result<Self, String> {
-        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        let server = (Arc::clone(name), address);
+        Self::connect_with(
+            TcpStream::connect(address),
+            server,
+            liveness,
+            &http1::Builder::new(),
+        )
+        .await
+    }
+
+    async fn connect_with<C>(
+        connect: C,
+        server: Server,
+        liveness: Liveness,
+        builder: &http1::Builder,
+    ) -> Result<Self, String>
+    where
+        C: Future<Output = std::io::Result<TcpStream>>,
+    {
+        let address = server.1;
+        let stream = match timeout(CONNECT_TIMEOUT, connect).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(error.to_string()),
             Err(_elapsed) => return Err("connection timed out".to_owned()),
@@ -67,6 +120,7 @@
             }
         });
         Ok(Self {
+            server,
             sender,
             driver: driver.abort_handle(),
             used: false,
--- a/crates/entry/src/upstream/connections.rs
+++ b/crates/entry/src/upstream/connections.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 
 use super::Connection;
+use super::connection::Server;
 
 /// Subtracted from the idle timeout of the replica, so that a request does not race with the replica closing the
 /// connection.
@@ -17,14 +18,11 @@
 /// Maximum number of idle connections kept per replica.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 
-/// Replica id and address, since an address may be reassigned to another replica.
-type ReplicaAddress = (Arc<str>, SocketAddr);
-
 /// Pool of idle connections.
 #[derive(Debug)]
 pub struct Connections {
     clock: Clock,
-    idle: Mutex<IndexMap<ReplicaAddress, Vec<Connection>>>,
+    idle: Mutex<IndexMap<Server, Vec<Connection>>>,
 }
 
 impl Connections {
@@ -57,13 +55,7 @@
     }
 
     /// Returns a connection to the pool after a complete response. `idle` is how long the replica keeps it open.
-    pub fn put(
-        &self,
-        replica: &Arc<str>,
-        address: SocketAddr,
-        mut connection: Connection,
-        idle: Option<std::time::Duration>,
-    ) {
+    pub fn put(&self, mut connection: Connection, idle: Option<std::time::Duration>) {
         let idle_timeout = idle.map_or(DEFAULT_IDLE_TIMEOUT, |idle| {
             Millis((idle.as_millis() as u64).saturating_sub(IDLE_MARGIN.0))
         });
@@ -71,7 +63,7 @@
         connection.idle_since = self.clock.now();
         connection.idle_timeout = idle_timeout;
         let mut all = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = all.entry((Arc::clone(replica), address)).or_default();
+        let connections = all.entry(connection.server.clone()).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             connections.push(connection);
         }
--- a/crates/entry/tests/datagram.rs
+++ b/crates/entry/tests/datagram.rs
@@ -62,6 +62,7 @@
         uptime,
         limits: Vec::new(),
         poison: poison::Digest::default(),
+        cut_off: Vec::new(),
     }
 }
 
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -33,4 +33,6 @@
     pub began_at: Millis,
     /// Whether the replica's silence was recorded as a failure.
     pub is_silent: bool,
+    /// Whether it was sent through another node.
+    pub is_indirect: bool,
 }
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -91,6 +91,16 @@
         self.is_unreachable = true;
     }
 
+    /// Readmits the replica if it is ejected because of a failed connection.
+    pub const fn forget_unreachable(&mut self) {
+        if self.is_unreachable {
+            self.is_unreachable = false;
+            self.ejected_until = None;
+            self.is_probing = false;
+            self.ejections = self.ejections.saturating_sub(1);
+        }
+    }
+
     /// Returns whether the replica is ejected because of a failed connection.
     pub fn is_unreachable(&self, now: Millis) -> bool {
         self.is_unreachable && self.ejected_until.is_some_and(|until| now < until)
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod limits;
+mod reach;
 mod suspicion;
 
 use std::net::SocketAddr;
@@ -15,9 +16,11 @@
 use slotmap::SlotMap;
 
 use self::cost::Cost;
+pub use self::reach::{ForwardError, Probe};
 use crate::dispatch::Dispatch;
 use crate::prefill::PrefillRate;
 use crate::rate_limit::RateLimit;
+use crate::reach::Reach;
 use crate::replica::Replica;
 use crate::{
     Demand, DispatchKey, DispatchOutcome, Load, PeerLoad, PeerReport, Refusal, ReplicaKey, Settings, Spec,
@@ -49,6 +52,8 @@
     pub prefill_tokens: u32,
     /// Requests per second that the replica takes from all nodes combined, and when it said so.
     pub rate_limit: Option<(Millis, f64)>,
+    /// Whether the request is sent through another node, since this one reaches no replica.
+    pub is_indirect: bool,
 }
 
 /// The replicas of one endpoint and this node's dispatches to them.
@@ -65,6 +70,7 @@
     work: Work,
     /// When this node sent its first request.
     first_sent_at: Option<Millis>,
+    reach: Reach,
 }
 
 impl Pool {
@@ -80,6 +86,7 @@
             prefill_rate: PrefillRate::default(),
             work: Work::default(),
             first_sent_at: None,
+            reach: Reach::default(),
         }
     }
 
@@ -100,6 +107,7 @@
                 return;
             }
             self.replicas.remove(key);
+            self.reach.forget(key);
         }
         let id = Arc::clone(&spec.id);
         let key = self.replicas.insert(Replica::new(now, spec));
@@ -110,6 +118,7 @@
     pub fn remove(&mut self, id: &str) {
         if let Some(key) = self.ids.swap_remove(id) {
             self.replicas.remove(key);
+            self.reach.forget(key);
         }
     }
 
@@ -182,6 +191,7 @@
             expected_wait: Millis(cost.wait_ms as u64),
             prefill_tokens: cost.prefill_tokens,
             rate_limit,
+            is_indirect: false,
         })
     }
 
@@ -230,6 +240,7 @@
             answer_began: false,
             began_at: now,
             is_silent: false,
+            is_indirect: choice.is_indirect,
         })
     }
 
@@ -257,6 +268,7 @@
         dispatch.answer_began = true;
         dispatch.began_at = now;
         let dispatch = *dispatch;
+        self.reach.record_answer(now);
         let Some(replica) = self.replicas.get_mut(dispatch.replica) else {
             return;
         };
@@ -291,6 +303,7 @@
             return;
         };
         let others_failure_rate = self.others_failure_rate(dispatch.replica);
+        let is_own_failure = self.is_cut_off() && !dispatch.is_indirect;
         let Some(replica) = self.replicas.get_mut(dispatch.replica) else {
             return;
         };
@@ -308,6 +321,9 @@
                 replica.last_heard = now;
                 replica.health.record_success();
             }
+            DispatchOutcome::Failed | DispatchOutcome::Unreachable if is_own_failure => {
+                replica.health.record_neutral();
+            }
             DispatchOutcome::Failed if dispatch.is_silent => {}
             DispatchOutcome::Failed => replica.health.record_failure(now, others_failure_rate),
             DispatchOutcome::Unreachable => replica.health.record_unreachable(now),
--- /dev/null
+++ b/crates/place/src/pool/reach.rs
@@ -0,0 +1,134 @@
+//! What this node can reach of the endpoint's replicas.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::Millis;
+use rand::RngExt;
+
+use super::Pool;
+use crate::{ReachChange, ReplicaKey, State};
+
+/// Why a request of another node is not sent to a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardError {
+    /// This node can't reach the endpoint's replicas either.
+    CutOff,
+    /// The replica is not registered, or leaves.
+    Gone,
+    /// The replica wants no requests from this node for a while.
+    Paused,
+    /// This node can't connect to the replica.
+    Unreachable,
+}
+
+/// A replica to connect to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Key of the replica.
+    pub replica: ReplicaKey,
+    /// Id of the replica.
+    pub id: Arc<str>,
+    /// Address of the replica.
+    pub address: SocketAddr,
+}
+
+impl Pool {
+    /// Records whether a replica could be connected to.
+    pub fn record_connect(
+        &mut self,
+        now: Millis,
+        replica: ReplicaKey,
+        is_connected: bool,
+    ) -> Option<ReachChange> {
+        if is_connected {
+            return self.reach.record_connection(now);
+        }
+        if !self.replicas.contains_key(replica) {
+            return None;
+        }
+        let replicas = self.ready_replicas().len();
+        let change = self.reach.record_failure(now, replica, replicas);
+        if change.is_some() {
+            // This node's failed connections say nothing of the replicas.
+            for replica in self.replicas.values_mut() {
+                replica.health.forget_unreachable();
+            }
+        }
+        change
+    }
+
+    /// Whether this node reaches no replica.
+    pub const fn is_cut_off(&self) -> bool {
+        self.reach.is_cut_off()
+    }
+
+    /// Whether this node failed to connect to every ready replica since it last connected to any.
+    pub fn is_all_unreachable(&self) -> bool {
+        let ready = self.ready_replicas();
+        !ready.is_empty() && ready.iter().all(|key| self.reach.has_failed(*key))
+    }
+
+    /// The replicas to connect to now, to find out whether any can be reached. Those that have not failed come first.
+    pub fn take_probes(&mut self, now: Millis) -> Vec<Probe> {
+        let waiting = self.dispatches.values().filter(|it| !it.answer_began);
+        let waiting_since = waiting.map(|it| it.sent_at).min();
+        let count = self.reach.take_probes(now, waiting_since);
+        if count == 0 {
+            return Vec::new();
+        }
+        let mut ready = self.ready_replicas();
+        if !ready.is_empty() {
+            let start = self.generator.random_range(0..ready.len());
+            ready.rotate_left(start);
+        }
+        ready.sort_by_key(|key| self.reach.has_failed(*key));
+        let probe = |key: ReplicaKey| {
+            let spec = &self.replicas[key].spec;
+            Probe {
+                replica: key,
+                id: Arc::clone(&spec.id),
+                address: spec.address,
+            }
+        };
+        ready.into_iter().take(count).map(probe).collect()
+    }
+
+    /// The replica with this id, if a request of another node may be sent to it from here.
+    pub fn forward_target(&self, now: Millis, id: &str) -> Result<Probe, ForwardError> {
+        if self.is_cut_off() {
+            return Err(ForwardError::CutOff);
+        }
+        let key = self.ids.get(id).copied().ok_or(ForwardError::Gone)?;
+        let replica = &self.replicas[key];
+        if replica.spec.state != State::Ready || replica.is_leaving {
+            return Err(ForwardError::Gone);
+        }
+        if now < replica.paused_until {
+            return Err(ForwardError::Paused);
+        }
+        if replica.health.is_unreachable(now) {
+            return Err(ForwardError::Unreachable);
+        }
+        Ok(Probe {
+            replica: key,
+            id: Arc::clone(&replica.spec.id),
+            address: replica.spec.address,
+        })
+    }
+
+    /// Records that a replica could not be connected to for a request of another node.
+    pub fn record_unreachable(&mut self, now: Millis, replica: ReplicaKey) {
+        if let Some(replica) = self.replicas.get_mut(replica) {
+            replica.health.record_unreachable(now);
+        }
+    }
+
+    fn ready_replicas(&self) -> Vec<ReplicaKey> {
+        let is_ready = |key: &ReplicaKey| {
+            let replica = &self.replicas[*key];
+            replica.spec.state == State::Ready && !replica.is_leaving
+        };
+        self.ids.values().copied().filter(is_ready).collect()
+    }
+}
--- a/crates/place/src/refusal.rs
+++ b/crates/place/src/refusal.rs
@@ -7,6 +7,8 @@
 pub enum Refusal {
     /// No replica of the endpoint accepts the request.
     NoReplica,
+    /// No replica can be connected to, from this node or through another one.
+    Unreachable,
     /// All replicas that accept the request were already tried.
     AllTried,
     /// All replicas are full; there may be capacity after this time.
@@ -23,6 +25,7 @@
     pub const fn label(self) -> &'static str {
         match self {
             Self::NoReplica => "no_replica",
+            Self::Unreachable => "unreachable",
             Self::AllTried => "all_tried",
             Self::Full(_) => "full",
             Self::Limited(_) => "replicas_limited",
@@ -36,8 +39,11 @@
         const NO_REPLICA: Millis = Millis(1_000);
         /// Time for one of the tried replicas to recover.
         const ALL_TRIED: Millis = Millis(300);
+        /// Time until it is known whether one can be connected to again.
+        const UNREACHABLE: Millis = Millis(500);
         match self {
             Self::NoReplica => NO_REPLICA,
+            Self::Unreachable => UNREACHABLE,
             Self::AllTried => ALL_TRIED,
             Self::Full(wait) | Self::Limited(wait) | Self::TooLate(wait) => wait,
         }
--- a/crates/place/tests/placement/main.rs
+++ b/crates/place/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod error;
 mod limits;
 mod pool;
+mod reach;
 mod shutdown;
 mod support;
 mod suspicion;
