Send requests through another node while this one reaches no replica

Cause: a node had no other way to a replica than its own links. Class of fault: a node fails by its own failure although others could do what it can't.

Change: while a node can connect to no replica of an endpoint, requests go through a node that can. The node that took the request decides as before (replica, limits, repeats, what the end of a dispatch means); the other one, the intermediary, only carries one dispatch on the port of the nodes' own calls and says whether it was sent: 'not sent' is a proof, anything else counts as possibly run. If no other node reaches the replicas either, they are down, and requests are refused at once.

Ruled out: more dispatches before giving up (all replicas are unreachable); not being ready (callers keep their addresses for seconds, and the node serves all else).

--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -37,6 +37,9 @@
     /// sets them.
     fn set_forward_headers(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
+    /// Reduces the time left that the headers of a request to a replica state.
+    fn subtract_time(&self, headers: &mut HeaderMap, spent: Millis);
+
     /// Decodes the head of a replica's response to the request with this id.
     fn decode_response(&self, id: &Bytes, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
 
--- a/crates/entry/src/exchange/service.rs
+++ b/crates/entry/src/exchange/service.rs
@@ -1,5 +1,6 @@
 //! Serves the calls of other nodes.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,13 +13,20 @@
 use super::{CHANGES_PATH, REPORTS_PATH};
 use crate::Shared;
 use crate::publish::Summary;
-use crate::serve::{Body, full_body};
+use crate::serve::{Body, full_body, handle_forward, is_forward};
 
 /// Maximum size of a call's body, in bytes.
 const MAX_BODY_BYTES: usize = 256 * 1024;
 
 /// Serves a call of another node.
-pub async fn handle_request(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle_request(
+    shared: Arc<Shared>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    if is_forward(&request) {
+        return handle_forward(shared, caller, request).await;
+    }
     let path = request.uri().path().to_owned();
     let body = match Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use place::Probe;
+use place::Destination;
 use tokio::time::interval;
 
 use crate::Shared;
@@ -31,7 +31,7 @@
                     .into_iter()
                     .map(move |probe| (Arc::clone(&endpoint), probe))
             });
-            due.collect::<Vec<(Arc<str>, Probe)>>()
+            due.collect::<Vec<(Arc<str>, Destination)>>()
         });
         for (endpoint, probe) in probes {
             tokio::spawn(connect(Arc::clone(&shared), endpoint, probe));
@@ -39,7 +39,7 @@
     }
 }
 
-async fn connect(shared: Arc<Shared>, endpoint: Arc<str>, probe: Probe) {
+async fn connect(shared: Arc<Shared>, endpoint: Arc<str>, probe: Destination) {
     metrics::counter!("bilberrylatch_reach_probes_total").increment(1);
     let connected = Connection::connect(&probe.id, probe.address, REPLICA_LIVENESS).await;
     shared.record_connect(&endpoint, probe.replica, connected.is_ok());
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -144,7 +144,7 @@
     /// Logs a failed dispatch, and why the request may not be sent to another replica.
     pub fn log_failed(&self, failure: &Failure, denial: Option<Denial>) {
         let failed = log::Failed {
-            replica: &self.target.replica,
+            target: &self.target,
             cause: &failure.cause,
             silent: self.shared.now().since(self.last_heard),
             denial,
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -8,11 +8,14 @@
 
 use super::attempt::{AttemptError, Failure, Reply};
 use super::dispatch::Dispatch;
+use super::forward::{Parcel, carry};
 use super::in_flight::InFlight;
 use super::log;
 use super::outgoing::Outgoing;
+use super::pick::Pick;
 use super::sent::{self, Exchange, Sent};
-use crate::upstream::{Connection, PendingResponse, REPLICA_LIVENESS, SendError};
+use crate::shared::Path;
+use crate::upstream::{PendingResponse, SendError};
 
 /// Timeout of an idempotent request at one replica: a multiple of the expected time plus a constant.
 const TIMEOUT_FACTOR: u64 = 4;
@@ -31,17 +34,34 @@
                 ..Failure::new(DispatchError::NotSent, "deadline exceeded")
             }));
         }
-        let choice = self.choose().map_err(AttemptError::NoReplica)?;
-        self.send(&choice, resume_after);
+        let pick = self.choose().map_err(AttemptError::NoReplica)?;
+        self.send(&pick, resume_after);
         self.receive(resume_after).await
     }
 
-    /// Selects a replica that the request was not sent to yet.
-    pub fn choose(&self) -> Result<Choice, Refusal> {
-        self.with_demand(|demand| {
+    /// Selects a replica that the request was not sent to yet, and the way to it.
+    pub fn choose(&mut self) -> Result<Pick, Refusal> {
+        let intermediary = match self.shared.path(&self.call.endpoint) {
+            Path::Direct => None,
+            Path::Through(intermediary) => Some(intermediary),
+            Path::None => return Err(Refusal::Unreachable),
+        };
+        let was_direct = self.target.intermediary.is_none();
+        if intermediary.is_some() && was_direct && self.sent.is_empty() && self.possible_runs == 0 {
+            // Replicas that this node could not connect to are reached by the other one.
+            self.tried.clear();
+        }
+        let choice = self.with_demand(|demand| {
             let now = self.shared.now();
             self.shared
                 .with_pool(&self.call.endpoint, |pool| pool.choose(now, demand))
+        })?;
+        Ok(Pick {
+            choice: Choice {
+                is_indirect: intermediary.is_some(),
+                ..choice
+            },
+            intermediary,
         })
     }
 
@@ -62,14 +82,15 @@
     }
 
     /// Sends the request to a replica, beside those that have it.
-    pub fn send(&mut self, choice: &Choice, resume_after: Option<u64>) {
+    pub fn send(&mut self, pick: &Pick, resume_after: Option<u64>) {
+        let choice = &pick.choice;
         let now = self.shared.now();
         if !self.is_counted {
             self.shared.count_request(&self.call.endpoint);
             self.is_counted = true;
         }
         let in_flight =
-            self.with_demand(|demand| InFlight::new(&self.shared, &self.call, choice.clone(), demand));
+            self.with_demand(|demand| InFlight::new(&self.shared, &self.call, pick.clone(), demand));
         self.target = in_flight.target().clone();
         self.tried.push(choice.replica);
         self.dispatches += 1;
@@ -78,7 +99,7 @@
             let limit_age = now.since(named_at);
             log::sent_to_limited_replica(&self.call, &choice.id, per_s, limit_age, self.dispatches);
         }
-        let exchange = self.exchange(choice, resume_after);
+        let exchange = self.exchange(pick, resume_after);
         self.sent.push(Sent {
             in_flight,
             exchange,
@@ -91,24 +112,32 @@
         }
     }
 
-    fn exchange(&self, choice: &Choice, resume_after: Option<u64>) -> Exchange {
+    fn exchange(&self, pick: &Pick, resume_after: Option<u64>) -> Exchange {
         let tolerates_loss = self.call.route().kind.is_idempotent() && self.dispatches == 1;
         let max_idle = if tolerates_loss { Millis::NEVER } else { MAX_IDLE };
         let shared = Arc::clone(&self.shared);
-        let (replica, key, address) = (Arc::clone(&choice.id), choice.replica, choice.address);
         let endpoint = Arc::clone(&self.call.endpoint);
+        let replica = pick.choice.destination();
+        let intermediary = pick.intermediary;
         let (chosen, send_delay) = (shared.now(), self.target.send_delay.clone());
-        let outgoing = Outgoing::new(&self.call, Arc::clone(&replica), resume_after);
+        let outgoing = Outgoing::new(&self.call, Arc::clone(&replica.id), resume_after);
         Box::pin(async move {
-            let connection = if let Some(connection) = shared.connections.take(&replica, address, max_idle) {
-                connection
-            } else {
-                let connected = Connection::connect(&replica, address, REPLICA_LIVENESS).await;
-                shared.record_connect(&endpoint, key, connected.is_ok());
-                connected.map_err(SendError::NotSent)?
+            let request = || {
+                send_delay.record(shared.now().since(chosen));
+                outgoing.into_request(&shared)
             };
-            send_delay.record(shared.now().since(chosen));
-            connection.send(outgoing.into_request(&shared)).await
+            if let Some(intermediary) = intermediary {
+                let parcel = Parcel {
+                    intermediary,
+                    endpoint,
+                    replica: replica.id,
+                    max_idle,
+                };
+                return carry(&shared, parcel, request).await;
+            }
+            let connected = shared.connect_replica(&endpoint, &replica, max_idle).await;
+            let connection = connected.map_err(SendError::NotSent)?;
+            connection.send(request()).await
         })
     }
 
@@ -174,7 +203,13 @@
         let (error, cause) = match exchanged {
             Ok(pending) => return self.check_head(in_flight, pending),
             Err(SendError::NotSent(cause)) => {
-                in_flight.end(DispatchOutcome::Unreachable);
+                // Of a replica behind another node, this says nothing.
+                let outcome = if in_flight.choice().is_indirect {
+                    DispatchOutcome::NotRun
+                } else {
+                    DispatchOutcome::Unreachable
+                };
+                in_flight.end(outcome);
                 (DispatchError::NotSent, cause)
             }
             Err(SendError::Lost(cause)) => {
--- /dev/null
+++ b/crates/entry/src/serve/forward.rs
@@ -0,0 +1,12 @@
+//! Requests that reach replicas through another node, because their own node reaches none.
+//!
+//! The node that took a request decides everything about it: the replica, limits, repeats, and what the end of a dispatch
+//! means. The other node, the intermediary, only carries one dispatch to the named replica and the response back, on the port
+//! of the nodes' own calls. It never uses an intermediary itself, so there is one hop at most.
+
+mod accept;
+mod carry;
+mod header;
+
+pub(crate) use accept::{handle_request, is_forward};
+pub(super) use carry::{Parcel, carry};
--- /dev/null
+++ b/crates/entry/src/serve/forward/accept.rs
@@ -0,0 +1,316 @@
+//! Carries a request of another node to a replica.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use async_stream::stream;
+use base::Millis;
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Incoming;
+use place::{Destination, ForwardError, Part};
+
+use super::header::{CAUSE, OUTCOME, Outcome, TARGET, Target};
+use crate::Shared;
+use crate::edge::ResponseHead;
+use crate::lifecycle::Phase;
+use crate::serve::body::{self, Aborted, Body};
+use crate::serve::in_flight::CRASH_WINDOW;
+use crate::serve::inbound::{read_body, strip_connection};
+use crate::shared::{ForwardGuard, RequestGuard};
+use crate::upstream::{Connection, PendingResponse, SendError};
+
+/// Maximum idle time of a connection to a replica. Replicas drop connections without notice after about 300 ms.
+const MAX_IDLE: Millis = Millis(200);
+
+/// Why there is no response of the replica.
+#[derive(Clone, Debug)]
+struct Failure {
+    outcome: Outcome,
+    cause: String,
+}
+
+impl Failure {
+    fn new<C>(outcome: Outcome, cause: C) -> Self
+    where
+        C: Into<String>,
+    {
+        let cause = cause.into();
+        Self { outcome, cause }
+    }
+}
+
+/// A request of another node, being carried to a replica.
+#[derive(Debug)]
+struct Carriage {
+    shared: Arc<Shared>,
+    id: String,
+    target: Target,
+    replica: Destination,
+    /// Prompt parts that other requests may share.
+    parts: Vec<u64>,
+    received: Millis,
+    _forward: ForwardGuard,
+    _request: RequestGuard,
+}
+
+/// Whether a call of another node is a request for a replica.
+pub(crate) fn is_forward(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(TARGET)
+}
+
+/// Sends a request of another node to the replica that it names, and returns the response.
+pub(crate) async fn handle_request(
+    shared: Arc<Shared>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    match forward(shared, caller, request).await {
+        Ok(response) => response,
+        Err(failure) => {
+            let mut response = Response::new(body::full(Bytes::new()));
+            *response.status_mut() = StatusCode::BAD_GATEWAY;
+            let headers = response.headers_mut();
+            headers.insert(OUTCOME, HeaderValue::from_static(failure.outcome.label()));
+            if let Ok(cause) = HeaderValue::from_str(&failure.cause) {
+                headers.insert(CAUSE, cause);
+            }
+            response
+        }
+    }
+}
+
+async fn forward(
+    shared: Arc<Shared>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    let received = shared.now();
+    let (mut head, incoming) = request.into_parts();
+    let target = head.headers.remove(TARGET);
+    // The body is read before anything is refused: closing a connection with unread data resets it.
+    let body = read_body(incoming, shared.caller_limits()).await;
+    let target: Target = target
+        .as_ref()
+        .and_then(|it| it.to_str().ok())
+        .ok_or("no target")
+        .and_then(str::parse)
+        .map_err(|cause| Failure::new(Outcome::NotSent, cause))?;
+    let id = shared.edge.decode_request(&head).map(|it| (it.id, it.parts));
+    let (id, parts) = id.unwrap_or_default();
+    let id = str::from_utf8(&id).unwrap_or("").to_owned();
+    let admitted = match body {
+        Ok(body) => admit(&shared, caller, &target).map(|admitted| (admitted, body)),
+        Err(_incomplete) => Err(Failure::new(Outcome::NotSent, "incomplete request")),
+    };
+    let ((replica, guard), body) = match admitted {
+        Ok(admitted) => admitted,
+        Err(failure) => {
+            log_end(
+                &shared,
+                &id,
+                &target,
+                failure.outcome,
+                0,
+                &failure.cause,
+                received,
+            );
+            return Err(failure);
+        }
+    };
+    let carriage = Carriage {
+        id,
+        target,
+        replica,
+        parts: shared_parts(&parts),
+        received,
+        _forward: guard,
+        _request: shared.track_request(),
+        shared,
+    };
+    let mut outgoing = Request::new(Full::new(body));
+    *outgoing.method_mut() = head.method;
+    *outgoing.uri_mut() = head.uri;
+    *outgoing.headers_mut() = head.headers;
+    strip_connection(outgoing.headers_mut());
+    carriage.run(outgoing).await
+}
+
+/// Checks whether a request of another node may be sent to a replica.
+fn admit(
+    shared: &Arc<Shared>,
+    caller: IpAddr,
+    target: &Target,
+) -> Result<(Destination, ForwardGuard), Failure> {
+    let is_node = {
+        let view = shared.view();
+        let sender = view.peers.get(&target.sender);
+        sender.is_some_and(|peer| peer.peer_address.ip() == caller)
+    };
+    if !is_node || target.sender == shared.incarnation {
+        return Err(Failure::new(Outcome::Declined, "sender is no other node"));
+    }
+    if shared.lifecycle.phase() >= Phase::Leaving {
+        return Err(Failure::new(Outcome::Declined, "leaving"));
+    }
+    let now = shared.now();
+    let found = shared.with_pool(&target.endpoint, |pool| pool.forward_target(now, &target.replica));
+    let replica = found.map_err(|error| match error {
+        ForwardError::CutOff => Failure::new(Outcome::Declined, "no replica can be reached"),
+        ForwardError::Gone => Failure::new(Outcome::NotSent, "replica not in use"),
+        ForwardError::Paused => Failure::new(Outcome::NotSent, "replica wants no requests"),
+        ForwardError::Unreachable => Failure::new(Outcome::NotSent, "replica can't be reached"),
+    })?;
+    let guard = shared
+        .forward_guard()
+        .ok_or_else(|| Failure::new(Outcome::Declined, "too many requests of other nodes"))?;
+    Ok((replica, guard))
+}
+
+impl Carriage {
+    async fn run(self, mut outgoing: Request<Full<Bytes>>) -> Result<Response<Body>, Failure> {
+        let shared = Arc::clone(&self.shared);
+        let endpoint = Arc::clone(&self.target.endpoint);
+        let connected = shared.connect_replica(&endpoint, &self.replica, MAX_IDLE).await;
+        let connection = connected.map_err(|cause| {
+            let (now, replica) = (shared.now(), self.replica.replica);
+            shared.with_pool(&endpoint, |pool| pool.record_unreachable(now, replica));
+            self.fail(Outcome::NotSent, cause)
+        })?;
+        let spent = shared.now().since(self.received);
+        shared.edge.subtract_time(outgoing.headers_mut(), spent);
+        let pending = match connection.send(outgoing).await {
+            Ok(pending) => pending,
+            Err(SendError::NotSent(cause)) => return Err(self.fail(Outcome::NotSent, cause)),
+            Err(SendError::Lost(cause)) => {
+                self.record_crash();
+                return Err(self.fail(Outcome::Lost, cause));
+            }
+        };
+        if pending.response.status().is_informational() {
+            let cause = format!("response with {}", pending.response.status());
+            return Err(self.fail(Outcome::Lost, cause));
+        }
+        Ok(self.into_response(pending))
+    }
+
+    fn into_response(self, pending: PendingResponse) -> Response<Body> {
+        let (mut head, incoming) = pending.response.into_parts();
+        let request = Bytes::copy_from_slice(self.id.as_bytes());
+        let response_head = self
+            .shared
+            .edge
+            .decode_response(&request, head.status, &head.headers);
+        self.record_advice(&response_head);
+        let status = head.status;
+        strip_connection(&mut head.headers);
+        head.headers.remove(CAUSE);
+        head.headers
+            .insert(OUTCOME, HeaderValue::from_static(Outcome::Answered.label()));
+        let body = self.into_body(status, response_head, pending.connection, incoming);
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = head.headers;
+        response
+    }
+
+    fn into_body(
+        self,
+        status: StatusCode,
+        response_head: ResponseHead,
+        connection: Connection,
+        mut incoming: Incoming,
+    ) -> Body {
+        let began = self.shared.now();
+        let frames = stream! {
+            while let Some(frame) = incoming.frame().await {
+                match frame {
+                    Ok(frame) => {
+                        if let Ok(piece) = frame.into_data() {
+                            yield Ok(Frame::data(piece));
+                        }
+                    }
+                    Err(error) => {
+                        if self.shared.now().since(began) < CRASH_WINDOW {
+                            self.record_crash();
+                        }
+                        self.log_end(Outcome::Lost, status, &error.to_string());
+                        // The error closes the connection; what was written is flushed before that.
+                        tokio::task::yield_now().await;
+                        yield Err(Aborted);
+                        return;
+                    }
+                }
+            }
+            self.log_end(Outcome::Answered, status, "");
+            if !response_head.closes {
+                self.shared.connections.put(connection, response_head.idle_timeout);
+            }
+        };
+        StreamBody::new(frames).boxed_unsync()
+    }
+
+    /// Records what the replica says of itself: it holds for this node, too.
+    fn record_advice(&self, response_head: &ResponseHead) {
+        if response_head.matches_request != Some(true) {
+            return;
+        }
+        let now = self.shared.now();
+        let replica = self.replica.replica;
+        let advice = response_head.advice;
+        self.shared.with_pool(&self.target.endpoint, |pool| {
+            pool.record_rate_limit(now, replica, advice.rate_limit);
+            if let Some(pause) = advice.pause.filter(|_| response_head.not_run) {
+                pool.record_pause(now, replica, pause);
+            }
+            if advice.leaves {
+                pool.record_leaving(replica);
+            }
+        });
+    }
+
+    fn record_crash(&self) {
+        if !self.parts.is_empty() {
+            self.shared.record_crash(&self.replica.id, &self.parts);
+        }
+    }
+
+    fn fail(&self, outcome: Outcome, cause: String) -> Failure {
+        self.log_end(outcome, StatusCode::BAD_GATEWAY, &cause);
+        Failure { outcome, cause }
+    }
+
+    fn log_end(&self, outcome: Outcome, status: StatusCode, cause: &str) {
+        log_end(
+            &self.shared,
+            &self.id,
+            &self.target,
+            outcome,
+            status.as_u16(),
+            cause,
+            self.received,
+        );
+    }
+}
+
+fn log_end(
+    shared: &Shared,
+    id: &str,
+    target: &Target,
+    outcome: Outcome,
+    status: u16,
+    cause: &str,
+    received: Millis,
+) {
+    let outcome = outcome.label();
+    metrics::counter!("bilberrylatch_forwarded_total", "outcome" => outcome).increment(1);
+    log::info!(id, sender:% = target.sender, endpoint:% = target.endpoint, replica:% = target.replica, outcome, status,
+        cause, forwarded = shared.forwarded_requests(), took_ms = shared.now().since(received).0; "request forwarded");
+}
+
+fn shared_parts(parts: &[Part]) -> Vec<u64> {
+    let count = parts.len().saturating_sub(1);
+    parts[..count].iter().map(|part| part.id).collect()
+}
--- /dev/null
+++ b/crates/entry/src/serve/forward/carry.rs
@@ -0,0 +1,97 @@
+//! Sends a request through an intermediary.
+
+use std::sync::Arc;
+
+use base::Millis;
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+
+use super::header::{CAUSE, OUTCOME, Outcome, TARGET, Target};
+use crate::Shared;
+use crate::shared::Intermediary;
+use crate::upstream::{Connection, PendingResponse, REPLICA_LIVENESS, SendError};
+
+/// Name of the connections to intermediaries.
+const CONNECTION_NAME: &str = "intermediary";
+/// Time for which a node is left out that takes no requests for others at the moment.
+const DECLINED_PAUSE: Millis = Millis(300);
+/// Time for which a node is left out that can't be reached.
+const UNREACHABLE_PAUSE: Millis = Millis(1_000);
+/// Time for which a node is left out whose build does not forward requests.
+const UNSUPPORTED_PAUSE: Millis = Millis(60_000);
+
+/// The request and where it goes.
+#[derive(Clone, Debug)]
+pub struct Parcel {
+    pub intermediary: Intermediary,
+    pub endpoint: Arc<str>,
+    pub replica: Arc<str>,
+    /// Maximum idle time of the connection to the intermediary.
+    pub max_idle: Millis,
+}
+
+/// Sends a request through an intermediary and waits for the head of the replica's response. Nothing is sent again.
+pub async fn carry<F>(shared: &Shared, parcel: Parcel, request: F) -> Result<PendingResponse, SendError>
+where
+    F: FnOnce() -> Request<Full<Bytes>>,
+{
+    let Intermediary { node, address } = parcel.intermediary;
+    let name: Arc<str> = Arc::from(CONNECTION_NAME);
+    let own = shared.settings().peer_listen.ip();
+    let connection = match shared.connections.take(&name, address, parcel.max_idle) {
+        Some(connection) => connection,
+        None => match Connection::connect_from(own, &name, address, REPLICA_LIVENESS).await {
+            Ok(connection) => connection,
+            Err(cause) => {
+                shared.exclude_intermediary(node, UNREACHABLE_PAUSE);
+                return Err(SendError::NotSent(format!("intermediary: {cause}")));
+            }
+        },
+    };
+    let target = Target {
+        sender: shared.incarnation,
+        endpoint: parcel.endpoint,
+        replica: parcel.replica,
+    };
+    let value = HeaderValue::from_str(&target.to_string())
+        .map_err(|error| SendError::NotSent(format!("invalid name of an endpoint or a replica: {error}")))?;
+    let mut request = request();
+    request.headers_mut().insert(TARGET, value);
+    let pending = match connection.send(request).await {
+        Ok(pending) => pending,
+        Err(error) => {
+            shared.exclude_intermediary(node, UNREACHABLE_PAUSE);
+            return Err(error);
+        }
+    };
+    read_outcome(shared, parcel.intermediary, pending)
+}
+
+fn read_outcome(
+    shared: &Shared,
+    intermediary: Intermediary,
+    mut pending: PendingResponse,
+) -> Result<PendingResponse, SendError> {
+    let headers = pending.response.headers_mut();
+    let outcome = headers.remove(OUTCOME);
+    let cause = headers.remove(CAUSE);
+    let cause = cause.as_ref().and_then(|it| it.to_str().ok()).unwrap_or("");
+    let cause = format!("intermediary: {cause}");
+    match outcome.and_then(|it| Outcome::parse(it.as_bytes())) {
+        Some(Outcome::Answered) => Ok(pending),
+        Some(Outcome::NotSent) => Err(SendError::NotSent(cause)),
+        Some(Outcome::Declined) => {
+            shared.exclude_intermediary(intermediary.node, DECLINED_PAUSE);
+            Err(SendError::NotSent(cause))
+        }
+        Some(Outcome::Lost) => Err(SendError::Lost(cause)),
+        None if pending.response.status() == StatusCode::NOT_FOUND => {
+            shared.exclude_intermediary(intermediary.node, UNSUPPORTED_PAUSE);
+            Err(SendError::NotSent("intermediary: not supported".to_owned()))
+        }
+        None => Err(SendError::Lost(
+            "intermediary: response without an outcome".to_owned(),
+        )),
+    }
+}
--- a/crates/entry/src/serve/hedge.rs
+++ b/crates/entry/src/serve/hedge.rs
@@ -1,12 +1,13 @@
 //! Tries another replica beside silent ones. A silent replica is left only once another one has taken the request.
 
 use base::Millis;
-use place::{Choice, Denial, DispatchOutcome, Refusal};
+use place::{Denial, DispatchOutcome, Refusal};
 
 use super::attempt::Failure;
 use super::dispatch::Dispatch;
 use super::in_flight::InFlight;
 use super::log;
+use super::pick::Pick;
 
 /// Interval between attempts to find another replica during a long silence.
 pub(super) const RETRY_INTERVAL: Millis = Millis(250);
@@ -21,10 +22,10 @@
         for sent in &self.sent {
             sent.in_flight.record_silence();
         }
-        let Some(choice) = self.successor() else {
+        let Some(pick) = self.successor() else {
             return RETRY_INTERVAL;
         };
-        self.send(&choice, resume_after);
+        self.send(&pick, resume_after);
         if self.call.route().kind.is_stream() {
             self.overlap_ends = Some(self.shared.now() + STREAM_OVERLAP);
         }
@@ -67,21 +68,21 @@
         self.log_failed(failure, None);
     }
 
-    fn successor(&mut self) -> Option<Choice> {
+    fn successor(&mut self) -> Option<Pick> {
         let now = self.shared.now();
-        let choice = match self.attempts().denial_during_silence() {
+        let pick = match self.attempts().denial_during_silence() {
             Some(denial) => Err(denial.label()),
             None if !self.may_repeat() => Err(Denial::Poison.label()),
             None => self.choose().map_err(Refusal::label),
         };
-        let choice = match choice {
+        let pick = match pick {
             Ok(_) if !self.shared.try_retry(&self.call.endpoint) => Err(Denial::Budget.label()),
-            choice => choice,
+            pick => pick,
         };
-        let stays_for = choice.as_ref().err().copied();
+        let stays_for = pick.as_ref().err().copied();
         // Of the attempts that a long silence leads to, only those that end differently are logged.
         if stays_for.is_none() || stays_for != self.stays_for {
-            let successor = choice.as_ref().map(|it| &*it.id).map_err(|reason| *reason);
+            let successor = pick.as_ref().map(|it| &*it.choice.id).map_err(|reason| *reason);
             let silent = now.since(self.last_heard);
             log::silent(
                 &self.call,
@@ -92,6 +93,6 @@
             );
         }
         self.stays_for = stays_for;
-        choice.ok()
+        pick.ok()
     }
 }
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -6,13 +6,14 @@
 use place::{Choice, Demand, DispatchKey, DispatchOutcome, Load};
 
 use super::call::Call;
+use super::pick::Pick;
 use super::target::{SendDelay, Target};
 use crate::Shared;
 use crate::edge::Advice;
-use crate::shared::RequestEvent;
+use crate::shared::{IntermediaryUse, RequestEvent};
 
 /// Time after the first event in which a replica crashes that can't process the request's prompt.
-const CRASH_WINDOW: Millis = Millis(300);
+pub(super) const CRASH_WINDOW: Millis = Millis(300);
 
 /// Ends the dispatch in the pool when dropped. If it has not ended by then, the caller disconnected or the time was up.
 #[derive(Debug)]
@@ -30,11 +31,14 @@
     began: Millis,
     /// Whether it was recorded that the replica processed the request.
     has_survived: bool,
+    /// Counts the request at the node through which it is sent.
+    _intermediary: Option<IntermediaryUse>,
 }
 
 impl InFlight {
     /// Records that a request is sent to a replica.
-    pub fn new(shared: &Arc<Shared>, call: &Call, choice: Choice, demand: &Demand<'_>) -> Self {
+    pub fn new(shared: &Arc<Shared>, call: &Call, pick: Pick, demand: &Demand<'_>) -> Self {
+        let Pick { choice, intermediary } = pick;
         let sent = shared.now();
         let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
         shared.record_version_event(&call.endpoint, &choice.version, RequestEvent::Start);
@@ -44,6 +48,7 @@
             prefill_tokens: choice.prefill_tokens,
             view_age: shared.view().freshness.age(sent),
             send_delay: SendDelay::default(),
+            intermediary: intermediary.map(|it| it.node),
         };
         Self {
             has_begun: false,
@@ -51,6 +56,7 @@
             parts: demand.shared().iter().map(|part| part.id).collect(),
             began: Millis::ZERO,
             has_survived: false,
+            _intermediary: intermediary.map(|it| shared.use_intermediary(it.node)),
             shared: Arc::clone(shared),
             endpoint: Arc::clone(&call.endpoint),
             choice,
@@ -152,7 +158,8 @@
     /// Records that the connection broke before the response was complete.
     pub fn lose(mut self) {
         let is_early = !self.has_begun || self.shared.now().since(self.began) < CRASH_WINDOW;
-        if is_early && !self.has_survived && !self.parts.is_empty() {
+        // An intermediary sees by itself whether the replica or the link between the nodes broke.
+        if is_early && !self.has_survived && !self.parts.is_empty() && !self.choice.is_indirect {
             self.shared.record_crash(&self.choice.id, &self.parts);
         }
         self.finish(DispatchOutcome::Failed);
--- a/crates/entry/src/serve/listener.rs
+++ b/crates/entry/src/serve/listener.rs
@@ -1,7 +1,7 @@
 //! Accepts and serves connections.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -69,7 +69,7 @@
         loop {
             tokio::select! {
                 accepted = self.socket.accept() => match accepted {
-                    Ok((stream, _caller)) => self.serve(stream),
+                    Ok((stream, caller)) => self.serve(stream, caller.ip()),
                     Err(error) => {
                         log::warn!(cause:% = error; "failed to accept a connection");
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -80,17 +80,17 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, caller: IpAddr) {
         if let Err(error) = LIVENESS.apply(&stream) {
             log::debug!(cause:% = error; "failed to set socket options");
         }
         let shared = Arc::clone(&self.shared);
         let service = self.service.clone();
-        tokio::spawn(serve_connection(shared, service, stream));
+        tokio::spawn(serve_connection(shared, service, stream, caller));
     }
 }
 
-async fn serve_connection(shared: Arc<Shared>, service: Service, stream: TcpStream) {
+async fn serve_connection(shared: Arc<Shared>, service: Service, stream: TcpStream, caller: IpAddr) {
     let head_bytes = shared.caller_limits().head_bytes;
     let lifecycle = shared.lifecycle.clone();
     let activity = Arc::new(Activity::new(shared.now()));
@@ -102,7 +102,7 @@
             let activity = Arc::clone(&activity);
             async move {
                 activity.begin();
-                let response = handle_request(Arc::clone(&shared), service, request).await;
+                let response = handle_request(Arc::clone(&shared), service, caller, request).await;
                 Ok::<_, Infallible>(response.map(|body| Tracked::new(body, shared, activity)))
             }
         })
@@ -131,13 +131,18 @@
 /// Minimum buffer size that the library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
-async fn handle_request(shared: Arc<Shared>, service: Service, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    shared: Arc<Shared>,
+    service: Service,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Body> {
     let is_leaving = shared.lifecycle.phase() >= Phase::Leaving;
     let mut response = match service {
         Service::Proxy => proxy::handle_request(shared, request).await,
         Service::Directory => directory::handle_request(&shared, request.uri()),
         Service::Ready => ready(&shared, &request),
-        Service::Peers => exchange::handle_request(shared, request).await,
+        Service::Peers => exchange::handle_request(shared, caller, request).await,
         Service::Metrics(handle) => text(StatusCode::OK, handle.render()),
     };
     if is_leaving {
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -73,6 +73,7 @@
         endpoint:% = call.endpoint,
         workspace = call.workspace().map_or("", |it| &it.name),
         replica:% = end.target.replica,
+        through = end.target.through(),
         attempts = end.attempts,
         outcome = end.outcome,
         status = end.status,
@@ -91,10 +92,10 @@
 }
 
 /// A failed dispatch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Failed<'a> {
-    /// Id of the replica.
-    pub replica: &'a str,
+    /// The replica.
+    pub target: &'a Target,
     /// Why it failed.
     pub cause: &'a str,
     /// Time since the replica was sent the request, or sent its last event.
@@ -124,7 +125,8 @@
     log::info!(
         id = call.id(),
         endpoint:% = call.endpoint,
-        replica = failed.replica,
+        replica:% = failed.target.replica,
+        through = failed.target.through(),
         cause = failed.cause,
         silent_ms = failed.silent.0,
         parts:% = Parts(call.request_head.shared_parts()),
--- a/crates/entry/src/serve/target.rs
+++ b/crates/entry/src/serve/target.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, OnceLock};
 
-use base::Millis;
+use base::{Incarnation, Millis};
 
 /// The replica that a request was sent to, and what was known of it then.
 #[derive(Clone, Debug)]
@@ -17,6 +17,8 @@
     pub view_age: Option<Millis>,
     /// Time from the choice until the request was sent.
     pub send_delay: SendDelay,
+    /// The node through which it was sent, if not from here.
+    pub intermediary: Option<Incarnation>,
 }
 
 /// Time until a request was sent, which the exchange records.
@@ -36,6 +38,14 @@
     }
 }
 
+impl Target {
+    /// The node through which it was sent, for log lines; empty if there is none.
+    pub fn through(&self) -> String {
+        self.intermediary
+            .map_or_else(String::new, |node| node.to_string())
+    }
+}
+
 impl Default for Target {
     /// No replica.
     fn default() -> Self {
@@ -45,6 +55,7 @@
             prefill_tokens: 0,
             view_age: None,
             send_delay: SendDelay::default(),
+            intermediary: None,
         }
     }
 }
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -6,9 +6,10 @@
 
 use base::{Incarnation, Millis};
 use place::intermediary::{Candidate, may_forward};
-use place::{ReachChange, ReplicaKey};
+use place::{Destination, ReachChange, ReplicaKey};
 
 use super::{Shared, lock};
+use crate::upstream::{Connection, REPLICA_LIVENESS};
 
 /// How a request gets to the replicas of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +76,26 @@
         }
     }
 
+    /// A connection to a replica that has been idle for at most `max_idle`, or a new one.
+    pub async fn connect_replica(
+        &self,
+        endpoint: &Arc<str>,
+        replica: &Destination,
+        max_idle: Millis,
+    ) -> Result<Connection, String> {
+        let Destination {
+            replica: key,
+            id,
+            address,
+        } = replica;
+        if let Some(connection) = self.connections.take(id, *address, max_idle) {
+            return Ok(connection);
+        }
+        let connected = Connection::connect(id, *address, REPLICA_LIVENESS).await;
+        self.record_connect(endpoint, *key, connected.is_ok());
+        connected
+    }
+
     /// How a request gets to the replicas of an endpoint now.
     pub fn path(&self, endpoint: &Arc<str>) -> Path {
         if !self.with_pool(endpoint, |pool| pool.is_cut_off()) {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -16,7 +16,7 @@
 use slotmap::SlotMap;
 
 use self::cost::Cost;
-pub use self::reach::{ForwardError, Probe};
+pub use self::reach::{Destination, ForwardError};
 use crate::dispatch::Dispatch;
 use crate::prefill::PrefillRate;
 use crate::rate_limit::RateLimit;
@@ -56,6 +56,17 @@
     pub is_indirect: bool,
 }
 
+impl Choice {
+    /// The replica to connect to.
+    pub fn destination(&self) -> Destination {
+        Destination {
+            replica: self.replica,
+            id: Arc::clone(&self.id),
+            address: self.address,
+        }
+    }
+}
+
 /// The replicas of one endpoint and this node's dispatches to them.
 #[derive(Debug)]
 pub struct Pool {
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -24,7 +24,7 @@
 
 /// A replica to connect to.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Probe {
+pub struct Destination {
     /// Key of the replica.
     pub replica: ReplicaKey,
     /// Id of the replica.
@@ -70,7 +70,7 @@
     }
 
     /// The replicas to connect to now, to find out whether any can be reached. Those that have not failed come first.
-    pub fn take_probes(&mut self, now: Millis) -> Vec<Probe> {
+    pub fn take_probes(&mut self, now: Millis) -> Vec<Destination> {
         let waiting = self.dispatches.values().filter(|it| !it.answer_began);
         let waiting_since = waiting.map(|it| it.sent_at).min();
         let count = self.reach.take_probes(now, waiting_since);
@@ -85,7 +85,7 @@
         ready.sort_by_key(|key| self.reach.has_failed(*key));
         let probe = |key: ReplicaKey| {
             let spec = &self.replicas[key].spec;
-            Probe {
+            Destination {
                 replica: key,
                 id: Arc::clone(&spec.id),
                 address: spec.address,
@@ -95,7 +95,7 @@
     }
 
     /// The replica with this id, if a request of another node may be sent to it from here.
-    pub fn forward_target(&self, now: Millis, id: &str) -> Result<Probe, ForwardError> {
+    pub fn forward_target(&self, now: Millis, id: &str) -> Result<Destination, ForwardError> {
         if self.is_cut_off() {
             return Err(ForwardError::CutOff);
         }
@@ -110,7 +110,7 @@
         if replica.health.is_unreachable(now) {
             return Err(ForwardError::Unreachable);
         }
-        Ok(Probe {
+        Ok(Destination {
             replica: key,
             id: Arc::clone(&replica.spec.id),
             address: replica.spec.address,
