--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -80,7 +80,7 @@
         shared
             .acquire_quota(workspace, call.token_cost())
             .map_err(|wait| {
-                log::over_limit(&call, wait);
+                log::over_limit(shared, &call, wait);
                 Reason::OverLimit(wait)
             })?;
     }
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -48,14 +48,15 @@
 }
 
 /// Logs a request refused because its workspace's limit is used up.
-pub(super) fn over_limit(call: &Call, wait: Millis) {
+pub(super) fn over_limit(shared: &Shared, call: &Call, wait: Millis) {
     log::info!(
         id = call.id(),
         route:% = call.route().name,
         workspace = call.workspace().map_or("", |it| &it.name),
         tokens = call.token_cost(),
         rate = call.workspace().map_or(0.0, |it| it.rate),
-        wait_ms = wait.0;
+        wait_ms = wait.0,
+        connected = shared.is_connected();
         "limit used up"
     );
 }
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -245,7 +245,7 @@
 
     /// Whether the other nodes were heard from recently, in person or in sums. Of many nodes, a few may be missing: what
     /// they admit is within the tolerance of the limits.
-    fn is_connected(&self) -> bool {
+    pub fn is_connected(&self) -> bool {
         let now = self.now();
         let topology = self.topology();
         let is_heard = {
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use base::{Incarnation, Millis};
-use entry::peers::{Datagram, Hub, MAX_DATAGRAM_BYTES, Scope, Topology, Unreachable, Use};
+use entry::peers::{CutOff, Datagram, Hub, MAX_DATAGRAM_BYTES, Scope, Topology, Unreachable, Use};
 use entry::view::{Peer, Peers};
 use indexmap::IndexMap;
 use place::{PeerLimit, PeerLoad};
@@ -467,6 +467,47 @@
     assert_eq!(hub.outside_uptimes(expired), []);
 }
 
+/// Nodes that reach no replica of an endpoint are told apart from zones of which no node does.
+#[test]
+fn sums_name_what_no_node_of_the_zone_reaches() {
+    let (now, engine) = (Millis(1_000), "engine");
+    let datagram = |from: u64, cut_off: &[&str]| Datagram {
+        from,
+        cut_off: cut_off
+            .iter()
+            .map(|endpoint| CutOff {
+                zone: Arc::from("zone-0"),
+                endpoint: Arc::from(*endpoint),
+            })
+            .collect(),
+        ..Datagram::default()
+    };
+    let mut hub = Hub::default();
+    hub.record(now, &datagram(2, &[engine, "ledger"]), &[]);
+    hub.record(now, &datagram(3, &["ledger"]), &[]);
+    assert!(!hub.node_reaches(now, Incarnation(2), engine));
+    assert!(hub.node_reaches(now, Incarnation(3), engine));
+    assert!(!hub.node_reaches(now, Incarnation(9), engine), "never heard from");
+    let later = now + Millis(1_000);
+    assert!(
+        !hub.node_reaches(later, Incarnation(3), engine),
+        "no longer heard from"
+    );
+    let mut sums = hub.zone_digest(now, &Arc::from("zone-0"), &datagram(1, &["ledger", engine]));
+    sums.from = 1;
+    let mut other = Hub::default();
+    other.record(now, &sums, &[]);
+    assert!(other.zone_reaches("zone-0", engine));
+    assert!(!other.zone_reaches("zone-0", "ledger"));
+    assert!(other.zone_reaches("zone-1", "ledger"));
+    let mut outside = other.outside_digest(now, 1);
+    outside.from = 5;
+    let mut member = Hub::default();
+    member.record(now, &outside, &[]);
+    assert!(!member.zone_reaches("zone-0", "ledger"));
+    assert!(member.zone_reaches("zone-0", engine));
+}
+
 /// The latest statement of a replica to a node of the zone reaches the others, with the sum of what the zone sent to it.
 #[test]
 fn digest_has_the_latest_rate_limit_and_the_sum_of_requests() {
