Record what replicas say of themselves in one place

An intermediary records the same things as the node that took the request, and logged nothing of it.

--- a/crates/entry/src/serve/forward/accept.rs
+++ b/crates/entry/src/serve/forward/accept.rs
@@ -257,18 +257,8 @@
         if response_head.matches_request != Some(true) {
             return;
         }
-        let now = self.shared.now();
-        let replica = self.replica.replica;
-        let advice = response_head.advice;
-        self.shared.with_pool(&self.target.endpoint, |pool| {
-            pool.record_rate_limit(now, replica, advice.rate_limit);
-            if let Some(pause) = advice.pause.filter(|_| response_head.not_run) {
-                pool.record_pause(now, replica, pause);
-            }
-            if advice.leaves {
-                pool.record_leaving(replica);
-            }
-        });
+        self.shared
+            .record_advice(&self.target.endpoint, &self.replica, response_head.advice);
     }
 
     fn record_crash(&self) {
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -94,38 +94,8 @@
 
     /// Records what the replica says of itself in a response.
     pub fn report_advice(&self, advice: Advice) {
-        self.report_rate_limit(advice.rate_limit);
-        if let Some(pause) = advice.pause {
-            let (now, replica) = (self.shared.now(), self.choice.replica);
-            let left_out = self
-                .shared
-                .with_pool(&self.endpoint, |pool| pool.record_pause(now, replica, pause));
-            metrics::counter!("bilberrylatch_replica_pauses_total").increment(1);
-            log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint, asked_ms = pause.0,
-                left_out_ms = left_out.0; "replica wants no requests");
-        }
-        if advice.leaves {
-            let replica = self.choice.replica;
-            let is_new = self
-                .shared
-                .with_pool(&self.endpoint, |pool| pool.record_leaving(replica));
-            if is_new {
-                log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint; "replica says that it is leaving");
-            }
-        }
-    }
-
-    /// Records the rate limit that the replica named, or that it named none.
-    fn report_rate_limit(&self, limit: Option<f64>) {
-        let now = self.shared.now();
-        let replica = self.choice.replica;
-        let before = self
-            .shared
-            .with_pool(&self.endpoint, |pool| pool.record_rate_limit(now, replica, limit));
-        if let Some(before) = before {
-            log::info!(replica:% = self.choice.id, endpoint:% = self.endpoint, per_s = limit.unwrap_or(-1.0),
-                before_per_s = before.unwrap_or(-1.0); "rate limit of a replica changed");
-        }
+        self.shared
+            .record_advice(&self.endpoint, &self.choice.destination(), advice);
     }
 
     /// Records that the response or an event has arrived.
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of a node.
 
+mod advice;
 mod availability;
 mod comparison;
 mod exchange;
