--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -66,10 +66,12 @@
                 connected_age,
             }) => {
                 metrics::counter!("bilberrylatch_cut_offs_total").increment(1);
+                metrics::gauge!("bilberrylatch_cut_off", "endpoint" => endpoint.to_string()).set(1);
                 log::warn!(endpoint:%, failed, connected_age_ms = connected_age.map_or(-1, |age| age.0 as i64),
                     intermediaries = self.candidates(now, endpoint).len(); "no replica can be reached");
             }
             Some(ReachChange::Reached { cut_off }) => {
+                metrics::gauge!("bilberrylatch_cut_off", "endpoint" => endpoint.to_string()).set(0);
                 log::info!(endpoint:%, cut_off_ms = cut_off.0; "replicas reached again");
             }
             None => {}
