Keep a large cluster's topology while many of its nodes are not registered

Cause: with 36 of 71 nodes registered, those took the cluster for a small one and sent to all, while the cut nodes went on in zones by their views of before. The registered nodes heard each other directly and once more in the sums of cut hubs.

Change: a large cluster stays one until a quarter of the threshold is left.

--- a/crates/entry/src/peers/topology.rs
+++ b/crates/entry/src/peers/topology.rs
@@ -12,6 +12,9 @@
 /// Datagrams that may be lost in a row before a node counts as disconnected.
 const TOLERATED_LOSSES: u32 = 3;
 
+/// How much smaller a large cluster must become before its nodes send datagrams to all others again.
+const SHRINK_FACTOR: u32 = 4;
+
 /// Time for a datagram to arrive and to be read.
 const TRANSIT_TIME: Millis = Millis(20);
 
@@ -41,11 +44,15 @@
 }
 
 impl Topology {
-    /// The topology of the node `own` in `zone`.
-    pub fn new(peers: &Peers, own: Incarnation, zone: &str) -> Self {
+    /// The topology of the node `own` in `zone`, after the one of before.
+    ///
+    /// Load pattern: many nodes of a large cluster lose their registrations for some seconds, and go on by their views of before.
+    /// If the others took the cluster for a small one meanwhile, they would count some nodes twice and others not at all.
+    pub fn new(peers: &Peers, own: Incarnation, zone: &str, before: &Self) -> Self {
         let others = peers.len().saturating_sub(1) as u32;
         // Otherwise a node would be heard too rarely to tell a lost datagram from a lost node.
-        let is_layered = others * 1_000 * (TOLERATED_LOSSES + 1) > MAX_PER_SECOND * PEER_TIMEOUT.0 as u32;
+        let max_direct = MAX_PER_SECOND * PEER_TIMEOUT.0 as u32 / (1_000 * (TOLERATED_LOSSES + 1));
+        let is_layered = others > max_direct || (before.is_layered && others * SHRINK_FACTOR > max_direct);
         let is_direct =
             |(node, peer): &(&Incarnation, &Peer)| **node != own && (!is_layered || peer.zone == zone);
         let direct: Vec<(&Incarnation, &Peer)> = peers.iter().filter(is_direct).collect();
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -238,6 +238,7 @@
             &self.view().peers,
             self.incarnation,
             &settings.zone,
+            &self.topology(),
         ));
         self.topology.store(Arc::clone(&topology));
         topology
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -67,7 +67,7 @@
         let peers = peers(case.nodes);
         let topologies: Vec<Topology> = peers
             .iter()
-            .map(|(node, peer)| Topology::new(&peers, *node, &peer.zone))
+            .map(|(node, peer)| Topology::new(&peers, *node, &peer.zone, &Topology::default()))
             .collect();
         for topology in &topologies {
             assert_eq!(topology.is_layered, case.is_layered, "{} nodes", case.nodes);
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -109,7 +109,7 @@
     }
 
     fn set_peers(&mut self, peers: Peers) {
-        self.topology = Topology::new(&peers, self.incarnation, &self.zone);
+        self.topology = Topology::new(&peers, self.incarnation, &self.zone, &self.topology);
         self.peers = peers;
     }
 
@@ -221,7 +221,7 @@
         let mut generator = seed.generator();
         let mut spread = |limit: Millis| Millis(generator.random_range(0..limit.0));
         let node = |(index, (node, peer)): (usize, (&Incarnation, &Peer))| {
-            let topology = Topology::new(&peers, *node, &peer.zone);
+            let topology = Topology::new(&peers, *node, &peer.zone, &Topology::default());
             let zone = index % case.zones;
             let is_cut = match case.cut {
                 Cut::None => false,
@@ -459,6 +459,15 @@
             load: 5.0,
             min_used: 0.9,
         },
+        Case {
+            name: "five times the limit, a third and hubs cut off, so that few nodes are registered",
+            nodes: 60,
+            zones: 3,
+            cut: Cut::HubsAndOthers,
+            is_parted: false,
+            load: 5.0,
+            min_used: 0.9,
+        },
         Case {
             name: "five times the limit, a third and hubs cut off of many nodes",
             nodes: 195,
