--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -8,7 +8,7 @@
 
 use super::attempt::{AttemptError, Failure, Reply};
 use super::dispatch::Dispatch;
-use super::forward::{Parcel, carry};
+use super::forward::{Hop, send_through};
 use super::in_flight::InFlight;
 use super::log;
 use super::outgoing::Outgoing;
@@ -127,13 +127,13 @@
                 outgoing.into_request(&shared)
             };
             if let Some(intermediary) = intermediary {
-                let parcel = Parcel {
+                let hop = Hop {
                     intermediary,
                     endpoint,
                     replica: replica.id,
                     max_idle,
                 };
-                return carry(&shared, parcel, request).await;
+                return send_through(&shared, hop, request).await;
             }
             let connected = shared.connect_replica(&endpoint, &replica, max_idle).await;
             let connection = connected.map_err(SendError::NotSent)?;
--- a/crates/entry/src/serve/forward.rs
+++ b/crates/entry/src/serve/forward.rs
@@ -4,9 +4,9 @@
 //! means. The other node, the intermediary, only carries one dispatch to the named replica and the response back, on the port
 //! of the nodes' own calls. It never uses an intermediary itself, so there is one hop at most.
 
-mod accept;
-mod carry;
+mod client;
 mod header;
+mod service;
 
-pub(crate) use accept::{handle_request, is_forward};
-pub(super) use carry::{Parcel, carry};
+pub(super) use client::{Hop, send_through};
+pub(crate) use service::{handle_request, is_forward};
--- a/crates/entry/src/serve/forward/carry.rs
+++ b/crates/entry/src/serve/forward/client.rs
@@ -21,9 +21,9 @@
 /// Time for which a node is left out whose build does not forward requests.
 const UNSUPPORTED_PAUSE: Millis = Millis(60_000);
 
-/// The request and where it goes.
+/// Where a request goes, and through which node.
 #[derive(Clone, Debug)]
-pub struct Parcel {
+pub struct Hop {
     pub intermediary: Intermediary,
     pub endpoint: Arc<str>,
     pub replica: Arc<str>,
@@ -32,14 +32,14 @@
 }
 
 /// Sends a request through an intermediary and waits for the head of the replica's response. Nothing is sent again.
-pub async fn carry<F>(shared: &Shared, parcel: Parcel, request: F) -> Result<PendingResponse, SendError>
+pub async fn send_through<F>(shared: &Shared, hop: Hop, request: F) -> Result<PendingResponse, SendError>
 where
     F: FnOnce() -> Request<Full<Bytes>>,
 {
-    let Intermediary { node, address } = parcel.intermediary;
+    let Intermediary { node, address } = hop.intermediary;
     let name: Arc<str> = Arc::from(CONNECTION_NAME);
     let own = shared.settings().peer_listen.ip();
-    let connection = match shared.connections.take(&name, address, parcel.max_idle) {
+    let connection = match shared.connections.take(&name, address, hop.max_idle) {
         Some(connection) => connection,
         None => match Connection::connect_from(own, &name, address, REPLICA_LIVENESS).await {
             Ok(connection) => connection,
@@ -51,8 +51,8 @@
     };
     let target = Target {
         sender: shared.incarnation,
-        endpoint: parcel.endpoint,
-        replica: parcel.replica,
+        endpoint: hop.endpoint,
+        replica: hop.replica,
     };
     let value = HeaderValue::from_str(&target.to_string())
         .map_err(|error| SendError::NotSent(format!("invalid name of an endpoint or a replica: {error}")))?;
@@ -65,7 +65,7 @@
             return Err(error);
         }
     };
-    read_outcome(shared, parcel.intermediary, pending)
+    read_outcome(shared, hop.intermediary, pending)
 }
 
 fn read_outcome(
--- a/crates/entry/src/serve/forward/accept.rs
+++ b/crates/entry/src/serve/forward/service.rs
@@ -1,4 +1,4 @@
-//! Carries a request of another node to a replica.
+//! Sends requests of other nodes to replicas, and relays the responses.
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -42,9 +42,9 @@
     }
 }
 
-/// A request of another node, being carried to a replica.
+/// A request of another node on its way to a replica.
 #[derive(Debug)]
-struct Carriage {
+struct Forwarded {
     shared: Arc<Shared>,
     id: String,
     target: Target,
@@ -120,7 +120,7 @@
             return Err(failure);
         }
     };
-    let carriage = Carriage {
+    let forwarded = Forwarded {
         id,
         target,
         replica,
@@ -135,7 +135,7 @@
     *outgoing.uri_mut() = head.uri;
     *outgoing.headers_mut() = head.headers;
     strip_connection(outgoing.headers_mut());
-    carriage.run(outgoing).await
+    forwarded.run(outgoing).await
 }
 
 /// Checks whether a request of another node may be sent to a replica.
@@ -169,7 +169,7 @@
     Ok((replica, guard))
 }
 
-impl Carriage {
+impl Forwarded {
     async fn run(self, mut outgoing: Request<Full<Bytes>>) -> Result<Response<Body>, Failure> {
         let shared = Arc::clone(&self.shared);
         let endpoint = Arc::clone(&self.target.endpoint);
