Log what a request whose dispatch failed asks for

Change: poison::Content gives an id to method, host, path and query, workspace and body, the same at all nodes and in all builds (blake3, which is a dependency already); 'dispatch failed' has it as 'content'. It is computed for each admitted request. No decision depends on it yet.

Checked: cargo test -p entry -p poison.

--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use table::Access;
 
-use super::call::Call;
+use super::call::{Call, content_id};
 use super::inbound::{origin_form, strip_connection};
 use super::{Reason, log};
 use crate::Shared;
@@ -59,10 +59,15 @@
         .ok_or(Reason::Leaving)?;
     let mut headers = head.headers;
     strip_connection(&mut headers);
+    let uri = origin_form(&head.uri);
+    let content_id = {
+        let workspace = workspace.map_or("", |index| &*table.workspaces()[index].name);
+        content_id(&head.method, &uri, &headers, workspace.as_bytes(), &body)
+    };
     let call = Call {
         request_head,
         method: head.method,
-        uri: origin_form(&head.uri),
+        uri,
         headers,
         body,
         received,
@@ -72,6 +77,7 @@
         endpoint,
         versions,
         table: Arc::clone(&table),
+        content_id,
     };
     if let Some(wait) = shared.blocked_for(call.request_head.shared_parts()) {
         return Err(Reason::Poison(wait));
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -4,7 +4,8 @@
 
 use base::Millis;
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Uri, header};
+use poison::Content;
 use table::{Route, Table, Workspace};
 
 use crate::edge::RequestHead;
@@ -37,6 +38,8 @@
     pub endpoint: Arc<str>,
     /// Allowed versions of the replica.
     pub versions: Versions,
+    /// Id of what the caller asks for, which other attempts share.
+    pub content_id: u64,
 }
 
 impl Call {
@@ -76,3 +79,21 @@
         declared.unwrap_or(default)
     }
 }
+
+/// Id of what a caller asks for. The headers are those of the caller or those sent to a replica.
+pub(super) fn content_id(
+    method: &Method,
+    uri: &Uri,
+    headers: &HeaderMap,
+    workspace: &[u8],
+    body: &[u8],
+) -> u64 {
+    let content = Content {
+        method: method.as_str(),
+        host: headers.get(header::HOST).map_or(&[], |value| value.as_bytes()),
+        target: uri.path_and_query().map_or("/", |it| it.as_str()),
+        workspace,
+        body,
+    };
+    content.id()
+}
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -130,6 +130,7 @@
         through = failed.target.through(),
         cause = failed.cause,
         silent_ms = failed.silent.0,
+        content:% = format_args!("{:x}", call.content_id),
         parts:% = Parts(call.request_head.shared_parts()),
         allowed,
         denied_by = failed.denial.map_or("", Denial::label),
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod blame;
 mod block;
+mod content;
 mod crash;
 mod detector;
 mod digest;
 mod survivors;
 
 pub use block::Block;
+pub use content::Content;
 pub use crash::Crash;
 pub use detector::{Change, Detector};
 pub use digest::{Digest, Survival};
