Block a request that crashes the replicas that run it

Cause: nothing identified a request across attempts and nodes. The detector of crashes adds up ids of prompt parts, and requests without a prompt were not recorded at all. Class of fault: crashes are put down to the replica, though the request explains them.

Fix: the id of what a caller asks for (poison::Content) stands in the same list as the parts' ids, so crashes are added up by all nodes, blocks are refused, told to the others and kept in the store by what exists. Requests through another node are identified there, from what that node receives. What it took beside that: - Processed requests are remembered apart from parts, which they would displace. - Crashes at the same time count once for what has been processed before: many replicas lost at once say nothing of a request that was in flight at all of them because it is common.

Ruled out: distinct replicas as a condition (a replica may start again under its id); hashing of headers (attempts differ in them).

--- a/crates/entry/src/blocks.rs
+++ b/crates/entry/src/blocks.rs
@@ -1,4 +1,4 @@
-//! Keeps the blocks of prompt parts in the store, so that they outlast all nodes.
+//! Keeps the blocks of requests and prompt parts in the store, so that they outlast all nodes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 /// A block as the store keeps it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// Ids of the parts, in ascending order.
+    /// Ids of requests and parts, in ascending order.
     pub parts: Vec<u64>,
     /// When they were blocked, in Unix milliseconds.
     pub since_unix_ms: u64,
@@ -42,7 +42,7 @@
         });
         for change in changes {
             while let Err(error) = write(&shared, &change).await {
-                log::warn!(cause:% = error; "block of prompt parts not written");
+                log::warn!(cause:% = error; "block of requests not written");
                 tokio::select! {
                     () = sleep(RETRY_DELAY) => {}
                     () = shared.lifecycle.reached(Phase::Ended) => return,
--- a/crates/entry/src/edge.rs
+++ b/crates/entry/src/edge.rs
@@ -37,6 +37,9 @@
     /// sets them.
     fn set_forward_headers(&self, headers: &mut HeaderMap, forward: &Forward<'_>);
 
+    /// Workspace that the headers of a request to a replica state; empty if there is none.
+    fn workspace<'a>(&self, headers: &'a HeaderMap) -> &'a [u8];
+
     /// Reduces the time left that the headers of a request to a replica state.
     fn subtract_time(&self, headers: &mut HeaderMap, spent: Millis);
 
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -262,7 +262,7 @@
             match serde_json::from_slice(value) {
                 Ok(record) => self.shared.record_stored_block(&record),
                 Err(error) => {
-                    log::warn!(key = rest, revision = revision.number, cause:% = error; "invalid block of prompt parts");
+                    log::warn!(key = rest, revision = revision.number, cause:% = error; "invalid block of requests");
                 }
             }
             return RecordKind::Other;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`serve`] handles requests, directory lookups and readiness checks; [`upstream`] connects to replicas.
 //! - [`follow`] maintains the node's view of the store; [`register`] maintains the node's registration there, and
 //!   [`publish`] writes its counts.
-//! - [`blocks`] keeps the prompt parts in the store that crash replicas.
+//! - [`blocks`] keeps the requests and prompt parts in the store that crash replicas.
 //! - [`exchange`] lets nodes read the store and write to it through others.
 //! - [`peers`] exchanges data that changes too fast for the store with the other nodes.
 //! - [`reach`] finds out whether replicas can be reached.
--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -64,7 +64,7 @@
     pub uptime: Option<Uptime>,
     /// Rate limits that replicas named, by endpoint.
     pub limits: Vec<(Arc<str>, Vec<PeerLimit>)>,
-    /// Crashes of replicas under requests, and blocked prompt parts.
+    /// Crashes of replicas under requests, and blocked requests and prompt parts.
     pub poison: poison::Digest,
     /// Endpoints of which the sender can't reach any replica, or in sums none of the nodes that they describe.
     pub cut_off: Vec<CutOff>,
--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use table::Access;
 
-use super::call::{Call, content_id};
+use super::call::{Call, suspects};
 use super::inbound::{origin_form, strip_connection};
 use super::{Reason, log};
 use crate::Shared;
@@ -60,9 +60,10 @@
     let mut headers = head.headers;
     strip_connection(&mut headers);
     let uri = origin_form(&head.uri);
-    let content_id = {
+    let suspects = {
         let workspace = workspace.map_or("", |index| &*table.workspaces()[index].name);
-        content_id(&head.method, &uri, &headers, workspace.as_bytes(), &body)
+        let head = (&head.method, &uri, &headers);
+        suspects(head, workspace.as_bytes(), &body, request_head.shared_parts())
     };
     let call = Call {
         request_head,
@@ -77,9 +78,10 @@
         endpoint,
         versions,
         table: Arc::clone(&table),
-        content_id,
+        suspects,
     };
-    if let Some(wait) = shared.blocked_for(call.request_head.shared_parts()) {
+    if let Some(wait) = shared.blocked_for(&call.suspects) {
+        log::blocked(&call, wait);
         return Err(Reason::Poison(wait));
     }
     if let Some(workspace) = call.workspace() {
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -5,7 +5,8 @@
 use base::Millis;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, header};
-use poison::Content;
+use place::Part;
+use poison::{Content, Suspects};
 use table::{Route, Table, Workspace};
 
 use crate::edge::RequestHead;
@@ -38,8 +39,8 @@
     pub endpoint: Arc<str>,
     /// Allowed versions of the replica.
     pub versions: Versions,
-    /// Id of what the caller asks for, which other attempts share.
-    pub content_id: u64,
+    /// What of it may crash a replica.
+    pub suspects: Suspects,
 }
 
 impl Call {
@@ -58,6 +59,11 @@
         str::from_utf8(&self.request_head.id).unwrap_or("")
     }
 
+    /// The id of what the caller asks for, as a slice of one.
+    pub fn content(&self) -> &[u64] {
+        self.suspects.ids().get(..1).unwrap_or_default()
+    }
+
     /// The priority; 0 is the highest. That of the workspace takes precedence over that of the route.
     pub fn priority(&self) -> u8 {
         let own = self.workspace().and_then(|it| it.priority);
@@ -80,14 +86,14 @@
     }
 }
 
-/// Id of what a caller asks for. The headers are those of the caller or those sent to a replica.
-pub(super) fn content_id(
-    method: &Method,
-    uri: &Uri,
-    headers: &HeaderMap,
+/// What of a request may crash a replica. The headers are those of the caller or those sent to a replica.
+pub(super) fn suspects(
+    head: (&Method, &Uri, &HeaderMap),
     workspace: &[u8],
     body: &[u8],
-) -> u64 {
+    shared_parts: &[Part],
+) -> Suspects {
+    let (method, uri, headers) = head;
     let content = Content {
         method: method.as_str(),
         host: headers.get(header::HOST).map_or(&[], |value| value.as_bytes()),
@@ -95,5 +101,5 @@
         workspace,
         body,
     };
-    content.id()
+    Suspects::new(content.id(), shared_parts.iter().map(|part| part.id))
 }
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -152,9 +152,9 @@
         log::dispatch_failed(&self.shared, &self.call, failed);
     }
 
-    /// Whether another replica may be tried, as far as the request's prompt is concerned.
+    /// Whether another replica may be tried, as far as the request's content is concerned.
     pub fn may_repeat(&self) -> bool {
-        self.shared.may_repeat(self.call.request_head.shared_parts())
+        self.shared.may_repeat(&self.call.suspects)
     }
 
     /// Number of replicas that have the request and may still answer.
--- a/crates/entry/src/serve/forward/service.rs
+++ b/crates/entry/src/serve/forward/service.rs
@@ -10,13 +10,15 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
-use place::{Destination, ForwardError, Part};
+use place::{Destination, ForwardError};
+use poison::Suspects;
 
 use super::header::{CAUSE, OUTCOME, Outcome, TARGET, Target};
 use crate::Shared;
 use crate::edge::ResponseHead;
 use crate::lifecycle::Phase;
 use crate::serve::body::{self, Aborted, Body};
+use crate::serve::call::suspects;
 use crate::serve::in_flight::CRASH_WINDOW;
 use crate::serve::inbound::{read_body, strip_connection};
 use crate::shared::{ForwardGuard, RequestGuard};
@@ -49,8 +51,8 @@
     id: String,
     target: Target,
     replica: Destination,
-    /// Prompt parts that other requests may share.
-    parts: Vec<u64>,
+    /// What of the request may crash the replica.
+    suspects: Suspects,
     received: Millis,
     _forward: ForwardGuard,
     _request: RequestGuard,
@@ -98,14 +100,22 @@
         .ok_or("no target")
         .and_then(str::parse)
         .map_err(|cause| Failure::new(Outcome::NotSent, cause))?;
-    let id = shared.edge.decode_request(&head).map(|it| (it.id, it.parts));
-    let (id, parts) = id.unwrap_or_default();
-    let id = str::from_utf8(&id).unwrap_or("").to_owned();
+    let decoded = shared.edge.decode_request(&head).unwrap_or_default();
+    let id = str::from_utf8(&decoded.id).unwrap_or("").to_owned();
     let admitted = match body {
         Ok(body) => admit(&shared, caller, &target).map(|admitted| (admitted, body)),
         Err(_incomplete) => Err(Failure::new(Outcome::NotSent, "incomplete request")),
     };
-    let ((replica, guard), body) = match admitted {
+    let workspace = shared.edge.workspace(&head.headers);
+    let described = (&head.method, &head.uri, &head.headers);
+    let admitted = admitted.and_then(|(admitted, body)| {
+        let suspects = suspects(described, workspace, &body, decoded.shared_parts());
+        match shared.blocked_for(&suspects) {
+            None => Ok((admitted, body, suspects)),
+            Some(_wait) => Err(Failure::new(Outcome::NotSent, "request crashes replicas")),
+        }
+    });
+    let ((replica, guard), body, suspects) = match admitted {
         Ok(admitted) => admitted,
         Err(failure) => {
             log_end(
@@ -124,7 +134,7 @@
         id,
         target,
         replica,
-        parts: shared_parts(&parts),
+        suspects,
         received,
         _forward: guard,
         _request: shared.track_request(),
@@ -262,9 +272,7 @@
     }
 
     fn record_crash(&self) {
-        if !self.parts.is_empty() {
-            self.shared.record_crash(&self.replica.id, &self.parts);
-        }
+        self.shared.record_crash(&self.replica.id, &self.suspects);
     }
 
     fn fail(&self, outcome: Outcome, cause: String) -> Failure {
@@ -299,8 +307,3 @@
     log::info!(id, sender:% = target.sender, endpoint:% = target.endpoint, replica:% = target.replica, outcome, status,
         cause, forwarded = shared.forwarded_requests(), took_ms = shared.now().since(received).0; "request forwarded");
 }
-
-fn shared_parts(parts: &[Part]) -> Vec<u64> {
-    let count = parts.len().saturating_sub(1);
-    parts[..count].iter().map(|part| part.id).collect()
-}
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -4,6 +4,7 @@
 
 use base::Millis;
 use place::{Choice, Demand, DispatchKey, DispatchOutcome, Load};
+use poison::Suspects;
 
 use super::call::Call;
 use super::pick::Pick;
@@ -12,7 +13,7 @@
 use crate::edge::Advice;
 use crate::shared::{IntermediaryUse, RequestEvent};
 
-/// Time after the first event in which a replica crashes that can't process the request's prompt.
+/// Time after the first event in which a replica crashes that can't process the request.
 pub(super) const CRASH_WINDOW: Millis = Millis(300);
 
 /// Ends the dispatch in the pool when dropped. If it has not ended by then, the caller disconnected or the time was up.
@@ -25,8 +26,8 @@
     sent: Millis,
     has_begun: bool,
     target: Target,
-    /// Ids of the prompt parts that other requests may share.
-    parts: Vec<u64>,
+    /// What of the request may crash the replica.
+    suspects: Suspects,
     /// When the response or its first event arrived.
     began: Millis,
     /// Whether it was recorded that the replica processed the request.
@@ -53,7 +54,7 @@
         Self {
             has_begun: false,
             target,
-            parts: demand.shared().iter().map(|part| part.id).collect(),
+            suspects: call.suspects.clone(),
             began: Millis::ZERO,
             has_survived: false,
             _intermediary: intermediary.map(|it| shared.use_intermediary(it.node)),
@@ -129,15 +130,15 @@
     pub fn lose(mut self) {
         let is_early = !self.has_begun || self.shared.now().since(self.began) < CRASH_WINDOW;
         // An intermediary sees by itself whether the replica or the link between the nodes broke.
-        if is_early && !self.has_survived && !self.parts.is_empty() && !self.choice.is_indirect {
-            self.shared.record_crash(&self.choice.id, &self.parts);
+        if is_early && !self.has_survived && !self.choice.is_indirect {
+            self.shared.record_crash(&self.choice.id, &self.suspects);
         }
         self.finish(DispatchOutcome::Failed);
     }
 
     fn survive(&mut self) {
-        if !self.has_survived && !self.parts.is_empty() {
-            self.shared.record_survival(&self.parts);
+        if !self.has_survived {
+            self.shared.record_survival(&self.suspects);
         }
         self.has_survived = true;
     }
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use base::Millis;
-use place::{Denial, Part};
+use place::Denial;
 
 use super::Reason;
 use super::call::Call;
@@ -61,6 +61,19 @@
     );
 }
 
+/// Logs a request refused because it or parts of its prompt crash replicas.
+pub(super) fn blocked(call: &Call, wait: Millis) {
+    log::info!(
+        id = call.id(),
+        route:% = call.route().name,
+        workspace = call.workspace().map_or("", |it| &it.name),
+        content:% = Ids(call.content()),
+        parts:% = Ids(call.suspects.parts()),
+        wait_ms = wait.0;
+        "request crashes replicas"
+    );
+}
+
 /// Logs the end of an admitted request.
 pub(super) fn ended(shared: &Shared, call: &Call, end: End<'_>) {
     let now = shared.now();
@@ -105,14 +118,14 @@
     pub denial: Option<Denial>,
 }
 
-/// Ids of prompt parts, in hexadecimal and separated by commas.
-struct Parts<'a>(&'a [Part]);
+/// Ids in hexadecimal, separated by commas.
+struct Ids<'a>(&'a [u64]);
 
-impl fmt::Display for Parts<'_> {
+impl fmt::Display for Ids<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
+        for (index, id) in self.0.iter().enumerate() {
             let separator = if index == 0 { "" } else { "," };
-            write!(f, "{separator}{:x}", part.id)?;
+            write!(f, "{separator}{id:x}")?;
         }
         Ok(())
     }
@@ -130,8 +143,8 @@
         through = failed.target.through(),
         cause = failed.cause,
         silent_ms = failed.silent.0,
-        content:% = format_args!("{:x}", call.content_id),
-        parts:% = Parts(call.request_head.shared_parts()),
+        content:% = Ids(call.content()),
+        parts:% = Ids(call.suspects.parts()),
         allowed,
         denied_by = failed.denial.map_or("", Denial::label),
         left_ms = call.time_left(shared.now()).0,
--- a/crates/entry/src/serve/reason.rs
+++ b/crates/entry/src/serve/reason.rs
@@ -26,7 +26,7 @@
     Denied,
     /// The workspace's limit is used up; holds the time until enough tokens are available.
     OverLimit(Millis),
-    /// Its prompt has parts that crash replicas; holds the time for which such requests are refused.
+    /// It, or parts of its prompt, crash replicas; holds the time for which such requests are refused.
     Poison(Millis),
     /// No replica accepts the request, and it was not run.
     NoReplica(Refusal),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -94,7 +94,7 @@
     collector: Mutex<Collector>,
     /// Notified when another node's reports arrive.
     reports_arrived: Notify,
-    /// Crashes of replicas under requests, and the prompt parts that are blocked for it.
+    /// Crashes of replicas under requests, and what is blocked for it.
     poison: Mutex<Detector>,
     /// Changes of blocks by this node that are not in the store yet.
     pub blocks_changed: watch::Sender<Vec<Change>>,
--- a/crates/entry/src/shared/poison.rs
+++ b/crates/entry/src/shared/poison.rs
@@ -1,13 +1,12 @@
-//! Prompt parts that crash replicas.
+//! Requests and prompt parts that crash replicas.
 
 use base::Millis;
-use place::Part;
-use poison::{Block, Change, Digest};
+use poison::{Block, Change, Digest, Suspects};
 
 use super::{Shared, lock};
 use crate::blocks::Record;
 
-/// How a node learned that parts are blocked, or not any more.
+/// How a node learned that ids are blocked, or not any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
     /// By the requests that it forwarded itself.
@@ -29,16 +28,15 @@
 }
 
 impl Shared {
-    /// Records that a replica's connection broke before it had sent much of its response to a request with these shared
-    /// parts.
-    pub fn record_crash(&self, replica: &str, parts: &[u64]) {
-        let changes = lock(&self.poison).record_crash(self.now(), place::hash(replica), parts);
+    /// Records that a replica's connection broke before it had sent much of its response to a request.
+    pub fn record_crash(&self, replica: &str, request: &Suspects) {
+        let changes = lock(&self.poison).record_crash(self.now(), place::hash(replica), request.ids());
         self.handle_blocks(changes, Source::Own);
     }
 
-    /// Records that a replica processed a request with these shared parts.
-    pub fn record_survival(&self, parts: &[u64]) {
-        let changes = lock(&self.poison).record_survival(self.now(), parts);
+    /// Records that a replica processed a request.
+    pub fn record_survival(&self, request: &Suspects) {
+        let changes = lock(&self.poison).record_processed(self.now(), request);
         self.handle_blocks(changes, Source::Own);
     }
 
@@ -74,32 +72,27 @@
         lock(&self.poison).digest(now)
     }
 
-    /// How long requests with these shared parts are refused; `None` if they are not.
-    pub fn blocked_for(&self, parts: &[Part]) -> Option<Millis> {
-        if parts.is_empty() {
-            return None;
-        }
-        let parts: Vec<u64> = parts.iter().map(|part| part.id).collect();
-        lock(&self.poison).blocked_for(self.now(), &parts)
+    /// How long a request is refused because it or parts of it crash replicas; `None` if it is not.
+    pub fn blocked_for(&self, request: &Suspects) -> Option<Millis> {
+        lock(&self.poison).blocked_for(self.now(), request.ids())
     }
 
-    /// Whether a request with these shared parts may be sent to another replica after one has crashed or is silent.
-    pub fn may_repeat(&self, parts: &[Part]) -> bool {
-        let parts: Vec<u64> = parts.iter().map(|part| part.id).collect();
-        lock(&self.poison).may_repeat(self.now(), &parts)
+    /// Whether a request may be sent to another replica after one has crashed or is silent.
+    pub fn may_repeat(&self, request: &Suspects) -> bool {
+        lock(&self.poison).may_repeat(self.now(), request.ids())
     }
 
     fn handle_blocks(&self, changes: Vec<Change>, source: Source) {
         for change in changes {
-            let parts: Vec<String> = change.parts.iter().map(|part| format!("{part:x}")).collect();
-            let parts = parts.join(",");
+            let ids: Vec<String> = change.parts.iter().map(|part| format!("{part:x}")).collect();
+            let ids = ids.join(",");
             metrics::counter!("bilberrylatch_prompt_blocks_total", "blocked" => change.is_blocked.to_string())
                 .increment(1);
             if change.is_blocked {
-                log::warn!(parts, source = source.label(), crashes = change.crashes;
-                    "requests with these prompt parts crash replicas and are refused");
+                log::warn!(ids, source = source.label(), crashes = change.crashes;
+                    "requests with these ids crash replicas and are refused");
             } else {
-                log::warn!(parts, source = source.label(); "requests with these prompt parts are no longer refused");
+                log::warn!(ids, source = source.label(); "requests with these ids are no longer refused");
             }
             if source == Source::Own {
                 self.blocks_changed.send_if_modified(|pending| {
--- a/crates/poison/src/blame.rs
+++ b/crates/poison/src/blame.rs
@@ -11,6 +11,7 @@
 const MANY_CRASHES: usize = 5;
 /// Share of these crashes that must have the part if each is to count.
 const COMMON_SHARE: f64 = 0.8;
+
 /// The crashes that blame a part.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Blame {
@@ -34,7 +35,10 @@
 
     /// Number of crashes, given the times of those of all parts. Those at the same time count once if many of the replicas that
     /// crashed then had no request with the part, and while more may be heard of.
-    pub fn weight(&self, now: Millis, all: &[Millis]) -> usize {
+    ///
+    /// Those of a part that has been processed before always count once: many replicas lost at once say little of a part that
+    /// many requests have.
+    pub fn weight(&self, now: Millis, all: &[Millis], is_survivor: bool) -> usize {
         let mut times = self.times.clone();
         times.sort_unstable();
         let mut weight = 0;
@@ -43,7 +47,7 @@
             let own = times.iter().filter(|time| is_together(time)).count();
             let together = all.iter().filter(|time| is_together(time)).count();
             let is_known = now.since(first) >= SAME_TIME || own >= MANY_CRASHES;
-            let is_common = is_known && own as f64 >= COMMON_SHARE * together as f64;
+            let is_common = !is_survivor && is_known && own as f64 >= COMMON_SHARE * together as f64;
             weight += if is_common { own } else { 1 };
             times.drain(..own);
         }
--- a/crates/poison/src/crash.rs
+++ b/crates/poison/src/crash.rs
@@ -13,7 +13,7 @@
     pub replica: u64,
     /// Time since the crash.
     pub age: Millis,
-    /// Ids of the parts that the request shares with others.
+    /// Id of the request, and those of the parts that it shares with others. Builds up to 8742da2 send those of parts only.
     pub parts: Vec<u64>,
 }
 
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -1,4 +1,6 @@
-//! Decides which parts are blocked.
+//! Decides which requests and parts are blocked.
+
+mod report;
 
 use std::collections::VecDeque;
 
@@ -8,7 +10,7 @@
 use crate::blame::{Blame, SAME_TIME};
 use crate::crash::Event;
 use crate::survivors::Survivors;
-use crate::{Block, Crash, Digest, Survival};
+use crate::{Digest, Suspects};
 
 /// Crashes in a row, none of them explained otherwise, after which a part is blocked that is not known to have been processed
 /// without a crash.
@@ -23,18 +25,14 @@
 const MAX_CRASHES_FOR_REPEAT: usize = 2;
 /// Time for which crashes are kept, and parts are blocked.
 const MEMORY: Millis = Millis(600_000);
-/// Time for which a lifted block is reported, so that all nodes hear of it.
-const LIFTED_TTL: Millis = Millis(60_000);
 /// Maximum number of crashes kept.
-const MAX_EVENTS: usize = 128;
+const MAX_EVENTS: usize = 256;
 /// Maximum number of blocks kept.
 const MAX_BLOCKS: usize = 64;
 /// Maximum number of parts of a request that are looked at.
 const MAX_PARTS: usize = 8;
-/// Maximum numbers of entries in a digest.
-const MAX_REPORTED_CRASHES: usize = 6;
-const MAX_REPORTED_SURVIVALS: usize = 8;
-const MAX_REPORTED_BLOCKS: usize = 8;
+/// Maximum number of exonerated ids kept.
+const MAX_EXONERATED: usize = 16;
 
 /// A change of a block.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,12 +51,12 @@
     is_lifted: bool,
 }
 
-/// Finds the parts that crash replicas.
+/// Finds the requests and the parts that crash replicas. Both have ids, and are treated alike.
 ///
 /// Load pattern: requests with one bad part arrive at all nodes, no two alike, among sound requests that share everything else
-/// with them. Each crashes the replica that processes it, and with it the other requests there, whose parts were bystanders. A
-/// part is blamed by crashes of different replicas without a single request in between that was processed, and crashes that a
-/// blocked part explains blame no other part.
+/// with them; or one request arrives again and again. Each crashes the replica that processes it, and with it the other requests
+/// there, which were bystanders. An id is blamed by crashes of different replicas without a single request in between that was
+/// processed, and crashes that a blocked id explains blame no other one.
 #[derive(Clone, Debug)]
 pub struct Detector {
     started: Millis,
@@ -67,6 +65,10 @@
     /// Number of the next crash.
     next_crash: u64,
     survivors: Survivors,
+    /// The same for requests, which would displace the parts.
+    processed: Survivors,
+    /// Ids that turned out not to explain a crash, with the time at which this became known; latest last.
+    exonerated: IndexMap<u64, Millis>,
     blocks: IndexMap<Vec<u64>, State>,
 }
 
@@ -78,11 +80,13 @@
             events: VecDeque::new(),
             next_crash: 0,
             survivors: Survivors::default(),
+            processed: Survivors::default(),
+            exonerated: IndexMap::new(),
             blocks: IndexMap::new(),
         }
     }
 
-    /// Records that a replica crashed under a request with these parts, which other requests may share.
+    /// Records that a replica crashed under a request with these ids: its own and those of parts, which other requests may share.
     pub fn record_crash(&mut self, now: Millis, replica: u64, parts: &[u64]) -> Vec<Change> {
         if self.insert(replica, now, parts) {
             self.evaluate(now)
@@ -91,14 +95,33 @@
         }
     }
 
+    /// Records that a request was processed without a crash.
+    pub fn record_processed(&mut self, now: Millis, request: &Suspects) -> Vec<Change> {
+        if let Some(id) = request.request() {
+            self.note_survival(now, now, id);
+            self.processed.record(now, id);
+        }
+        self.record_parts(now, request.parts());
+        self.lift_disproved(now, request.ids())
+    }
+
     /// Records that a request with these parts was processed without a crash.
     pub fn record_survival(&mut self, now: Millis, parts: &[u64]) -> Vec<Change> {
+        self.record_parts(now, parts);
+        self.lift_disproved(now, parts)
+    }
+
+    fn record_parts(&mut self, now: Millis, parts: &[u64]) {
         for part in parts {
+            self.note_survival(now, now, *part);
             self.survivors.record(now, *part);
         }
+    }
+
+    fn lift_disproved(&mut self, now: Millis, ids: &[u64]) -> Vec<Change> {
         let disproved = |(blocked, state): (&Vec<u64>, &State)| {
             let is_disproved =
-                !state.is_lifted && state.at < now && blocked.iter().all(|part| parts.contains(part));
+                !state.is_lifted && state.at < now && blocked.iter().all(|part| ids.contains(part));
             is_disproved.then(|| blocked.clone())
         };
         let lifted: Vec<Vec<u64>> = self.blocks.iter().filter_map(disproved).collect();
@@ -108,6 +131,27 @@
             .collect()
     }
 
+    /// Notes that an id which a crash blamed was processed at a later time.
+    fn note_survival(&mut self, now: Millis, at: Millis, id: u64) {
+        let before = self.last_survival(id);
+        let is_cleared = |event: &Event| {
+            event.at <= at && event.parts.contains(&id) && before.is_none_or(|before| before < event.at)
+        };
+        if !self.events.iter().any(is_cleared) {
+            return;
+        }
+        self.exonerated.shift_remove(&id);
+        self.exonerated.insert(id, now);
+        if self.exonerated.len() > MAX_EXONERATED {
+            self.exonerated.shift_remove_index(0);
+        }
+    }
+
+    /// The last time at which a request with this id, or with a part that has it, was processed without a crash.
+    fn last_survival(&self, id: u64) -> Option<Millis> {
+        self.survivors.last(id).max(self.processed.last(id))
+    }
+
     /// Records what another node knows, or what was kept of an earlier run.
     pub fn record_digest(&mut self, now: Millis, digest: &Digest) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -117,7 +161,9 @@
             }
         }
         for survival in &digest.survivals {
-            self.survivors.record(now - survival.age, survival.part);
+            let at = now - survival.age;
+            self.note_survival(now, at, survival.part);
+            self.survivors.record(at, survival.part);
         }
         let mut is_new = false;
         for crash in &digest.crashes {
@@ -139,7 +185,7 @@
         }
     }
 
-    /// How long requests with these parts are refused; `None` if they are not.
+    /// How long requests with these ids are refused; `None` if they are not.
     pub fn blocked_for(&self, now: Millis, parts: &[u64]) -> Option<Millis> {
         let blocks = self.blocks.iter().filter(|(_, state)| !state.is_lifted);
         let matching = blocks.filter(|(blocked, _)| blocked.iter().all(|part| parts.contains(part)));
@@ -147,14 +193,14 @@
         left.max().filter(|left| *left > Millis::ZERO)
     }
 
-    /// Whether a request whose replica crashed may be sent to another one, as far as its parts are concerned.
+    /// Whether a request whose replica crashed may be sent to another one, as far as its ids are concerned.
     pub fn may_repeat(&self, now: Millis, parts: &[u64]) -> bool {
         if self.events.is_empty() {
             return true;
         }
         let blamed = self.blamed(now);
         let is_suspect = |part: &u64| {
-            self.survivors.last(*part).is_none()
+            self.last_survival(*part).is_none()
                 && blamed
                     .get(part)
                     .is_some_and(|it| it.crashes.len() >= MAX_CRASHES_FOR_REPEAT)
@@ -162,49 +208,6 @@
         self.blocked_for(now, parts).is_none() && !parts.iter().any(is_suspect)
     }
 
-    /// What the other nodes should know.
-    pub fn digest(&self, now: Millis) -> Digest {
-        let mut digest = Digest::default();
-        for event in self.events.iter().rev() {
-            if digest.crashes.len() == MAX_REPORTED_CRASHES {
-                break;
-            }
-            if self.is_open(event) && now.since(event.at) < MEMORY {
-                digest.crashes.push(Crash {
-                    replica: event.replica,
-                    age: now.since(event.at),
-                    parts: event.parts.clone(),
-                });
-            }
-        }
-        let mut parts: Vec<u64> = digest
-            .crashes
-            .iter()
-            .flat_map(|crash| crash.parts.clone())
-            .collect();
-        parts.sort_unstable();
-        parts.dedup();
-        let survivals = parts.into_iter().filter_map(|part| {
-            let age = now.since(self.survivors.last(part)?);
-            Some(Survival { part, age })
-        });
-        digest.survivals = survivals.take(MAX_REPORTED_SURVIVALS).collect();
-        let mut blocks: Vec<Block> = self
-            .blocks
-            .iter()
-            .map(|(parts, state)| Block {
-                parts: parts.clone(),
-                age: now.since(state.at),
-                is_lifted: state.is_lifted,
-            })
-            .filter(|block| block.age < if block.is_lifted { LIFTED_TTL } else { MEMORY })
-            .collect();
-        blocks.sort_by_key(|block| block.age);
-        blocks.truncate(MAX_REPORTED_BLOCKS);
-        digest.blocks = blocks;
-        digest
-    }
-
     /// Adds a crash; returns whether it was not known.
     fn insert(&mut self, replica: u64, at: Millis, parts: &[u64]) -> bool {
         let parts: Vec<u64> = parts.iter().copied().take(MAX_PARTS).collect();
@@ -244,7 +247,7 @@
         if !is_lifted
             && parts
                 .iter()
-                .any(|part| self.survivors.last(*part).is_some_and(|last| last > at))
+                .any(|part| self.last_survival(*part).is_some_and(|last| last > at))
         {
             return None;
         }
@@ -263,9 +266,10 @@
 
     /// Blocks the parts that the crashes blame.
     fn evaluate(&mut self, now: Millis) -> Vec<Change> {
-        let survivors = &self.survivors;
+        let (survivors, processed) = (&self.survivors, &self.processed);
         self.events.retain(|event| {
-            let is_sound = |part: &u64| survivors.last(*part).is_some_and(|last| last > event.at);
+            let last = |id: u64| survivors.last(id).max(processed.last(id));
+            let is_sound = |part: &u64| last(*part).is_some_and(|last| last > event.at);
             now.since(event.at) < MEMORY && !event.parts.iter().all(is_sound)
         });
         let mut changes = Vec::new();
@@ -286,17 +290,19 @@
         }
         let all: Vec<Millis> = all.into_values().collect();
         let is_blamed = |(part, blame): &(u64, Blame)| {
-            let max = match self.survivors.last(*part) {
-                None => MAX_CRASHES,
-                Some(_) => MAX_CRASHES_OF_SURVIVOR,
+            let is_survivor = self.last_survival(*part).is_some();
+            let max = if is_survivor {
+                MAX_CRASHES_OF_SURVIVOR
+            } else {
+                MAX_CRASHES
             };
-            blame.weight(now, &all) >= max
+            blame.weight(now, &all, is_survivor) >= max
         };
         let mut blamed: Vec<(u64, Blame)> = blamed.into_iter().filter(is_blamed).collect();
         blamed.sort_unstable_by_key(|(part, blame)| (std::cmp::Reverse(blame.crashes.len()), *part));
         for (part, blame) in blamed {
             let mut parts = blame.common;
-            parts.retain(|other| *other == part || self.survivors.last(*other).is_none());
+            parts.retain(|other| *other == part || self.last_survival(*other).is_none());
             parts.sort_unstable();
             let is_blocked = self.blocks.get(&parts).is_some_and(|state| !state.is_lifted);
             if !is_blocked {
@@ -322,7 +328,7 @@
         let mut blamed: IndexMap<u64, Blame> = IndexMap::new();
         for event in self.events.iter().filter(|event| now.since(event.at) < MEMORY) {
             for part in &event.parts {
-                let is_sound = self.survivors.last(*part).is_some_and(|last| last >= event.at);
+                let is_sound = self.last_survival(*part).is_some_and(|last| last >= event.at);
                 let explaining = blocks.get(&event.crash);
                 let is_explained =
                     explaining.is_some_and(|blocks| blocks.iter().any(|block| !block.contains(part)));
@@ -333,14 +339,4 @@
         }
         blamed
     }
-
-    /// Whether a crash can still blame a part.
-    fn is_open(&self, event: &Event) -> bool {
-        let is_blamed = |part: &u64| {
-            let survived = self.survivors.last(*part);
-            survived.is_none_or(|last| last < event.at)
-        };
-        let mut blocks = self.blocks.iter().filter(|(_, state)| !state.is_lifted);
-        event.parts.iter().any(is_blamed) && !blocks.any(|(blocked, _)| event.has_all(blocked))
-    }
 }
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -1,7 +1,7 @@
 //! Blame and blocks, by cases.
 
 use base::Millis;
-use poison::{Block, Crash, Detector, Digest, Survival};
+use poison::{Block, Crash, Detector, Digest, Survival, Suspects};
 
 const BAD: u64 = 0xbad;
 const SHARED: u64 = 1;
@@ -304,3 +304,85 @@
     let wait = detector.blocked_for(now, &[BAD]).expect("a block");
     assert_eq!(detector.blocked_for(now + wait, &[BAD]), None);
 }
+
+/// Id of a request that comes again and again.
+const REQUEST: u64 = 0x77;
+
+/// A request that is alike each time is blocked together with a part of which nothing else is known, and the part alone once
+/// another request with it crashes a replica.
+#[test]
+fn repeated_request_hides_the_part_that_crashes() {
+    let mut detector = Detector::new(Millis(1_000));
+    let mut now = Millis(1_000_000);
+    for replica in 1..=3 {
+        now = now + Millis(600);
+        detector.record_crash(now, replica, &[REQUEST, BAD]);
+    }
+    assert!(detector.blocked_for(now, &[REQUEST, BAD]).is_some());
+    assert_eq!(detector.blocked_for(now, &[OTHER, BAD]), None);
+    detector.record_crash(now + Millis(600), 4, &[OTHER, BAD]);
+    assert!(detector.blocked_for(now + Millis(600), &[9, BAD]).is_some());
+}
+
+/// A request of which all is known to be sound but the request itself.
+#[test]
+fn repeated_request_is_put_down_to_its_parts() {
+    let mut detector = Detector::new(Millis(1_000));
+    let mut now = Millis(1_000_000);
+    for replica in 1..=3 {
+        now = now + Millis(600);
+        detector.record_processed(now - Millis(1), &Suspects::new(OTHER, [SHARED]));
+        detector.record_crash(now, replica, &[REQUEST, SHARED]);
+    }
+    assert!(detector.blocked_for(now, &[REQUEST, SHARED]).is_some());
+    assert_eq!(detector.blocked_for(now, &[9, SHARED]), None);
+}
+
+/// A popular request that was in flight at all replicas when they were lost at once.
+#[test]
+fn popular_request_is_blocked_when_all_replicas_are_lost_at_once() {
+    let mut detector = Detector::new(Millis(1_000));
+    let now = Millis(1_000_000);
+    detector.record_processed(now, &Suspects::new(REQUEST, []));
+    for replica in 1..=12 {
+        detector.record_crash(now + Millis(100 + replica), replica, &[REQUEST]);
+    }
+    let later = now + Millis(2_000);
+    detector.review(later);
+    assert_eq!(detector.blocked_for(later, &[REQUEST]), None);
+}
+
+/// One node sees the crashes, another one sees the request processed in between: all nodes hear of it.
+#[test]
+fn request_processed_at_another_node_is_blocked() {
+    let mut nodes = [
+        Detector::new(Millis(1_000)),
+        Detector::new(Millis(1_000)),
+        Detector::new(Millis(1_000)),
+    ];
+    let mut now = Millis(1_000_000);
+    for replica in 1..=6 {
+        now = now + Millis(600);
+        nodes[0].record_crash(now, replica, &[REQUEST]);
+        exchange(&mut nodes, now);
+        if replica % 2 == 0 {
+            now = now + Millis(600);
+            nodes[1].record_processed(now, &Suspects::new(REQUEST, []));
+            exchange(&mut nodes, now);
+        }
+    }
+    for node in &nodes {
+        assert_eq!(node.blocked_for(now, &[REQUEST]), None);
+    }
+}
+
+fn exchange(nodes: &mut [Detector], now: Millis) {
+    for from in 0..nodes.len() {
+        let digest = nodes[from].digest(now);
+        for (to, node) in nodes.iter_mut().enumerate() {
+            if to != from {
+                node.record_digest(now + Millis(20), &digest);
+            }
+        }
+    }
+}
