A replica's wish for rest is forgotten with its registration: failing tests

The entry of a registration that comes back with the same start is a new one. That happens when another writer overwrites the registration, when it lapses while the replica lives, and when the store was away for longer than the two seconds in which it must reappear.

Replicas that say they are leaving have the same fault.

--- a/crates/place/tests/placement/limits.rs
+++ b/crates/place/tests/placement/limits.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::{Millis, Seed};
-use place::{Choice, DispatchOutcome, Part, PeerLimit, Pool, Refusal, Spec};
+use place::{Choice, DispatchOutcome, Part, PeerLimit, Pool, Refusal, ReplicaKey, Spec};
 use quota::Group;
 
 use crate::support::{demand, engine_pool, plain_pool, spec};
@@ -195,6 +195,100 @@
     }
 }
 
+/// The registration of a replica goes and comes back, as it does when the store was away or another writer has overwritten it.
+#[test]
+fn statement_is_forgotten_while_the_registration_is_away() {
+    struct Case {
+        name: &'static str,
+        say: fn(&mut Pool, ReplicaKey),
+        /// Whether it says so while its registration is away, to a request from before.
+        is_late: bool,
+        /// When it started, as its registration says afterwards.
+        started_unix_ms: u64,
+        is_chosen: bool,
+    }
+    const PAUSE: fn(&mut Pool, ReplicaKey) = |pool, key| {
+        pool.record_pause(NAMED_AT, key, Millis(3_000));
+    };
+    const LEAVING: fn(&mut Pool, ReplicaKey) = |pool, key| {
+        pool.record_leaving(key);
+    };
+    const LIMIT: fn(&mut Pool, ReplicaKey) = |pool, key| {
+        pool.record_rate_limit(NAMED_AT, key, Some(0.0));
+    };
+    let cases = [
+        Case {
+            name: "no requests for a while",
+            say: PAUSE,
+            is_late: false,
+            started_unix_ms: 1,
+            is_chosen: false,
+        },
+        Case {
+            name: "leaving",
+            say: LEAVING,
+            is_late: false,
+            started_unix_ms: 1,
+            is_chosen: false,
+        },
+        Case {
+            name: "rate limit",
+            say: LIMIT,
+            is_late: false,
+            started_unix_ms: 1,
+            is_chosen: false,
+        },
+        Case {
+            name: "late: no requests for a while",
+            say: PAUSE,
+            is_late: true,
+            started_unix_ms: 1,
+            is_chosen: false,
+        },
+        Case {
+            name: "late: leaving",
+            say: LEAVING,
+            is_late: true,
+            started_unix_ms: 1,
+            is_chosen: false,
+        },
+        Case {
+            name: "started again",
+            say: PAUSE,
+            is_late: false,
+            started_unix_ms: 2,
+            is_chosen: true,
+        },
+        Case {
+            name: "started again after it left",
+            say: LEAVING,
+            is_late: false,
+            started_unix_ms: 2,
+            is_chosen: true,
+        },
+    ];
+    for case in cases {
+        let mut pool = plain_pool(Seed(5), 2);
+        let choice = pool.choose(NAMED_AT, &demand(&[])).expect("a replica");
+        if !case.is_late {
+            (case.say)(&mut pool, choice.replica);
+        }
+        let registered = pool.specs().find(|it| it.id == choice.id).cloned();
+        pool.remove(&choice.id);
+        if case.is_late {
+            (case.say)(&mut pool, choice.replica);
+        }
+        assert!(!is_chosen(&mut pool, Millis(1_200), &choice.id), "{}", case.name);
+        let spec = Spec {
+            started_unix_ms: Some(case.started_unix_ms),
+            ..registered.expect("a registration")
+        };
+        pool.register(Millis(1_500), spec);
+        let is_chosen = is_chosen(&mut pool, Millis(2_000), &choice.id);
+        assert_eq!(is_chosen, case.is_chosen, "{}", case.name);
+    }
+}
+
 /// Prompts of forty sessions at twelve replicas, half of which name limits: each is processed by its home and by one other
 /// replica, not wherever a limited one has room.
 #[test]
