Keep what a replica said while its registration is away

Cause: what a replica says of itself stood in the pool's entry, and the entry went with the registration. Class of fault: knowledge is kept by the life of a record of somebody else. With it went that the replica is leaving (DRAIN), its rate limit (LIMIT), its brittleness and its health. An answer to a request from before found no entry, so a statement that came while the registration was away was lost as well.

Requests in flight are counted on.

Looked for elsewhere: the statements are read nowhere else. Brittleness of an endpoint stands in the pool, which stays.

Wire and store: nothing changes.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod cost;
+mod departed;
 mod limits;
 mod reach;
 mod suspicion;
@@ -17,6 +18,7 @@
 use slotmap::SlotMap;
 
 use self::cost::Cost;
+use self::departed::Departed;
 pub use self::reach::{Destination, ForwardError};
 use crate::dispatch::Dispatch;
 use crate::prefill::PrefillRate;
@@ -77,6 +79,8 @@
     generator: Generator,
     replicas: SlotMap<ReplicaKey, Replica>,
     ids: IndexMap<Arc<str>, ReplicaKey>,
+    /// Replicas whose registration is gone. They may still answer, and what they said holds if it comes back.
+    departed: Departed,
     dispatches: SlotMap<DispatchKey, Dispatch>,
     prefill_rate: PrefillRate,
     work: Work,
@@ -96,6 +100,7 @@
             generator: seed.generator(),
             replicas: SlotMap::with_key(),
             ids: IndexMap::new(),
+            departed: Departed::default(),
             dispatches: SlotMap::with_key(),
             prefill_rate: PrefillRate::default(),
             work: Work::default(),
@@ -110,8 +115,10 @@
         self.settings = settings;
     }
 
-    /// Adds or updates a replica. A new start time, version or address counts as a new replica.
+    /// Adds or updates a replica. A new start time, version or address counts as a new replica. One whose registration was gone
+    /// is the one of before.
     pub fn register(&mut self, now: Millis, spec: Spec) {
+        self.return_departed(&spec.id);
         if let Some(key) = self.ids.get(&spec.id).copied() {
             let existing = &mut self.replicas[key];
             let is_same = existing.spec.started_unix_ms == spec.started_unix_ms
@@ -131,9 +138,9 @@
 
     /// Removes the replica with this id.
     pub fn remove(&mut self, id: &str) {
-        if let Some(key) = self.ids.swap_remove(id) {
-            self.replicas.remove(key);
+        if let Some((id, key)) = self.ids.swap_remove_entry(id) {
             self.reach.forget(key);
+            self.keep_departed(id, key);
         }
     }
 
@@ -166,7 +173,8 @@
     /// are reachable for it.
     pub fn record_peer_report(&mut self, now: Millis, report: &PeerReport<'_>) {
         let zone = rendezvous::hash(report.zone);
-        for replica in self.replicas.values_mut() {
+        for key in self.ids.values() {
+            let replica = &mut self.replicas[*key];
             let load = report.loads.iter().find(|load| load.replica == replica.hash);
             replica.record_peer_load(now, report.node, load.copied());
             let is_unreachable = report.unreachable.contains(&replica.hash);
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -7,6 +7,7 @@
 use rand::RngExt;
 
 use super::Pool;
+use crate::replica::Replica;
 use crate::{ReachChange, ReplicaKey, State};
 
 /// Why a request of another node is not sent to a replica.
@@ -44,7 +45,8 @@
         if is_connected {
             return self.reach.record_connection(now);
         }
-        if !self.replicas.contains_key(replica) {
+        let is_registered = |it: &Replica| self.ids.get(&it.spec.id) == Some(&replica);
+        if !self.replicas.get(replica).is_some_and(is_registered) {
             return None;
         }
         let replicas = self.ready_replicas().len();
