Leave a replica out for as long as it asked, also beyond a minute

Cause: of a rest of more than a minute only the first minute was kept, and then any number of requests went to the replica until one was turned away again: the comment spoke of one request, nothing held the others back. A replica that asks for two minutes got a burst in the middle. Class of fault: a bound on what a replica may ask was taken for its end.

--- a/crates/place/src/pool/limits.rs
+++ b/crates/place/src/pool/limits.rs
@@ -9,8 +9,10 @@
 use crate::rate_limit::RateLimit;
 use crate::{Demand, PeerLimit, Refusal, ReplicaKey};
 
-/// Maximum time for which a replica is left out because it said so. Then one request finds out whether it still wants none.
-const MAX_PAUSE: Millis = Millis(60_000);
+/// Maximum time for which a replica is left out because it said so: one day.
+const MAX_PAUSE: Millis = Millis(24 * 3_600 * 1_000);
+/// Maximum time after which a caller should retry. By then other replicas may have started.
+const MAX_RETRY_WAIT: Millis = Millis(60_000);
 
 impl Pool {
     /// Records that a replica turned a request away and wants none from this node for this long. Returns how long it is
@@ -124,7 +126,7 @@
             shortest = shortest.min(wait);
             free.retain(|other| *other != key);
         }
-        Err(Refusal::Limited(shortest))
+        Err(Refusal::Limited(shortest.min(MAX_RETRY_WAIT)))
     }
 
     /// Time until a request may be sent to the replica that it would go to; zero if it may now.
