Count a crash of a replica once, however late it is told

Cause: nodes tell crashes with their age. Datagrams that wait in the socket of a suspended node are read with the ages of when they were sent, so one crash looked like several, up to 5 s apart; only crashes at the same replica within a second count once. It has been so since blocks exist, but the parts that crash a node's own replicas mostly have been processed by it before, while each request is its own.

Fix: a crash is identified by the replica's incarnation (id and start), which crashes once; the same request at it is the same crash, unless it has been processed since. The form of datagrams does not change.

Ruled out: dropping datagrams after a suspension of one's own, since a link may hold them up as well; a longer time for the same crash, since a replica that starts again under its id may crash again under the same request.

--- a/crates/entry/src/serve/forward/service.rs
+++ b/crates/entry/src/serve/forward/service.rs
@@ -272,7 +272,8 @@
     }
 
     fn record_crash(&self) {
-        self.shared.record_crash(&self.replica.id, &self.suspects);
+        self.shared
+            .record_crash(self.replica.incarnation_hash, &self.suspects);
     }
 
     fn fail(&self, outcome: Outcome, cause: String) -> Failure {
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -131,7 +131,8 @@
         let is_early = !self.has_begun || self.shared.now().since(self.began) < CRASH_WINDOW;
         // An intermediary sees by itself whether the replica or the link between the nodes broke.
         if is_early && !self.has_survived && !self.choice.is_indirect {
-            self.shared.record_crash(&self.choice.id, &self.suspects);
+            self.shared
+                .record_crash(self.choice.incarnation_hash, &self.suspects);
         }
         self.finish(DispatchOutcome::Failed);
     }
--- a/crates/entry/src/shared/poison.rs
+++ b/crates/entry/src/shared/poison.rs
@@ -28,9 +28,10 @@
 }
 
 impl Shared {
-    /// Records that a replica's connection broke before it had sent much of its response to a request.
-    pub fn record_crash(&self, replica: &str, request: &Suspects) {
-        let changes = lock(&self.poison).record_crash(self.now(), place::hash(replica), request.ids());
+    /// Records that a replica's connection broke before it had sent much of its response to a request. The replica is given by
+    /// the hash of its incarnation.
+    pub fn record_crash(&self, replica: u64, request: &Suspects) {
+        let changes = lock(&self.poison).record_crash(self.now(), replica, request.ids());
         self.handle_blocks(changes, Source::Own);
     }
 
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -89,6 +89,7 @@
             replica: key,
             id,
             address,
+            ..
         } = replica;
         if let Some(connection) = self.connections.take(id, *address, max_idle) {
             return Ok(connection);
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -45,6 +45,8 @@
     pub replica: ReplicaKey,
     /// Id of the replica.
     pub id: Arc<str>,
+    /// Hash of the replica's id and start, the same at all nodes.
+    pub incarnation_hash: u64,
     /// Address of the replica.
     pub address: SocketAddr,
     /// Software version of the replica.
@@ -65,6 +67,7 @@
         Destination {
             replica: self.replica,
             id: Arc::clone(&self.id),
+            incarnation_hash: self.incarnation_hash,
             address: self.address,
         }
     }
@@ -204,11 +207,17 @@
         if cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION {
             return Err(Refusal::TooLate(self.retry_wait(now, demand)));
         }
-        let Replica { spec, rate_limit, .. } = &self.replicas[key];
+        let Replica {
+            spec,
+            rate_limit,
+            incarnation_hash,
+            ..
+        } = &self.replicas[key];
         let rate_limit = rate_limit.as_ref().and_then(RateLimit::limit);
         Ok(Choice {
             replica: key,
             id: Arc::clone(&spec.id),
+            incarnation_hash: *incarnation_hash,
             address: spec.address,
             version: Arc::clone(&spec.version),
             expected_wait: Millis(cost.wait_ms as u64),
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -30,6 +30,8 @@
     pub replica: ReplicaKey,
     /// Id of the replica.
     pub id: Arc<str>,
+    /// Hash of the replica's id and start, the same at all nodes.
+    pub incarnation_hash: u64,
     /// Address of the replica.
     pub address: SocketAddr,
 }
@@ -86,10 +88,15 @@
         }
         ready.sort_by_key(|key| self.reach.has_failed(*key));
         let probe = |key: ReplicaKey| {
-            let spec = &self.replicas[key].spec;
+            let Replica {
+                spec,
+                incarnation_hash,
+                ..
+            } = &self.replicas[key];
             Destination {
                 replica: key,
                 id: Arc::clone(&spec.id),
+                incarnation_hash: *incarnation_hash,
                 address: spec.address,
             }
         };
@@ -115,6 +122,7 @@
         Ok(Destination {
             replica: key,
             id: Arc::clone(&replica.spec.id),
+            incarnation_hash: replica.incarnation_hash,
             address: replica.spec.address,
         })
     }
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -38,6 +38,8 @@
     pub first_seen: Millis,
     /// Hash of the id, used for rendezvous hashing and peer reports.
     pub hash: u64,
+    /// Hash of the id and the start.
+    pub incarnation_hash: u64,
     /// Requests of this node in flight.
     pub in_flight: usize,
     /// Prompt tokens of this node that the replica has not processed yet.
@@ -74,6 +76,10 @@
         Self {
             first_seen: now,
             hash: crate::rendezvous::hash(&spec.id),
+            incarnation_hash: match spec.started_unix_ms {
+                Some(started) => crate::rendezvous::hash(&format!("{} {started}", spec.id)),
+                None => crate::rendezvous::hash(&spec.id),
+            },
             spec,
             health: Health::default(),
             in_flight: 0,
--- a/crates/poison/src/crash.rs
+++ b/crates/poison/src/crash.rs
@@ -4,12 +4,12 @@
 use serde::{Deserialize, Serialize};
 
 /// Maximum difference of the times at which nodes notice the same crash of a replica.
-const SAME_CRASH: Millis = Millis(1_000);
+pub(crate) const SAME_CRASH: Millis = Millis(1_000);
 
 /// A request whose replica crashed before it had sent much of its response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
-    /// Hash of the replica's id.
+    /// Hash of the replica's incarnation, which crashes once. Builds up to 8742da2 send that of its id.
     pub replica: u64,
     /// Time since the crash.
     pub age: Millis,
@@ -28,11 +28,6 @@
 }
 
 impl Event {
-    /// Whether both stem from the same crash of a replica.
-    pub fn is_same_crash(&self, replica: u64, at: Millis) -> bool {
-        self.replica == replica && self.at.since(at).max(at.since(self.at)) < SAME_CRASH
-    }
-
     /// Whether the request has all of these parts.
     pub fn has_all(&self, parts: &[u64]) -> bool {
         parts.iter().all(|part| self.parts.contains(part))
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::blame::{Blame, SAME_TIME};
-use crate::crash::Event;
+use crate::crash::{Event, SAME_CRASH};
 use crate::survivors::Survivors;
 use crate::{Digest, Suspects};
 
@@ -209,17 +209,32 @@
     }
 
     /// Adds a crash; returns whether it was not known.
+    ///
+    /// NB: the times of what other nodes tell may be wrong by the time that a datagram waited, for example in the socket of a
+    /// suspended node. A replica's incarnation crashes once, so the same request at it is the same crash, unless it has been
+    /// processed since.
     fn insert(&mut self, replica: u64, at: Millis, parts: &[u64]) -> bool {
         let parts: Vec<u64> = parts.iter().copied().take(MAX_PARTS).collect();
         if parts.is_empty() {
             return false;
         }
         let mut crash = None;
-        for known in self.events.iter().filter(|it| it.is_same_crash(replica, at)) {
-            if known.parts == parts {
-                return false;
+        let mut outdated = None;
+        for (index, known) in self.events.iter().enumerate() {
+            if known.replica != replica {
+                continue;
             }
             crash = Some(known.crash);
+            if known.parts == parts {
+                let is_later = at.since(known.at) >= SAME_CRASH && self.is_disproved(known);
+                if !is_later {
+                    return false;
+                }
+                outdated = Some(index);
+            }
+        }
+        if let Some(index) = outdated {
+            self.events.remove(index);
         }
         let crash = crash.unwrap_or_else(|| {
             self.next_crash += 1;
@@ -237,6 +252,12 @@
         true
     }
 
+    /// Whether all that a crash blames has been processed since.
+    fn is_disproved(&self, event: &Event) -> bool {
+        let is_sound = |part: &u64| self.last_survival(*part).is_some_and(|last| last > event.at);
+        event.parts.iter().all(is_sound)
+    }
+
     /// Blocks or lifts the block of parts, unless something later is known. Returns what changed for requests.
     fn set(&mut self, parts: Vec<u64>, at: Millis, is_lifted: bool) -> Option<Change> {
         let before = self.blocks.get(&parts).copied();
@@ -266,12 +287,9 @@
 
     /// Blocks the parts that the crashes blame.
     fn evaluate(&mut self, now: Millis) -> Vec<Change> {
-        let (survivors, processed) = (&self.survivors, &self.processed);
-        self.events.retain(|event| {
-            let last = |id: u64| survivors.last(id).max(processed.last(id));
-            let is_sound = |part: &u64| last(*part).is_some_and(|last| last > event.at);
-            now.since(event.at) < MEMORY && !event.parts.iter().all(is_sound)
-        });
+        let mut events = std::mem::take(&mut self.events);
+        events.retain(|event| now.since(event.at) < MEMORY && !self.is_disproved(event));
+        self.events = events;
         let mut changes = Vec::new();
         if now.since(self.started) < WARM_UP {
             return changes;
@@ -284,11 +302,16 @@
 
     fn next_block(&mut self, now: Millis) -> Option<Change> {
         let blamed = self.blamed(now);
-        let mut all: IndexMap<u64, Millis> = IndexMap::new();
+        let mut all: Vec<(u64, Millis)> = Vec::new();
         for event in &self.events {
-            all.entry(event.crash).or_insert(event.at);
+            let is_known = |(crash, at): &(u64, Millis)| {
+                *crash == event.crash && at.since(event.at).max(event.at.since(*at)) < SAME_CRASH
+            };
+            if !all.iter().any(is_known) {
+                all.push((event.crash, event.at));
+            }
         }
-        let all: Vec<Millis> = all.into_values().collect();
+        let all: Vec<Millis> = all.into_iter().map(|(_, at)| at).collect();
         let is_blamed = |(part, blame): &(u64, Blame)| {
             let is_survivor = self.last_survival(*part).is_some();
             let max = if is_survivor {
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -386,3 +386,35 @@
         }
     }
 }
+
+/// Datagrams that a node reads only after it was suspended have wrong ages: what they tell looks later than it was.
+#[test]
+fn crash_that_is_told_late_counts_again() {
+    let mut teller = Detector::new(Millis(1_000));
+    let mut suspended = Detector::new(Millis(1_000));
+    let now = Millis(1_000_000);
+    teller.record_crash(now, 1, &[REQUEST]);
+    teller.record_crash(now + Millis(700), 2, &[REQUEST]);
+    for waited in [0, 1_500, 3_000, 4_500] {
+        let told = teller.digest(now + Millis(800));
+        suspended.record_digest(now + Millis(800 + waited), &told);
+    }
+    assert_eq!(suspended.blocked_for(now + Millis(6_000), &[REQUEST]), None);
+}
+
+/// One that was exonerated of a replica's crash, before the replica really crashed under it.
+#[test]
+fn second_loss_at_the_same_replica_is_not_counted() {
+    let mut detector = Detector::new(Millis(1_000));
+    let mut now = Millis(1_000_000);
+    for replica in 1..=3 {
+        detector.record_crash(now, replica, &[REQUEST]);
+    }
+    now = now + Millis(600);
+    detector.record_processed(now, &Suspects::new(REQUEST, []));
+    for replica in 1..=6 {
+        now = now + Millis(600);
+        detector.record_crash(now, replica, &[REQUEST]);
+    }
+    assert!(detector.blocked_for(now, &[REQUEST]).is_some());
+}
