Let a node that wakes while it leaves pass on what has arrived

Cause: the time to leave is counted while the node is suspended. If it was over at the wake, Node::stop, which the runtime polls first, went through all its phases without waiting once, and the process ended with the responses unread in its sockets. Class of fault: a gap in a node's own clock is taken for time in which its tasks ran.

Fix: place::shutdown::Limit, pure: a node that leaves looks at the clock each 20 ms; a gap of 200 ms or more is a suspension, and if the node's time is over by then it gets 200 ms, once, of the 300 that are kept before SIGKILL. A line says how long it was suspended.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -6,7 +6,7 @@
 use base::Millis;
 use clock::Clock;
 use metrics_exporter_prometheus::PrometheusHandle;
-use place::shutdown::{DISCOVERY_TIME, Shutdown};
+use place::shutdown::{DISCOVERY_TIME, Limit, Shutdown};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep};
@@ -102,14 +102,18 @@
             deadline: started + grace - FLUSH_TIME,
         });
         // Give callers time to discover that the node is leaving, then close idle connections.
-        sleep(DISCOVERY_TIME.min(grace).as_duration()).await;
+        let mut limit = Limit::new(started, started + grace);
+        while elapsed() < DISCOVERY_TIME.min(grace) {
+            sleep(IDLE_POLL).await;
+            self.observe(&mut limit);
+        }
         self.shared.lifecycle.enter(Phase::Closing);
-        self.wait_idle(QUIET_PERIOD, || elapsed() < grace).await;
+        self.wait_idle(QUIET_PERIOD, &mut limit).await;
         log::info!(waiting = self.shared.waiting_requests(), took_ms = elapsed().0; "node ends");
         self.shared.lifecycle.enter(Phase::Ended);
         // Responses to the last requests may still be being written.
-        self.wait_idle(FLUSH_QUIET_PERIOD, || elapsed() < grace).await;
-        let left = grace - elapsed();
+        self.wait_idle(FLUSH_QUIET_PERIOD, &mut limit).await;
+        let left = limit.left(self.shared.now());
         let last = futures::future::join_all(self.final_tasks);
         if tokio::time::timeout(left.as_duration(), last).await.is_err() {
             log::warn!("timed out withdrawing the registration");
@@ -118,19 +122,28 @@
 }
 
 impl Node {
-    /// Waits until no request has been in flight for `quiet_period`, or until `may_wait` returns false.
-    async fn wait_idle<F>(&self, quiet_period: Millis, may_wait: F)
-    where
-        F: Fn() -> bool,
-    {
+    /// Waits until no request has been in flight for `quiet_period`, or until the limit.
+    async fn wait_idle(&self, quiet_period: Millis, limit: &mut Limit) {
         let mut busy_at = self.shared.now();
-        while may_wait() && self.shared.now().since(busy_at) < quiet_period {
+        while limit.left(self.shared.now()) > Millis::ZERO && self.shared.now().since(busy_at) < quiet_period
+        {
             sleep(IDLE_POLL).await;
+            self.observe(limit);
             if self.shared.waiting_requests() > 0 {
                 busy_at = self.shared.now();
             }
         }
     }
+
+    /// Records that the process runs, and logs whether it was suspended before.
+    fn observe(&self, limit: &mut Limit) {
+        let now = self.shared.now();
+        let Some(suspended) = limit.observe(now) else {
+            return;
+        };
+        let waiting = self.shared.waiting_requests();
+        log::warn!(suspended_ms = suspended.0, waiting, left_ms = limit.left(now).0; "node was suspended while leaving");
+    }
 }
 
 /// Samples the wall clock, closes connections that were idle for too long, and updates gauges.
--- a/crates/place/src/shutdown.rs
+++ b/crates/place/src/shutdown.rs
@@ -11,6 +11,53 @@
 /// request has a later deadline. It is longer than the target latencies of all routes at both sites.
 const MAX_REQUIRED_TIME: Millis = Millis(2_000);
 
+/// Time between two looks at the clock, which are much closer, from which the process was suspended.
+const MIN_SUSPENSION: Millis = Millis(200);
+/// Time in which a node that was suspended writes the responses that arrived meanwhile.
+const WAKE_TIME: Millis = Millis(200);
+
+/// Until when a node that shuts down waits for its requests.
+///
+/// Load pattern: the node is suspended while it shuts down, until its time is over. Responses of replicas have arrived in its
+/// sockets, and none has been read.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    deadline: Millis,
+    seen_at: Millis,
+    is_extended: bool,
+}
+
+impl Limit {
+    /// A limit that ends at `deadline`. The process runs now.
+    pub const fn new(now: Millis, deadline: Millis) -> Self {
+        Self {
+            deadline,
+            seen_at: now,
+            is_extended: false,
+        }
+    }
+
+    /// Records that the process runs. Returns how long it was suspended before, if it was.
+    pub fn observe(&mut self, now: Millis) -> Option<Millis> {
+        let gap = now.since(self.seen_at);
+        self.seen_at = now;
+        if gap < MIN_SUSPENSION {
+            return None;
+        }
+        // Once only, as a process that is short of processor time must end, too.
+        if now + WAKE_TIME > self.deadline && !self.is_extended {
+            self.deadline = now + WAKE_TIME;
+            self.is_extended = true;
+        }
+        Some(gap)
+    }
+
+    /// Time that is left.
+    pub fn left(&self, now: Millis) -> Millis {
+        self.deadline.since(now)
+    }
+}
+
 /// Shutdown of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
--- a/crates/place/tests/placement/shutdown.rs
+++ b/crates/place/tests/placement/shutdown.rs
@@ -1,7 +1,7 @@
 //! Requests that arrive at a node that is shutting down.
 
 use base::Millis;
-use place::shutdown::{self, Shutdown};
+use place::shutdown::{self, Limit, Shutdown};
 
 struct Case {
     name: &'static str,
@@ -83,3 +83,61 @@
         assert_eq!(deadline, case.expected.map(Millis), "{}", case.name);
     }
 }
+
+struct Look {
+    at: u64,
+    suspended: Option<u64>,
+    left: u64,
+}
+
+/// A process that runs looks at the clock each 20 ms.
+#[test]
+fn node_ends_at_once_after_a_suspension() {
+    let looks = [
+        Look {
+            at: 1_020,
+            suspended: None,
+            left: 6_980,
+        },
+        Look {
+            at: 5_000,
+            suspended: Some(3_980),
+            left: 3_000,
+        },
+        Look {
+            at: 5_020,
+            suspended: None,
+            left: 2_980,
+        },
+        Look {
+            at: 7_900,
+            suspended: Some(2_880),
+            left: 200,
+        },
+        Look {
+            at: 7_920,
+            suspended: None,
+            left: 180,
+        },
+        Look {
+            at: 8_100,
+            suspended: None,
+            left: 0,
+        },
+        Look {
+            at: 9_000,
+            suspended: Some(900),
+            left: 0,
+        },
+    ];
+    let mut limit = Limit::new(Millis(1_000), Millis(8_000));
+    for look in looks {
+        assert_eq!(
+            limit.observe(Millis(look.at)),
+            look.suspended.map(Millis),
+            "{}",
+            look.at
+        );
+        assert_eq!(limit.left(Millis(look.at)), Millis(look.left), "{}", look.at);
+    }
+}
