Write blocks to the store that a node finds with the crashes of others

Cause: a node that completes the count of crashes when it hears of those another node has seen took the block for one that it was told (its source was 'peer'), and only blocks of the source 'own' are written to the store. The other node is told the block, so it doesn't write it either. The block is in force at all nodes, but is gone when they all end. Seen as a failure of blocked_parts_are_forgotten_with_all_nodes in a test run of the whole workspace.

Ruled out: too few replicas crashed (5 of 6 had, in a failed run); a block that was lifted again; a wider set of parts.

Now the detector says of each change whether it came to it by itself; the node writes these, whatever completed the count.

Records and datagrams are unchanged.

--- a/crates/entry/src/shared/poison.rs
+++ b/crates/entry/src/shared/poison.rs
@@ -9,7 +9,7 @@
 /// How a node learned that ids are blocked, or not any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Source {
-    /// By the requests that it forwarded itself.
+    /// By requests that were processed, or under which replicas crashed.
     Own,
     /// From another node.
     Peer,
@@ -83,8 +83,9 @@
         lock(&self.poison).may_repeat(self.now(), request.ids())
     }
 
-    fn handle_blocks(&self, changes: Vec<Change>, source: Source) {
+    fn handle_blocks(&self, changes: Vec<Change>, told_by: Source) {
         for change in changes {
+            let source = if change.is_own { Source::Own } else { told_by };
             let ids: Vec<String> = change.parts.iter().map(|part| format!("{part:x}")).collect();
             let ids = ids.join(",");
             metrics::counter!("bilberrylatch_prompt_blocks_total", "blocked" => change.is_blocked.to_string())
@@ -95,7 +96,7 @@
             } else {
                 log::warn!(ids, source = source.label(); "requests with these ids are no longer refused");
             }
-            if source == Source::Own {
+            if change.is_own {
                 self.blocks_changed.send_if_modified(|pending| {
                     pending.push(change);
                     true
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -43,6 +43,8 @@
     pub is_blocked: bool,
     /// Crashes since the parts were last processed without one.
     pub crashes: usize,
+    /// Whether this node came to it by itself, and was not told by another one or by the store.
+    pub is_own: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -128,6 +130,10 @@
         lifted
             .into_iter()
             .filter_map(|parts| self.set(parts, now, true))
+            .map(|change| Change {
+                is_own: true,
+                ..change
+            })
             .collect()
     }
 
@@ -282,6 +288,7 @@
             parts,
             is_blocked: !is_lifted,
             crashes: 0,
+            is_own: false,
         })
     }
 
@@ -331,6 +338,7 @@
             if !is_blocked {
                 let mut change = self.set(parts, now, false)?;
                 change.crashes = blame.crashes.len();
+                change.is_own = true;
                 return Some(change);
             }
         }
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -418,3 +418,29 @@
     }
     assert!(detector.blocked_for(now, &[REQUEST]).is_some());
 }
+
+/// Whoever completes the count comes to the block by itself, even if it takes the crashes that another node has seen; whoever is
+/// told the block does not.
+#[test]
+fn block_by_the_crashes_of_two_nodes_is_its_own() {
+    let now = Millis(10_000);
+    let mut nodes = [Detector::new(Millis::ZERO), Detector::new(Millis::ZERO)];
+    for (index, node) in nodes.iter_mut().enumerate() {
+        for number in 0..4 {
+            let changes = node.record_crash(now, 4 * index as u64 + number, &[BAD]);
+            assert_eq!(changes, [], "node {index}, crash {number}");
+        }
+    }
+    let digest = nodes[1].digest(now);
+    let changes = nodes[0].record_digest(now, &digest);
+    let [found] = changes.as_slice() else {
+        panic!("{changes:?}");
+    };
+    assert!(found.is_own && found.is_blocked, "{found:?}");
+    let digest = nodes[0].digest(now);
+    let changes = nodes[1].record_digest(now, &digest);
+    let [told] = changes.as_slice() else {
+        panic!("{changes:?}");
+    };
+    assert!(!told.is_own && told.is_blocked, "{told:?}");
+}
