Take sums that a node does not use yet as a baseline

Cause: sums of another zone that arrive at a node before it knows that it is its zone's hub (or of the outside while it still is one) are recorded by its hub state, but not by its limiters. Once the node uses them, the hub state says that they go on from the last ones, and the limiters, which have none, count the whole total: all that the zone has admitted since its nodes started. The node's balance is then far below zero, and it refuses all requests of the workspace but for its small even share.

Now such sums are recorded as a baseline. Whether a node uses a datagram is a decision of its topology.

Before: new_hub_counts_all_that_was_ever_admitted admits 0 of 10 requests within the limit. After: 10 of 10. Datagrams are unchanged.

--- a/crates/entry/src/peers/topology.rs
+++ b/crates/entry/src/peers/topology.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use relay::{Candidate, lead};
 
-use super::{DIGEST_INTERVAL, MAX_PER_SECOND, PEER_TIMEOUT, SEND_INTERVAL};
+use super::{DIGEST_INTERVAL, MAX_PER_SECOND, PEER_TIMEOUT, SEND_INTERVAL, Scope};
 use crate::view::{Peer, Peers};
 
 /// Datagrams that may be lost in a row before a node counts as disconnected.
@@ -68,6 +68,15 @@
         topology
     }
 
+    /// Whether this node uses what datagrams of this scope say. Sums of one zone are for hubs, sums of all others for the rest.
+    pub const fn uses(&self, scope: &Scope) -> bool {
+        match scope {
+            Scope::Node => true,
+            Scope::Zone(_) => self.is_hub,
+            Scope::Outside { .. } => !self.is_hub,
+        }
+    }
+
     /// Interval between datagrams to the same node.
     pub fn send_interval(&self) -> Millis {
         send_interval(self.direct.len())
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -59,23 +59,22 @@
         }
         self.record_poison_digest(&datagram.poison);
         let topology = self.topology();
-        let is_used = match datagram.scope {
-            Scope::Node => true,
-            Scope::Zone(_) => topology.is_hub,
-            Scope::Outside { .. } => !topology.is_hub,
-        };
         let how = lock(&self.hub).record(now, datagram, &topology.hubs);
-        if how == Use::Nothing || !is_used {
+        let is_used = topology.uses(&datagram.scope);
+        if how == Use::Nothing {
             return;
         }
-        let is_new = how == Use::Baseline;
+        // Otherwise all that was ever admitted would count once the node comes to use these sums.
+        let is_new = how == Use::Baseline || !is_used;
         self.apply_totals(now, sender, is_new, &datagram.used);
         for (endpoint, limits) in &datagram.limits {
             self.with_pool(endpoint, |pool| {
                 pool.record_peer_limits(now, sender, is_new, limits);
             });
         }
-        self.apply_replica_reports(now, sender, datagram);
+        if is_used {
+            self.apply_replica_reports(now, sender, datagram);
+        }
     }
 
     fn apply_totals(&self, now: Millis, sender: u64, is_new: bool, totals: &[(Arc<str>, u64)]) {
