Keep limits together with nodes that are cut off

Three parts, seen in the tokens that each part admits by half second: (1) for 1 s each part takes the other for idle and refills at the whole limit; (2) the common balance refills while even shares use the limit up, and is spent when the nodes hear each other again; (3) from the deletion of the registrations until their views are too old, the cut nodes use their shares beside the others.

Ruled out: the front of even shares (their headroom at 0.2 in place of 0.3 changes nothing).

Now a node counts as cut off once a quarter of the nodes that send to it are silent for longer than nodes that have nothing to tell (Topology::hears_nodes); the common balance stands still meanwhile; the share of nodes that lost their registration while they were ready and are silent stays free until their views are too old (LostNodes), unless they left or have restarted.

Datagrams and records are unchanged.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,6 +9,7 @@
 mod datagram;
 mod heard;
 mod hub;
+mod lost;
 mod topology;
 
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 pub use datagram::{CutOff, Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
 pub use heard::HeardNodes;
 pub use hub::{Hub, Use};
+pub use lost::LostNodes;
 pub use topology::Topology;
 
 /// Minimum interval between datagrams to the same node.
--- a/crates/entry/src/peers/topology.rs
+++ b/crates/entry/src/peers/topology.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use relay::{Candidate, lead};
 
-use super::{DIGEST_INTERVAL, MAX_PER_SECOND, PEER_TIMEOUT, SEND_INTERVAL, Scope};
+use super::{DIGEST_INTERVAL, KEEPALIVE_INTERVAL, MAX_PER_SECOND, PEER_TIMEOUT, SEND_INTERVAL, Scope};
 use crate::view::{Peer, Peers};
 
 /// Datagrams that may be lost in a row before a node counts as disconnected.
@@ -24,6 +24,13 @@
     SEND_INTERVAL.max(shared_rate)
 }
 
+/// Inverse of the maximum fraction of nodes that may be missing while the others count as connected.
+const MISSING_NODES_DIVISOR: usize = 20;
+/// The same for nodes that have been silent for longer than nodes are that have nothing to tell.
+const SILENT_NODES_DIVISOR: usize = 4;
+/// How late a datagram may be.
+const SILENCE_MARGIN: Millis = Millis(150);
+
 /// The nodes that this node exchanges datagrams with.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Topology {
@@ -92,6 +99,25 @@
         }
     }
 
+    /// Whether enough of the nodes that send this one datagrams were heard from recently. `last_heard` is the time of the last
+    /// datagram.
+    ///
+    /// Of many nodes, a few may be missing: what they admit is within the tolerance of the limits. If many fall silent at the same
+    /// time, the cluster has been cut in parts, each of which would use the whole limit.
+    pub fn hears_nodes<F>(&self, now: Millis, last_heard: F) -> bool
+    where
+        F: Fn(Incarnation) -> Option<Millis>,
+    {
+        let unheard_for = |time: Millis| {
+            let is_missing = |node: &&Incarnation| last_heard(**node).is_none_or(|at| now.since(at) >= time);
+            self.direct_nodes.iter().filter(is_missing).count()
+        };
+        let silence = KEEPALIVE_INTERVAL + self.send_interval() + SILENCE_MARGIN;
+        let nodes = self.direct_nodes.len();
+        unheard_for(PEER_TIMEOUT) * MISSING_NODES_DIVISOR <= nodes
+            && unheard_for(silence.min(PEER_TIMEOUT)) * SILENT_NODES_DIVISOR <= nodes
+    }
+
     fn add_hubs(&mut self, peers: &Peers, own: Incarnation, zone: &str) {
         let mut zones: IndexMap<&str, Vec<Candidate>> = IndexMap::new();
         for (node, peer) in peers.iter().filter(|(_, peer)| peer.ready) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -27,7 +27,7 @@
 use crate::edge::{Cloud, Edge};
 use crate::exchange::Questions;
 use crate::lifecycle::Lifecycle;
-use crate::peers::{HeardNodes, Hub, Topology};
+use crate::peers::{HeardNodes, Hub, LostNodes, Topology};
 use crate::publish::{Collector, Comparison};
 use crate::settings::Settings;
 use crate::upstream::Connections;
@@ -76,6 +76,7 @@
     deletions_changed: Notify,
     /// Nodes that were heard from, by incarnation.
     heard_nodes: Mutex<HeardNodes>,
+    lost_nodes: Mutex<LostNodes>,
     /// Hubs of other zones that were heard from, by incarnation.
     heard_hubs: Mutex<HeardNodes>,
     /// Nodes through which requests are sent while this one reaches no replica.
@@ -118,6 +119,7 @@
             availability: Mutex::new(Availability::new(clock.now(), min_outage)),
             deletions_changed: Notify::new(),
             heard_nodes: Mutex::default(),
+            lost_nodes: Mutex::default(),
             heard_hubs: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             waiting: AtomicUsize::new(0),
--- a/crates/entry/src/shared/limits.rs
+++ b/crates/entry/src/shared/limits.rs
@@ -9,13 +9,11 @@
 
 use super::{Shared, lock};
 use crate::peers::{self, CutOff, Datagram, Scope, Topology, Unreachable, Use};
+use crate::register::MIN_EXPIRY_OUTAGE;
 
 /// Fraction of the nodes' common retry slack that is used, since a restarted node has lost its count of spent retries.
 const RETRY_SLACK_SHARE: f64 = 0.5;
 
-/// Inverse of the maximum fraction of nodes that may be missing while the others count as connected.
-const MISSING_NODES_DIVISOR: usize = 20;
-
 impl Shared {
     /// Takes tokens from a workspace's limit, or returns the time until enough are available.
     pub fn acquire_quota(&self, workspace: &Workspace, tokens: u64) -> Result<(), Millis> {
@@ -240,28 +238,45 @@
             &self.topology(),
         ));
         self.topology.store(Arc::clone(&topology));
+        let now = self.now();
+        let time = Millis(settings.key_revocation_time.since(MIN_EXPIRY_OUTAGE).0);
+        let (lost, registered) = {
+            let view = self.view();
+            let lost = lock(&self.lost_nodes).observe(now, &view.peers, time);
+            (lost, view.peers.len())
+        };
+        if lost > 0 {
+            log::info!(lost, registered, shared = self.shared_fraction(), for_ms = time.0;
+                "registrations of ready nodes lost; their part of limits stays free while they are silent");
+        }
         topology
     }
 
-    /// Whether the other nodes were heard from recently, in person or in sums. Of many nodes, a few may be missing: what
-    /// they admit is within the tolerance of the limits.
+    /// Whether the other nodes were heard from recently, in person or in sums.
     pub fn is_connected(&self) -> bool {
         let now = self.now();
         let topology = self.topology();
         let is_heard = {
             let last_heard = lock(&self.last_heard);
-            let is_missing = |node: &&Incarnation| {
-                let last = last_heard.get(&node.0);
-                last.is_none_or(|(_, at)| now.since(*at) >= peers::PEER_TIMEOUT)
-            };
-            let missing = topology.direct_nodes.iter().filter(is_missing).count();
-            missing * MISSING_NODES_DIVISOR <= topology.direct_nodes.len()
+            topology.hears_nodes(now, |node| last_heard.get(&node.0).map(|(_, at)| *at))
         };
         is_heard
             && (!topology.is_layered
                 || lock(&self.hub).hears_other_zones(now, topology.is_hub, topology.other_zones))
     }
 
+    /// Fraction of the limits that the registered nodes share.
+    fn shared_fraction(&self) -> f64 {
+        let now = self.now();
+        let topology = self.topology();
+        let last_heard = lock(&self.last_heard);
+        let is_heard = |node: Incarnation| {
+            let last = last_heard.get(&node.0);
+            last.is_some_and(|(_, at)| now.since(*at) < peers::PEER_TIMEOUT)
+        };
+        lock(&self.lost_nodes).shared_fraction(now, &topology, &self.settings().zone, is_heard)
+    }
+
     /// Counts the first dispatch of a request to an endpoint.
     pub fn count_request(&self, endpoint: &Arc<str>) {
         let policy = self.retry_policy();
@@ -292,7 +307,7 @@
     fn limit_settings(&self, workspace: &Workspace, nodes: usize, is_connected: bool) -> LimitSettings {
         let settings = self.settings();
         LimitSettings {
-            rate: workspace.rate,
+            rate: workspace.rate * self.shared_fraction(),
             burst: workspace.burst,
             tolerance: Tolerance {
                 window: settings.quota_window,
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -58,6 +58,13 @@
         self.tokens += tokens;
     }
 
+    /// Adds nothing for the time until now, which is returned.
+    pub fn hold(&mut self, now: Millis) -> Millis {
+        let held = now.since(self.updated_at);
+        self.updated_at = self.updated_at.max(now);
+        held
+    }
+
     fn add_refill(&mut self, now: Millis, refill: Refill) {
         let elapsed_s = now.since(self.updated_at).0 as f64 / MILLIS_PER_SECOND;
         self.tokens = refill.rate.mul_add(elapsed_s, self.tokens).min(refill.capacity);
--- a/crates/quota/src/limit.rs
+++ b/crates/quota/src/limit.rs
@@ -3,7 +3,7 @@
 //! Requests of very different sizes arrive at random nodes. With an even split of the limit, one node would refuse
 //! requests while others have tokens left. Each node therefore checks a global bucket, which also counts the tokens
 //! that the other nodes report. The tolerance above the limit covers tokens that are not reported yet. A node that
-//! does not hear from all others falls back to its even share of the limit.
+//! does not hear from all others falls back to its even share of the limit, and leaves the global bucket as it is.
 
 use base::seed::Generator;
 use base::{Millis, Seed};
@@ -108,6 +108,8 @@
 #[derive(Clone, Debug)]
 pub struct Limiter {
     global: Bucket,
+    /// Whether the global bucket is left alone, since this node does not hear the others.
+    is_held: bool,
     local: Bucket,
     generator: Generator,
     /// Tokens that this node has admitted since it started.
@@ -127,6 +129,7 @@
     pub fn new(since: Millis, seed: Seed, settings: &LimitSettings) -> Self {
         Self {
             global: Bucket::new(since, 0.0),
+            is_held: false,
             local: Bucket::new(since, settings.local_refill().capacity),
             generator: seed.generator(),
             admitted: 0,
@@ -137,9 +140,23 @@
         }
     }
 
+    /// Leaves the common balance as it is while this node does not hear the others.
+    ///
+    /// Load pattern: a cluster is cut in parts for seconds, or many of its nodes are silent. The even shares of all nodes use up the
+    /// limit then, whatever was heard of it. If the balance grew, all nodes would spend it once they hear each other.
+    fn hold_balance(&mut self, now: Millis, settings: &LimitSettings) {
+        self.is_held = !settings.is_connected;
+        if self.is_held {
+            let held = self.global.hold(now);
+            self.all_admitted
+                .add(now, settings.rate * held.0 as f64 / 1_000.0);
+        }
+    }
+
     /// Admits a request of `tokens` tokens, or returns the time after which it may be tried again.
     pub fn try_acquire(&mut self, now: Millis, tokens: u64, settings: &LimitSettings) -> Result<(), Millis> {
         let amount = tokens as f64;
+        self.hold_balance(now, settings);
         let mut wait = self.local_wait(now, amount, settings);
         if settings.is_connected && wait > Millis::ZERO {
             wait = wait.min(self.global_wait(now, settings));
@@ -149,9 +166,13 @@
             return Err(wait);
         }
         self.own_admitted.add(now, amount);
-        self.all_admitted.add(now, amount);
+        if settings.is_connected {
+            self.all_admitted.add(now, amount);
+        }
         self.local.debit(now, amount, settings.local_refill());
-        self.global.debit(now, amount, settings.global_refill());
+        if settings.is_connected {
+            self.global.debit(now, amount, settings.global_refill());
+        }
         self.admitted += tokens;
         Ok(())
     }
@@ -217,7 +238,9 @@
     /// Returns the tokens of a request that did not run.
     pub const fn refund(&mut self, tokens: u64) {
         self.local.refund(tokens as f64);
-        self.global.refund(tokens as f64);
+        if !self.is_held {
+            self.global.refund(tokens as f64);
+        }
         self.admitted = self.admitted.saturating_sub(tokens);
     }
 
@@ -229,8 +252,11 @@
         let previous = self.peer_totals.insert(node, total);
         let previous = if is_new { total } else { previous.unwrap_or(0) };
         let newly_admitted = total as f64 - previous as f64;
-        self.all_admitted.add(now, newly_admitted.max(0.0));
-        self.global.debit(now, newly_admitted, settings.global_refill());
+        self.hold_balance(now, settings);
+        if settings.is_connected {
+            self.all_admitted.add(now, newly_admitted.max(0.0));
+            self.global.debit(now, newly_admitted, settings.global_refill());
+        }
     }
 
     /// Tokens that this node has admitted since it started.
--- a/crates/quota/tests/limit.rs
+++ b/crates/quota/tests/limit.rs
@@ -233,3 +233,38 @@
         admitted_fraction(small)
     );
 }
+
+/// A node that does not hear the others for three seconds does not find the tokens of that time in the common balance, nor those of
+/// requests that did not run.
+#[test]
+fn isolated_node_saves_the_limit_of_all() {
+    let settings = LimitSettings {
+        rate: RATE,
+        burst: BURST,
+        tolerance: TOLERANCE,
+        nodes: 10,
+        report_delay: Millis(70),
+        is_connected: true,
+    };
+    let isolated = LimitSettings {
+        is_connected: false,
+        ..settings
+    };
+    let mut limiter = Limiter::new(Millis::ZERO, Seed(1), &settings);
+    let mut admitted = |now: u64, settings: &LimitSettings| {
+        let mut admitted = 0;
+        while limiter.try_acquire(Millis(now), 1_000, settings).is_ok() {
+            admitted += 1;
+        }
+        if !settings.is_connected {
+            limiter.refund(admitted * 1_000);
+        }
+        admitted
+    };
+    admitted(5_000, &settings);
+    for now in (5_100..8_100).step_by(100) {
+        admitted(now, &isolated);
+    }
+    let after = admitted(8_100, &settings);
+    assert!(after <= 30, "{after} thousand tokens");
+}
