--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -20,6 +20,7 @@
 use crate::finding::Finding;
 use crate::plan::{Plan, Size};
 use crate::run::{self, Options, Outcome};
+use crate::upgrade::Upgrade;
 
 /// Seeds that once revealed a violated guarantee, one per line, each with its cause.
 const REGRESSION_SEEDS: &str = include_str!("../seeds.txt");
@@ -98,6 +99,7 @@
             replicas: None,
             callers: None,
             daemon: None,
+            earlier: None,
             untimed: false,
         };
         options(&run, run.seed)
@@ -163,7 +165,12 @@
             replicas: flags.replicas.unwrap_or(DEFAULT_SIZE.replicas).max(1),
         },
         callers: flags.callers.unwrap_or(DEFAULT_CALLERS),
-        programs: Programs { daemon, soak, logs },
+        programs: Programs {
+            daemon,
+            earlier: flags.earlier.clone(),
+            soak,
+            logs,
+        },
     })
 }
 
@@ -191,6 +198,9 @@
     for finding in &findings {
         println!("  {finding}");
     }
+    if options.programs.earlier.is_some() {
+        println!("  {:?}", Upgrade::from_seed(options.seed, options.length));
+    }
     for step in Plan::from_seed(options.seed, options.length, options.size).steps {
         println!("  plan: {step:?}");
     }
--- a/crates/soak/src/cli/flags.rs
+++ b/crates/soak/src/cli/flags.rs
@@ -24,6 +24,8 @@
             optional --callers callers: usize
             /// Path of the daemon; defaults to the one next to this program.
             optional --daemon daemon: PathBuf
+            /// Path of an earlier build of the daemon. The nodes start with it and are moved to the current one during the run.
+            optional --earlier earlier: PathBuf
             /// Directory for logs, which are kept if a guarantee was violated.
             optional --logs logs: PathBuf
             /// Prints violations of timing guarantees without counting them, for use on busy machines.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -33,6 +33,8 @@
 pub struct Programs {
     /// Daemon.
     pub daemon: PathBuf,
+    /// Earlier build of the daemon, with which the nodes start; `None` if they start with the current one.
+    pub earlier: Option<PathBuf>,
     /// The soak test program, which also runs the stand-ins.
     pub soak: PathBuf,
     /// Log directory.
@@ -157,7 +159,7 @@
         }
         let prefixed = |(name, value)| (format!("BILBERRYLATCH_{name}"), value);
         let spec = Spec {
-            program: programs.daemon.clone(),
+            program: programs.earlier.as_ref().unwrap_or(&programs.daemon).clone(),
             arguments: to_strings(&["platform"]),
             variables: variables.into_iter().map(prefixed).collect(),
             log: programs.logs.join(format!("node-{number}.log")),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod process;
 pub mod proxy;
 pub mod run;
+pub mod upgrade;
 
 pub use cli::main;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -59,6 +59,8 @@
     child: Option<Child>,
     /// Number of starts so far.
     generation: u64,
+    /// Program of the next start, if it is not the specified one.
+    program: Option<PathBuf>,
     started: Option<Instant>,
     readers: Vec<JoinHandle<()>>,
 }
@@ -83,7 +85,8 @@
             .create(true)
             .append(true)
             .open(&self.spec.log)?;
-        let mut child = Command::new(&self.spec.program)
+        let program = state.program.as_ref().unwrap_or(&self.spec.program);
+        let mut child = Command::new(program)
             .args(&self.spec.arguments)
             .envs(self.spec.variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
@@ -102,6 +105,11 @@
         Ok(())
     }
 
+    /// Sets the program of later starts.
+    pub fn set_program(&self, program: PathBuf) {
+        self.lock().program = Some(program);
+    }
+
     /// Sends a signal if the process is running.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.lock().child {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,6 +26,8 @@
 use crate::disruption::Cause;
 use crate::finding::{Finding, Rule};
 use crate::plan::{Plan, Size, Target};
+use crate::process::Status;
+use crate::upgrade::{Build, Upgrade};
 
 /// Time after the last fault within which all nodes must serve again: `recovery-s` of both sites.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
@@ -37,6 +39,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a run has certainly ended.
+const MAX_TIME: Duration = Duration::from_hours(1);
 /// Label with which the callers' seed is derived from the seed of the run.
 const CALLER_SEED_LABEL: u64 = 2;
 
@@ -74,18 +78,17 @@
 pub async fn run(options: &Options) -> io::Result<Outcome> {
     std::fs::create_dir_all(&options.programs.logs)?;
     let run = Run::start(options).await?;
-    run.wait_serving(STARTUP_TIMEOUT, "at the start").await;
-    let (stop, stopped) = watch::channel(false);
-    let callers = run.start_callers(options, &stopped);
-    let plan = Plan::from_seed(options.seed, options.length, options.size);
-    run.inject_all(&plan).await;
-    run.clear_faults().await?;
-    run.wait_serving(RECOVERY_TIMEOUT, "after the last fault").await;
-    let peak_memory_kib = run.peak_memory_kib();
-    run.terminate_nodes().await?;
-    stop.send_replace(true);
-    let _results = callers.join_all().await;
-    Ok(run.evaluate(options, peak_memory_kib))
+    let store = &run.deployment.store;
+    tokio::select! {
+        outcome = run.play(options) => outcome,
+        status = store.wait(store.generation(), MAX_TIME) => Err(unexpected_end(status?)),
+    }
+}
+
+fn unexpected_end(status: Status) -> io::Error {
+    io::Error::other(format!(
+        "the stand-in for the store ended ({status:?}); its log tells why"
+    ))
 }
 
 /// A deployment under fault injection, its workload, and the journal of the run.
@@ -120,6 +123,22 @@
         })
     }
 
+    async fn play(&self, options: &Options) -> io::Result<Outcome> {
+        self.wait_serving(STARTUP_TIMEOUT, "at the start").await;
+        let (stop, stopped) = watch::channel(false);
+        let callers = self.start_callers(options, &stopped);
+        let plan = Plan::from_seed(options.seed, options.length, options.size);
+        let upgrade = Upgrade::from_seed(options.seed, options.length);
+        tokio::join!(self.inject_all(&plan), self.upgrade(options, &upgrade));
+        self.clear_faults().await?;
+        self.wait_serving(RECOVERY_TIMEOUT, "after the last fault").await;
+        let peak_memory_kib = self.peak_memory_kib();
+        self.terminate_nodes().await?;
+        stop.send_replace(true);
+        let _results = callers.join_all().await;
+        Ok(self.evaluate(options, peak_memory_kib))
+    }
+
     fn start_callers(&self, options: &Options, stopped: &watch::Receiver<bool>) -> JoinSet<()> {
         let seed = Seed(options.seed).derive(CALLER_SEED_LABEL);
         let mut callers = JoinSet::new();
@@ -149,6 +168,25 @@
         }
     }
 
+    /// Moves the nodes from the earlier build to the current one, if there is an earlier one.
+    async fn upgrade(&self, options: &Options, upgrade: &Upgrade) {
+        let Some(earlier) = &options.programs.earlier else {
+            return;
+        };
+        sleep(upgrade.at.as_duration()).await;
+        for (node, build) in upgrade.steps(self.deployment.nodes.len()) {
+            let program = match build {
+                Build::Earlier => earlier,
+                Build::Current => &options.programs.daemon,
+            };
+            self.deployment.nodes[node].set_program(program.clone());
+            if let Err(error) = self.terminate(Target::Node(node), Duration::ZERO).await {
+                self.report(Rule::Recovery, format!("upgrade of node {node} failed: {error}"));
+            }
+            sleep(upgrade.pause.as_duration()).await;
+        }
+    }
+
     /// Ends all remaining faults and starts the processes that are not running.
     async fn clear_faults(&self) -> io::Result<()> {
         self.deployment.clear_impairments();
--- a/crates/soak/src/run/steps.rs
+++ b/crates/soak/src/run/steps.rs
@@ -81,7 +81,7 @@
     }
 
     /// Sends SIGTERM to a process, checks how it exits, and restarts it once `span` has elapsed.
-    async fn terminate(&self, target: Target, span: Duration) -> io::Result<()> {
+    pub(super) async fn terminate(&self, target: Target, span: Duration) -> io::Result<()> {
         let from = self.workload.now();
         let process = self.deployment.process(target);
         let generation = process.generation();
