Log datagrams that can't be decoded once a sender a minute, and count them

Cause, by reading: a node of a build whose datagrams this one can't decode sends up to twenty a second to each node, and each was a log line: with 195 nodes thousands of lines a second. Now one line a sender a minute with the number since the last one, the name and the address; a metric counts all.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,6 +9,7 @@
 mod datagram;
 mod heard;
 mod hub;
+mod invalid;
 mod lost;
 mod topology;
 
@@ -25,6 +26,7 @@
 pub use datagram::{CutOff, Datagram, MAX_DATAGRAM_BYTES, Scope, Unreachable};
 pub use heard::HeardNodes;
 pub use hub::{Hub, Use};
+pub use invalid::Invalid;
 pub use lost::LostNodes;
 pub use topology::Topology;
 
@@ -52,6 +54,7 @@
 
 async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let mut invalid = Invalid::default();
     loop {
         let received = tokio::select! {
             received = socket.recv_from(&mut buffer) => received,
@@ -63,7 +66,13 @@
                     shared.record_sender(&datagram, sender);
                     shared.apply_datagram(&datagram);
                 }
-                Err(error) => log::warn!(cause:% = error; "invalid datagram from a node"),
+                Err(error) => {
+                    metrics::counter!("bilberrylatch_invalid_datagrams_total").increment(1);
+                    if let Some(datagrams) = invalid.record(shared.now(), sender) {
+                        let node = name_of(&shared, sender);
+                        log::warn!(node, sender:% = sender, datagrams, cause:% = error; "invalid datagram from a node");
+                    }
+                }
             },
             // An earlier datagram reached a closed port, since a node is restarting.
             Err(error) => log::debug!(cause:% = error; "failed to receive a datagram"),
@@ -71,6 +80,13 @@
     }
 }
 
+/// Name of the node that sends datagrams from an address; empty if it is not registered.
+fn name_of(shared: &Shared, sender: SocketAddr) -> String {
+    let view = shared.view();
+    let peer = view.peers.values().find(|peer| peer.peer_address == sender);
+    peer.map_or_else(String::new, |peer| peer.name.clone())
+}
+
 async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut last = Datagram::default();
     let mut sent = Millis::ZERO;
