Leave moves of versions to the later build that wrote their records

So a halted upgrade could begin a move again that a later build holds. A record that it can read but that has more fields loses them at the next stage.

Now a leader leaves a move alone whose record it can't read, if the record names this order or a later one, and logs that once a record; fields that it doesn't know are kept.

--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -32,6 +32,8 @@
     published: IndexMap<Arc<str>, (u64, edge::RolloutState)>,
     /// Era of the store in which they were reported.
     era: u64,
+    /// Endpoints whose records only later builds can read, with the revision of the record.
+    left_to_others: IndexMap<Arc<str>, store::Revision>,
 }
 
 impl RolloutController {
@@ -40,6 +42,7 @@
             shared,
             published: IndexMap::new(),
             era: 0,
+            left_to_others: IndexMap::new(),
         }
     }
 
@@ -55,7 +58,7 @@
             let record = self.shared.view().rollouts.records.get(&order.endpoint).cloned();
             let record = record.filter(|record| record.order >= revision);
             let comparison = self.compare_versions(&order, revision);
-            if election.fence().is_none() {
+            if election.fence().is_none() || self.is_left_to_others(&order, revision) {
                 continue;
             }
             let result = match record {
@@ -74,6 +77,23 @@
         }
     }
 
+    /// Whether the stored record is of a later build, whose nodes carry out the rollout once one of them leads.
+    fn is_left_to_others(&mut self, order: &RolloutOrder, revision: u64) -> bool {
+        let key = format!("{ROLLOUTS_PREFIX}{}", order.endpoint);
+        let stored = self.shared.view().internal.get(&key).cloned();
+        let Some(stored) = stored.filter(|it| Rollout::is_of_later_build(&it.value, revision)) else {
+            return false;
+        };
+        let before = self
+            .left_to_others
+            .insert(Arc::clone(&order.endpoint), stored.revision);
+        if before != Some(stored.revision) {
+            log::warn!(endpoint:% = order.endpoint, target:% = order.target, revision:% = stored.revision;
+                "move left to nodes of a later build, as its record can't be read");
+        }
+        true
+    }
+
     /// Whether the store lacks what is known of a rollout, since it was restored from a copy.
     fn is_lost(&self, endpoint: &str, record: &Rollout) -> bool {
         let view = self.shared.view();
@@ -131,6 +151,7 @@
             share: self.shared.settings().canary_share * CANARY_SHARE_RATIO,
             answered_at_move: 0,
             reason: "ordered".to_owned(),
+            other: serde_json::Map::new(),
         };
         self.write(&order.endpoint, &record).await
     }
--- a/crates/entry/src/view/rollouts.rs
+++ b/crates/entry/src/view/rollouts.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use place::VersionFilter;
 use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
 
 use crate::edge::RolloutOrder;
 
@@ -55,9 +56,25 @@
     pub answered_at_move: u64,
     /// Why the stage was entered.
     pub reason: String,
+    /// Fields of later builds, which are kept.
+    #[serde(flatten)]
+    pub other: Map<String, Value>,
 }
 
 impl Rollout {
+    /// Whether a stored record is of a later build, which this one can't read, and concerns the order of this revision or a later
+    /// one. Only nodes that read it may change it.
+    pub fn is_of_later_build(stored: &[u8], order: u64) -> bool {
+        if serde_json::from_slice::<Self>(stored).is_ok() {
+            return false;
+        }
+        let Ok(Value::Object(fields)) = serde_json::from_slice(stored) else {
+            return false;
+        };
+        let recorded = fields.get("order").and_then(Value::as_u64);
+        recorded.is_some_and(|recorded| recorded >= order)
+    }
+
     /// Whether this is a later stage of the same rollout. Stages never go back, except in a store that is restored from a
     /// copy.
     pub fn is_later_than(&self, other: &Self) -> bool {
--- a/crates/entry/tests/view.rs
+++ b/crates/entry/tests/view.rs
@@ -55,6 +55,7 @@
             share: 0.08,
             answered_at_move: 0,
             reason: String::new(),
+            other: serde_json::Map::new(),
         };
         rollouts.records.insert(Arc::clone(&endpoint), record);
     }
@@ -168,3 +169,46 @@
         assert_eq!(rollouts(&case).is_open(ENDPOINT), is_open, "{}", case.name);
     }
 }
+
+struct Stored {
+    name: &'static str,
+    record: &'static str,
+    is_of_later_build: bool,
+}
+
+/// The order has revision 41.
+#[test]
+fn records_of_later_builds_are_taken_for_lost() {
+    const OWN: &str = r#"{"from":"v1","target":"v2","order":41,"since_ms":0,"stage_since_ms":0,"stage":"canary","share":0.1,"reason":""}"#;
+    let cases = [
+        Stored {
+            name: "of this build",
+            record: OWN,
+            is_of_later_build: false,
+        },
+        Stored {
+            name: "a stage that is not known",
+            record: r#"{"order":41,"stage":"held"}"#,
+            is_of_later_build: true,
+        },
+        Stored {
+            name: "a stage that is not known, of an earlier order",
+            record: r#"{"order":40,"stage":"held"}"#,
+            is_of_later_build: false,
+        },
+        Stored {
+            name: "no order",
+            record: r#"{"stage":"held"}"#,
+            is_of_later_build: false,
+        },
+        Stored {
+            name: "no record",
+            record: "{",
+            is_of_later_build: false,
+        },
+    ];
+    for case in cases {
+        let is_of_later_build = Rollout::is_of_later_build(case.record.as_bytes(), 41);
+        assert_eq!(is_of_later_build, case.is_of_later_build, "{}", case.name);
+    }
+}
