--- a/crates/entry/src/peers/datagram.rs
+++ b/crates/entry/src/peers/datagram.rs
@@ -71,20 +71,14 @@
 }
 
 /// The encoding of the last fields where they are absent or empty. Earlier builds send no endpoints that they can't reach,
-/// nor, still earlier, the digest of crashes, which has three lists, nor the two fields before it.
-const EMPTY_LAST_FIELDS: [&[u8]; 3] = [&[0; 1], &[0; 4], &[0; 6]];
+/// nor, still earlier, the digest of crashes, which has three lists, nor the two fields before it. What is left over is ignored.
+const EMPTY_LAST_FIELDS: [u8; 6] = [0; 6];
 
 impl Datagram {
     /// Decodes a datagram, also of a build that does not send the last fields.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let mut decoded = postcard::from_bytes(bytes);
-        for absent in EMPTY_LAST_FIELDS {
-            if decoded.is_ok() {
-                break;
-            }
-            decoded = postcard::from_bytes(&[bytes, absent].concat());
-        }
-        decoded
+        postcard::from_bytes(bytes)
+            .or_else(|_incomplete| postcard::from_bytes(&[bytes, &EMPTY_LAST_FIELDS].concat()))
     }
 
     /// Encodes the datagram. If it is too large, the smallest loads are left out, then unreachable replicas, then the oldest
