Test that nodes which hear each other again use a limit

The balance of a node that was cut off stands still, and what others admitted meanwhile is debited when they are heard again. Suspected: nodes admit too little after a cut. No change of the code.

--- a/crates/quota/tests/limit.rs
+++ b/crates/quota/tests/limit.rs
@@ -268,3 +268,48 @@
     let after = admitted(8_100, &settings);
     assert!(after <= 30, "{after} thousand tokens");
 }
+
+/// Two nodes do not hear each other for three seconds in which both use up their shares, and then do again.
+#[test]
+fn nodes_that_hear_each_other_again_use_the_limit() {
+    const CUT: std::ops::Range<u64> = 5_000..8_000;
+    const END: u64 = 10_000;
+    const STEP: u64 = 20;
+    let settings = LimitSettings {
+        rate: RATE,
+        burst: BURST,
+        tolerance: TOLERANCE,
+        nodes: 2,
+        report_delay: Millis(70),
+        is_connected: true,
+    };
+    let mut limiters = [1, 2].map(|seed| Limiter::new(Millis::ZERO, Seed(seed), &settings));
+    let mut admitted_after = 0;
+    for now in (0..END).step_by(STEP as usize) {
+        let settings = LimitSettings {
+            is_connected: !CUT.contains(&now),
+            ..settings
+        };
+        let now = Millis(now);
+        for index in 0..2 {
+            let other = &limiters[1 - index];
+            let report = PeerTotal {
+                node: 1 - index as u64,
+                total: other.admitted(),
+                is_new: now == Millis::ZERO,
+            };
+            let limiter = &mut limiters[index];
+            if settings.is_connected {
+                limiter.record_peer_total(now, report, &settings);
+            }
+            let before = limiter.admitted();
+            while limiter.try_acquire(now, 500, &settings).is_ok() {}
+            if now.0 >= CUT.end {
+                admitted_after += limiter.admitted() - before;
+            }
+        }
+    }
+    let expected = RATE * (END - CUT.end) as f64 / 1_000.0;
+    let used = admitted_after as f64 / expected;
+    assert!((0.75..1.3).contains(&used), "{used:.3} of the limit");
+}
