--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -76,6 +76,7 @@
     deletions_changed: Notify,
     /// Nodes that were heard from, by incarnation.
     heard_nodes: Mutex<HeardNodes>,
+    /// Nodes whose registrations ran out.
     lost_nodes: Mutex<LostNodes>,
     /// Hubs of other zones that were heard from, by incarnation.
     heard_hubs: Mutex<HeardNodes>,
