Review, case 2: usage is reported twice with different counts after the store came back from a copy

What is broken: ONE, two usage reports for one window with different counts. The store comes back from a copy some seconds old while all processes are killed. The copy lacks the record of a window that was reported, and the nodes' last counts of it. The new holder sums the older counts and reports the window again.

At fault, as far as known: `load_or_write_counts` in entry's leader/usage.rs. What a process remembers of reports protects only processes that lived through the restore; the record doesn't hold the era in which it was written, so that a later process can't tell that a window that is due may have been reported.

How it is shown: review/2/run.sh, with six nodes as separate processes, a copy 4 s old, the store and the processes away for 1 s.

--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod crossed_refusal;
+mod usage_after_restore;
 
 use std::path::Path;
 
@@ -9,6 +10,7 @@
 pub fn run(case: &str, folder: &Path, has_trouble: bool) -> Verdict {
     let result = match case {
         "crossed-refusal" => crossed_refusal::run(folder, has_trouble),
+        "usage-after-restore" => usage_after_restore::run(folder, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     result.unwrap_or_else(Verdict::NotRun)
