--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,15 +1,17 @@
 //! The cases.
 
-mod crossed_refusal;
+mod late_answer;
 mod usage_after_restore;
 
 use std::path::Path;
 
+use self::late_answer::Late;
 use crate::Verdict;
 
 pub fn run(case: &str, folder: &Path, has_trouble: bool) -> Verdict {
     let result = match case {
-        "crossed-refusal" => crossed_refusal::run(folder, has_trouble),
+        "late-refusal" => late_answer::run(folder, has_trouble, Late::Refusal),
+        "late-bad-request" => late_answer::run(folder, has_trouble, Late::BadRequest),
         "usage-after-restore" => usage_after_restore::run(folder, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
--- a/review/standin/cases/crossed_refusal.rs
+++ b/review/standin/cases/late_answer.rs
@@ -1,5 +1,5 @@
-//! Some servers hand out a second answer now and then (`garble`, `extra late`): the refusal of another request, which arrives
-//! where the answer to the next request is due. The id tells them apart.
+//! Some servers hand out a second answer now and then (`garble`, `extra late`), which arrives where the answer to the next
+//! request is due: the refusal of another attempt, which its id tells apart, or an answer that names no request.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -31,12 +31,25 @@
 const SHARE_OF_SAFE: f64 = 0.39;
 const DEADLINE_MS: u64 = 600;
 
-#[derive(Default)]
+/// Wrong answers that may be given to proper requests: so many, and one in so many of all.
+const MAX_DENIED: usize = 5;
+const MAX_DENIED_OF: usize = 500;
+/// The attempt whose refusal arrives late.
+const OTHER: &str = "7e11aa04c0ffee01";
+
+/// The late answer.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Late {
+    /// The refusal of another attempt.
+    Refusal,
+    /// One that names no request.
+    BadRequest,
+}
+
 struct Trouble {
+    late: Late,
     is_on: AtomicBool,
-    random: Mutex<Option<Random>>,
-    /// The last request that a server refused, for want of room.
-    refused: Mutex<String>,
+    random: Mutex<Random>,
     extra: AtomicU64,
     number: AtomicU64,
 }
@@ -44,7 +57,7 @@
 impl Trouble {
     fn draw(&self, part: f64) -> bool {
         let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
-        random.get_or_insert_with(|| Random::new(7)).part() < part
+        random.part() < part
     }
 
     fn handle(&self, replica: &Replica, connection: &mut Connection, request: &Message) -> bool {
@@ -59,8 +72,10 @@
             if !connection.has_more() {
                 return false;
             }
-            let other = self.refused.lock().unwrap_or_else(PoisonError::into_inner).clone();
-            let late = answer(503, &format!("Not-Executed: 1\r\nAttempt-Id: {other}\r\n"), "");
+            let late = match self.late {
+                Late::Refusal => answer(503, &format!("Not-Executed: 1\r\nAttempt-Id: {OTHER}\r\n"), ""),
+                Late::BadRequest => answer(400, "", ""),
+            };
             self.extra.fetch_add(1, Ordering::Relaxed);
             return connection.write(late.as_bytes()).is_ok();
         }
@@ -68,9 +83,14 @@
     }
 }
 
-pub fn run(folder: &Path, has_trouble: bool) -> Result<Verdict, String> {
-    let trouble = Arc::new(Trouble::default());
-    *trouble.refused.lock().unwrap_or_else(PoisonError::into_inner) = "7e11aa04c0ffee01".to_owned();
+pub fn run(folder: &Path, has_trouble: bool, late: Late) -> Result<Verdict, String> {
+    let trouble = Arc::new(Trouble {
+        late,
+        is_on: AtomicBool::new(false),
+        random: Mutex::new(Random::new(7)),
+        extra: AtomicU64::new(0),
+        number: AtomicU64::new(0),
+    });
     let handler: Handler = {
         let trouble = Arc::clone(&trouble);
         Arc::new(move |replica, connection, request| trouble.handle(replica, connection, request))
@@ -135,12 +155,19 @@
     let is_refusal = |end: &str| matches!(end, "408" | "421" | "429" | "503");
     let refused = answers.iter().filter(|(id, end)| is_unsafe(id) && is_refusal(end) && runs.contains_key(*id));
     let refused: Vec<_> = refused.collect();
+    // Nodes have no reason to end any of these requests with such a status, and servers gave none to them.
+    let is_denial = |end: &str| end.starts_with('4') && !is_refusal(end);
+    let denied: Vec<_> = answers.iter().filter(|(_, end)| is_denial(end)).collect();
+    let denied_and_run = denied.iter().filter(|(id, _)| runs.contains_key(*id)).count();
+    let is_denied = denied.len() * MAX_DENIED_OF > MAX_DENIED * MAX_DENIED_OF + answers.len();
     record.say(&format!(
-        "{} requests, {} second answers; unsafe ones run twice: {}; unsafe ones refused and run: {}",
+        "{} requests, {} second answers; unsafe ones run twice: {}; unsafe ones refused and run: {}; ended with 4xx: {}, of which \
+         run: {denied_and_run}",
         answers.len(),
         trouble.extra.load(Ordering::Relaxed),
         twice.len(),
-        refused.len()
+        refused.len(),
+        denied.len()
     ));
     for (id, by) in &twice {
         record.say(&format!("TWICE {id}: run by {by:?}, answered {}", answers.get(*id).map_or("-", String::as_str)));
@@ -148,5 +175,9 @@
     for (id, end) in &refused {
         record.say(&format!("REFUSED {id}: answered {end} and run"));
     }
-    Ok(if twice.is_empty() && refused.is_empty() { Verdict::Held } else { Verdict::Broken })
+    for (id, end) in &denied {
+        let by = runs.get(*id);
+        record.say(&format!("DENIED {id}: answered {end}, run by {by:?}"));
+    }
+    Ok(if twice.is_empty() && refused.is_empty() && !is_denied { Verdict::Held } else { Verdict::Broken })
 }
