--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod late_answer;
+mod left_running;
 mod usage_after_restore;
 
 use std::path::Path;
@@ -12,6 +13,7 @@
     let result = match case {
         "late-refusal" => late_answer::run(folder, has_trouble, Late::Refusal),
         "late-bad-request" => late_answer::run(folder, has_trouble, Late::BadRequest),
+        "left-running" => left_running::run(folder, has_trouble),
         "usage-after-restore" => usage_after_restore::run(folder, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -10,7 +10,7 @@
 use crate::store::{Cloud, Store};
 
 /// The zones of the nodes.
-const NODE_ZONES: [&str; 6] = ["cymru-a", "cymru-a", "cymru-b", "cymru-b", "cymru-c", "cymru-d"];
+pub const NODE_ZONES: [&str; 6] = ["cymru-a", "cymru-a", "cymru-b", "cymru-b", "cymru-c", "cymru-d"];
 /// The zones of the servers.
 pub const ZONES: [&str; 4] = ["cymru-a", "cymru-b", "cymru-c", "cymru-d"];
 /// Name of the service, and the slots of its servers.
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -198,3 +198,20 @@
     }
     text
 }
+
+/// The bytes of standard base64.
+pub fn decode(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let mut number = 0_u32;
+    let mut bits = 0;
+    for letter in text.bytes() {
+        let Some(digit) = DIGITS.iter().position(|digit| *digit == letter) else { break };
+        number = number << 6 | digit as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((number >> bits) as u8);
+        }
+    }
+    bytes
+}
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -33,6 +33,7 @@
     /// Adds a line to the record and shows it.
     pub fn say(&self, text: &str) {
         self.line(text);
-        println!("{text}");
+        // Whoever reads it may have gone.
+        let _shown = writeln!(std::io::stdout(), "{text}");
     }
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Message, answer, serve};
-use crate::json::{Json, encode, quoted};
+use crate::json::{Json, decode, encode, quoted};
 
 #[derive(Clone, Debug)]
 struct Item {
@@ -136,12 +136,23 @@
         }
     }
 
-    fn handle_connection(self, mut connection: Connection) {
+    /// Opens another entrance, for a node that reaches servers by other addresses: words in the servers' entries are replaced.
+    pub fn open_entrance(&self, listener: TcpListener, words: Vec<(String, String)>) {
+        let this = self.clone();
+        serve(listener, move |connection| this.clone().handle_with(connection, &words));
+    }
+
+    fn handle_connection(self, connection: Connection) {
+        self.handle_with(connection, &[]);
+    }
+
+    fn handle_with(self, mut connection: Connection, words: &[(String, String)]) {
         while let Ok(Some(request)) = connection.read() {
             if self.lock().is_down {
                 return;
             }
             let Some((status, body)) = self.call(&request) else { return };
+            let body = replace_words(&body, words);
             if self.lock().is_down {
                 return;
             }
@@ -329,6 +340,27 @@
     }
 }
 
+fn replace_words(body: &str, words: &[(String, String)]) -> String {
+    const KEY: &str = "\"key\":\"servers/";
+    const VALUE: &str = "\"value\":\"";
+    let mut shown = String::new();
+    let mut rest = body;
+    while let Some(position) = rest.find(KEY) {
+        let Some(offset) = rest[position..].find(VALUE) else { break };
+        let start = position + offset + VALUE.len();
+        let Some(length) = rest[start..].find('"') else { break };
+        let mut text = String::from_utf8_lossy(&decode(&rest[start..start + length])).into_owned();
+        for (from, to) in words {
+            text = text.replace(from, to);
+        }
+        shown.push_str(&rest[..start]);
+        shown.push_str(&encode(text.as_bytes()));
+        rest = &rest[start + length..];
+    }
+    shown.push_str(rest);
+    shown
+}
+
 fn shown(key: &str, item: &Item) -> String {
     format!(
         "{{\"key\":{},\"value\":{},\"revision\":{},\"create-rev\":{},\"lease\":{}}}",
