--- a/crates/soak/src/cli.rs
+++ b/crates/soak/src/cli.rs
@@ -15,7 +15,8 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-use self::flags::{Again, BilberrylatchSoak, BilberrylatchSoakCmd, Replica, Run, Store};
+use self::flags::{Again, BilberrylatchSoak, BilberrylatchSoakCmd, Cuts, Replica, Run, Store};
+use crate::cuts::{self, Cut};
 use crate::deployment::Programs;
 use crate::finding::Finding;
 use crate::plan::{Plan, Size};
@@ -32,10 +33,25 @@
     replicas: 6,
 };
 const DEFAULT_CALLERS: usize = 12;
+/// Default size of a cluster whose nodes are cut off from replicas, and the load on it in requests per second.
+const DEFAULT_CLUSTER: Size = Size {
+    nodes: 71,
+    replicas: 95,
+};
+const DEFAULT_RATE: f64 = 500.0;
+/// Maximum number of such nodes: each has a loopback address of its own.
+const MAX_CUT_NODES: usize = 200;
+/// Nodes that are cut off by default, and the state of their links.
+const DEFAULT_CUT: (&str, &str) = ("third", "silent");
+/// Default duration of a cut in seconds.
+const DEFAULT_CUT_SECONDS: u64 = 8;
 
 /// Runs the subcommand given on the command line.
 pub fn main() -> ExitCode {
     let flags = BilberrylatchSoak::from_env_or_exit();
+    if let BilberrylatchSoakCmd::Node(flags) = &flags.subcommand {
+        return cuts::run_node(flags.replicas_at);
+    }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => return exit_with_error(&error),
@@ -43,6 +59,8 @@
     let result = match flags.subcommand {
         BilberrylatchSoakCmd::Run(flags) => runtime.block_on(run(&flags)),
         BilberrylatchSoakCmd::Again(flags) => runtime.block_on(again(&flags)),
+        BilberrylatchSoakCmd::Cuts(flags) => runtime.block_on(cuts(&flags)),
+        BilberrylatchSoakCmd::Node(_) => return ExitCode::FAILURE,
         BilberrylatchSoakCmd::Store(flags) => runtime.block_on(store(&flags)),
         BilberrylatchSoakCmd::Replica(flags) => runtime.block_on(replica(flags)),
     };
@@ -77,6 +95,47 @@
     Ok(true)
 }
 
+/// Cuts nodes off from replicas; returns whether they served enough and no promise was broken.
+async fn cuts(flags: &Cuts) -> io::Result<bool> {
+    let program = env::current_exe()?;
+    let logs = flags.logs.clone().unwrap_or_else(env::temp_dir);
+    let logs = cuts::log_directory(&logs, flags.seed);
+    let which = flags.which.as_deref().unwrap_or(DEFAULT_CUT.0);
+    let faults = flags.link.as_deref().unwrap_or(DEFAULT_CUT.1);
+    let options = cuts::Options {
+        seed: flags.seed,
+        nodes: flags
+            .nodes
+            .unwrap_or(DEFAULT_CLUSTER.nodes)
+            .clamp(1, MAX_CUT_NODES),
+        replicas: flags.replicas.unwrap_or(DEFAULT_CLUSTER.replicas),
+        rate: flags.rate.unwrap_or(DEFAULT_RATE),
+        cut: Cut {
+            which: which.parse().map_err(io::Error::other)?,
+            faults: faults.parse().map_err(io::Error::other)?,
+            reachable: flags.reachable.unwrap_or(0),
+            seconds: flags.seconds.unwrap_or(DEFAULT_CUT_SECONDS),
+            cuts: flags.cuts.unwrap_or(1),
+            pause_ms: flags.pause_ms.unwrap_or(0),
+        },
+        program,
+        logs,
+        is_verbose: flags.verbose,
+    };
+    let has_passed = cuts::run(&options).await?;
+    println!(
+        "seed {}: {}",
+        options.seed,
+        if has_passed { "passed" } else { "failed" }
+    );
+    if has_passed {
+        remove_logs(&options.logs);
+    } else {
+        println!("  logs: {}", options.logs.display());
+    }
+    Ok(has_passed)
+}
+
 /// Runs the seeds given by the flags; returns whether all guarantees held.
 async fn run(flags: &Run) -> io::Result<bool> {
     let seeds = flags.seed..flags.seed + flags.count.unwrap_or(1);
--- a/crates/soak/src/cli/flags.rs
+++ b/crates/soak/src/cli/flags.rs
@@ -1,6 +1,6 @@
 //! Flags of the subcommands.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -38,6 +38,39 @@
             /// Directory for logs, which are kept if a guarantee was violated.
             optional --logs logs: PathBuf
         }
+        /// Cuts nodes of a large cluster off from all replicas and compares the requests that they serve with those of the
+        /// others; fails if they serve too few, if a request ran twice, or if one was refused that ran.
+        cmd cuts {
+            /// Seed.
+            required --seed seed: u64
+            /// Number of nodes.
+            optional --nodes nodes: usize
+            /// Number of replicas.
+            optional --replicas replicas: usize
+            /// Requests per second at all nodes together.
+            optional --rate rate: f64
+            /// Nodes that are cut off: one, tenth, third, zone-part, zone, zone-and-third or two-thirds.
+            optional --which which: String
+            /// State of their links: reset, refuse-new, silent or mixed.
+            optional --link link: String
+            /// Number of replicas that each node still reaches.
+            optional --reachable reachable: usize
+            /// Duration of a cut in seconds.
+            optional --seconds seconds: u64
+            /// Number of cuts, each of other nodes.
+            optional --cuts cuts: usize
+            /// Pause between two cuts in milliseconds.
+            optional --pause-ms pause_ms: u64
+            /// Directory for logs, which are kept if the run fails.
+            optional --logs logs: PathBuf
+            /// Prints each second.
+            optional --verbose
+        }
+        /// Runs the daemon on the platform with all replicas at their registered ports on another host.
+        cmd node {
+            /// The host.
+            required --replicas-at replicas_at: IpAddr
+        }
         /// Runs the stand-in for the store and the cloud.
         cmd store {
             /// Address to listen on.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod check;
 pub mod cli;
+pub mod cuts;
 pub mod deployment;
 pub mod disruption;
 pub mod finding;
