Log which intermediaries are left out, and what was known of them

A decline left a line only at the node that declined; the age and kind of what the asking node knew could not be seen, so the hypotheses of the incident could not be told apart. 'intermediary excluded' says node, cause, zone and age.

No logic is changed.

--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -189,6 +189,11 @@
         fresh.filter_map(|heard| heard.uptime(now)).collect()
     }
 
+    /// Age of the latest datagram of a node; `None` if there is none.
+    pub fn node_age(&self, now: Millis, node: Incarnation) -> Option<Millis> {
+        self.nodes.get(&node.0).map(|heard| now.since(heard.at))
+    }
+
     /// Whether a node of the own zone was heard from lately and reaches replicas of an endpoint, as far as it has said.
     pub fn node_reaches(&self, now: Millis, node: Incarnation, endpoint: &str) -> bool {
         let heard = self
--- a/crates/entry/src/serve/forward/client.rs
+++ b/crates/entry/src/serve/forward/client.rs
@@ -36,7 +36,10 @@
 where
     F: FnOnce() -> Request<Full<Bytes>>,
 {
-    let Intermediary { node, address } = hop.intermediary;
+    let Intermediary { address, .. } = hop.intermediary;
+    let exclude = |cause: &str, pause| {
+        shared.exclude_intermediary(&hop.endpoint, &hop.intermediary, cause, pause);
+    };
     let name: Arc<str> = Arc::from(CONNECTION_NAME);
     let own = shared.settings().peer_listen.ip();
     let connection = match shared.connections.take(&name, address, hop.max_idle) {
@@ -44,14 +47,14 @@
         None => match Connection::connect_from(own, &name, address, REPLICA_LIVENESS).await {
             Ok(connection) => connection,
             Err(cause) => {
-                shared.exclude_intermediary(node, UNREACHABLE_PAUSE);
+                exclude(&cause, UNREACHABLE_PAUSE);
                 return Err(SendError::NotSent(format!("intermediary: {cause}")));
             }
         },
     };
     let target = Target {
         sender: shared.incarnation,
-        endpoint: hop.endpoint,
+        endpoint: Arc::clone(&hop.endpoint),
         replica: hop.replica,
     };
     let value = HeaderValue::from_str(&target.to_string())
@@ -61,18 +64,17 @@
     let pending = match connection.send(request).await {
         Ok(pending) => pending,
         Err(error) => {
-            shared.exclude_intermediary(node, UNREACHABLE_PAUSE);
+            exclude("request lost", UNREACHABLE_PAUSE);
             return Err(error);
         }
     };
-    read_outcome(shared, hop.intermediary, pending)
+    read_outcome(pending, exclude)
 }
 
-fn read_outcome(
-    shared: &Shared,
-    intermediary: Intermediary,
-    mut pending: PendingResponse,
-) -> Result<PendingResponse, SendError> {
+fn read_outcome<F>(mut pending: PendingResponse, exclude: F) -> Result<PendingResponse, SendError>
+where
+    F: FnOnce(&str, Millis),
+{
     let headers = pending.response.headers_mut();
     let outcome = headers.remove(OUTCOME);
     let cause = headers.remove(CAUSE);
@@ -82,12 +84,12 @@
         Some(Outcome::Answered) => Ok(pending),
         Some(Outcome::NotSent) => Err(SendError::NotSent(cause)),
         Some(Outcome::Declined) => {
-            shared.exclude_intermediary(intermediary.node, DECLINED_PAUSE);
+            exclude(&cause, DECLINED_PAUSE);
             Err(SendError::NotSent(cause))
         }
         Some(Outcome::Lost) => Err(SendError::Lost(cause)),
         None if pending.response.status() == StatusCode::NOT_FOUND => {
-            shared.exclude_intermediary(intermediary.node, UNSUPPORTED_PAUSE);
+            exclude("not supported", UNSUPPORTED_PAUSE);
             Err(SendError::NotSent("intermediary: not supported".to_owned()))
         }
         None => Err(SendError::Lost(
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -29,6 +29,11 @@
     pub node: Incarnation,
     /// Its address for calls of other nodes.
     pub address: SocketAddr,
+    /// Whether it is in the same availability zone, whose nodes say themselves what they reach. Of the nodes of other zones of
+    /// a large cluster, sums tell.
+    pub is_near: bool,
+    /// Age of what is known of what it reaches; `None` if nothing was heard.
+    pub evidence_age: Option<Millis>,
 }
 
 /// Counts a request as sent through a node until dropped.
@@ -115,6 +120,8 @@
             Some((candidate, address)) => Path::Through(Intermediary {
                 node: Incarnation(candidate.node),
                 address,
+                is_near: candidate.is_near,
+                evidence_age: self.evidence_age(now, &candidate),
             }),
             // No other node reaches them, so the replicas are down.
             None if self.with_pool(endpoint, |pool| pool.is_all_unreachable()) => Path::None,
@@ -131,9 +138,34 @@
         }
     }
 
-    /// Sends no requests through a node for a while.
-    pub fn exclude_intermediary(&self, node: Incarnation, duration: Millis) {
-        lock(&self.intermediaries).exclude(self.now(), node.0, duration);
+    /// Sends no requests through a node for a while, and logs why.
+    pub fn exclude_intermediary(
+        &self,
+        endpoint: &str,
+        intermediary: &Intermediary,
+        cause: &str,
+        pause: Millis,
+    ) {
+        let Intermediary {
+            node,
+            is_near,
+            evidence_age,
+            ..
+        } = *intermediary;
+        metrics::counter!("bilberrylatch_intermediary_exclusions_total").increment(1);
+        log::info!(endpoint, node:%, is_near, evidence_age_ms = evidence_age.map_or(-1, |age| age.0 as i64), cause,
+            pause_ms = pause.0; "intermediary excluded");
+        lock(&self.intermediaries).exclude(self.now(), node.0, pause);
+    }
+
+    /// Age of what is known of what a node reaches.
+    fn evidence_age(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
+        let hub = lock(&self.hub);
+        if candidate.is_near || !self.topology().is_layered {
+            hub.node_age(now, Incarnation(candidate.node))
+        } else {
+            hub.outside_age(now)
+        }
     }
 
     /// Counts a request as forwarded for another node until the returned guard is dropped; `None` if there are too many.
