Send requests directly only to replicas that were reached since a cut

Cause: the first replica that could be connected to ended the cut for the whole endpoint. All requests were sent directly again, also to replicas that can't be reached, until enough of these had failed once more.

Change: while a node is cut off, requests go directly to replicas that it has connected to since, and through other nodes to the rest. The cut ends once as many replicas were connected to as have to fail for it, or half of fewer. After the first connection four are probed at a time.

The new test of place fails before: the first connection ends the cut.

--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -27,6 +27,8 @@
     pub call: Call,
     /// Replicas that are not to be chosen again.
     pub tried: Vec<ReplicaKey>,
+    /// Whether this node was cut off from the endpoint when a replica was last chosen.
+    pub was_cut_off: bool,
     /// Number of dispatches so far.
     pub dispatches: usize,
     /// Number of nodes that declined to send the request on.
@@ -63,6 +65,7 @@
             shared,
             call,
             tried: Vec::new(),
+            was_cut_off: false,
             dispatches: 0,
             declines: 0,
             possible_runs: 0,
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -41,21 +41,24 @@
 
     /// Selects a replica that the request was not sent to yet, and the way to it.
     pub fn choose(&mut self) -> Result<Pick, Refusal> {
-        let intermediary = match self.shared.path(&self.call.endpoint) {
-            Path::Direct => None,
-            Path::Through(intermediary) => Some(intermediary),
-            Path::None => return Err(Refusal::Unreachable),
-        };
-        let was_direct = self.target.intermediary.is_none();
-        if intermediary.is_some() && was_direct && self.sent.is_empty() && self.possible_runs == 0 {
-            // Replicas that this node could not connect to are reached by the other one.
+        let is_cut_off = self
+            .shared
+            .with_pool(&self.call.endpoint, |pool| pool.is_cut_off());
+        if is_cut_off && !self.was_cut_off && self.sent.is_empty() && self.possible_runs == 0 {
+            // Replicas that this node could not connect to are reached by others.
             self.tried.clear();
         }
+        self.was_cut_off = is_cut_off;
         let choice = self.with_demand(|demand| {
             let now = self.shared.now();
             self.shared
                 .with_pool(&self.call.endpoint, |pool| pool.choose(now, demand))
         })?;
+        let intermediary = match self.shared.path_to(&self.call.endpoint, choice.replica) {
+            Path::Direct => None,
+            Path::Through(intermediary) => Some(intermediary),
+            Path::None => return Err(Refusal::Unreachable),
+        };
         Ok(Pick {
             choice: Choice {
                 is_indirect: intermediary.is_some(),
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -104,7 +104,15 @@
         connected
     }
 
-    /// How a request gets to the replicas of an endpoint now.
+    /// How a request gets to a replica of an endpoint now.
+    pub fn path_to(&self, endpoint: &Arc<str>, replica: ReplicaKey) -> Path {
+        if self.with_pool(endpoint, |pool| pool.is_direct(replica)) {
+            return Path::Direct;
+        }
+        self.path(endpoint)
+    }
+
+    /// How a request gets to the replicas of an endpoint now, apart from those that are reached while others are not.
     pub fn path(&self, endpoint: &Arc<str>) -> Path {
         if !self.with_pool(endpoint, |pool| pool.is_cut_off()) {
             return Path::Direct;
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -44,14 +44,14 @@
         replica: ReplicaKey,
         is_connected: bool,
     ) -> Option<ReachChange> {
-        if is_connected {
-            return self.reach.record_connection(now);
-        }
         let is_registered = |it: &Replica| self.ids.get(&it.spec.id) == Some(&replica);
         if !self.replicas.get(replica).is_some_and(is_registered) {
             return None;
         }
         let replicas = self.ready_replicas().len();
+        if is_connected {
+            return self.reach.record_connection(now, replica, replicas);
+        }
         let change = self.reach.record_failure(now, replica, replicas);
         if change.is_some() {
             // Connections that failed or broke as the node was cut off say nothing of the replicas.
@@ -62,7 +62,12 @@
         change
     }
 
-    /// Whether this node reaches no replica.
+    /// Whether requests are sent to a replica from this node, and not through another one.
+    pub fn is_direct(&self, replica: ReplicaKey) -> bool {
+        self.reach.is_direct(replica)
+    }
+
+    /// Whether this node reaches no replica, or too few.
     pub const fn is_cut_off(&self) -> bool {
         self.reach.is_cut_off()
     }
@@ -86,7 +91,8 @@
             let start = self.generator.random_range(0..ready.len());
             ready.rotate_left(start);
         }
-        ready.sort_by_key(|key| self.reach.has_failed(*key));
+        let is_reached = |key: &ReplicaKey| self.is_cut_off() && self.reach.is_direct(*key);
+        ready.sort_by_key(|key| (is_reached(key), self.reach.has_failed(*key)));
         let probe = |key: ReplicaKey| {
             let Replica {
                 spec,
--- a/crates/place/src/reach.rs
+++ b/crates/place/src/reach.rs
@@ -1,7 +1,7 @@
 //! Whether this node can connect to the replicas of an endpoint.
 
 use base::Millis;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::ReplicaKey;
 
@@ -29,7 +29,7 @@
         /// Time since the last connection to a replica; `None` if there was none.
         connected_age: Option<Millis>,
     },
-    /// A replica can be reached again.
+    /// Enough replicas can be reached again.
     Reached {
         /// Time for which the node was cut off.
         cut_off: Millis,
@@ -39,7 +39,8 @@
 /// Connections of this node to the replicas of an endpoint.
 ///
 /// Load pattern: a node is partitioned from all replicas while callers and the other nodes reach it. Connections that are open
-/// may live on, hang or be reset, so only new ones tell whether a replica can be reached.
+/// may live on, hang or be reset, so only new ones tell whether a replica can be reached. Some replicas may be reached while the
+/// others are not, such as those that have just started: one connection does not end the cut.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Reach {
     /// Replicas that could not be connected to since the last connection, and when.
@@ -48,15 +49,32 @@
     /// When a replica last answered a request.
     answered_at: Option<Millis>,
     cut_off_since: Option<Millis>,
+    /// Replicas that were connected to since the node was cut off.
+    reached: IndexSet<ReplicaKey>,
     probed_at: Option<Millis>,
 }
 
 impl Reach {
-    /// Records a connection to a replica.
-    pub fn record_connection(&mut self, now: Millis) -> Option<ReachChange> {
-        self.failed.clear();
+    /// Records a connection to a replica, one of `replicas`.
+    pub fn record_connection(
+        &mut self,
+        now: Millis,
+        replica: ReplicaKey,
+        replicas: usize,
+    ) -> Option<ReachChange> {
         self.connected_at = Some(now);
-        let since = self.cut_off_since.take()?;
+        let Some(since) = self.cut_off_since else {
+            self.failed.clear();
+            return None;
+        };
+        self.failed.swap_remove(&replica);
+        self.reached.insert(replica);
+        if self.reached.len() < min_reached(replicas) {
+            return None;
+        }
+        self.failed.clear();
+        self.reached.clear();
+        self.cut_off_since = None;
         Some(ReachChange::Reached {
             cut_off: now.since(since),
         })
@@ -73,10 +91,8 @@
             self.failed.retain(|_, at| now.since(*at) < FAILURE_TTL);
         }
         self.failed.insert(replica, now);
-        let threshold = (replicas / FAILED_DIVISOR)
-            .clamp(MIN_FAILED, MAX_FAILED)
-            .min(replicas);
-        if self.cut_off_since.is_some() || self.failed.len() < threshold {
+        self.reached.swap_remove(&replica);
+        if self.cut_off_since.is_some() || self.failed.len() < min_failed(replicas) {
             return None;
         }
         self.cut_off_since = Some(now);
@@ -94,9 +110,15 @@
     /// Forgets a replica that is gone.
     pub fn forget(&mut self, replica: ReplicaKey) {
         self.failed.swap_remove(&replica);
+        self.reached.swap_remove(&replica);
     }
 
-    /// Whether no replica can be reached.
+    /// Whether requests are sent to a replica from this node.
+    pub fn is_direct(&self, replica: ReplicaKey) -> bool {
+        !self.is_cut_off() || self.reached.contains(&replica)
+    }
+
+    /// Whether no replica can be reached, or too few.
     pub const fn is_cut_off(&self) -> bool {
         self.cut_off_since.is_some()
     }
@@ -119,6 +141,22 @@
             return 0;
         }
         self.probed_at = Some(now);
-        if self.is_cut_off() { 1 } else { MAX_PROBES }
+        if self.is_cut_off() && self.reached.is_empty() {
+            1
+        } else {
+            MAX_PROBES
+        }
     }
 }
+
+/// Number of replicas that can't be connected to, of `replicas`, after which the node counts as cut off.
+fn min_failed(replicas: usize) -> usize {
+    let threshold = (replicas / FAILED_DIVISOR).clamp(MIN_FAILED, MAX_FAILED);
+    threshold.min(replicas)
+}
+
+/// Number of replicas that have to be connected to, of `replicas`, until the node no longer counts as cut off. Of few replicas,
+/// some may be down.
+fn min_reached(replicas: usize) -> usize {
+    min_failed(replicas).min(replicas.div_ceil(2))
+}
--- a/crates/place/tests/placement/reach.rs
+++ b/crates/place/tests/placement/reach.rs
@@ -40,27 +40,34 @@
     struct Case {
         replicas: usize,
         failures: usize,
+        /// Connections after which it is no longer cut off.
+        connections: usize,
     }
     let cases = [
         Case {
             replicas: 1,
             failures: 1,
+            connections: 1,
         },
         Case {
             replicas: 3,
             failures: 3,
+            connections: 2,
         },
         Case {
             replicas: 4,
             failures: 4,
+            connections: 2,
         },
         Case {
             replicas: 18,
             failures: 6,
+            connections: 6,
         },
         Case {
             replicas: 90,
             failures: 8,
+            connections: 8,
         },
     ];
     for case in &cases {
@@ -73,13 +80,45 @@
             pool.record_connect(Millis(2_010), *key, false);
         }
         assert!(pool.is_cut_off(), "{} replicas", case.replicas);
-        let change = pool.record_connect(Millis(2_500), keys[0], true);
+        for key in &keys[..case.connections - 1] {
+            assert_eq!(pool.record_connect(Millis(2_400), *key, true), None);
+            assert!(pool.is_cut_off(), "{} replicas", case.replicas);
+        }
+        let last = keys[case.connections - 1];
+        let change = pool.record_connect(Millis(2_500), last, true);
         let cut_off = Millis(500);
         assert_eq!(change, Some(ReachChange::Reached { cut_off }));
         assert!(!pool.is_cut_off());
     }
 }
 
+/// One of five replicas can be reached, the others can't: requests to it are sent directly, all others through other nodes.
+#[test]
+fn one_connection_sends_all_requests_to_replicas_that_cannot_be_reached() {
+    let mut pool = pool(5);
+    let keys = keys(&mut pool, 5);
+    let now = Millis(2_000);
+    for key in &keys[1..] {
+        pool.record_connect(now, *key, false);
+    }
+    assert!(pool.is_cut_off());
+    assert!(keys.iter().all(|key| !pool.is_direct(*key)));
+    for round in 1..40 {
+        let now = now + Millis(250 * round);
+        assert_eq!(pool.record_connect(now, keys[0], true), None, "round {round}");
+        let failed = keys[1 + round as usize % 4];
+        assert_eq!(pool.record_connect(now, failed, false), None, "round {round}");
+        assert!(pool.is_cut_off());
+        let direct: Vec<bool> = keys.iter().map(|key| pool.is_direct(*key)).collect();
+        assert_eq!(direct, [true, false, false, false, false], "round {round}");
+        let probes = pool.take_probes(now);
+        assert_eq!(probes.len(), 4, "round {round}");
+        assert!(probes.iter().all(|it| it.replica != keys[0]), "round {round}");
+    }
+    pool.record_connect(Millis(20_000), keys[0], false);
+    assert!(!pool.is_direct(keys[0]));
+}
+
 /// Some replicas are down, and others are connected to in between.
 #[test]
 fn replicas_that_are_down_are_no_cut() {
--- a/crates/soak/src/cuts/run.rs
+++ b/crates/soak/src/cuts/run.rs
@@ -22,7 +22,7 @@
 use super::report::{CONTACT_TIME, Comparison, MIN_RATIO, Try, Window, broken_promises};
 
 /// Time within which all nodes must serve.
-const STARTUP_TIMEOUT: Duration = Duration::from_secs(60);
+const STARTUP_TIMEOUT: Duration = Duration::from_mins(1);
 /// Interval between two probes of a node.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time under load before the first cut and after the last one.
