Ignore old sums of other zones when looking for an intermediary

Cause: a node keeps the sums of zones that it heard while it was the hub of its zone, and a hub those of the hub before it. If they named an endpoint as cut off, all nodes of that zone stayed left out for good.

The test fails before: the sums of one second count four seconds later.

--- a/crates/entry/src/peers/hub.rs
+++ b/crates/entry/src/peers/hub.rs
@@ -203,10 +203,13 @@
         heard.is_some_and(|it| !it.datagram.cut_off.iter().any(|it| *it.endpoint == *endpoint))
     }
 
-    /// Whether a node of another zone reaches replicas of an endpoint, as far as the zones' sums say.
-    pub fn zone_reaches(&self, zone: &str, endpoint: &str) -> bool {
+    /// Whether a node of another zone reaches replicas of an endpoint, as far as the zones' latest sums say.
+    ///
+    /// NB: a node keeps the sums that it heard as a hub, and those that it heard before it became one.
+    pub fn zone_reaches(&self, now: Millis, zone: &str, endpoint: &str) -> bool {
         let sums = self.zones.values().chain(&self.outside);
-        let mut cut_off = sums.flat_map(|heard| &heard.datagram.cut_off);
+        let fresh = sums.filter(|heard| now.since(heard.at) < DIGEST_TIMEOUT);
+        let mut cut_off = fresh.flat_map(|heard| &heard.datagram.cut_off);
         !cut_off.any(|it| *it.zone == *zone && *it.endpoint == *endpoint)
     }
 
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -238,7 +238,7 @@
             .filter(|(node, peer)| peer.ready && **node != self.incarnation);
         let reaches = others.filter(|(node, peer)| {
             if is_layered && peer.zone != settings.zone {
-                hub.zone_reaches(&peer.zone, endpoint)
+                hub.zone_reaches(now, &peer.zone, endpoint)
             } else {
                 hub.node_reaches(now, **node, endpoint)
             }
--- a/crates/entry/tests/hub.rs
+++ b/crates/entry/tests/hub.rs
@@ -497,15 +497,40 @@
     sums.from = 1;
     let mut other = Hub::default();
     other.record(now, &sums, &[]);
-    assert!(other.zone_reaches("zone-0", engine));
-    assert!(!other.zone_reaches("zone-0", "ledger"));
-    assert!(other.zone_reaches("zone-1", "ledger"));
+    assert!(other.zone_reaches(now, "zone-0", engine));
+    assert!(!other.zone_reaches(now, "zone-0", "ledger"));
+    assert!(other.zone_reaches(now, "zone-1", "ledger"));
     let mut outside = other.outside_digest(now, 1);
     outside.from = 5;
     let mut member = Hub::default();
     member.record(now, &outside, &[]);
-    assert!(!member.zone_reaches("zone-0", "ledger"));
-    assert!(member.zone_reaches("zone-0", engine));
+    assert!(!member.zone_reaches(now, "zone-0", "ledger"));
+    assert!(member.zone_reaches(now, "zone-0", engine));
+}
+
+/// A node that was the hub for a while keeps the sums of that time, and a hub those that it heard from the one before it.
+#[test]
+fn zone_stays_cut_off_by_sums_of_long_ago() {
+    let ledger = CutOff {
+        zone: Arc::from("zone-0"),
+        endpoint: Arc::from("ledger"),
+    };
+    let scopes = [
+        Scope::Zone(Arc::from("zone-0")),
+        Scope::Outside { is_complete: true },
+    ];
+    for scope in scopes {
+        let sums = Datagram {
+            from: 1,
+            scope: scope.clone(),
+            cut_off: vec![ledger.clone()],
+            ..Datagram::default()
+        };
+        let mut hub = Hub::default();
+        hub.record(Millis(1_000), &sums, &[]);
+        assert!(!hub.zone_reaches(Millis(1_500), "zone-0", "ledger"), "{scope:?}");
+        assert!(hub.zone_reaches(Millis(5_000), "zone-0", "ledger"), "{scope:?}");
+    }
 }
 
 /// The latest statement of a replica to a node of the zone reaches the others, with the sum of what the zone sent to it.
