Check all endpoints once a node is cut off from one

Callers saw: at a node cut off from all replicas, the first requests to endpoints with little traffic failed, seconds after the cut began.

Cause: a node finds out for each endpoint by itself, at the cost of the requests to it.

Change: once it is cut off from one endpoint, it connects to replicas of every other one, until it has connected to one since then or found out that it can't.

The new test of place fails before, as nothing is probed without a request.

--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use place::Destination;
+use place::{Destination, Pool};
 use tokio::time::interval;
 
 use crate::Shared;
@@ -24,9 +24,10 @@
         }
         let now = shared.now();
         let probes = shared.with_pools(|pools| {
+            let suspected_since = pools.values().filter_map(Pool::cut_off_since).max();
             let due = pools.iter_mut().flat_map(|(endpoint, pool)| {
                 let endpoint = Arc::clone(endpoint);
-                let probes = pool.take_probes(now);
+                let probes = pool.take_probes(now, suspected_since);
                 probes
                     .into_iter()
                     .map(move |probe| (Arc::clone(&endpoint), probe))
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -78,11 +78,20 @@
         !ready.is_empty() && ready.iter().all(|key| self.reach.has_failed(*key))
     }
 
+    /// When this node was cut off from the replicas; `None` if it is not.
+    pub const fn cut_off_since(&self) -> Option<Millis> {
+        self.reach.cut_off_since()
+    }
+
     /// The replicas to connect to now, to find out whether any can be reached. Those that have not failed come first.
-    pub fn take_probes(&mut self, now: Millis) -> Vec<Destination> {
+    /// `suspected_since` is when the node was last cut off from another endpoint.
+    ///
+    /// Load pattern: a node is cut off from the replicas of all endpoints, some of which have few requests. Each would lose the
+    /// requests by which the node finds out.
+    pub fn take_probes(&mut self, now: Millis, suspected_since: Option<Millis>) -> Vec<Destination> {
         let waiting = self.dispatches.values().filter(|it| !it.answer_began);
         let waiting_since = waiting.map(|it| it.sent_at).min();
-        let count = self.reach.take_probes(now, waiting_since);
+        let count = self.reach.take_probes(now, waiting_since, suspected_since);
         if count == 0 {
             return Vec::new();
         }
--- a/crates/place/src/reach.rs
+++ b/crates/place/src/reach.rs
@@ -128,11 +128,23 @@
         self.failed.contains_key(&replica)
     }
 
+    /// When the node was cut off; `None` if it is not.
+    pub const fn cut_off_since(&self) -> Option<Millis> {
+        self.cut_off_since
+    }
+
     /// Number of replicas to connect to now, to find out whether any can be reached. `waiting_since` is when the oldest
-    /// request without an answer was sent.
-    pub fn take_probes(&mut self, now: Millis, waiting_since: Option<Millis>) -> usize {
+    /// request without an answer was sent, `suspected_since` when the node was last cut off from another endpoint.
+    pub fn take_probes(
+        &mut self,
+        now: Millis,
+        waiting_since: Option<Millis>,
+        suspected_since: Option<Millis>,
+    ) -> usize {
         let is_silent = |at: Option<Millis>| at.is_none_or(|at| now.since(at) >= MAX_SILENCE);
+        let is_suspected = suspected_since.is_some_and(|since| self.connected_at.is_none_or(|at| at < since));
         let is_suspicious = !self.failed.is_empty()
+            || is_suspected
             || (waiting_since.is_some_and(|at| is_silent(Some(at)))
                 && is_silent(self.answered_at)
                 && is_silent(self.connected_at));
--- a/crates/place/tests/placement/reach.rs
+++ b/crates/place/tests/placement/reach.rs
@@ -111,7 +111,7 @@
         assert!(pool.is_cut_off());
         let direct: Vec<bool> = keys.iter().map(|key| pool.is_direct(*key)).collect();
         assert_eq!(direct, [true, false, false, false, false], "round {round}");
-        let probes = pool.take_probes(now);
+        let probes = pool.take_probes(now, None);
         assert_eq!(probes.len(), 4, "round {round}");
         assert!(probes.iter().all(|it| it.replica != keys[0]), "round {round}");
     }
@@ -258,7 +258,7 @@
             let choice = pool.choose(Millis(at), &demand(&[])).expect("a replica");
             pool.send(Millis(at), &choice, &demand(&[]));
         }
-        let probes = pool.take_probes(now);
+        let probes = pool.take_probes(now, None);
         assert_eq!(probes.len(), case.probes, "{}", case.name);
         assert!(
             probes
@@ -267,8 +267,12 @@
             "{}: those that failed come last",
             case.name
         );
-        assert!(pool.take_probes(now + Millis(100)).is_empty(), "{}", case.name);
-        let again = pool.take_probes(now + Millis(250));
+        assert!(
+            pool.take_probes(now + Millis(100), None).is_empty(),
+            "{}",
+            case.name
+        );
+        let again = pool.take_probes(now + Millis(250), None);
         assert_eq!(again.len(), case.probes, "{}", case.name);
     }
 }
@@ -344,3 +348,24 @@
         assert_eq!(most, (64 + 4 * own).min(512), "{own} of its own");
     }
 }
+
+/// The node is cut off from another endpoint: without a request, it finds out whether it is from this one, too, and probes no
+/// more once it has connected to a replica since.
+#[test]
+fn endpoint_with_few_requests_loses_the_first_ones_of_a_cut() {
+    for can_connect in [false, true] {
+        let mut pool = pool(3);
+        let keys = keys(&mut pool, 3);
+        pool.record_connect(Millis(1_000), keys[0], true);
+        assert!(pool.take_probes(Millis(5_000), None).is_empty());
+        let cut = Some(Millis(6_000));
+        let probes = pool.take_probes(Millis(6_050), cut);
+        assert_eq!(probes.len(), 3);
+        for probe in &probes {
+            pool.record_connect(Millis(6_450), probe.replica, can_connect);
+        }
+        assert_eq!(pool.is_cut_off(), !can_connect);
+        let later = pool.take_probes(Millis(6_500), cut);
+        assert_eq!(later.is_empty(), can_connect);
+    }
+}
