Take a response for that of a request only if it bears the request's id

Cause: a refusal was believed whatever its id, and a failure without an id passed for the replica's. A replica in trouble may write such a response late on a kept connection, where that to the next request is expected.

Change: place::Claim decides by the id alone, for all ways. A foreign response proves nothing: the request counts as possibly run, what the response says of the replica is not recorded, and the connection is closed, by the intermediary as well. Foreign responses are logged and counted by kind.

--- a/crates/entry/src/edge/response_head.rs
+++ b/crates/entry/src/edge/response_head.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Millis;
-use place::Load;
+use place::{Claim, Echo, Load};
 
 /// What a replica says of itself in a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -25,8 +25,8 @@
 pub struct ResponseHead {
     /// Whether the replica reports that it did not run the request.
     pub not_run: bool,
-    /// Whether the request id in the response is that of the request; `None` if the response has none.
-    pub matches_request: Option<bool>,
+    /// The request id in the response.
+    pub echo: Echo,
     /// Whether the response has the replica's signature.
     pub signed: bool,
     /// The load that the replica reports.
@@ -38,3 +38,10 @@
     /// Whether the replica closes the connection after the response.
     pub closes: bool,
 }
+
+impl ResponseHead {
+    /// What the response says of the request.
+    pub const fn claim(&self) -> Claim {
+        Claim::new(self.echo, self.not_run)
+    }
+}
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use base::Millis;
-use place::{Choice, Demand, DispatchError, DispatchOutcome, Refusal};
+use place::{Choice, Claim, Demand, DispatchError, DispatchOutcome, Refusal};
 use tokio::time::timeout;
 
 use super::attempt::{AttemptError, Failure, Reply};
@@ -232,23 +232,23 @@
             .shared
             .edge
             .decode_response(&self.call.request_head.id, status, head);
-        in_flight.report(response_head.load);
-        if response_head.not_run {
-            if response_head.matches_request == Some(true) {
+        match response_head.claim() {
+            Claim::Response => in_flight.report(response_head.load),
+            Claim::NotRun => {
+                in_flight.report(response_head.load);
                 in_flight.report_advice(response_head.advice);
+                in_flight.end(DispatchOutcome::NotRun);
+                let cause = format!("replica refused with {status}");
+                return Err(AttemptError::Failed(Failure::new(DispatchError::NotRun, cause)));
+            }
+            Claim::Foreign => {
+                log::foreign_response(&self.call, in_flight.target(), response_head.echo, status);
+                in_flight.end(DispatchOutcome::Failed);
+                return Err(AttemptError::Failed(Failure::new(
+                    DispatchError::Lost,
+                    "response to another request",
+                )));
             }
-            in_flight.end(DispatchOutcome::NotRun);
-            let cause = format!("replica refused with {status}");
-            return Err(AttemptError::Failed(Failure::new(DispatchError::NotRun, cause)));
-        }
-        if response_head.matches_request == Some(false)
-            || (response_head.matches_request.is_none() && status.is_success())
-        {
-            in_flight.end(DispatchOutcome::Failed);
-            return Err(AttemptError::Failed(Failure::new(
-                DispatchError::Lost,
-                "response to another request",
-            )));
         }
         in_flight.report_advice(response_head.advice);
         Ok(Reply {
--- a/crates/entry/src/serve/forward/service.rs
+++ b/crates/entry/src/serve/forward/service.rs
@@ -10,7 +10,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
-use place::{Destination, ForwardError};
+use place::{Claim, Destination, ForwardError};
 use poison::Suspects;
 
 use super::header::{CAUSE, CUT_OFF, OTHERS, OUTCOME, Outcome, TARGET, Target, encode_nodes};
@@ -221,16 +221,18 @@
             let cause = format!("response with {}", pending.response.status());
             return Err(self.fail(Outcome::Lost, cause));
         }
-        Ok(self.into_response(pending))
+        let request = Bytes::copy_from_slice(self.id.as_bytes());
+        let (status, headers) = (pending.response.status(), pending.response.headers());
+        let response_head = shared.edge.decode_response(&request, status, headers);
+        if response_head.claim() == Claim::Foreign {
+            // The connection is closed, so that the replica does not go on with the request.
+            return Err(self.fail(Outcome::Lost, "response to another request".to_owned()));
+        }
+        Ok(self.into_response(pending, response_head))
     }
 
-    fn into_response(self, pending: PendingResponse) -> Response<Body> {
+    fn into_response(self, pending: PendingResponse, response_head: ResponseHead) -> Response<Body> {
         let (mut head, incoming) = pending.response.into_parts();
-        let request = Bytes::copy_from_slice(self.id.as_bytes());
-        let response_head = self
-            .shared
-            .edge
-            .decode_response(&request, head.status, &head.headers);
         self.record_advice(&response_head);
         let status = head.status;
         strip_connection(&mut head.headers);
@@ -282,9 +284,6 @@
 
     /// Records what the replica says of itself: it holds for this node, too.
     fn record_advice(&self, response_head: &ResponseHead) {
-        if response_head.matches_request != Some(true) {
-            return;
-        }
         self.shared
             .record_advice(&self.target.endpoint, &self.replica, response_head.advice);
     }
--- a/crates/entry/src/serve/log.rs
+++ b/crates/entry/src/serve/log.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 use base::Millis;
-use place::Denial;
+use http::StatusCode;
+use place::{Denial, Echo};
 
 use super::Reason;
 use super::call::Call;
@@ -176,6 +177,17 @@
     );
 }
 
+/// Logs a response that belongs to another request, or to none.
+pub(super) fn foreign_response(call: &Call, target: &Target, echo: Echo, status: StatusCode) {
+    let kind = match echo {
+        Echo::Missing => "without_id",
+        Echo::Own | Echo::Other => "other_id",
+    };
+    metrics::counter!("bilberrylatch_foreign_responses_total", "kind" => kind).increment(1);
+    log::info!(id = call.id(), endpoint:% = call.endpoint, replica:% = target.replica, through = target.through(), kind,
+        status = status.as_u16(); "response to another request");
+}
+
 /// Logs that a request is sent to a replica that named a rate limit.
 pub(super) fn sent_to_limited_replica(call: &Call, replica: &str, per_s: f64, age: Millis, attempt: usize) {
     metrics::counter!("bilberrylatch_limited_replica_sends_total").increment(1);
--- a/crates/place/tests/placement/main.rs
+++ b/crates/place/tests/placement/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod pool;
 mod reach;
+mod response;
 mod shutdown;
 mod support;
 mod suspicion;
