Leave out usage windows that may have been reported before a restore

Cause: the store came back from a copy that lacked the record of a window and the nodes' last counts of it, and all processes that knew them had been killed. The new leader summed the older counts and reported the window again; nothing told it that the record was of an earlier era.

Change: the record bears the era in which it was written. If that is an earlier one, windows that were due when this node noticed the present era and that neither the record nor any node remembers are left out, logged and counted; the record names them to later leaders (quota::Horizon). Price: a missed report. Records of earlier builds have no era and are taken for current ones; earlier builds read the new record and drop both fields.

--- a/crates/entry/src/leader/usage.rs
+++ b/crates/entry/src/leader/usage.rs
@@ -5,6 +5,7 @@
 use base::{Incarnation, Millis, Revision};
 use bytes::Bytes;
 use indexmap::IndexMap;
+use quota::Horizon;
 use serde::{Deserialize, Serialize};
 use store::{Condition, Error, Write};
 
@@ -21,6 +22,8 @@
 const DUE_MARGIN: Millis = Millis(100);
 /// Delay after a failed call.
 const RETRY_DELAY: Millis = Millis(400);
+/// How far ahead of this node's clock that of another leader may have been.
+const CLOCK_MARGIN: Millis = Millis(500);
 /// Number of windows kept in the record.
 const KEPT_WINDOWS: usize = 8;
 /// Number of windows after which the reports of a node that is gone are deleted.
@@ -31,6 +34,12 @@
 struct Record {
     /// Counts by window number, then by workspace.
     windows: IndexMap<u64, IndexMap<Arc<str>, u64>>,
+    /// Era of the store in which it was written. Earlier builds write none, and drop it and the next field.
+    #[serde(default)]
+    era: Option<u64>,
+    /// Windows before this one that are not in the record may have been reported.
+    #[serde(default)]
+    lost_before: u64,
 }
 
 impl Record {
@@ -42,6 +51,14 @@
         }
     }
 
+    /// Which windows that are not in the record may have been reported.
+    const fn horizon(&self) -> Horizon {
+        Horizon {
+            era: self.era,
+            before: self.lost_before,
+        }
+    }
+
     /// Adds the windows of another record that are not known.
     fn add(&mut self, other: Self) {
         for (window, counts) in other.windows {
@@ -61,8 +78,12 @@
     known: Record,
     /// Revision of the record that was last added to them.
     known_at: Revision,
-    /// Era of the store in which the windows were reported.
-    era: u64,
+    /// Era of the store in which the windows were reported; `None` before the first one is noticed.
+    era: Option<u64>,
+    /// First window that was not due yet when this node noticed that era; 0 if it knows all that were reported before.
+    due_at_restore: u64,
+    /// Since when this node has held the role.
+    held_since: Option<Millis>,
     /// Windows reported by this node.
     reported: Vec<u64>,
     not_before: Millis,
@@ -74,7 +95,9 @@
             shared,
             known: Record::default(),
             known_at: Revision::default(),
-            era: 0,
+            era: None,
+            due_at_restore: 0,
+            held_since: None,
             reported: Vec::new(),
             not_before: Millis::ZERO,
         }
@@ -83,8 +106,11 @@
     /// Reports the oldest window that is due.
     pub async fn tick(&mut self, election: &Election) {
         self.remember_stored();
-        self.note_restore();
         let now = self.shared.now();
+        if !self.note_era(now) {
+            return;
+        }
+        self.held_since = election.fence().map(|_fence| self.held_since.unwrap_or(now));
         if election.fence().is_none() || now < self.not_before {
             return;
         }
@@ -95,14 +121,27 @@
         }
     }
 
-    /// Records and reports the windows again that are not overdue, once the store was restored. Known counts stay, so the
-    /// cloud gets exact repeats.
-    fn note_restore(&mut self) {
+    /// Notes the era of the store; returns whether it is known. Windows that are not overdue are recorded and reported again
+    /// once the store was restored: known counts stay, so the cloud gets exact repeats.
+    fn note_era(&mut self, now: Millis) -> bool {
         let era = self.shared.store.era();
-        if era != self.era {
-            self.era = era;
-            self.reported.clear();
+        if self.era == Some(era) {
+            return true;
         }
+        let Some(unix_ms) = self.shared.wall_clock().unix_ms(now) else {
+            return false;
+        };
+        // A node that held the role for some time has reported itself all that was due.
+        let knows_reports = self.held_since.is_some_and(|at| now.since(at) >= SETTLE_TIME);
+        let length = self.shared.settings().usage_window.0.max(1);
+        self.due_at_restore = if knows_reports {
+            0
+        } else {
+            (unix_ms + CLOCK_MARGIN.0).saturating_sub(SETTLE_TIME.0) / length
+        };
+        self.era = Some(era);
+        self.reported.clear();
+        true
     }
 
     /// Remembers the counts in the view's record.
@@ -158,8 +197,13 @@
     async fn load_or_write_counts(&mut self, window: u64) -> Result<Option<IndexMap<Arc<str>, u64>>, Error> {
         let key = format!("{}{KEY}", self.shared.edge.internal_prefix());
         let record = self.shared.store.get(&key).await?;
+        let era = self.era.unwrap_or_default();
         let mut stored = match &record {
-            None => Record::default(),
+            // If there was one, it was lost.
+            None => Record {
+                era: Some(0),
+                ..Record::default()
+            },
             Some(record) => {
                 serde_json::from_slice(&record.value).map_err(|error| Error::Protocol(error.to_string()))?
             }
@@ -168,12 +212,21 @@
         if let Some(counts) = stored.windows.get(&window) {
             return Ok(Some(counts.clone()));
         }
+        let horizon = stored.horizon().read_in(era, self.due_at_restore);
         let known = self.known.windows.get(&window).cloned();
+        if known.is_none() && horizon.covers(window) {
+            metrics::counter!("bilberrylatch_usage_windows_left_out_total").increment(1);
+            log::warn!(window, era, written_in_era = stored.era.map_or(-1, |era| era as i64), lost_before = horizon.before;
+                "usage window left out, since it may have been reported before the store was restored");
+            return Ok(None);
+        }
         let counts = known.unwrap_or_else(|| self.sum(window));
         if counts.is_empty() {
             return Ok(None);
         }
         stored.insert(window, counts.clone());
+        stored.era = horizon.era;
+        stored.lost_before = horizon.before;
         let value = serde_json::to_vec(&stored).map_err(|error| Error::Protocol(error.to_string()))?;
         let condition = record.map_or(Condition::Absent, |it| Condition::Revision(it.revision));
         let write = Write::new(key, Bytes::from(value), condition);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -4,6 +4,7 @@
 //! others report, and keeps within a share of the limit that is safe until it has heard more.
 
 mod bucket;
+mod horizon;
 mod limit;
 mod rate;
 mod retry_budget;
@@ -11,6 +12,7 @@
 mod totals;
 
 pub use bucket::{Bucket, Refill};
+pub use horizon::Horizon;
 pub use limit::{LimitSettings, Limiter, PeerTotal, Tolerance};
 pub use retry_budget::{RetryBudget, RetryPolicy};
 pub use throttle::{Group, Throttle};
