Soak: build the records of cuts with the stand-ins' builders

The builders of configurations and registrations take routes and endpoints; no change of what is written.

--- a/crates/soak/src/cuts/cluster.rs
+++ b/crates/soak/src/cuts/cluster.rs
@@ -7,7 +7,9 @@
 
 use futures::future::join_all;
 use indexmap::IndexMap;
-use serde_json::{Value, json};
+use platform::name;
+use serde_json::Value;
+use standin::record::{Route, configuration_with, registration_of};
 use standin::{Behavior, Gate, Kv, Link, Replica};
 
 use super::plan::ZONES;
@@ -47,17 +49,21 @@
 struct Endpoint {
     name: &'static str,
     slots: u32,
+    /// Maximum number of connections to a replica.
+    connections: u32,
     behavior: Behavior,
 }
 
 const LARGE: Endpoint = Endpoint {
     name: "pool",
     slots: 64,
+    connections: 750,
     behavior: Behavior::Paced { last: 8, millis: 100 },
 };
 const SMALL: Endpoint = Endpoint {
     name: "ledger",
     slots: 6,
+    connections: 490,
     behavior: Behavior::Slow(15),
 };
 /// Number of replicas of the small endpoint.
@@ -78,7 +84,7 @@
     pub async fn start(program: &Path, logs: &Path, nodes: usize, replicas: usize) -> io::Result<Self> {
         let network = loopback_network();
         let kv = Kv::start().await?;
-        kv.put("op/config", &configuration());
+        kv.put(name::CONFIGURATION_KEY, &configuration());
         let mut cluster = Self {
             nodes: Vec::new(),
             addresses: Vec::new(),
@@ -90,7 +96,9 @@
             let id = format!("i-{number}");
             let address = SocketAddr::new(host(network, REPLICA_HOST), FIRST_REPLICA_PORT + number as u16);
             let replica = Replica::start_at(&id, address, endpoint.behavior).await?;
-            kv.put(&format!("servers/{id}"), &registration(endpoint, address, number));
+            let registration =
+                registration_of(endpoint.name, endpoint.slots, address, &zone(number), "ready");
+            kv.put(&format!("{}{id}", name::REPLICA_PREFIX), &registration);
             cluster.replicas.push(replica);
         }
         for number in 0..nodes {
@@ -158,8 +166,7 @@
     /// How often replicas ran each request.
     pub fn runs(&self) -> IndexMap<String, usize> {
         let mut runs = IndexMap::new();
-        for received in self.replicas.iter().flat_map(Replica::received) {
-            let id = received.header("attempt-id").unwrap_or("").to_owned();
+        for id in self.replicas.iter().flat_map(Replica::received_ids) {
             *runs.entry(id).or_default() += 1;
         }
         runs
@@ -188,35 +195,22 @@
     format!("zone-{}", number % ZONES)
 }
 
-fn registration(endpoint: Endpoint, address: SocketAddr, number: usize) -> Value {
-    json!({
-        "service": endpoint.name, "address": address, "zone": zone(number), "version": "v1", "slots": endpoint.slots,
-        "state": "ready", "cold-remaining-ms": 0, "sequence": 3, "born": 1_700_000_000_000_u64,
-    })
-}
-
 fn configuration() -> Value {
-    let route = |name: &str, endpoint: Endpoint, kind: &str, attempts: u32, resume: bool| {
-        json!({
-            "name": name, "host": "h.example", "path-prefix": format!("/{name}/"), "kind": kind, "timeout-ms": 10_000,
-            "target-latency-ms": 800, "priority": 1, "service": endpoint.name, "max-attempts": attempts, "public": false,
-            "stream-resume": resume, "gap-target-ms": 300,
-        })
+    let route = |name, endpoint: Endpoint, kind, max_attempts, resume| Route {
+        name,
+        endpoint: endpoint.name,
+        kind,
+        max_attempts,
+        resume,
+        timeout_ms: 10_000,
+        target_latency_ms: 800,
     };
-    json!({
-        "version": 7,
-        "routes": [
-            route("fragile", LARGE, "streaming", 1, false),
-            route("stream", LARGE, "streaming", 2, true),
-            route("unsafe", SMALL, "unsafe", 1, false),
-            route("safe", SMALL, "safe", 2, false),
-        ],
-        "services": [
-            { "name": LARGE.name, "health-path": "/health", "max-connections": 750 },
-            { "name": SMALL.name, "health-path": "/health", "max-connections": 490 },
-        ],
-        "limits": { "max-header-bytes": 16_384, "max-body-bytes": 4_194_304, "header-timeout-ms": 3_000,
-            "idle-timeout-ms": 15_000 },
-        "tenants": [{ "name": "tills", "api-keys": ["key-1"], "plain-tokens": 200, "rate-per-s": 0 }],
-    })
+    let routes = [
+        route("fragile", LARGE, "streaming", 1, false),
+        route("stream", LARGE, "streaming", 2, true),
+        route("unsafe", SMALL, "unsafe", 1, false),
+        route("safe", SMALL, "safe", 2, false),
+    ];
+    let endpoints = [LARGE, SMALL].map(|it| (it.name, it.connections));
+    configuration_with(7, &["key-1"], &routes, &endpoints)
 }
