--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -200,7 +200,7 @@
     /// Age of what is known of what a node reaches.
     fn evidence_age(&self, now: Millis, candidate: &Candidate) -> Option<Millis> {
         let hub = lock(&self.hub);
-        if candidate.is_near || !self.topology().is_layered {
+        if candidate.is_heard {
             hub.node_age(now, Incarnation(candidate.node))
         } else {
             hub.outside_age(now)
