--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -128,7 +128,7 @@
 
 /// Writes a response with a length.
 pub fn respond(
-    stream: &mut TcpStream,
+    mut stream: &TcpStream,
     status: u16,
     headers: &[(&str, String)],
     body: &[u8],
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the second review, and its cases.
 
+mod deadly;
 mod http;
 mod json;
 mod node;
@@ -8,6 +9,7 @@
 mod replica;
 mod store;
 mod successor;
+mod usage;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -54,7 +56,9 @@
         has_trouble,
     };
     let verdict = match case.as_str() {
+        "deadly" => deadly::run(&setting),
         "odd-key" => odd_key::run(&setting),
+        "usage" => usage::run(&setting),
         "successor" => successor::run(&setting),
         _ => Verdict::NotRun("unknown case".to_owned()),
     };
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -97,6 +97,14 @@
         }
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) {
+        let _ = Command::new("sh")
+            .arg("-c")
+            .arg(format!("kill {}", self.id()))
+            .status();
+    }
+
     /// Whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child
@@ -104,6 +112,14 @@
             .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Memory that the process takes.
+    pub fn resident_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|it| it.trim().split(' ').next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) / 1_000
+    }
+
     /// Whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let request = b"GET /bilberrylatch/readiness HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
--- a/review/standin-2/odd_key.rs
+++ b/review/standin-2/odd_key.rs
@@ -36,6 +36,7 @@
             zone,
             version: "v1",
             fails_one_in: 0,
+            crashes_on: None,
         };
         replicas.push(Replica::start(&store, record, kind)?);
     }
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -1,9 +1,9 @@
 //! A replica of a plain service.
 
 use std::io::BufReader;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -17,6 +17,10 @@
 /// Time that a request takes.
 const WORK: Duration = Duration::from_millis(15);
 pub const SLOTS: u64 = 6;
+/// Time for which a replica that crashed is away.
+const DOWN: Duration = Duration::from_secs(2);
+/// Interval at which a replica looks for new connections, and whether it is up again.
+const POLL: Duration = Duration::from_millis(2);
 
 /// What a replica is and does.
 #[derive(Clone, Debug)]
@@ -27,13 +31,18 @@
     pub version: &'static str,
     /// One in so many of its answers is a failure of its own; 0 for none.
     pub fails_one_in: u64,
+    /// It crashes as it begins to run a request whose body begins so.
+    pub crashes_on: Option<&'static [u8]>,
 }
 
 #[derive(Debug)]
 struct Inner {
     kind: Kind,
     address: SocketAddr,
-    born: u128,
+    born: AtomicU64,
+    is_down: AtomicBool,
+    /// The open connections.
+    open: Mutex<Vec<TcpStream>>,
     running: AtomicU64,
     sequence: AtomicU64,
     runs: AtomicU64,
@@ -52,9 +61,9 @@
         let replica = Self(Arc::new(Inner {
             kind,
             address: listener.local_addr()?,
-            born: SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |it| it.as_millis()),
+            born: AtomicU64::new(unix_ms()),
+            is_down: AtomicBool::new(false),
+            open: Mutex::default(),
             running: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             runs: AtomicU64::new(0),
@@ -62,20 +71,54 @@
             record: record.clone(),
         }));
         let accepting = replica.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let replica = accepting.clone();
-                thread::spawn(move || replica.serve(stream));
-            }
-        });
+        let registering = store.clone();
+        thread::spawn(move || accepting.run(listener, &registering));
         let (writing, store) = (replica.clone(), store.clone());
         thread::spawn(move || loop {
-            writing.register(&store);
+            if !writing.0.is_down.load(Ordering::SeqCst) {
+                writing.register(&store);
+            }
             thread::sleep(HEARTBEAT);
         });
         Ok(replica)
     }
 
+    /// Accepts connections. After a crash there is no listener for a while, and then it starts anew under its id.
+    fn run(&self, mut listener: TcpListener, store: &Store) {
+        loop {
+            let _ = listener.set_nonblocking(true);
+            while !self.0.is_down.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(POLL);
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let replica = self.clone();
+                thread::spawn(move || replica.serve(stream));
+            }
+            drop(listener);
+            thread::sleep(DOWN);
+            listener = loop {
+                match TcpListener::bind(self.0.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => thread::sleep(POLL),
+                }
+            };
+            self.0.born.store(unix_ms(), Ordering::SeqCst);
+            self.0.sequence.store(0, Ordering::SeqCst);
+            self.0.is_down.store(false, Ordering::SeqCst);
+            self.register(store);
+        }
+    }
+
+    /// Ends all connections without an answer, as the end of a process does.
+    fn crash(&self) {
+        self.0.is_down.store(true, Ordering::SeqCst);
+        for stream in self.0.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Reports that it is draining. It goes on serving.
     pub fn drain(&self, store: &Store) {
         self.0.is_draining.store(true, Ordering::Relaxed);
@@ -98,6 +141,7 @@
         let Inner {
             kind, address, born, ..
         } = &*self.0;
+        let born = born.load(Ordering::SeqCst);
         let sequence = self.0.sequence.fetch_add(1, Ordering::Relaxed);
         let state = if self.0.is_draining.load(Ordering::Relaxed) {
             "draining"
@@ -115,23 +159,33 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(reading) = stream.try_clone() else { return };
-        let mut writing = stream;
-        let mut reader = BufReader::new(reading);
-        loop {
+        let (Ok(reading), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
+            return;
+        };
+        {
+            let mut open = self.0.open.lock().unwrap();
+            open.retain(|it| it.peer_addr().is_ok());
+            open.push(kept);
+        }
+        self.exchange(BufReader::new(reading), &stream);
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+
+    fn exchange(&self, mut reader: BufReader<TcpStream>, writing: &TcpStream) {
+        while !self.0.is_down.load(Ordering::SeqCst) {
             let Ok(Some(mut request)) = http::read_head(&mut reader) else {
                 return;
             };
             if http::read_body(&mut reader, &mut request, false).is_err() {
                 return;
             }
-            if self.answer(&request, &mut writing).is_err() {
+            if self.answer(&request, writing).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
+    fn answer(&self, request: &Message, stream: &TcpStream) -> std::io::Result<()> {
         let Inner {
             kind,
             running,
@@ -154,6 +208,11 @@
             kind.version,
             if fails { ", fails" } else { "" }
         ));
+        if kind.crashes_on.is_some_and(|it| request.body.starts_with(it)) {
+            record.line(&format!("replica {id}: crashes"));
+            self.crash();
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
         let others = running.fetch_add(1, Ordering::Relaxed);
         thread::sleep(WORK);
         running.fetch_sub(1, Ordering::Relaxed);
@@ -166,3 +225,8 @@
         http::respond(stream, status, &headers, format!("answer of {id}").as_bytes())
     }
 }
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -15,6 +15,18 @@
 const PAGE_ITEMS: usize = 500;
 const PAGE_BYTES: usize = 1_000_000;
 
+/// A copy of the store, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    changes: Vec<(u64, String)>,
+    last_lease: u64,
+}
+
+/// Counts by tenant that the platform has accepted for a window, in the order in which they came.
+pub type Usage = BTreeMap<u64, Vec<Json>>;
+
 #[derive(Clone, Debug)]
 struct Item {
     value: Vec<u8>,
@@ -33,6 +45,12 @@
     forgotten: u64,
     last_lease: u64,
     leases: HashMap<u64, (Duration, Instant)>,
+    /// Number of times that the store was restored.
+    restores: u64,
+    is_away: bool,
+    usage: Usage,
+    /// The node that last performed a duty.
+    holder: String,
 }
 
 /// A running store.
@@ -73,6 +91,9 @@
     /// Writes an item, as the operator, a replica or another writer.
     pub fn put(&self, key: &str, value: &[u8]) {
         let mut state = self.lock();
+        if state.is_away {
+            return;
+        }
         state.revision += 1;
         state.put(key, value.to_vec(), 0);
         self.state.1.notify_all();
@@ -87,6 +108,47 @@
             .map(|item| String::from_utf8_lossy(&item.value).into_owned())
     }
 
+    /// Copies the store.
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+            changes: state.changes.clone(),
+            last_lease: state.last_lease,
+        }
+    }
+
+    /// The store is away: it does nothing and answers 503.
+    pub fn leave(&self) {
+        self.lock().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// The store comes back from a copy. What was written since is gone, and so are all leases.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.lock();
+        state.restores += 1;
+        state.is_away = false;
+        state.revision = copy.revision;
+        state.items.clone_from(&copy.items);
+        state.items.retain(|_, item| item.lease == 0);
+        state.changes.clone_from(&copy.changes);
+        state.last_lease = copy.last_lease;
+        state.leases.clear();
+        self.state.1.notify_all();
+    }
+
+    /// The usage that the platform has accepted so far.
+    pub fn usage(&self) -> Usage {
+        self.lock().usage.clone()
+    }
+
+    /// The node that last performed a duty.
+    pub fn holder(&self) -> String {
+        self.lock().holder.clone()
+    }
+
     fn expire(&self) {
         let mut state = self.lock();
         let now = Instant::now();
@@ -105,7 +167,7 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else { return };
-        let mut writing = stream;
+        let writing = stream;
         let mut reader = BufReader::new(reading);
         loop {
             let Ok(Some(mut request)) = http::read_head(&mut reader) else {
@@ -114,12 +176,20 @@
             if http::read_body(&mut reader, &mut request, false).is_err() {
                 return;
             }
-            let (status, body) = self.answer(&request);
+            let before = self.lock().restores;
+            let (mut status, body) = self.answer(&request);
+            let (after, is_away) = {
+                let state = self.lock();
+                (state.restores, state.is_away)
+            };
+            if before != after || is_away && !request.path().starts_with("/usage") {
+                status = 503;
+            }
             let headers = [
                 ("Content-Type", "application/json".to_owned()),
-                ("Store-Era", "1".to_owned()),
+                ("Store-Era", (1 + after).to_string()),
             ];
-            if http::respond(&mut writing, status, &headers, body.as_bytes()).is_err() {
+            if http::respond(&writing, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
@@ -138,6 +208,7 @@
                 let fence = request.header("fencing-token").unwrap_or("");
                 let holder = request.header("lease-holder").unwrap_or("");
                 let body = String::from_utf8_lossy(&request.body).into_owned();
+                self.accept(&path, holder, &body);
                 self.record
                     .line(&format!("platform: {path} from {holder}, fence {fence}: {body}"));
                 (200, "{}".to_owned())
@@ -156,6 +227,21 @@
         }
     }
 
+    fn accept(&self, path: &str, holder: &str, body: &str) {
+        let mut state = self.lock();
+        state.holder = holder.to_owned();
+        let Some(body) = Json::parse(body).filter(|_| path == "/usage") else {
+            return;
+        };
+        let window = body.get("window-id").and_then(Json::number);
+        if let (Some(window), Some(counts)) = (window, body.get("counts")) {
+            let accepted = state.usage.entry(window).or_default();
+            if !accepted.contains(counts) {
+                accepted.push(counts.clone());
+            }
+        }
+    }
+
     fn read(&self, request: &Message) -> (u16, String) {
         let key = request.query("key").unwrap_or_default();
         let state = self.lock();
@@ -203,7 +289,11 @@
         let (after, wait) = (number("after"), number("wait-ms"));
         let ends = Instant::now() + Duration::from_millis(wait);
         let mut state = self.lock();
+        let restores = state.restores;
         loop {
+            if state.restores != restores || state.is_away {
+                return (503, "{}".to_owned());
+            }
             if after < state.forgotten || after > state.revision {
                 return (410, "{}".to_owned());
             }
@@ -243,6 +333,9 @@
         let key_of = |row: &Json| row.get("key").and_then(Json::text).unwrap_or("").to_owned();
         let number = |row: &Json, name: &str| row.get(name).and_then(Json::number).unwrap_or(0);
         let mut state = self.lock();
+        if state.is_away {
+            return (503, "{}".to_owned());
+        }
         let expected = rows("expected-revision");
         let holds = |row: &Json| {
             let current = state.items.get(&key_of(row)).map_or(0, |item| item.revision);
@@ -286,6 +379,9 @@
             .unwrap_or(1_000);
         let ttl = Duration::from_millis(ttl_ms);
         let mut state = self.lock();
+        if state.is_away {
+            return (503, "{}".to_owned());
+        }
         state.last_lease += 1;
         let lease = state.last_lease;
         state.leases.insert(lease, (ttl, Instant::now() + ttl));
--- a/review/standin-2/successor.rs
+++ b/review/standin-2/successor.rs
@@ -42,6 +42,7 @@
             zone,
             version,
             fails_one_in,
+            crashes_on: None,
         };
         ZONES
             .iter()
