--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod odd_key;
 mod record;
 mod replica;
+mod revoked;
 mod store;
 mod successor;
 mod usage;
@@ -59,6 +60,7 @@
         "deadly" => deadly::run(&setting),
         "odd-key" => odd_key::run(&setting),
         "usage" => usage::run(&setting),
+        "revoked" => revoked::run(&setting),
         "successor" => successor::run(&setting),
         _ => Verdict::NotRun("unknown case".to_owned()),
     };
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -46,6 +46,8 @@
     running: AtomicU64,
     sequence: AtomicU64,
     runs: AtomicU64,
+    /// Ids of the requests that it has run.
+    ids: Mutex<Vec<String>>,
     is_draining: AtomicBool,
     record: Record,
 }
@@ -67,6 +69,7 @@
             running: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             runs: AtomicU64::new(0),
+            ids: Mutex::default(),
             is_draining: AtomicBool::new(false),
             record: record.clone(),
         }));
@@ -128,6 +131,11 @@
             .line(&format!("replica {}: is draining", self.0.kind.id));
     }
 
+    /// Ids of the requests that it has run.
+    pub fn ids(&self) -> Vec<String> {
+        self.0.ids.lock().unwrap().clone()
+    }
+
     /// Number of requests that it has run.
     pub fn runs(&self) -> u64 {
         self.0.runs.load(Ordering::Relaxed)
@@ -202,6 +210,7 @@
             return http::respond(stream, 421, &headers, b"");
         }
         let run = self.0.runs.fetch_add(1, Ordering::Relaxed) + 1;
+        self.0.ids.lock().unwrap().push(attempt.clone());
         let fails = kind.fails_one_in > 0 && run % kind.fails_one_in == 0;
         record.line(&format!(
             "replica {id} ({}): runs {attempt}{}",
