--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{call, Ended};
 use crate::store::Store;
@@ -144,15 +144,27 @@
     }
 }
 
+/// Ports for nodes: below those that outgoing connections get, which could take the port of a node that is down.
+const FIRST_PORT: u16 = 20_000;
+const LAST_PORT: u16 = 30_000;
+
 /// Loopback addresses whose ports are free for connections and datagrams.
 fn free_ports(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let nanos = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |it| it.subsec_nanos());
+    let span = LAST_PORT - FIRST_PORT;
+    let mut port = FIRST_PORT + ((nanos / 1_000 + std::process::id() * 97) % u32::from(span)) as u16;
     let mut held = Vec::new();
-    while held.len() < count {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        if let Ok(socket) = UdpSocket::bind(address) {
+    for _attempt in 0..span {
+        port = if port >= LAST_PORT { FIRST_PORT } else { port + 1 };
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if let (Ok(listener), Ok(socket)) = (TcpListener::bind(address), UdpSocket::bind(address)) {
             held.push((address, listener, socket));
         }
+        if held.len() == count {
+            return Ok(held.into_iter().map(|(address, _, _)| address).collect());
+        }
     }
-    Ok(held.into_iter().map(|(address, _, _)| address).collect())
+    Err(io::ErrorKind::AddrInUse.into())
 }
