--- a/review/standin-2/deadly.rs
+++ b/review/standin-2/deadly.rs
@@ -22,13 +22,16 @@
 /// A request that crashes replicas comes again until it is refused, and at most so often.
 const MAX_ATTEMPTS: usize = 12;
 /// Requests of other callers: clients, and the pause between two requests of one.
-const CLIENTS: usize = 12;
+const CLIENTS: usize = 15;
 const PAUSE: Duration = Duration::from_millis(85);
 /// `timeout-ms` of the route, and the time after it by which there is an answer.
 const TIMEOUT: Duration = Duration::from_millis(600);
 const ANSWERED_BY: Duration = Duration::from_millis(1_100);
 /// How long the nodes are watched at the end.
 const WATCH: Duration = Duration::from_secs(6);
+/// How long such requests come at a time, and the pause after it.
+const STRETCH: Duration = Duration::from_secs(20);
+const BREAK: Duration = Duration::from_secs(1);
 /// When the requests that crash replicas cease at the latest.
 const LONGEST: Duration = Duration::from_secs(96);
 /// Body of the requests that crash replicas.
@@ -98,6 +101,7 @@
 /// Sends each of the requests that crash replicas until it is refused. Returns the number of client attempts.
 fn send_deadly(record: &Record, nodes: &[Node]) -> usize {
     let begun = Instant::now();
+    let mut stretch = begun;
     let mut attempts = 0;
     for number in 0..DEADLY {
         for attempt in 0..MAX_ATTEMPTS {
@@ -107,6 +111,11 @@
                 ));
                 return attempts;
             }
+            if stretch.elapsed() + DEADLY_INTERVAL >= STRETCH {
+                record.tell(&format!("{attempts} client attempts so far, pause"));
+                thread::sleep(BREAK);
+                stretch = Instant::now();
+            }
             // The callers of these requests are all in one zone, and use its node.
             let node = &nodes[0];
             let id = format!("deadly-{number}-{attempt}");
