--- a/crates/entry/src/leader/usage.rs
+++ b/crates/entry/src/leader/usage.rs
@@ -5,7 +5,7 @@
 use base::{Incarnation, Millis, Revision};
 use bytes::Bytes;
 use indexmap::IndexMap;
-use quota::Horizon;
+use quota::{Counts, Horizon, Windows};
 use serde::{Deserialize, Serialize};
 use store::{Condition, Error, Write};
 
@@ -24,8 +24,8 @@
 const RETRY_DELAY: Millis = Millis(400);
 /// How far ahead of this node's clock that of another leader may have been.
 const CLOCK_MARGIN: Millis = Millis(500);
-/// Number of windows kept in the record.
-const KEPT_WINDOWS: usize = 8;
+/// Number of windows kept in the record, unless more can be due at the same time.
+const KEPT_WINDOWS: u64 = 8;
 /// Number of windows after which the reports of a node that is gone are deleted.
 const STALE_AFTER_WINDOWS: u64 = 8;
 
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
     /// Counts by window number, then by workspace.
-    windows: IndexMap<u64, IndexMap<Arc<str>, u64>>,
+    windows: Windows,
     /// Era of the store in which it was written. Earlier builds write none, and drop it and the next field.
     #[serde(default)]
     era: Option<u64>,
@@ -43,14 +43,6 @@
 }
 
 impl Record {
-    /// Adds the counts of a window. The oldest window makes room.
-    fn insert(&mut self, window: u64, counts: IndexMap<Arc<str>, u64>) {
-        self.windows.insert(window, counts);
-        while self.windows.len() > KEPT_WINDOWS {
-            self.windows.shift_remove_index(0);
-        }
-    }
-
     /// Which windows that are not in the record may have been reported.
     const fn horizon(&self) -> Horizon {
         Horizon {
@@ -58,15 +50,6 @@
             before: self.lost_before,
         }
     }
-
-    /// Adds the windows of another record that are not known.
-    fn add(&mut self, other: Self) {
-        for (window, counts) in other.windows {
-            if !self.windows.contains_key(&window) {
-                self.insert(window, counts);
-            }
-        }
-    }
 }
 
 /// Reports usage to the cloud.
@@ -75,7 +58,7 @@
     shared: Arc<Shared>,
     /// The stored counts as this node has known them in any era. Counts that were lost in a restore of the store may have
     /// been reported, and must not be reported differently.
-    known: Record,
+    known: Windows,
     /// Revision of the record that was last added to them.
     known_at: Revision,
     /// Era of the store in which the windows were reported; `None` before the first one is noticed.
@@ -93,7 +76,7 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self {
             shared,
-            known: Record::default(),
+            known: Windows::new(),
             known_at: Revision::default(),
             era: None,
             due_at_restore: 0,
@@ -152,7 +135,7 @@
         };
         self.known_at = stored.revision;
         match serde_json::from_slice::<Record>(&stored.value) {
-            Ok(record) => self.known.add(record),
+            Ok(record) => self.known.merge(&record.windows, self.kept_windows()),
             Err(error) => log::warn!(cause:% = error; "invalid record of usage"),
         }
     }
@@ -194,7 +177,7 @@
 
     /// Returns the stored counts of a window, which this node writes unless an earlier leader did; `None` if no node
     /// counted a request.
-    async fn load_or_write_counts(&mut self, window: u64) -> Result<Option<IndexMap<Arc<str>, u64>>, Error> {
+    async fn load_or_write_counts(&mut self, window: u64) -> Result<Option<Counts>, Error> {
         let key = format!("{}{KEY}", self.shared.edge.internal_prefix());
         let record = self.shared.store.get(&key).await?;
         let era = self.era.unwrap_or_default();
@@ -208,12 +191,13 @@
                 serde_json::from_slice(&record.value).map_err(|error| Error::Protocol(error.to_string()))?
             }
         };
-        self.known.add(stored.clone());
-        if let Some(counts) = stored.windows.get(&window) {
+        let kept = self.kept_windows();
+        self.known.merge(&stored.windows, kept);
+        if let Some(counts) = stored.windows.get(window) {
             return Ok(Some(counts.clone()));
         }
         let horizon = stored.horizon().read_in(era, self.due_at_restore);
-        let known = self.known.windows.get(&window).cloned();
+        let known = self.known.get(window).cloned();
         if known.is_none() && horizon.covers(window) {
             metrics::counter!("bilberrylatch_usage_windows_left_out_total").increment(1);
             log::warn!(window, era, written_in_era = stored.era.map_or(-1, |era| era as i64), lost_before = horizon.before;
@@ -224,14 +208,14 @@
         if counts.is_empty() {
             return Ok(None);
         }
-        stored.insert(window, counts.clone());
+        stored.windows.insert(window, counts.clone(), kept);
         stored.era = horizon.era;
         stored.lost_before = horizon.before;
         let value = serde_json::to_vec(&stored).map_err(|error| Error::Protocol(error.to_string()))?;
         let condition = record.map_or(Condition::Absent, |it| Condition::Revision(it.revision));
         let write = Write::new(key, Bytes::from(value), condition);
         self.shared.store.write(&write).await?;
-        self.known.insert(window, counts.clone());
+        self.known.insert(window, counts.clone(), kept);
         Ok(Some(counts))
     }
 
@@ -246,9 +230,15 @@
 
     fn mark_reported(&mut self, window: u64) {
         self.reported.push(window);
-        if self.reported.len() > KEPT_WINDOWS {
-            self.reported.remove(0);
-        }
+        let excess = self.reported.len().saturating_sub(self.kept_windows());
+        self.reported.drain(..excess);
+    }
+
+    /// Number of windows that are kept: at least all that can be due at the same time.
+    fn kept_windows(&self) -> usize {
+        let settings = self.shared.settings();
+        let due = settings.usage_report_due.0 / settings.usage_window.0.max(1);
+        usize::try_from(KEPT_WINDOWS.max(due + 2)).unwrap_or(usize::MAX)
     }
 
     /// Deletes old reports of nodes that are gone.
@@ -300,5 +290,5 @@
 pub fn newest_recorded_window(shared: &Shared) -> Option<u64> {
     let value = shared.view().internal.get(KEY)?.value.clone();
     let record: Record = serde_json::from_slice(&value).ok()?;
-    record.windows.keys().copied().max()
+    record.windows.newest()
 }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -9,6 +9,7 @@
 mod retry_budget;
 mod throttle;
 mod totals;
+mod windows;
 
 pub use bucket::{Bucket, Refill};
 pub use horizon::Horizon;
@@ -16,3 +17,4 @@
 pub use retry_budget::{RetryBudget, RetryPolicy};
 pub use throttle::{Group, Throttle};
 pub use totals::Totals;
+pub use windows::{Counts, Windows};
