--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -75,7 +75,7 @@
             let page = self
                 .read_with_retries(|| self.backend.list(prefix, &after, PAGE_SIZE))
                 .await?;
-            let full_page = page.entries.len() == PAGE_SIZE;
+            let full_page = page.entries.len() >= PAGE_SIZE;
             // Keep the revision of the first page, so that a watch from it reports the changes made while paging.
             let listing = match all.take() {
                 None => page,
