--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -329,7 +329,11 @@
     async fn handle_failure(&mut self, error: &Error) {
         self.path.record_store_failure(self.shared.now());
         self.shared.questions().fail_call();
-        self.record_outage(error);
+        if error.is_outage() {
+            self.record_outage(error);
+        } else {
+            self.record_failed_call(error);
+        }
         let delay = RETRY_DELAYS[(self.failures - 1).min(RETRY_DELAYS.len() - 1)];
         let jitter: f64 = rand::rng().random_range(0.5..1.0);
         sleep(delay.mul_f64(jitter)).await;
@@ -355,6 +359,15 @@
         sleep(delay).await;
     }
 
+    /// Counts a call that failed though the store answers, or that could not be sent.
+    fn record_failed_call(&mut self, error: &Error) {
+        if self.failures == 0 {
+            log::error!(failure = error.label(), cause:% = error; "call to the store fails, though there is no outage");
+        }
+        self.failures += 1;
+        metrics::counter!("bilberrylatch_store_failed_calls_total", "cause" => error.label()).increment(1);
+    }
+
     /// Counts a failure of the store.
     fn record_outage<E>(&mut self, error: &E)
     where
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -23,6 +23,30 @@
     BudgetExceeded,
     /// The service's response violates its protocol.
     Protocol(String),
+    /// The call can't be expressed, so nothing was sent. Repeating it does not help.
+    Invalid(String),
+}
+
+impl Error {
+    /// Whether the service may be away, so that the call can succeed later.
+    pub const fn is_outage(&self) -> bool {
+        matches!(self, Self::Unavailable(_) | Self::Indeterminate(_))
+    }
+
+    /// Short name of the error, for metrics.
+    pub const fn label(&self) -> &'static str {
+        match self {
+            Self::Unavailable(_) => "unavailable",
+            Self::Indeterminate(_) => "indeterminate",
+            Self::Conflict(_) => "conflict",
+            Self::TooLarge(_) => "too_large",
+            Self::LeaseExpired => "lease_expired",
+            Self::HistoryGone => "history_gone",
+            Self::BudgetExceeded => "budget_exceeded",
+            Self::Protocol(_) => "protocol",
+            Self::Invalid(_) => "invalid",
+        }
+    }
 }
 
 impl fmt::Display for Error {
@@ -46,6 +70,7 @@
                 f.write_str("this process has used up its budget of key-value calls; wait a second")
             }
             Self::Protocol(cause) => write!(f, "unexpected answer of the key-value service: {cause}"),
+            Self::Invalid(cause) => write!(f, "the call to the key-value service is not valid: {cause}"),
         }
     }
 }
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -64,8 +64,19 @@
         })
     }
 
-    fn record_url(&self, key: &str) -> String {
-        format!("{}/v1/kv/{key}", self.base_url)
+    /// Address of a record, whose key may hold any characters.
+    fn record_url(&self, key: &str) -> Result<reqwest::Url, Error> {
+        let url = format!("{}/v1/kv", self.base_url);
+        let mut url = reqwest::Url::parse(&url).map_err(|error| Error::Invalid(format!("{url}: {error}")))?;
+        let Ok(mut segments) = url.path_segments_mut() else {
+            return Err(Error::Invalid(format!(
+                "{} is no address of a service",
+                self.base_url
+            )));
+        };
+        segments.extend(key.split('/'));
+        drop(segments);
+        Ok(url)
     }
 
     fn lease_url(&self, lease: &Lease) -> String {
@@ -73,7 +84,7 @@
     }
 
     async fn get_record(&self, key: &str) -> Result<Option<Record>, Error> {
-        let response = send(self.client.get(self.record_url(key)), SideEffect::None).await?;
+        let response = send(self.client.get(self.record_url(key)?), SideEffect::None).await?;
         match response.status() {
             StatusCode::OK => {}
             StatusCode::NOT_FOUND => return Ok(None),
@@ -105,7 +116,7 @@
             let cause = "the service has no writes that depend on another record";
             return Err(Error::Protocol(cause.to_owned()));
         }
-        let url = self.record_url(&write.key);
+        let url = self.record_url(&write.key)?;
         let mut request = match &write.value {
             Some(value) => self.client.put(url).body(value.clone()),
             None => self.client.delete(url),
@@ -191,7 +202,7 @@
 
     fn url_with_query(&self, path: &str, query: &[(&str, &str)]) -> Result<reqwest::Url, Error> {
         let url = format!("{}{path}", self.base_url);
-        reqwest::Url::parse_with_params(&url, query).map_err(|error| Error::Protocol(error.to_string()))
+        reqwest::Url::parse_with_params(&url, query).map_err(|error| Error::Invalid(error.to_string()))
     }
 }
 
