--- a/crates/entry/src/leader/rollouts.rs
+++ b/crates/entry/src/leader/rollouts.rs
@@ -106,11 +106,8 @@
     /// Compares the versions by the requests of all nodes. If the new version is bad, this node stops sending requests
     /// to it.
     fn compare_versions(&self, order: &RolloutOrder, revision: u64) -> (Judgement, Comparison) {
-        let mut sum = self.shared.comparisons().get(&order.endpoint).copied();
-        if sum.is_some_and(|sum| sum.order != revision) {
-            sum = None;
-        }
-        let mut sum = sum.unwrap_or_default();
+        let own = self.shared.comparisons().get(&order.endpoint).copied();
+        let mut sum = own.filter(|own| own.order == revision).unwrap_or_default();
         let own = self.shared.incarnation;
         for (node, report) in reports(&self.shared) {
             let Some(compared) = report.rollouts.get(&order.endpoint) else {
--- a/crates/entry/src/publish.rs
+++ b/crates/entry/src/publish.rs
@@ -133,7 +133,7 @@
             number: self.last_report.number,
             counts: self.unsettled_counts(),
             busy: self.busy.clone(),
-            rollouts: self.shared.comparisons().clone(),
+            rollouts: self.shared.comparisons(),
         };
         if report == *self.last_report && followed == self.last_target {
             return;
--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -11,7 +11,7 @@
 use super::target::{SendDelay, Target};
 use crate::Shared;
 use crate::edge::Advice;
-use crate::shared::{IntermediaryUse, RequestEvent};
+use crate::shared::{IntermediaryUse, RequestEvent, RolloutNumber};
 
 /// Time after the first event in which a replica crashes that can't process the request.
 pub(super) const CRASH_WINDOW: Millis = Millis(300);
@@ -25,6 +25,8 @@
     key: Option<DispatchKey>,
     sent: Millis,
     has_begun: bool,
+    /// The rollout in which the request was sent.
+    rollout: Option<RolloutNumber>,
     target: Target,
     /// What of the request may crash the replica.
     suspects: Suspects,
@@ -42,7 +44,7 @@
         let Pick { choice, intermediary } = pick;
         let sent = shared.now();
         let key = shared.with_pool(&call.endpoint, |pool| pool.send(sent, &choice, demand));
-        shared.record_version_event(&call.endpoint, &choice.version, RequestEvent::Start);
+        let rollout = shared.record_version_start(&call.endpoint, &choice.version);
         let target = Target {
             replica: Arc::clone(&choice.id),
             expected_wait: choice.expected_wait,
@@ -54,6 +56,7 @@
         };
         Self {
             has_begun: false,
+            rollout,
             target,
             suspects: call.suspects.clone(),
             began: Millis::ZERO,
@@ -112,9 +115,7 @@
         }
         self.has_begun = true;
         self.began = now;
-        let event = RequestEvent::Answer(now.since(self.sent));
-        self.shared
-            .record_version_event(&self.endpoint, &self.choice.version, event);
+        self.record_version_event(RequestEvent::Answer(now.since(self.sent)));
         self.shared
             .with_pool(&self.endpoint, |pool| pool.begin_answer(now, key));
     }
@@ -150,6 +151,13 @@
         self.sent
     }
 
+    fn record_version_event(&self, event: RequestEvent) {
+        if let Some(rollout) = self.rollout {
+            self.shared
+                .record_version_event(&self.endpoint, &self.choice.version, rollout, event);
+        }
+    }
+
     fn finish(&mut self, outcome: DispatchOutcome) {
         let Some(key) = self.key.take() else { return };
         let failed = match outcome {
@@ -157,9 +165,7 @@
             DispatchOutcome::Failed => Some(true),
             DispatchOutcome::Unreachable | DispatchOutcome::NotRun | DispatchOutcome::Cancelled => None,
         };
-        let event = RequestEvent::End { failed };
-        self.shared
-            .record_version_event(&self.endpoint, &self.choice.version, event);
+        self.record_version_event(RequestEvent::End { failed });
         let now = self.shared.now();
         self.shared
             .with_pool(&self.endpoint, |pool| pool.end(now, key, outcome));
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -34,13 +34,13 @@
 use crate::intake::{Address, Memory, Report, Roster};
 use crate::lifecycle::Lifecycle;
 use crate::peers::{HeardNodes, Hub, LostNodes, Topology};
-use crate::publish::{Collector, Comparison};
+use crate::publish::Collector;
 use crate::settings::Settings;
 use crate::upstream::{Connections, RESPONSES};
 use crate::view::View;
 use crate::wall_clock::WallClock;
 
-pub use comparison::RequestEvent;
+pub use comparison::{RequestEvent, RolloutNumber};
 pub use reach::{ForwardGuard, Intermediary, IntermediaryUse, Path};
 
 /// Fraction of a replica's connection limit that all nodes combined use.
@@ -104,7 +104,7 @@
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
     counts: Mutex<Counts>,
-    comparisons: Mutex<IndexMap<Arc<str>, Comparison>>,
+    outcomes: Mutex<IndexMap<Arc<str>, comparison::Outcomes>>,
     wall_clock: Mutex<WallClock>,
     questions: Mutex<Questions>,
     /// The node through which this one reads the store.
@@ -166,7 +166,7 @@
             forwarded: AtomicUsize::new(0),
             retry_budgets: Mutex::default(),
             counts: Mutex::default(),
-            comparisons: Mutex::default(),
+            outcomes: Mutex::default(),
             wall_clock: Mutex::default(),
             questions: Mutex::default(),
             followed: Mutex::default(),
