--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -11,6 +11,7 @@
 mod apply;
 mod evacuations;
 mod expiry;
+mod lost_orders;
 mod regions;
 mod replicas;
 mod withheld;
--- a/crates/entry/src/follow/apply.rs
+++ b/crates/entry/src/follow/apply.rs
@@ -10,6 +10,7 @@
 use store::{Listing, listing};
 use table::Table;
 
+use super::lost_orders::LostOrders;
 use super::withheld::Withheld;
 use crate::Shared;
 use crate::blocks::BLOCKS_PREFIX;
@@ -55,8 +56,7 @@
     withheld: Withheld,
     /// Whether the first listing is being applied: replicas that are new to the node by it may be there for long.
     pub(super) is_first_listing: bool,
-    /// Revisions of the rollout orders, by endpoint.
-    order_revisions: IndexMap<Arc<str>, Revision>,
+    lost_orders: LostOrders,
 }
 
 impl Applier {
@@ -69,7 +69,7 @@
             removed: IndexMap::new(),
             withheld: Withheld::default(),
             is_first_listing: false,
-            order_revisions: IndexMap::new(),
+            lost_orders: LostOrders::default(),
         }
     }
 
@@ -104,6 +104,7 @@
     pub fn withhold_outdated(&mut self, listing: &Listing) {
         let now = self.shared.now();
         self.forget_removals(now);
+        self.lost_orders.remember(now, &self.shared.view().rollouts);
         self.withheld.clear();
         let settings = self.shared.settings();
         let until = now + Millis(settings.replica_heartbeat.0 * EXPIRY_INTERVALS);
@@ -232,24 +233,37 @@
         RecordKind::Other
     }
 
-    fn put_rollout_order(&mut self, order: RolloutOrder, revision: Revision) -> RecordKind {
+    fn put_rollout_order(&self, order: RolloutOrder, revision: Revision) -> RecordKind {
         let endpoint = Arc::clone(&order.endpoint);
-        let known_revision = self.order_revisions.insert(Arc::clone(&endpoint), revision);
+        let now = self.shared.now();
         let mut view = self.shared.view();
         let known = view.rollouts.orders.get(&endpoint).cloned();
         let before = known.as_ref().map(|(_, number)| *number);
+        let lost = self.lost_orders.find(now, &order);
         if before != Some(revision.number) {
             log::info!(endpoint:% = endpoint, target:% = order.target, within_ms = order.within.0,
-                revision = revision.number; "move ordered");
-        }
-        let is_restored = known_revision.is_some_and(|it| it.era < revision.era);
-        if let Some((_, number)) = known.filter(|(known, _)| is_restored && *known == order) {
-            view.rollouts.renumber(&endpoint, number, revision.number);
+                revision = revision.number, is_written_again = lost.is_some(); "move ordered");
         }
+        let renumbered = lost.map(|lost| match known {
+            Some((known, number)) if known == order => {
+                view.rollouts.renumber(&endpoint, number, revision.number);
+                number
+            }
+            Some(_) | None => {
+                let record = lost.record.as_ref();
+                view.rollouts
+                    .resume(&endpoint, record, lost.is_vetoed, revision.number);
+                lost.revision
+            }
+        });
         view.rollouts
             .orders
             .insert(Arc::clone(&endpoint), (order, revision.number));
         drop(view);
+        if let Some(before) = renumbered {
+            self.shared
+                .renumber_comparison(&endpoint, before, revision.number);
+        }
         self.note_only_version(&endpoint);
         RecordKind::RolloutOrder(endpoint)
     }
--- a/crates/entry/src/view/rollouts.rs
+++ b/crates/entry/src/view/rollouts.rs
@@ -172,6 +172,20 @@
         }
     }
 
+    /// Goes on with the rollout of an order that was lost and is written again with the revision `after`.
+    pub fn resume(&mut self, endpoint: &Arc<str>, record: Option<&Rollout>, is_vetoed: bool, after: u64) {
+        if let Some(record) = record {
+            let record = Rollout {
+                order: after,
+                ..record.clone()
+            };
+            self.put_record(Arc::clone(endpoint), record);
+        }
+        if is_vetoed {
+            self.vetoed.insert(Arc::clone(endpoint), after);
+        }
+    }
+
     /// Whether an order for the endpoint is neither done nor undone.
     pub fn is_open(&self, endpoint: &str) -> bool {
         let Some((_, revision)) = self.orders.get(endpoint) else {
