--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -8,6 +8,7 @@
 mod event_buffer;
 mod exchange;
 mod memory;
+mod socket;
 
 pub use blocks::Blocks;
 pub use budget::{Budget, Exhausted};
--- a/crates/entry/src/upstream/connection.rs
+++ b/crates/entry/src/upstream/connection.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use super::socket::{Socket, Upload};
 use crate::intake::Payload;
 use crate::net::Liveness;
 
@@ -41,6 +42,7 @@
     pub(super) server: Server,
     pub(super) sender: SendRequest<RequestBody>,
     driver: AbortHandle,
+    pub(super) upload: Arc<Upload>,
     /// Whether it has served a request before.
     pub(super) used: bool,
     /// When its last response ended.
@@ -113,8 +115,10 @@
             Err(_elapsed) => return Err("connection timed out".to_owned()),
         };
         liveness.apply(&stream).map_err(|error| error.to_string())?;
+        let upload = Arc::new(Upload::default());
+        let socket = Socket::new(stream, Arc::clone(&upload)).map_err(|error| error.to_string())?;
         let (sender, connection) = builder
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(socket))
             .await
             .map_err(|error| error.to_string())?;
         let driver = tokio::spawn(async move {
@@ -127,6 +131,7 @@
             server,
             sender,
             driver: driver.abort_handle(),
+            upload,
             used: false,
             idle_since: Millis::ZERO,
             idle_timeout: Millis::ZERO,
--- a/crates/entry/src/upstream/connections.rs
+++ b/crates/entry/src/upstream/connections.rs
@@ -73,8 +73,13 @@
         None
     }
 
-    /// Returns a connection to the pool after a complete response. `idle` is how long the replica keeps it open.
+    /// Returns a connection to the pool after a complete response. `idle` is how long the replica keeps it open. It is closed if
+    /// it can't take another request, for which the next one would wait.
     pub fn put(&self, mut connection: Connection, idle: Option<std::time::Duration>) {
+        if connection.upload.is_spent() {
+            return;
+        }
+        connection.upload.set_active(false);
         let idle_timeout = idle.map_or(DEFAULT_IDLE_TIMEOUT, |idle| {
             Millis((idle.as_millis() as u64).saturating_sub(IDLE_MARGIN.0))
         });
--- a/crates/entry/src/upstream/exchange.rs
+++ b/crates/entry/src/upstream/exchange.rs
@@ -1,6 +1,7 @@
 //! Sends requests on a connection.
 
 use http::{Request, Response};
+use http_body::Body;
 use hyper::body::Incoming;
 
 use super::{Connection, RequestBody};
@@ -42,6 +43,7 @@
             return Err(SendError::NotSent(error.to_string()));
         }
         let request = request().map_err(SendError::NotSent)?;
+        self.upload.set_active(!request.body().is_end_stream());
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(PendingResponse {
                 connection: self,
