--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -4,7 +4,7 @@
 
 use admission::Urgency;
 use base::Millis;
-use place::{Choice, Claim, Demand, DispatchError, DispatchOutcome, Refusal, ReplicaKey};
+use place::{Choice, Claim, Demand, DispatchError, DispatchOutcome, Refusal, ReplicaKey, is_status};
 use tokio::time::timeout;
 
 use super::attempt::{AttemptError, Failure, Reply};
@@ -249,6 +249,11 @@
     /// Checks that the response belongs to the request and that the replica ran the request.
     fn check_head(&self, in_flight: InFlight, pending: PendingResponse) -> Result<Reply, AttemptError> {
         let status = pending.response.status();
+        if !is_status(status.as_u16()) {
+            in_flight.end(DispatchOutcome::Failed);
+            let cause = format!("response with the invalid status {}", status.as_u16());
+            return Err(AttemptError::Failed(Failure::new(DispatchError::Lost, cause)));
+        }
         let head = pending.response.headers();
         let response_head = self
             .shared
--- a/crates/entry/src/serve/forward/service.rs
+++ b/crates/entry/src/serve/forward/service.rs
@@ -10,7 +10,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::Incoming;
-use place::{Claim, Destination, ForwardError, ReplicaKey};
+use place::{Claim, Destination, ForwardError, ReplicaKey, is_status};
 use poison::Suspects;
 use table::Residency;
 
@@ -256,11 +256,12 @@
                 return Err(self.fail(Outcome::Lost, cause));
             }
         };
-        if pending.response.status().is_informational() {
-            let cause = format!("response with {}", pending.response.status());
+        let status = pending.response.status();
+        if status.is_informational() || !is_status(status.as_u16()) {
+            let cause = format!("response with the status {}", status.as_u16());
             return Err(self.fail(Outcome::Lost, cause));
         }
-        let (status, headers) = (pending.response.status(), pending.response.headers());
+        let headers = pending.response.headers();
         let response_head = shared.edge.decode_response(&self.echo, status, headers);
         if response_head.claim() == Claim::Foreign {
             // The connection is closed, so that the replica does not go on with the request.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -43,7 +43,7 @@
 pub use reach::ReachChange;
 pub use refusal::Refusal;
 pub use rendezvous::hash;
-pub use response::{Claim, Echo};
+pub use response::{Claim, Echo, is_status};
 pub use senders::{Roster, Senders, Times};
 pub use settings::Settings;
 pub use spec::{Spec, State};
--- a/crates/place/src/response.rs
+++ b/crates/place/src/response.rs
@@ -36,3 +36,8 @@
         }
     }
 }
+
+/// Whether a status is one of HTTP, whose last class is 5xx. A response with another one is no answer.
+pub const fn is_status(status: u16) -> bool {
+    matches!(status, 100..=599)
+}
