--- a/crates/entry/src/serve/admit.rs
+++ b/crates/entry/src/serve/admit.rs
@@ -53,7 +53,8 @@
     drop(view);
     let timeout = request_head.timeout.unwrap_or(Millis::NEVER);
     let deadline = received + timeout.min(matched.route.timeout);
-    let deadline = place::shutdown::answer_deadline(shared.now(), deadline, shared.lifecycle.shutdown())
+    let deadline = shared
+        .answer_deadline(matched.route, deadline)
         .ok_or(Reason::Leaving)?;
     let mut headers = head.headers;
     strip_connection(&mut headers);
--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -98,6 +98,7 @@
                 }
                 Ok(reply) => match buffered::read(&mut self, reply).await {
                     Ok(response) => {
+                        self.record_duration();
                         self.log_end("answered", response.status().as_u16());
                         return response;
                     }
@@ -189,6 +190,12 @@
         }
     }
 
+    /// Records how long the answer took, which has ended.
+    pub fn record_duration(&self) {
+        let took = self.shared.now().since(self.call.received);
+        self.shared.record_duration(&self.call.route().name, took);
+    }
+
     /// Time until the deadline.
     pub fn time_left(&self) -> Millis {
         self.call.time_left(self.shared.now())
--- a/crates/entry/src/serve/relay.rs
+++ b/crates/entry/src/serve/relay.rs
@@ -232,6 +232,7 @@
             let connections = &self.dispatch.shared.connections;
             connections.put(source.connection, source.response_head.idle_timeout);
         }
+        self.dispatch.record_duration();
         self.log_end("streamed");
     }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
 mod availability;
 mod cold;
 mod comparison;
+mod durations;
 mod exchange;
 mod limits;
 mod pace;
@@ -22,6 +23,7 @@
 use clock::Clock;
 use indexmap::IndexMap;
 use place::intermediary::Intermediaries;
+use place::shutdown::Durations;
 use place::{Pool, Zones};
 use quota::{Limiter, RetryBudget};
 use relay::Availability;
@@ -104,6 +106,8 @@
     last_heard: Mutex<IndexMap<u64, (u64, Millis)>>,
     retry_budgets: Mutex<IndexMap<Arc<str>, RetryBudget>>,
     counts: Mutex<Counts>,
+    /// How long answers took, by route.
+    durations: Mutex<Durations>,
     outcomes: Mutex<IndexMap<Arc<str>, comparison::Outcomes>>,
     wall_clock: Mutex<WallClock>,
     questions: Mutex<Questions>,
@@ -166,6 +170,7 @@
             forwarded: AtomicUsize::new(0),
             retry_budgets: Mutex::default(),
             counts: Mutex::default(),
+            durations: Mutex::default(),
             outcomes: Mutex::default(),
             wall_clock: Mutex::default(),
             questions: Mutex::default(),
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,7 @@
 mod cold;
 mod demand;
 mod dispatch;
+mod durations;
 mod error;
 mod health;
 pub mod intermediary;
--- a/crates/place/src/shutdown.rs
+++ b/crates/place/src/shutdown.rs
@@ -5,12 +5,17 @@
 
 use base::Millis;
 
+pub use crate::durations::Durations;
+
 /// Time for callers to discover the shutdown. Later requests come from callers that do not react to it.
 pub const DISCOVERY_TIME: Millis = Millis(2_500);
 /// Time until the shutdown deadline that is sufficient to accept a request during the discovery time, even if the
 /// request has a later deadline. It is longer than the target latencies of all routes at both sites.
 const MAX_REQUIRED_TIME: Millis = Millis(2_000);
 
+/// A request may take longer than the longest recent one by this part of its time.
+const MARGIN_DIVISOR: u64 = 4;
+
 /// Time between two looks at the clock, which are much closer, from which the process was suspended.
 const MIN_SUSPENSION: Millis = Millis(200);
 /// Time in which a node that was suspended writes the responses that arrived meanwhile.
@@ -68,17 +73,24 @@
 }
 
 /// Returns the deadline for the answer to a request that arrives now, or `None` if the request must be refused because
-/// of the shutdown.
+/// of the shutdown. `longest` is the longest time that recent answers of its kind took, if any is known.
 ///
 /// A request is accepted if the time until its requested deadline is available. During the discovery time,
-/// `MAX_REQUIRED_TIME` is sufficient, which is enough for most requests.
-pub fn answer_deadline(now: Millis, requested: Millis, shutdown: Option<Shutdown>) -> Option<Millis> {
+/// `MAX_REQUIRED_TIME` is sufficient, which is enough for most requests, or somewhat more than the longest time if that is
+/// longer.
+pub fn answer_deadline(
+    now: Millis,
+    requested: Millis,
+    longest: Option<Millis>,
+    shutdown: Option<Shutdown>,
+) -> Option<Millis> {
     let Some(shutdown) = shutdown else {
         return Some(requested);
     };
     let mut needed = requested.since(now);
     if now.since(shutdown.started) < DISCOVERY_TIME {
-        needed = needed.min(MAX_REQUIRED_TIME);
+        let longest = longest.map_or(Millis::ZERO, |it| it + Millis(it.0 / MARGIN_DIVISOR));
+        needed = needed.min(MAX_REQUIRED_TIME.max(longest));
     }
     (shutdown.deadline.since(now) >= needed && now < shutdown.deadline)
         .then(|| requested.min(shutdown.deadline))
