--- a/crates/entry/src/serve/in_flight.rs
+++ b/crates/entry/src/serve/in_flight.rs
@@ -166,6 +166,11 @@
             DispatchOutcome::Unreachable | DispatchOutcome::NotRun | DispatchOutcome::Cancelled => None,
         };
         self.record_version_event(RequestEvent::End { failed });
+        if self.choice.is_trial {
+            let is_answered = outcome == DispatchOutcome::Answered;
+            let label = if is_answered { "answered" } else { "not_answered" };
+            metrics::counter!("bilberrylatch_trials_total", "outcome" => label).increment(1);
+        }
         let now = self.shared.now();
         self.shared
             .with_pool(&self.endpoint, |pool| pool.end(now, key, outcome));
--- a/crates/place/src/dispatch.rs
+++ b/crates/place/src/dispatch.rs
@@ -21,6 +21,15 @@
     Cancelled,
 }
 
+/// What a dispatch is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Its answer alone.
+    Answer,
+    /// It also tests a replica whose answer was expected too late.
+    Trial,
+}
+
 /// A dispatch in flight.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Dispatch {
@@ -43,6 +52,7 @@
     pub is_silent: bool,
     /// Whether it was sent through another node.
     pub is_indirect: bool,
+    pub purpose: Purpose,
     /// What its first event tells of the replica's speed.
     pub measurement: Measurement,
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -28,6 +28,7 @@
 mod settings;
 pub mod shutdown;
 mod spec;
+mod trial;
 mod work;
 mod zones;
 
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -12,6 +12,7 @@
 mod reach;
 mod regions;
 mod suspicion;
+mod trial;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,11 +32,12 @@
 pub use self::pace::{EndpointSpeed, PaceEvent, Speed};
 pub use self::reach::{Destination, ForwardError};
 use crate::cold::ColdShare;
-use crate::dispatch::Dispatch;
+use crate::dispatch::{Dispatch, Purpose};
 use crate::prefill::PrefillRate;
 use crate::rate_limit::RateLimit;
 use crate::reach::Reach;
 use crate::replica::Replica;
+use crate::trial::Trials;
 use crate::{
     CacheBasis, Demand, DispatchKey, DispatchOutcome, Load, PeerLoad, PeerReport, Refusal, ReplicaKey,
     Senders, Settings, Spec, Work, Zones, rendezvous,
@@ -49,6 +51,11 @@
 /// generate fewer tokens than they may.
 const OUTPUT_TOKEN_MS: f64 = 0.04;
 
+/// Whether an answer at this cost is expected too late.
+fn is_too_late(cost: &Cost, demand: &Demand<'_>) -> bool {
+    cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION
+}
+
 /// A chosen replica.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -74,6 +81,8 @@
     pub is_indirect: bool,
     /// Whether it is to take only capacity of the replica that others don't need.
     pub is_spare: bool,
+    /// Whether it tests a replica whose answer is expected too late.
+    pub is_trial: bool,
 }
 
 impl Choice {
@@ -116,6 +125,7 @@
     /// This node's part of what cold replicas take.
     cold_share: Option<ColdShare>,
     contention: Contention,
+    trials: Trials,
 }
 
 impl Pool {
@@ -139,6 +149,7 @@
             senders: Arc::default(),
             cold_share: settings.cold.map(|cold| cold.share(0)),
             contention: Contention::default(),
+            trials: Trials::default(),
         }
     }
 
@@ -246,11 +257,15 @@
         let (cost, key) = match self.cheapest(now, &free, demand) {
             None => return Err(self.no_free(now, &candidates, demand)),
             Some((cost, key)) if self.is_unlimited(now, key) => (cost, key),
-            Some(cheapest) => self.choose_limited(now, free, cheapest, demand)?,
+            Some(cheapest) => self.choose_limited(now, free.clone(), cheapest, demand)?,
+        };
+        let is_trial = is_too_late(&cost, demand);
+        let (cost, key) = if is_trial {
+            let trial = self.choose_trial(now, &free, demand);
+            trial.ok_or_else(|| Refusal::TooLate(self.retry_wait(now, demand)))?
+        } else {
+            (cost, key)
         };
-        if cost.wait_ms > demand.time_left.0 as f64 * MAX_WAIT_FRACTION {
-            return Err(Refusal::TooLate(self.retry_wait(now, demand)));
-        }
         let Replica {
             spec,
             rate_limit,
@@ -270,6 +285,7 @@
             rate_limit,
             is_indirect: false,
             is_spare,
+            is_trial,
         })
     }
 
@@ -295,6 +311,9 @@
     /// Records that a request is sent to the chosen replica.
     pub fn send(&mut self, now: Millis, choice: &Choice, demand: &Demand<'_>) -> DispatchKey {
         self.first_sent_at.get_or_insert(now);
+        if choice.is_trial {
+            self.trials.record_sent(now);
+        }
         let class = self.record_sent(now, choice, demand);
         let own_ms = self.mean_prefill_ms(f64::from(demand.own_tokens()));
         let measurement = self.measurement(now, choice, demand);
@@ -325,6 +344,11 @@
             began_at: now,
             is_silent: false,
             is_indirect: choice.is_indirect,
+            purpose: if choice.is_trial {
+                Purpose::Trial
+            } else {
+                Purpose::Answer
+            },
             measurement,
         })
     }
@@ -368,6 +392,9 @@
         if replica.unread_tokens == 0 {
             self.prefill_rate.record(dispatch.prefill_tokens, latency_ms);
         }
+        if dispatch.purpose == Purpose::Trial {
+            replica.forget_latency();
+        }
         replica.record_latency(now, latency_ms, dispatch.expected_wait.0 as f64);
         self.keep_sample(now, key, latency_ms);
     }
@@ -394,6 +421,9 @@
         if !dispatch.answer_began {
             self.record_read(&dispatch);
         }
+        if dispatch.purpose == Purpose::Trial {
+            self.record_trial_end(now, outcome);
+        }
         let others_failure_rate = self.others_failure_rate(dispatch.replica);
         let is_own_failure = self.is_cut_off() && !dispatch.is_indirect;
         let Some(replica) = self.replicas.get_mut(dispatch.replica) else {
--- a/crates/place/src/replica.rs
+++ b/crates/place/src/replica.rs
@@ -204,6 +204,11 @@
         self.delay_ms * (-age / DELAY_HALF_LIFE_MS * std::f64::consts::LN_2).exp()
     }
 
+    /// Forgets the times to answers, since the next one was sent to learn a new one.
+    pub const fn forget_latency(&mut self) {
+        self.latency_ms = None;
+    }
+
     /// Records the time to an answer or first event, and the time that was expected for it.
     pub fn record_latency(&mut self, now: Millis, latency_ms: f64, explained_ms: f64) {
         let before = self.latency_ms.unwrap_or(latency_ms);
--- a/crates/place/tests/placement/main.rs
+++ b/crates/place/tests/placement/main.rs
@@ -13,5 +13,6 @@
 mod regions;
 mod response;
 mod shutdown;
+mod spells;
 mod support;
 mod suspicion;
