--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -27,8 +27,8 @@
 const MEMORY: Millis = Millis(600_000);
 /// Maximum number of crashes kept.
 const MAX_EVENTS: usize = 256;
-/// Maximum number of blocks kept.
-const MAX_BLOCKS: usize = 64;
+/// Maximum number of blocks kept, more than the crashes kept can blame.
+const MAX_BLOCKS: usize = MAX_EVENTS / MAX_CRASHES + 11;
 /// Maximum number of parts of a request that are looked at.
 const MAX_PARTS: usize = 8;
 /// Maximum number of exonerated ids kept.
@@ -281,8 +281,11 @@
         let was_blocked = before.is_some_and(|before| !before.is_lifted);
         self.blocks.insert(parts.clone(), State { at, is_lifted });
         if self.blocks.len() > MAX_BLOCKS {
-            self.blocks.sort_by(|_, a, _, b| b.at.cmp(&a.at));
-            self.blocks.truncate(MAX_BLOCKS);
+            let others = self.blocks.iter().filter(|(other, _)| **other != parts);
+            let earliest = others.min_by_key(|(_, state)| state.at);
+            if let Some(earliest) = earliest.map(|(other, _)| other.clone()) {
+                self.blocks.shift_remove(&earliest);
+            }
         }
         (was_blocked == is_lifted).then_some(Change {
             parts,
@@ -301,7 +304,9 @@
         if now.since(self.started) < WARM_UP {
             return changes;
         }
-        while let Some(change) = self.next_block(now) {
+        // NB: a block makes room for the next one, whose crashes may then be blamed anew.
+        for _ in 0..MAX_BLOCKS {
+            let Some(change) = self.next_block(now) else { break };
             changes.push(change);
         }
         changes
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -444,3 +444,53 @@
     };
     assert!(!told.is_own && told.is_blocked, "{told:?}");
 }
+
+/// Guards against a node that loops for ever once more different requests have crashed replicas than there is room for blocks; each
+/// must be refused once it has crashed three.
+#[test]
+fn many_different_requests_crash_replicas_and_the_detector_never_ends() {
+    const REQUESTS: u64 = 300;
+    const STEP: Millis = Millis(1_500);
+    let mut detector = Detector::new(Millis(0));
+    let mut now = Millis(10_000);
+    let mut most = 0;
+    for number in 0..REQUESTS {
+        let id = 10_000 + number;
+        for crash in 0..3 {
+            let changes = detector.record_crash(now, number * 3 + crash, &[id]);
+            most = most.max(changes.len());
+            now = now + STEP;
+        }
+        most = most.max(detector.review(now).len());
+        assert!(detector.blocked_for(now, &[id]).is_some(), "request {number}");
+    }
+    assert!(most <= 2, "{most} changes at once");
+    assert!(detector.blocked_for(now, &[1]).is_none());
+}
+
+/// Guards against the same with blocks of other nodes that are as new as this node's.
+#[test]
+fn blocks_of_other_nodes_leave_no_room_and_the_detector_never_ends() {
+    const BLOCKS: u64 = 500;
+    let mut detector = Detector::new(Millis(0));
+    let now = Millis(10_000);
+    let block = |id| Block {
+        parts: vec![id],
+        age: Millis(0),
+        is_lifted: false,
+    };
+    let digest = Digest {
+        blocks: (0..BLOCKS).map(block).collect(),
+        ..Digest::default()
+    };
+    detector.record_digest(now, &digest);
+    for number in 0..80 {
+        let id = 10_000 + number;
+        for crash in 0..3 {
+            detector.record_crash(now, 100_000 + number * 3 + crash, &[id]);
+        }
+    }
+    let later = now + Millis(700);
+    let changes = detector.review(later);
+    assert!(changes.len() <= 160, "{} changes", changes.len());
+}
