--- a/tests/clients/daemon.rs
+++ b/tests/clients/daemon.rs
@@ -1,14 +1,13 @@
 //! A daemon as a process of its own, with the platform's stand-ins beside it.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use standin::record::{Route, configuration_with, registration};
-use standin::{Behavior, Kv, Replica, caller};
-use tokio::time::{Instant, sleep};
+use standin::{Behavior, Kv, Replica};
+
+use crate::process::{Process, unused_address};
 
 /// Requests for which a replica's behavior is planned: more than the clients still send to one.
 const PLANNED: usize = 200;
@@ -26,8 +25,6 @@
 };
 /// Maximum wait until the daemon answers requests.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
-/// Interval between checks of that.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Memory and descriptors of the VM.
 #[derive(Clone, Copy, Debug)]
@@ -44,11 +41,10 @@
     Peer,
 }
 
-/// A running daemon. Dropping it kills the process.
+/// A running daemon.
 #[derive(Debug)]
 pub struct Daemon {
-    child: Child,
-    front: SocketAddr,
+    process: Process,
     directory: SocketAddr,
     peer: SocketAddr,
     _kv: Kv,
@@ -71,57 +67,30 @@
             kv.put(&key, &registration(replica.address, "zone-1", "ready"));
             replicas.push(replica);
         }
-        let [front, directory, peer, ready, metrics] = std::array::from_fn(|_| unused_address());
-        let settings = [
-            ("NAME", "node-1".to_owned()),
-            ("ZONE", "zone-1".to_owned()),
-            ("STORE", kv.address.to_string()),
-            ("CLOUD", kv.address.to_string()),
-            ("LISTEN", front.to_string()),
-            ("DIRECTORY_LISTEN", directory.to_string()),
-            ("PEER_LISTEN", peer.to_string()),
-            ("READY_LISTEN", ready.to_string()),
-            ("METRICS_LISTEN", metrics.to_string()),
-            ("MEMORY_MB", budget.memory_mb.to_string()),
-            ("MAX_FDS", budget.max_fds.to_string()),
-        ];
-        let settings = settings.map(|(name, value)| (format!("BILBERRYLATCH_{name}"), value));
-        let child = Command::new(env!("CARGO_BIN_EXE_bilberrylatchd"))
-            .arg("platform")
-            .envs(settings)
-            .stdout(output())
-            .stderr(output())
-            .spawn()
-            .expect("the daemon should start");
-        let daemon = Self {
-            child,
-            front,
+        let (directory, peer) = (unused_address(), unused_address());
+        let process = Process::start(
+            kv.address,
+            &[
+                ("DIRECTORY_LISTEN", directory.to_string()),
+                ("PEER_LISTEN", peer.to_string()),
+                ("MEMORY_MB", budget.memory_mb.to_string()),
+                ("MAX_FDS", budget.max_fds.to_string()),
+            ],
+        );
+        let is_serving = process.serves_within("/safe/1", START_TIMEOUT).await;
+        assert!(is_serving, "the daemon serves no request");
+        Self {
+            process,
             directory,
             peer,
             _kv: kv,
             replicas,
-        };
-        daemon.wait_until_it_serves().await;
-        daemon
-    }
-
-    async fn wait_until_it_serves(&self) {
-        let start = Instant::now();
-        let mut number = 0;
-        loop {
-            let response = caller::call(self.front, "/safe/1", &format!("start-{number}")).await;
-            if response.is_some_and(|it| it.status.is_success()) {
-                return;
-            }
-            assert!(start.elapsed() < START_TIMEOUT, "the daemon serves no request");
-            number += 1;
-            sleep(POLL_INTERVAL).await;
         }
     }
 
     pub const fn address(&self, address: Address) -> SocketAddr {
         match address {
-            Address::Front => self.front,
+            Address::Front => self.process.front,
             Address::Directory => self.directory,
             Address::Peer => self.peer,
         }
@@ -135,12 +104,13 @@
     }
 
     pub fn is_alive(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        matches!(self.process.child.try_wait(), Ok(None))
     }
 
     /// The daemon's peak resident memory (`VmHWM`).
     pub fn peak_kib(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let status =
+            fs::read_to_string(format!("/proc/{}/status", self.process.child.id())).unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let number = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
         number.expect("the daemon's peak memory")
@@ -148,31 +118,6 @@
 
     /// Number of descriptors that the daemon has open.
     pub fn open_fds(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ended = self.child.kill();
-        let _status = self.child.wait();
-    }
-}
-
-/// An address that no other test binds: the IP is this process's own among the loopback addresses, and the port is
-/// given out once.
-fn unused_address() -> SocketAddr {
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 64 + high, middle, low);
-    SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
-}
-
-/// Passes logs through only if `BILBERRYLATCH_TEST_LOGS` is set.
-fn output() -> Stdio {
-    if std::env::var_os("BILBERRYLATCH_TEST_LOGS").is_some() {
-        Stdio::inherit()
-    } else {
-        Stdio::null()
+        fs::read_dir(format!("/proc/{}/fd", self.process.child.id())).map_or(0, Iterator::count)
     }
 }
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -7,6 +7,8 @@
 mod case;
 mod client;
 mod daemon;
+#[path = "../support/process.rs"]
+mod process;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/tests/restarts/case.rs
@@ -0,0 +1,135 @@
+//! Odd entries among those of the replicas, and what daemons serve that start while they stand.
+
+use std::time::Duration;
+
+use futures::{StreamExt, stream};
+use serde_json::json;
+use standin::kv::{Faults, Queries};
+use standin::record::{configuration, registration};
+use standin::{Behavior, Kv, Replica, caller};
+use tokio::runtime::Runtime;
+
+use crate::process::Process;
+
+const CASES_AT_ONCE: usize = 4;
+/// Daemons beside each other.
+const DAEMONS: usize = 2;
+const REPLICAS: usize = 4;
+/// Requests to each daemon once it has served one.
+const REQUESTS: usize = 20;
+/// Time within which a daemon that starts serves.
+const START_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// What the odd entries hold.
+#[derive(Clone, Copy, Debug)]
+pub enum Value {
+    Unreadable,
+    /// A registration with an address where nothing listens.
+    NobodyListens,
+}
+
+/// Odd entries in a store.
+#[derive(Clone, Debug)]
+pub struct Case {
+    /// Names of the entries among those of the replicas.
+    pub names: Vec<String>,
+    pub value: Value,
+    pub queries: Queries,
+    /// Entries on a page of the store's list.
+    pub page: usize,
+}
+
+impl Case {
+    /// Entries that can't be read, each of which ends a page.
+    pub const fn new(names: Vec<String>) -> Self {
+        Self {
+            names,
+            value: Value::Unreadable,
+            queries: Queries::Form,
+            page: 1,
+        }
+    }
+
+    /// Starts all daemons, kills them once the entries stand, starts them again, and returns what was not served.
+    async fn failures(&self) -> Vec<String> {
+        let about = |failure| {
+            let Self {
+                names,
+                value,
+                queries,
+                ..
+            } = self;
+            format!(
+                "{:?} ({}), {value:?}, {queries:?}: {failure}",
+                names[0],
+                names.len()
+            )
+        };
+        self.run().await.into_iter().map(about).collect()
+    }
+
+    async fn run(&self) -> Vec<String> {
+        let kv = Kv::start().await.expect("a store");
+        kv.put("op/config", &configuration(7, &["key-1"]));
+        let mut replicas = Vec::new();
+        for number in 0..REPLICAS {
+            let replica = Replica::start(&format!("i-{number}"), Behavior::Respond).await;
+            let replica = replica.expect("a replica");
+            let record = registration(replica.address, "zone-1", "ready");
+            kv.put(&format!("servers/{}", replica.id), &record);
+            replicas.push(replica);
+        }
+        let mut failures = serve(&kv, "before").await;
+        for (number, name) in self.names.iter().enumerate() {
+            let value = match self.value {
+                Value::Unreadable => json!([]),
+                // Port 1 on addresses of the loopback network that nothing uses.
+                Value::NobodyListens => {
+                    let [high, low] = (number as u16).to_be_bytes();
+                    registration(([127, 9, high, low], 1).into(), "zone-1", "ready")
+                }
+            };
+            kv.put(&format!("servers/{name}"), &value);
+        }
+        kv.set_faults(Faults {
+            page: self.page,
+            queries: self.queries,
+            ..Faults::default()
+        });
+        failures.extend(serve(&kv, "with the entries").await);
+        failures
+    }
+}
+
+/// What the cases did not serve, a few of which run at a time.
+pub fn failures(cases: &[Case]) -> Vec<String> {
+    let runtime = Runtime::new().expect("a runtime");
+    let all = runtime.block_on(
+        stream::iter(cases)
+            .map(Case::failures)
+            .buffer_unordered(CASES_AT_ONCE)
+            .collect::<Vec<Vec<String>>>(),
+    );
+    all.concat()
+}
+
+/// Starts daemons, sends them requests, and kills them. Returns what was not served.
+async fn serve(kv: &Kv, when: &str) -> Vec<String> {
+    let daemons: Vec<Process> = (0..DAEMONS).map(|_| Process::start(kv.address, &[])).collect();
+    let mut failures = Vec::new();
+    for (index, daemon) in daemons.iter().enumerate() {
+        if !daemon.serves_within("/safe/1", START_TIMEOUT).await {
+            failures.push(format!("{when}, daemon {index}: no request served"));
+            continue;
+        }
+        for number in 0..REQUESTS {
+            let id = format!("{when}-{index}-{number}");
+            let response = caller::call(daemon.front, "/unsafe/1", &id).await;
+            let status = response.map(|it| it.status.as_u16());
+            if status != Some(200) {
+                failures.push(format!("{when}, daemon {index}, request {number}: {status:?}"));
+            }
+        }
+    }
+    failures
+}
