Count refused connections apart from the dispatches of a request

Cause: a request is dispatched four times at most, and a refused connection was one of the four, though no replica notices it. Change: place::Attempts counts dispatches that found no connection by themselves, at most 64, label `unconnected`. Each replica is still tried once for a request; retry budget, runs and deadline are as before. Weighed: no bound but the deadline, which lets a request of a node with many dead entries use the node's processor alone.

--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -31,6 +31,8 @@
     pub was_cut_off: bool,
     /// Number of dispatches so far.
     pub dispatches: usize,
+    /// Number of these that found no connection.
+    pub unconnected: usize,
     /// Number of nodes that declined to send the request on.
     pub declines: usize,
     /// Number of replicas that may have run the request and will not answer any more.
@@ -67,6 +69,7 @@
             tried: Vec::new(),
             was_cut_off: false,
             dispatches: 0,
+            unconnected: 0,
             declines: 0,
             possible_runs: 0,
             sent: Vec::new(),
@@ -126,7 +129,7 @@
 
     /// Records a failure after which no replica has the request; returns whether another one may be tried.
     pub fn record_failure(&mut self, failure: &Failure) -> bool {
-        self.count_run(failure);
+        self.count_failure(failure);
         let assessment = failure.error.assess(self.call.route().kind.is_idempotent());
         let skips_retry_budget = matches!(failure.error, DispatchError::NotSent | DispatchError::Declined);
         let denial = match self.attempts().denial_after(assessment) {
@@ -147,8 +150,11 @@
         self.tried.retain(|tried| *tried != replica);
     }
 
-    /// Counts a failed dispatch as a run, unless it surely was none.
-    pub fn count_run(&mut self, failure: &Failure) {
+    /// Counts a failed dispatch as one that found no connection, or as a run, unless it surely was none.
+    pub fn count_failure(&mut self, failure: &Failure) {
+        if failure.error == DispatchError::NotSent {
+            self.unconnected += 1;
+        }
         let assessment = failure.error.assess(self.call.route().kind.is_idempotent());
         if assessment.execution != Execution::NotRun {
             self.possible_runs += 1;
@@ -182,6 +188,7 @@
         Attempts {
             is_idempotent: route.kind.is_idempotent(),
             dispatches: self.dispatches,
+            unconnected: self.unconnected,
             declines: self.declines,
             possible_runs: self.possible_runs,
             in_flight: self.in_flight(),
--- a/crates/entry/src/serve/hedge.rs
+++ b/crates/entry/src/serve/hedge.rs
@@ -64,7 +64,7 @@
 
     /// Records the failure of a replica while others have the request.
     pub fn record_lost_hedge(&mut self, failure: &Failure) {
-        self.count_run(failure);
+        self.count_failure(failure);
         self.log_failed(failure, None);
     }
 
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -4,8 +4,10 @@
 
 use crate::{Assessment, DispatchError};
 
-/// Maximum number of dispatches of a request, including those that did not run it.
+/// Maximum number of dispatches of a request that found a connection, including those that did not run it.
 const MAX_DISPATCHES: usize = 4;
+/// Maximum number of dispatches that found none.
+const MAX_UNCONNECTED: usize = 64;
 /// Maximum number of nodes that decline to send a request on.
 const MAX_DECLINES: usize = 12;
 /// Minimum time left for another dispatch.
@@ -20,6 +22,8 @@
     Deadline,
     /// It was sent to too many replicas, including those that did not run it.
     Dispatches,
+    /// Too many replicas could not be connected to.
+    Unconnected,
     /// Too many nodes declined to send it on.
     Declines,
     /// It may have run on as many replicas as its route allows.
@@ -37,6 +41,7 @@
             Self::MayHaveRun => "may_have_run",
             Self::Deadline => "deadline",
             Self::Dispatches => "dispatches",
+            Self::Unconnected => "unconnected",
             Self::Declines => "declines",
             Self::Runs => "runs",
             Self::Budget => "budget",
@@ -52,6 +57,8 @@
     pub is_idempotent: bool,
     /// Number of dispatches, including those that did not run the request.
     pub dispatches: usize,
+    /// Number of these that found no connection, so that no replica was sent the request.
+    pub unconnected: usize,
     /// Number of nodes that declined to send the request on, which are no dispatches.
     pub declines: usize,
     /// Number of replicas that may have run the request and will not answer any more.
@@ -72,13 +79,18 @@
 
     /// Returns why the request may not be sent to another replica after a failed dispatch, which is counted; `None` if it
     /// may.
+    ///
+    /// Load pattern: most entries of an endpoint name addresses where nothing listens, and the node has just started. Refused
+    /// connections cost little and no replica notices them, so many are tried before the request is refused.
     pub const fn denial_after(&self, assessment: Assessment) -> Option<Denial> {
         if !assessment.may_retry {
             Some(Denial::MayHaveRun)
         } else if self.is_too_late() {
             Some(Denial::Deadline)
-        } else if self.dispatches >= MAX_DISPATCHES {
+        } else if self.dispatches.saturating_sub(self.unconnected) >= MAX_DISPATCHES {
             Some(Denial::Dispatches)
+        } else if self.unconnected >= MAX_UNCONNECTED {
+            Some(Denial::Unconnected)
         } else if self.declines >= MAX_DECLINES {
             Some(Denial::Declines)
         } else if self.possible_runs + self.in_flight >= self.max_runs {
--- a/crates/place/tests/placement/intermediary.rs
+++ b/crates/place/tests/placement/intermediary.rs
@@ -126,6 +126,7 @@
         let mut attempts = Attempts {
             is_idempotent: false,
             dispatches: 0,
+            unconnected: 0,
             declines: 0,
             possible_runs: 0,
             in_flight: 0,
--- a/tests/restarts/main.rs
+++ b/tests/restarts/main.rs
@@ -78,3 +78,19 @@
     let failures = case::failures(&cases);
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against daemons that refuse requests since most entries name addresses where nothing listens.
+#[test]
+fn many_dead_addresses_stop_daemons_that_start() {
+    let case = |count: usize, caches_prompts: bool| Case {
+        page: 500,
+        value: Value::NobodyListens,
+        caches_prompts,
+        concurrency: 8,
+        requests: 400,
+        ..Case::new((0..count).map(|number| format!("other-{number}")).collect())
+    };
+    let cases = [case(20, false), case(20, true)];
+    let failures = case::failures(&cases);
+    assert!(failures.is_empty(), "{failures:#?}");
+}
