Choose unreachable replicas last while no other node reaches them

Cause: a node that can't connect to some replicas in a row takes itself for cut off, and then learns nothing from failed connections, since other nodes may reach the replicas. With dead entries no node does; each request tried the same addresses again. Change: Demand::has_detour; without one, replicas that failed since the cut are candidates only if there are no others. A request's tries begin anew when a way through other nodes opens, no longer when there is none. Weighed: ejecting them as unhealthy, which outlasts a real cut by up to 8 s; more than 64 tries a request.

--- a/crates/entry/src/serve/dispatch.rs
+++ b/crates/entry/src/serve/dispatch.rs
@@ -20,6 +20,17 @@
 /// Retry-After time when replicas refused the request. It is short, since their queues are.
 const REFUSED_RETRY_AFTER: Millis = Millis(250);
 
+/// How a node reaches the replicas of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Links {
+    /// From this node.
+    Up,
+    /// Through other nodes, since this one is cut off.
+    Detour,
+    /// Not at all, as far as is known: this node is cut off, and no other one reaches them.
+    Down,
+}
+
 /// A request being dispatched.
 #[derive(Debug)]
 pub(super) struct Dispatch {
@@ -27,8 +38,8 @@
     pub call: Call,
     /// Replicas that are not to be chosen again.
     pub tried: Vec<ReplicaKey>,
-    /// Whether this node was cut off from the endpoint when a replica was last chosen.
-    pub was_cut_off: bool,
+    /// How the endpoint's replicas were reached when one was last chosen.
+    pub links: Links,
     /// Number of dispatches so far.
     pub dispatches: usize,
     /// Number of these that found no connection.
@@ -67,7 +78,7 @@
             shared,
             call,
             tried: Vec::new(),
-            was_cut_off: false,
+            links: Links::Up,
             dispatches: 0,
             unconnected: 0,
             declines: 0,
--- a/crates/entry/src/serve/exchange.rs
+++ b/crates/entry/src/serve/exchange.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{AttemptError, Failure, Reply};
-use super::dispatch::Dispatch;
+use super::dispatch::{Dispatch, Links};
 use super::forward::{Hop, send_through};
 use super::in_flight::InFlight;
 use super::log;
@@ -42,14 +42,13 @@
 
     /// Selects a replica that the request was not sent to yet, and the way to it.
     pub fn choose(&mut self) -> Result<Pick, Refusal> {
-        let is_cut_off = self
-            .shared
-            .with_pool(&self.call.endpoint, |pool| pool.is_cut_off());
-        if is_cut_off && !self.was_cut_off && self.sent.is_empty() && self.possible_runs == 0 {
+        let links = self.links();
+        let before = std::mem::replace(&mut self.links, links);
+        let begins_detour = links == Links::Detour && before != Links::Detour;
+        if begins_detour && self.sent.is_empty() && self.possible_runs == 0 {
             // Replicas that this node could not connect to are reached by others.
             self.tried.clear();
         }
-        self.was_cut_off = is_cut_off;
         let choice = self.with_demand(|demand| {
             let now = self.shared.now();
             self.shared
@@ -72,6 +71,17 @@
         })
     }
 
+    fn links(&self) -> Links {
+        let Self { shared, call, .. } = self;
+        if !shared.with_pool(&call.endpoint, |pool| pool.is_cut_off()) {
+            Links::Up
+        } else if shared.has_detour(&call.endpoint, call.zones.as_deref()) {
+            Links::Detour
+        } else {
+            Links::Down
+        }
+    }
+
     fn path_to(&self, replica: ReplicaKey) -> Path {
         let zones = self.call.zones.as_deref();
         self.shared.path_to(&self.call.endpoint, replica, zones)
@@ -91,6 +101,7 @@
             version: call.versions.filter(),
             zones: call.zones.as_deref(),
             time_left: self.time_left(),
+            has_detour: self.links == Links::Detour,
             urgency: self.urgency(),
         })
     }
--- a/crates/entry/src/shared/reach.rs
+++ b/crates/entry/src/shared/reach.rs
@@ -118,6 +118,11 @@
         self.path_within(endpoint, zones)
     }
 
+    /// Whether other nodes, of these zones if there are any, reach the replicas of an endpoint while this one does not.
+    pub fn has_detour(&self, endpoint: &Arc<str>, zones: Option<&[Arc<str>]>) -> bool {
+        matches!(self.path_within(endpoint, zones), Path::Through(_))
+    }
+
     /// How a request gets to the replicas of an endpoint now, apart from those that are reached while others are not.
     pub fn path(&self, endpoint: &Arc<str>) -> Path {
         self.path_within(endpoint, None)
--- a/crates/place/benches/choose.rs
+++ b/crates/place/benches/choose.rs
@@ -61,6 +61,7 @@
         tried: &[],
         version: VersionFilter::Any,
         zones: None,
+        has_detour: false,
         urgency: None,
         time_left: Millis(60_000),
     }
--- a/crates/place/src/demand.rs
+++ b/crates/place/src/demand.rs
@@ -55,6 +55,8 @@
     pub zones: Option<&'a [Arc<str>]>,
     /// Time until the deadline of the request.
     pub time_left: Millis,
+    /// Whether other nodes reach the replicas that this one can't connect to, as far as is known.
+    pub has_detour: bool,
     /// How urgent it is; `None` if it takes any capacity there is.
     pub urgency: Option<Urgency>,
 }
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -454,15 +454,17 @@
         }
     }
 
-    /// Returns the replicas that may be chosen; ejected and suspect ones only if there are no others. Those in evacuated zones
-    /// or in zones that the request may not be processed in never are.
+    /// Returns the replicas that may be chosen; ejected, suspect and unreachable ones only if there are no others. Those in evacuated
+    /// zones or in zones that the request may not be processed in never are.
     fn candidates(&self, now: Millis, demand: &Demand<'_>) -> Vec<ReplicaKey> {
         let untried = |key: &ReplicaKey| !demand.tried.contains(key);
         let keys = self.ids.values().copied().filter(untried);
         let ready: Vec<ReplicaKey> = keys.filter(|key| self.is_eligible(*key, demand)).collect();
         let suspects = self.suspects(now, &ready);
-        let is_available =
-            |key: &ReplicaKey| self.replicas[*key].health.accepts_requests(now) && !suspects.contains(key);
+        let is_available = |key: &ReplicaKey| {
+            let is_healthy = self.replicas[*key].health.accepts_requests(now);
+            is_healthy && !suspects.contains(key) && !self.is_unreachable(*key, demand)
+        };
         let available: Vec<ReplicaKey> = ready.iter().copied().filter(is_available).collect();
         if available.is_empty() { ready } else { available }
     }
--- a/crates/place/src/pool/reach.rs
+++ b/crates/place/src/pool/reach.rs
@@ -8,7 +8,7 @@
 
 use super::Pool;
 use crate::replica::Replica;
-use crate::{ReachChange, ReplicaKey, State};
+use crate::{Demand, ReachChange, ReplicaKey, State};
 
 /// Why a request of another node is not sent to a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +69,15 @@
         self.reach.is_direct(replica)
     }
 
+    /// Whether a request would meet a failed connection again: this node is cut off, could not connect to the replica since, and no other
+    /// node reaches it.
+    ///
+    /// Load pattern: most entries of an endpoint name addresses where nothing listens. All nodes count as cut off, as a node does that
+    /// has lost its links, and what failed says nothing of the replica's health.
+    pub(super) fn is_unreachable(&self, replica: ReplicaKey, demand: &Demand<'_>) -> bool {
+        self.is_cut_off() && !demand.has_detour && self.reach.has_failed(replica)
+    }
+
     /// Whether this node reaches no replica, or too few.
     pub const fn is_cut_off(&self) -> bool {
         self.reach.is_cut_off()
--- a/crates/place/tests/pace/sim.rs
+++ b/crates/place/tests/pace/sim.rs
@@ -309,6 +309,7 @@
             tried: &[],
             version: VersionFilter::Any,
             zones: None,
+            has_detour: false,
             urgency: None,
             time_left: Millis(8_000),
         };
@@ -417,6 +418,7 @@
         tried: &[],
         version: VersionFilter::Any,
         zones: None,
+        has_detour: false,
         urgency: None,
         time_left: Millis(8_000),
     }
--- a/crates/place/tests/placement/main.rs
+++ b/crates/place/tests/placement/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod cold;
 mod contention;
+mod dead;
 mod error;
 mod evacuation;
 mod intermediary;
--- a/crates/place/tests/placement/support.rs
+++ b/crates/place/tests/placement/support.rs
@@ -6,12 +6,15 @@
 use base::{Millis, Seed};
 use place::{Demand, Part, Pool, Settings, Spec, State, VersionFilter};
 
+/// Port of the first replica.
+pub const FIRST_PORT: u16 = 8_000;
+
 /// Returns the registration of the replica with this number.
 pub fn spec(number: u16, slots: u32) -> Spec {
     Spec {
         id: Arc::from(format!("i-{number}")),
         endpoint: Arc::from("endpoint"),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
+        address: SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + number)),
         zone: Arc::from(format!("zone-{}", number % 4)),
         version: Arc::from("v1"),
         slots,
@@ -58,6 +61,7 @@
         version: VersionFilter::Any,
         zones: None,
         time_left: Millis(8_000),
+        has_detour: false,
         urgency: None,
     }
 }
--- a/tests/restarts/case.rs
+++ b/tests/restarts/case.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::ready;
 use futures::{StreamExt, stream};
 use serde_json::json;
 use standin::caller::Caller;
@@ -10,6 +11,7 @@
 use standin::record::{configuration, registration};
 use standin::{Behavior, Kv, Replica};
 use tokio::runtime::Runtime;
+use tokio::time::Instant;
 
 use crate::process::Process;
 
@@ -46,6 +48,8 @@
     /// Requests to each daemon at a time.
     pub concurrency: usize,
     pub requests: usize,
+    /// Time that a daemon has to learn of the entries, from its first answer on, before the requests.
+    pub learning: Duration,
 }
 
 impl Case {
@@ -59,6 +63,7 @@
             caches_prompts: false,
             concurrency: 1,
             requests: REQUESTS,
+            learning: Duration::ZERO,
         }
     }
 
@@ -127,14 +132,23 @@
                 failures.push(format!("{when}, daemon {index}: no request served"));
                 continue;
             }
+            let start = Instant::now();
             let send = async |number: usize| {
+                let is_counted = start.elapsed() >= self.learning;
                 let status = send(daemon.front, &format!("{when}-{index}-{number}")).await;
-                (status != Some(200)).then(|| format!("{when}, daemon {index}, request {number}: {status:?}"))
+                let failure = format!("{when}, daemon {index}, request {number}: {status:?}");
+                (is_counted, (status != Some(200)).then_some(failure))
             };
+            let learning = stream::iter(0..)
+                .map(send)
+                .buffer_unordered(self.concurrency)
+                .take_while(|(is_counted, _)| ready(!is_counted));
+            learning.collect::<Vec<_>>().await;
             let sent = stream::iter(0..self.requests)
                 .map(send)
                 .buffer_unordered(self.concurrency);
-            failures.extend(sent.collect::<Vec<Option<String>>>().await.into_iter().flatten());
+            let sent: Vec<(bool, Option<String>)> = sent.collect().await;
+            failures.extend(sent.into_iter().filter_map(|(_, failure)| failure));
         }
         failures
     }
--- a/tests/restarts/main.rs
+++ b/tests/restarts/main.rs
@@ -4,6 +4,8 @@
 #[path = "../support/process.rs"]
 mod process;
 
+use std::time::Duration;
+
 use standin::kv::Queries;
 
 use crate::case::{Case, Value};
@@ -88,9 +90,16 @@
         caches_prompts,
         concurrency: 8,
         requests: 400,
+        learning: Duration::from_secs(if count > 100 { 2 } else { 0 }),
         ..Case::new((0..count).map(|number| format!("other-{number}")).collect())
     };
-    let cases = [case(20, false), case(20, true)];
+    let cases = [
+        case(20, false),
+        case(20, true),
+        case(100, true),
+        case(600, false),
+        case(600, true),
+    ];
     let failures = case::failures(&cases);
     assert!(failures.is_empty(), "{failures:#?}");
 }
