--- /dev/null
+++ b/review/standin-3/case.rs
@@ -0,0 +1,3 @@
+//! The cases.
+
+pub mod memory;
